Count control apart from requests, and stop all tasks before any ends

Ruled out: an object of its own for costs: every task already has the counters. Change: counters for peer messages by kind and direction, gauges for processor time and tables, all at /metrics; task_stop joins every thread before the first task is destroyed. Before and after: before, no figure of control; the use after free was read in the code, and no run had shown it. Conclusion: slopes can be measured with real processes.

--- a/src/core.c
+++ b/src/core.c
@@ -271,6 +271,21 @@
   c->joined_ms = t->now_ms;
 }
 
+/* Note how large this node's tables are. */
+static void
+note_tables (struct core *c)
+{
+  struct counters *k = c->counters;
+
+  counters_set_gauge (k, GAUGE_TABLE_VMS, fleet_vms (c->fleet)->len);
+  counters_set_gauge (k, GAUGE_TABLE_KEYS, fleet_claim_count (c->fleet));
+  counters_set_gauge (k, GAUGE_TABLE_WAVES, fleet_waves (c->fleet)->len);
+  counters_set_gauge (k, GAUGE_TABLE_NODES, fleet_nodes (c->fleet)->len);
+  counters_set_gauge (k, GAUGE_TABLE_MEMBERS,
+                      members_others (c->members)->len);
+  counters_set_gauge (k, GAUGE_TABLE_REQUESTS, requests_count (c->requests));
+}
+
 static void
 finish_stopping (struct core *c, struct turn *t)
 {
@@ -283,6 +298,7 @@
 static void
 handle_tick (struct core *c, struct turn *t)
 {
+  note_tables (c);
   if (members_expire (c->members, t->now_ms))
     {
       counters_add (c->counters, COUNTER_MEMBERS_SUSPECTED, 1);
--- a/src/counters.c
+++ b/src/counters.c
@@ -2,13 +2,39 @@
 
 #include <stdatomic.h>
 
+struct peer_counter
+{
+  _Atomic (const char *) name;
+  _Atomic uint64_t messages[DIRECTION_COUNT];
+  _Atomic uint64_t bytes[DIRECTION_COUNT];
+};
+
 struct counters
 {
   _Atomic uint64_t values[COUNTER_COUNT];
   _Atomic uint64_t reasons[REASON_COUNT];
   _Atomic uint64_t retries[REASON_COUNT];
+  _Atomic uint64_t gauges[GAUGE_COUNT];
+  struct peer_counter peers[COUNTERS_PEER_KINDS];
 };
 
+static const char *const gauge_names[GAUGE_COUNT] = {
+  [GAUGE_CPU_CORE_US] = "task_cpu_us{task=\"core\"}",
+  [GAUGE_CPU_CALLERS_US] = "task_cpu_us{task=\"callers\"}",
+  [GAUGE_CPU_ADMIN_US] = "task_cpu_us{task=\"admin\"}",
+  [GAUGE_CPU_LOG_US] = "task_cpu_us{task=\"log\"}",
+  [GAUGE_CPU_PEERS_US] = "task_cpu_us{task=\"peers\"}",
+  [GAUGE_TABLE_VMS] = "table_entries{table=\"vms\"}",
+  [GAUGE_TABLE_KEYS] = "table_entries{table=\"keys\"}",
+  [GAUGE_TABLE_WAVES] = "table_entries{table=\"waves\"}",
+  [GAUGE_TABLE_NODES] = "table_entries{table=\"nodes\"}",
+  [GAUGE_TABLE_MEMBERS] = "table_entries{table=\"members\"}",
+  [GAUGE_TABLE_REQUESTS] = "table_entries{table=\"requests\"}",
+};
+
+static const char *const direction_names[DIRECTION_COUNT]
+    = { "sent", "received" };
+
 static const char *const counter_names[COUNTER_COUNT] = {
   [COUNTER_REQUESTS] = "requests",
   [COUNTER_ANSWERED] = "requests_answered",
@@ -97,6 +123,63 @@
                                memory_order_relaxed);
 }
 
+void
+counters_set_gauge (struct counters *counters, enum gauge gauge,
+                    uint64_t value)
+{
+  atomic_store_explicit (&counters->gauges[gauge], value,
+                         memory_order_relaxed);
+}
+
+uint64_t
+counters_get_gauge (const struct counters *counters, enum gauge gauge)
+{
+  return atomic_load_explicit (&counters->gauges[gauge], memory_order_relaxed);
+}
+
+void
+counters_add_peer (struct counters *counters, enum direction direction,
+                   unsigned kind, const char *name, uint64_t size)
+{
+  struct peer_counter *p;
+
+  if (kind >= COUNTERS_PEER_KINDS)
+    return;
+  p = &counters->peers[kind];
+  atomic_store_explicit (&p->name, name, memory_order_relaxed);
+  atomic_fetch_add_explicit (&p->messages[direction], 1, memory_order_relaxed);
+  atomic_fetch_add_explicit (&p->bytes[direction], size, memory_order_relaxed);
+}
+
+static void
+render_peer (const struct peer_counter *p, GString *out)
+{
+  const char *name = atomic_load_explicit (&p->name, memory_order_relaxed);
+
+  if (name == NULL)
+    return;
+  for (int d = 0; d < DIRECTION_COUNT; d++)
+    g_string_append_printf (
+        out,
+        "control_messages{kind=\"%s\",direction=\"%s\"} %" G_GUINT64_FORMAT
+        "\ncontrol_bytes{kind=\"%s\",direction=\"%s\"} %" G_GUINT64_FORMAT
+        "\n",
+        name, direction_names[d],
+        (guint64)atomic_load_explicit (&p->messages[d], memory_order_relaxed),
+        name, direction_names[d],
+        (guint64)atomic_load_explicit (&p->bytes[d], memory_order_relaxed));
+}
+
+static void
+render_control (const struct counters *counters, GString *out)
+{
+  for (int i = 0; i < GAUGE_COUNT; i++)
+    g_string_append_printf (out, "%s %" G_GUINT64_FORMAT "\n", gauge_names[i],
+                            (guint64)counters_get_gauge (counters, i));
+  for (int i = 0; i < COUNTERS_PEER_KINDS; i++)
+    render_peer (&counters->peers[i], out);
+}
+
 void
 counters_render (const struct counters *counters, GString *out)
 {
@@ -114,4 +197,5 @@
         out, "retries{reason=\"%s\"} %" G_GUINT64_FORMAT "\n", reason_name (i),
         (guint64)atomic_load_explicit (&counters->retries[i],
                                        memory_order_relaxed));
+  render_control (counters, out);
 }
--- a/src/counters.h
+++ b/src/counters.h
@@ -51,6 +51,33 @@
   COUNTER_COUNT
 };
 
+/* Figures that go up and down: what control costs this node. */
+enum gauge
+{
+  GAUGE_CPU_CORE_US, /* processor time of each task, in microseconds */
+  GAUGE_CPU_CALLERS_US,
+  GAUGE_CPU_ADMIN_US,
+  GAUGE_CPU_LOG_US,
+  GAUGE_CPU_PEERS_US,
+  GAUGE_TABLE_VMS, /* entries of each table */
+  GAUGE_TABLE_KEYS,
+  GAUGE_TABLE_WAVES,
+  GAUGE_TABLE_NODES,
+  GAUGE_TABLE_MEMBERS,
+  GAUGE_TABLE_REQUESTS,
+  GAUGE_COUNT
+};
+
+/* Which way a message between nodes goes. */
+enum direction
+{
+  DIRECTION_SENT,
+  DIRECTION_RECEIVED,
+  DIRECTION_COUNT
+};
+
+#define COUNTERS_PEER_KINDS 32
+
 struct counters;
 
 struct counters *counters_new (void);
@@ -66,7 +93,18 @@
 /* Count one retry because of REASON. */
 void counters_add_retry (struct counters *counters, enum reason reason);
 
+/* Set GAUGE to VALUE. */
+void counters_set_gauge (struct counters *counters, enum gauge gauge,
+                         uint64_t value);
+
+/* Count one message between nodes, of the kind numbered KIND and named NAME
+   (which lives as long as the program), of SIZE bytes. */
+void counters_add_peer (struct counters *counters, enum direction direction,
+                        unsigned kind, const char *name, uint64_t size);
+
 uint64_t counters_get (const struct counters *counters, enum counter counter);
+uint64_t counters_get_gauge (const struct counters *counters,
+                             enum gauge gauge);
 uint64_t counters_get_reason (const struct counters *counters,
                               enum reason reason);
 
--- a/src/peer_message.c
+++ b/src/peer_message.c
@@ -14,6 +14,16 @@
     = { HEARTBEAT_TYPE,   SLOT_ASK_TYPE,  SLOT_GRANT_TYPE, SLOT_REFUSE_TYPE,
         SLOT_RETURN_TYPE, SLOT_HOLD_TYPE, SLOT_CANCEL_TYPE };
 
+const char *
+peer_kind_name (enum peer_kind kind)
+{
+  static const char *const names[PEER_KIND_COUNT]
+      = { "heartbeat",   "slot-ask",  "slot-grant", "slot-refuse",
+          "slot-return", "slot-hold", "slot-cancel" };
+
+  return names[kind];
+}
+
 struct peer_message *
 peer_message_new (enum peer_kind kind)
 {
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -112,6 +112,9 @@
   PEER_READ_MALFORMED
 };
 
+/* Return the word for KIND in counters. */
+const char *peer_kind_name (enum peer_kind kind);
+
 struct peer_message *peer_message_new (enum peer_kind kind);
 void peer_message_destroy (struct peer_message *message);
 
--- a/src/peers.c
+++ b/src/peers.c
@@ -86,6 +86,8 @@
   switch (peer_message_from_bytes (bytes, &peer))
     {
     case PEER_READ_GOOD:
+      counters_add_peer (p->counters, DIRECTION_RECEIVED, peer->kind,
+                         peer_kind_name (peer->kind), size);
       m = message_new (MESSAGE_PEER);
       m->u.peer.peer = peer;
       task_post (p->core, m);
@@ -155,14 +157,16 @@
 /* Sending. */
 
 static void
-send_to (struct peers *p, const struct peer *peer, const guint8 *data,
-         gsize size)
+send_to (struct peers *p, const struct peer *peer, enum peer_kind kind,
+         const guint8 *data, gsize size)
 {
   if (zmq_send (peer->socket, data, size, ZMQ_DONTWAIT) < 0)
     {
       counters_add (p->counters, COUNTER_PEER_DROPPED, 1);
       return;
     }
+  counters_add_peer (p->counters, DIRECTION_SENT, kind, peer_kind_name (kind),
+                     size);
   counters_add (p->counters, COUNTER_PEER_SENT, 1);
   counters_add (p->counters, COUNTER_PEER_SENT_BYTES, size);
 }
@@ -183,7 +187,7 @@
       if (m->to[0] != '\0' && strcmp (m->to, p->out[i].node) != 0)
         continue;
       found = true;
-      send_to (p, &p->out[i], frame, MAC_BYTES + size);
+      send_to (p, &p->out[i], m->peer->kind, frame, MAC_BYTES + size);
     }
   if (!found && m->to[0] != '\0')
     counters_add (p->counters, COUNTER_PEER_DROPPED, 1);
--- a/src/serve.c
+++ b/src/serve.c
@@ -95,9 +95,27 @@
     route (n, next);
 }
 
+/* Note how much processor time each task has used. */
+static void
+note_cpu (struct node *n)
+{
+  struct counters *c = n->counters;
+
+  counters_set_gauge (c, GAUGE_CPU_CORE_US, task_cpu_us (n->core_task));
+  counters_set_gauge (c, GAUGE_CPU_CALLERS_US,
+                      task_cpu_us (callers_task (n->callers)));
+  counters_set_gauge (c, GAUGE_CPU_ADMIN_US,
+                      task_cpu_us (admin_task (n->admin)));
+  counters_set_gauge (c, GAUGE_CPU_LOG_US,
+                      task_cpu_us (log_task_task (n->log)));
+  counters_set_gauge (c, GAUGE_CPU_PEERS_US,
+                      task_cpu_us (peers_task (n->peers)));
+}
+
 static gboolean
 on_tick (gpointer data)
 {
+  note_cpu (data);
   core_handle_message (data, message_new (MESSAGE_TICK));
   return G_SOURCE_CONTINUE;
 }
@@ -181,6 +199,13 @@
 static void
 node_finish (struct node *n)
 {
+  /* The core posts to the other tasks, and they to the core: all stop before
+     any is destroyed. */
+  task_stop (n->core_task);
+  task_stop (callers_task (n->callers));
+  task_stop (admin_task (n->admin));
+  task_stop (log_task_task (n->log));
+  task_stop (peers_task (n->peers));
   callers_destroy (n->callers);
   admin_destroy (n->admin);
   log_task_destroy (n->log);
--- a/src/task.c
+++ b/src/task.c
@@ -1,5 +1,9 @@
 #include "task.h"
 
+#include <pthread.h>
+#include <stdatomic.h>
+#include <time.h>
+
 #define MESSAGES_PER_TURN 64
 
 struct task
@@ -11,6 +15,8 @@
   GMainContext *context;
   GMainLoop *loop;
   GAsyncQueue *mail;
+  clockid_t cpu_clock;
+  _Atomic bool runs; /* the clock above is set */
 };
 
 struct mail_source
@@ -83,6 +89,8 @@
   struct task *t = data;
   GSource *source;
 
+  pthread_getcpuclockid (pthread_self (), &t->cpu_clock);
+  atomic_store (&t->runs, true);
   g_main_context_push_thread_default (t->context);
   source = g_source_new (&mail_functions, sizeof (struct mail_source));
   ((struct mail_source *)source)->task = t;
@@ -93,6 +101,7 @@
   g_source_destroy (source);
   g_source_unref (source);
   g_main_context_pop_thread_default (t->context);
+  atomic_store (&t->runs, false);
   return NULL;
 }
 
@@ -109,6 +118,17 @@
   g_main_context_wakeup (task->context);
 }
 
+uint64_t
+task_cpu_us (const struct task *task)
+{
+  struct timespec used;
+
+  if (!atomic_load (&task->runs)
+      || clock_gettime (task->cpu_clock, &used) != 0)
+    return 0;
+  return (uint64_t)used.tv_sec * 1000000 + (uint64_t)used.tv_nsec / 1000;
+}
+
 static gboolean
 quit (gpointer data)
 {
@@ -117,21 +137,27 @@
 }
 
 void
-task_destroy (struct task *task)
+task_stop (struct task *task)
 {
   GSource *source;
 
+  if (task->thread == NULL)
+    return;
+  /* As a source, so that it works also before the loop runs. */
+  source = g_idle_source_new ();
+  g_source_set_callback (source, quit, task->loop, NULL);
+  g_source_attach (source, task->context);
+  g_source_unref (source);
+  g_thread_join (task->thread);
+  task->thread = NULL;
+}
+
+void
+task_destroy (struct task *task)
+{
   if (task == NULL)
     return;
-  if (task->thread != NULL)
-    {
-      /* As a source, so that it works also before the loop runs. */
-      source = g_idle_source_new ();
-      g_source_set_callback (source, quit, task->loop, NULL);
-      g_source_attach (source, task->context);
-      g_source_unref (source);
-      g_thread_join (task->thread);
-    }
+  task_stop (task);
   g_async_queue_unref (task->mail);
   g_main_loop_unref (task->loop);
   g_main_context_unref (task->context);
--- a/src/task.h
+++ b/src/task.h
@@ -30,7 +30,14 @@
 /* Hand MESSAGE to TASK, which owns it from now on.  Any thread may call. */
 void task_post (struct task *task, struct message *message);
 
-/* Stop the thread, wait for it and destroy the task. */
+/* Return the processor time that the thread has used, in microseconds. */
+uint64_t task_cpu_us (const struct task *task);
+
+/* Stop the thread and wait for it; messages may still be posted, and are
+   dropped. */
+void task_stop (struct task *task);
+
+/* Destroy the task, stopped first if it still runs. */
 void task_destroy (struct task *task);
 
 #endif
