Let a node start work only while its view is known to be current

Cause: a node took itself for cut off only when it heard nobody and its log did not answer, so two nodes cut off together went on for ever on an old view while the rest could move VMs; a paused node's answers, read after it resumed, counted as fresh; and a VM once called leaving by a peer stayed so, as nothing cleared the hint of a node whose own list was stale.

Change: permission.c weighs, from moments of the node's own questions only, the log's head or a majority of the joined nodes that had read no further; heartbeats carry stamps and echo them. A node that has not joined starts nothing. A VM that vanished from the list counts too.

--- a/src/backend.c
+++ b/src/backend.c
@@ -26,6 +26,7 @@
   uint64_t received;
   goffset length;
   int64_t started_ms;
+  int64_t send_by_ms;
   bool sent;  /* the back end may have got it */
   bool begun; /* the answer's head has been passed on */
   bool timed_out;
@@ -186,7 +187,14 @@
 static void
 on_starting (SoupMessage *message, gpointer data)
 {
-  ((struct backend_run *)data)->sent = true;
+  struct backend_run *r = data;
+
+  /* The node's permission may have lapsed while the run waited for a
+     connection, or while the whole process was paused. */
+  if (now_ms () > r->send_by_ms)
+    g_cancellable_cancel (r->cancellable);
+  else
+    r->sent = true;
 }
 
 static gboolean
@@ -233,6 +241,7 @@
   r->data = data;
   r->max_answer_bytes = order->max_answer_bytes;
   r->started_ms = now_ms ();
+  r->send_by_ms = order->send_by_ms;
   r->cancellable = g_cancellable_new ();
   r->message = make_message (order, task, content_type, body);
   g_signal_connect (r->message, "starting", G_CALLBACK (on_starting), r);
--- a/src/core.c
+++ b/src/core.c
@@ -2,8 +2,10 @@
 
 #include "broker.h"
 #include "fleet.h"
+#include "leaving.h"
 #include "members.h"
 #include "operators.h"
+#include "permission.h"
 #include "plan.h"
 #include "requests.h"
 #include "status.h"
@@ -26,9 +28,12 @@
   struct requests *requests;
   struct plan *plan;
   struct operators *operators;
-  GHashTable *leaving; /* set of VMs that the platform said are leaving */
+  struct leaving *leaving;
   bool log_reachable;
-  int64_t fresh_ms; /* when the fleet was last at the log's head */
+  int64_t fresh_ms; /* when the log was asked for the head that the fleet was
+                       last at */
+  int64_t permit_until_ms;
+  bool says_news; /* send a heartbeat at once */
   int64_t heartbeat_ms;
   int64_t planned_ms;
   int64_t joined_ms; /* when this node last asked to join */
@@ -52,8 +57,9 @@
   c->requests = requests_new (options->max_requests);
   c->plan = plan_new ();
   c->operators = operators_new ();
-  c->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  c->leaving = leaving_new ();
   c->fresh_ms = -1;
+  c->permit_until_ms = -1;
   return c;
 }
 
@@ -68,7 +74,7 @@
   broker_destroy (core->broker);
   members_destroy (core->members);
   fleet_destroy (core->fleet);
-  g_hash_table_unref (core->leaving);
+  leaving_destroy (core->leaving);
   g_free (core->node);
   g_free (core->zone);
   g_free (core);
@@ -92,6 +98,7 @@
     .counters = c->counters,
     .view_age_ms = c->fresh_ms < 0 ? INT32_MAX : now_ms - c->fresh_ms,
     .log_reachable = c->log_reachable,
+    .permit_until_ms = c->permit_until_ms,
     .stopping = c->stopping,
     .out = out,
   };
@@ -117,6 +124,23 @@
     operators_folded (c->operators, t, r, e->offset, verdict);
 }
 
+/* Tell who gives out slots, and who starts work on them, which VMs leave. */
+static void
+tell_leaving (struct core *c)
+{
+  GHashTable *names = leaving_names (c->leaving);
+  const GPtrArray *vms = fleet_vms (c->fleet);
+
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const struct fleet_vm *v = g_ptr_array_index (vms, i);
+      bool leaving = g_hash_table_contains (names, v->vm);
+
+      place_set_leaving (broker_place (c->broker), v->vm, leaving);
+      requests_set_leaving (c->requests, v->vm, leaving);
+    }
+}
+
 static void
 handle_records (struct core *c, struct turn *t,
                 const struct message_records *m)
@@ -142,54 +166,50 @@
       vms_changed |= e->record->kind == RECORD_VM_ADD
                      || e->record->kind == RECORD_VM_STEP;
     }
-  if (vms_changed)
-    broker_sync (c->broker, t);
+  if (!vms_changed)
+    return;
+  broker_sync (c->broker, t);
+  tell_leaving (c);
 }
 
 static void
-handle_log_state (struct core *c, const struct message_log_state *m,
-                  int64_t now_ms)
+handle_log_state (struct core *c, const struct message_log_state *m)
 {
   c->log_reachable = m->reachable;
   if (m->reachable && fleet_offset (c->fleet) >= m->head)
-    c->fresh_ms = now_ms;
+    c->fresh_ms = MAX (c->fresh_ms, m->asked_ms);
 }
 
 /* The VM list and the peers' words of it. */
 
 static void
-set_leaving (struct core *c, const char *vm, bool leaving)
+weigh_leaving (struct core *c, int64_t now_ms)
 {
-  if (leaving)
-    g_hash_table_add (c->leaving, g_strdup (vm));
-  else
-    g_hash_table_remove (c->leaving, vm);
-  place_set_leaving (broker_place (c->broker), vm, leaving);
-  requests_set_leaving (c->requests, vm, leaving);
+  if (leaving_weigh (c->leaving, c->members, now_ms))
+    tell_leaving (c);
 }
 
 static void
 handle_vm_list (struct core *c, const struct message_vm_list *m,
                 int64_t now_ms)
 {
-  plan_list (c->plan, m->vms, now_ms);
-  for (guint i = 0; i < m->vms->len; i++)
-    {
-      const struct listed_vm *v = &g_array_index (m->vms, struct listed_vm, i);
+  GHashTable *names;
+  guint before = g_hash_table_size (leaving_names (c->leaving));
 
-      set_leaving (c, v->vm, v->state != VM_STATE_LIVE);
-    }
+  plan_list (c->plan, m->vms, now_ms);
+  names = plan_not_live (c->plan);
+  leaving_list (c->leaving, names, m->asked_ms);
+  g_hash_table_unref (names);
+  weigh_leaving (c, now_ms);
+  c->says_news |= g_hash_table_size (leaving_names (c->leaving)) > before;
 }
 
 static void
 handle_heartbeat (struct core *c, const struct peer_message *p, int64_t now_ms)
 {
-  const struct peer_heartbeat *h = &p->u.heartbeat;
-
   if (members_hear (c->members, p, now_ms))
     counters_add (c->counters, COUNTER_OWNER_CHANGES, 1);
-  for (char **vm = h->leaving; vm != NULL && *vm != NULL; vm++)
-    set_leaving (c, *vm, true);
+  weigh_leaving (c, now_ms);
 }
 
 static void
@@ -217,44 +237,65 @@
 
 /* Time passing. */
 
+/* The load of the pools that this node owns, as the word of a heartbeat. */
+static GArray *
+own_loads (struct core *c)
+{
+  const struct config *config = fleet_config (c->fleet);
+  GArray *loads = peer_loads_new ();
+
+  for (guint i = 0; config != NULL && i < config->n_pools; i++)
+    {
+      const char *pool = config->pools[i].name;
+      struct peer_load l = { NULL, broker_waiting (c->broker, pool), 0, 0 };
+
+      if (strcmp (members_owner (c->members, pool), c->node) != 0)
+        continue;
+      l.pool = g_strdup (pool);
+      l.slots = place_slots (broker_place (c->broker), pool, &l.used);
+      g_array_append_val (loads, l);
+    }
+  return loads;
+}
+
+/* The VMs closed to new work on which this node still has runs. */
+static char **
+own_busy (struct core *c)
+{
+  const GPtrArray *vms = fleet_vms (c->fleet);
+  GPtrArray *busy = g_ptr_array_new ();
+
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const struct fleet_vm *v = g_ptr_array_index (vms, i);
+
+      if (v->phase != VM_SERVING && requests_on_vm (c->requests, v->vm) > 0)
+        g_ptr_array_add (busy, g_strdup (v->vm));
+    }
+  g_ptr_array_add (busy, NULL);
+  return (char **)g_ptr_array_free (busy, FALSE);
+}
+
 static void
 send_heartbeat (struct core *c, struct turn *t)
 {
   struct peer_message *p = turn_peer (t, PEER_HEARTBEAT);
   struct peer_heartbeat *h = &p->u.heartbeat;
-  GPtrArray *leaving = g_ptr_array_new ();
-  GHashTableIter i;
-  gpointer vm;
-
-  g_hash_table_iter_init (&i, c->leaving);
-  while (g_hash_table_iter_next (&i, &vm, NULL))
-    if (plan_vm_state (c->plan, vm) != VM_STATE_LIVE)
-      g_ptr_array_add (leaving, g_strdup (vm));
-  g_ptr_array_add (leaving, NULL);
+
   h->zone = g_strdup (c->zone);
   h->offset = fleet_offset (c->fleet);
   h->config_version = fleet_config_version (c->fleet);
   h->view_age_ms = t->view_age_ms;
   h->stopping = c->stopping;
-  h->leaving = (char **)g_ptr_array_free (leaving, FALSE);
+  h->stamp_ms = t->now_ms;
+  h->list_age_ms = leaving_list_age_ms (c->leaving, t->now_ms);
+  h->leaving = leaving_own (c->leaving);
+  h->busy = own_busy (c);
+  h->echoes = members_echoes (c->members);
+  h->loads = own_loads (c);
   turn_send (t, "", p);
   c->heartbeat_ms = t->now_ms;
-}
-
-/* Whether the log says that this incarnation has joined. */
-static bool
-has_joined (const struct core *c)
-{
-  const GPtrArray *nodes = fleet_nodes (c->fleet);
-
-  for (guint i = 0; i < nodes->len; i++)
-    {
-      const struct fleet_node *n = g_ptr_array_index (nodes, i);
-
-      if (n->incarnation == c->incarnation && strcmp (n->node, c->node) == 0)
-        return true;
-    }
-  return false;
+  c->says_news = false;
 }
 
 static void
@@ -262,7 +303,8 @@
 {
   struct record *r;
 
-  if (c->stopping || !c->log_reachable || has_joined (c)
+  if (c->stopping || !c->log_reachable
+      || fleet_has_joined (c->fleet, c->node, c->incarnation)
       || (c->joined_ms != 0 && t->now_ms - c->joined_ms < JOIN_AGAIN_MS))
     return;
   r = record_new (RECORD_NODE_JOIN, c->node, c->incarnation);
@@ -304,7 +346,8 @@
       counters_add (c->counters, COUNTER_MEMBERS_SUSPECTED, 1);
       counters_add (c->counters, COUNTER_OWNER_CHANGES, 1);
     }
-  if (c->heartbeat_ms == 0
+  weigh_leaving (c, t->now_ms);
+  if (c->heartbeat_ms == 0 || c->says_news
       || t->now_ms - c->heartbeat_ms >= MEMBERS_HEARTBEAT_MS)
     send_heartbeat (c, t);
   join (c, t);
@@ -356,7 +399,7 @@
       handle_records (c, t, &m->u.records);
       break;
     case MESSAGE_LOG_STATE:
-      handle_log_state (c, &m->u.log_state, t->now_ms);
+      handle_log_state (c, &m->u.log_state);
       break;
     case MESSAGE_VM_LIST:
       handle_vm_list (c, &m->u.vm_list, t->now_ms);
@@ -403,6 +446,15 @@
     }
 }
 
+/* What this turn took in may have given or taken the permission to start
+   work; it is weighed before anything else is decided. */
+static void
+weigh_permission (struct core *c, struct turn *t)
+{
+  c->permit_until_ms = permission_until (t, c->fresh_ms);
+  t->permit_until_ms = c->permit_until_ms;
+}
+
 void
 core_handle (struct core *core, struct message *message, int64_t now_ms,
              GQueue *out)
@@ -410,7 +462,9 @@
   GQueue work = G_QUEUE_INIT;
   struct turn t = begin_turn (core, now_ms, &work);
 
+  weigh_permission (core, &t);
   handle_one (core, &t, message);
+  weigh_permission (core, &t);
   message_destroy (message);
   drain (core, &t, &work, out);
   broker_step (core->broker, &t);
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -17,6 +17,14 @@
   int64_t next_bucket;     /* the first not yet swept; 0 before any */
   GPtrArray *waves;
   GPtrArray *nodes;
+  GArray *node_counts; /* struct node_count, both members rising */
+};
+
+/* From OFFSET on, until the next entry's, at least N nodes were joined. */
+struct node_count
+{
+  uint64_t offset;
+  uint32_t n;
 };
 
 static const char *const verdict_names[VERDICT_COUNT]
@@ -92,6 +100,7 @@
                                        array_unref);
   f->waves = g_ptr_array_new_with_free_func (wave_free);
   f->nodes = g_ptr_array_new_with_free_func (node_free);
+  f->node_counts = g_array_new (FALSE, FALSE, sizeof (struct node_count));
   return f;
 }
 
@@ -107,6 +116,7 @@
   g_hash_table_unref (fleet->expiries);
   g_ptr_array_unref (fleet->waves);
   g_ptr_array_unref (fleet->nodes);
+  g_array_unref (fleet->node_counts);
   g_free (fleet);
 }
 
@@ -445,6 +455,56 @@
   return -1;
 }
 
+/* Note that the number of nodes changed at OFFSET.  Entries that can't be a
+   minimum any more are dropped, so there are never more than nodes. */
+static void
+note_node_count (struct fleet *f, uint64_t offset)
+{
+  struct node_count now = { offset, f->nodes->len };
+  GArray *counts = f->node_counts;
+
+  while (counts->len > 0
+         && g_array_index (counts, struct node_count, counts->len - 1).n
+                >= now.n)
+    {
+      now.offset
+          = g_array_index (counts, struct node_count, counts->len - 1).offset;
+      g_array_set_size (counts, counts->len - 1);
+    }
+  g_array_append_val (counts, now);
+}
+
+uint32_t
+fleet_min_nodes_since (const struct fleet *fleet, uint64_t since)
+{
+  const GArray *counts = fleet->node_counts;
+  uint32_t n = 0;
+
+  for (guint i = 0; i < counts->len; i++)
+    {
+      const struct node_count *c
+          = &g_array_index (counts, struct node_count, i);
+
+      if (c->offset > since)
+        break;
+      n = c->n;
+    }
+  return n;
+}
+
+bool
+fleet_has_joined (const struct fleet *fleet, const char *node,
+                  uint64_t incarnation)
+{
+  int i = find_node (fleet, node);
+  const struct fleet_node *n;
+
+  if (i < 0)
+    return false;
+  n = g_ptr_array_index (fleet->nodes, (guint)i);
+  return n->incarnation == incarnation;
+}
+
 static enum verdict
 fold_node_join (struct fleet *f, const struct record *r, uint64_t offset)
 {
@@ -464,11 +524,12 @@
   n->incarnation = r->incarnation;
   n->joined = offset;
   g_ptr_array_add (f->nodes, n);
+  note_node_count (f, offset);
   return VERDICT_ACCEPTED;
 }
 
 static enum verdict
-fold_node_leave (struct fleet *f, const struct record *r)
+fold_node_leave (struct fleet *f, const struct record *r, uint64_t offset)
 {
   int i = find_node (f, r->node);
   const struct fleet_node *n;
@@ -479,6 +540,7 @@
   if (n->incarnation != r->incarnation)
     return VERDICT_CONFLICT;
   g_ptr_array_remove_index (f->nodes, (guint)i);
+  note_node_count (f, offset);
   return VERDICT_ACCEPTED;
 }
 
@@ -509,7 +571,7 @@
     case RECORD_NODE_JOIN:
       return fold_node_join (fleet, record, offset);
     case RECORD_NODE_LEAVE:
-      return fold_node_leave (fleet, record);
+      return fold_node_leave (fleet, record, offset);
     case RECORD_KIND_COUNT:
       break;
     }
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -121,6 +121,14 @@
 /* Return the nodes that have joined as struct fleet_node *. */
 const GPtrArray *fleet_nodes (const struct fleet *fleet);
 
+/* Return whether NODE in INCARNATION has joined. */
+bool fleet_has_joined (const struct fleet *fleet, const char *node,
+                       uint64_t incarnation);
+
+/* Return a lower bound on how many nodes were joined at each offset from
+   SINCE on. */
+uint32_t fleet_min_nodes_since (const struct fleet *fleet, uint64_t since);
+
 /* Return how many VMs of POOL there are, and in *OUT how many of them are in
    no state to serve. */
 uint32_t fleet_pool_size (const struct fleet *fleet, const char *pool,
--- a/src/log_task.c
+++ b/src/log_task.c
@@ -34,8 +34,11 @@
   GSource *append_timer;
   GSource *list_timer;
   GSource *read_timer;
-  uint64_t after; /* offset read so far */
+  uint64_t after;   /* offset read so far */
+  int64_t asked_ms; /* when the read in progress was sent */
   bool reachable;
+  bool listing;          /* a read of the VM list is in progress */
+  int64_t list_asked_ms; /* when it was sent */
 };
 
 static void read_on (struct log_task *l);
@@ -91,6 +94,7 @@
   m->u.log_state.reachable = reachable;
   m->u.log_state.first = first;
   m->u.log_state.head = head;
+  m->u.log_state.asked_ms = l->asked_ms;
   task_post (l->core, m);
 }
 
@@ -172,6 +176,7 @@
 static void
 read_on (struct log_task *l)
 {
+  l->asked_ms = now_ms ();
   /* The first read after a failure does not wait, so that an outage's end is
      seen at once. */
   platform_read (l->platform, l->after, l->reachable ? READ_WAIT_MS : 0,
@@ -186,6 +191,7 @@
   struct log_task *l = data;
   struct message *m;
 
+  l->listing = false;
   counters_add (l->counters, COUNTER_VM_LIST_READS, 1);
   if (vms == NULL)
     {
@@ -194,15 +200,24 @@
     }
   m = message_new (MESSAGE_VM_LIST);
   m->u.vm_list.vms = vms;
+  m->u.vm_list.asked_ms = l->list_asked_ms;
   task_post (l->core, m);
 }
 
+static void
+list_on (struct log_task *l)
+{
+  if (l->listing)
+    return;
+  l->listing = true;
+  l->list_asked_ms = now_ms ();
+  platform_list (l->platform, on_list, l);
+}
+
 static gboolean
 on_list_timer (gpointer data)
 {
-  struct log_task *l = data;
-
-  platform_list (l->platform, on_list, l);
+  list_on (data);
   return G_SOURCE_CONTINUE;
 }
 
@@ -353,7 +368,7 @@
   l->platform = platform_new (&l->settings->platform,
                               l->settings->platform_token, l->counters);
   l->list_timer = start_timer (LIST_EVERY_MS, on_list_timer, l);
-  platform_list (l->platform, on_list, l);
+  list_on (l);
   read_on (l);
 }
 
--- a/src/members.c
+++ b/src/members.c
@@ -19,6 +19,9 @@
 
   g_free (m->node);
   g_free (m->zone);
+  g_strfreev (m->leaving);
+  g_strfreev (m->busy);
+  g_clear_pointer (&m->loads, g_array_unref);
   g_free (m);
 }
 
@@ -58,6 +61,45 @@
   return NULL;
 }
 
+/* The stamp of this node's own that H echoes; -1 for none. */
+static int64_t
+find_echo (const struct members *members, const struct peer_heartbeat *h)
+{
+  for (guint i = 0; h->echoes != NULL && i < h->echoes->len; i++)
+    {
+      const struct peer_echo *e
+          = &g_array_index (h->echoes, struct peer_echo, i);
+
+      if (e->incarnation == members->incarnation
+          && strcmp (e->node, members->self) == 0)
+        return e->stamp_ms;
+    }
+  return -1;
+}
+
+/* Take over what heartbeat H says besides who sent it. */
+static void
+take_words (const struct members *members, struct member *m,
+            const struct peer_heartbeat *h)
+{
+  g_free (m->zone);
+  m->zone = g_strdup (h->zone);
+  m->offset = h->offset;
+  m->config_version = h->config_version;
+  m->view_age_ms = h->view_age_ms;
+  m->stopping = h->stopping;
+  m->stamp_ms = h->stamp_ms;
+  m->confirmed_ms = find_echo (members, h);
+  m->list_age_ms = h->list_age_ms;
+  g_strfreev (m->leaving);
+  m->leaving = g_strdupv (h->leaving);
+  g_strfreev (m->busy);
+  m->busy = g_strdupv (h->busy);
+  g_clear_pointer (&m->loads, g_array_unref);
+  if (h->loads != NULL)
+    m->loads = g_array_ref (h->loads);
+}
+
 bool
 members_hear (struct members *members, const struct peer_message *message,
               int64_t now_ms)
@@ -78,15 +120,10 @@
     return false;
   changed = !m->alive || m->incarnation != message->incarnation
             || m->stopping != h->stopping;
-  g_free (m->zone);
-  m->zone = g_strdup (h->zone);
   m->incarnation = message->incarnation;
   m->heard_ms = now_ms;
-  m->offset = h->offset;
-  m->config_version = h->config_version;
-  m->view_age_ms = h->view_age_ms;
-  m->stopping = h->stopping;
   m->alive = true;
+  take_words (members, m, h);
   return changed;
 }
 
@@ -155,6 +192,30 @@
   members->stopping = stopping;
 }
 
+const struct member *
+members_find (const struct members *members, const char *node)
+{
+  return find (members, node);
+}
+
+GArray *
+members_echoes (const struct members *members)
+{
+  GArray *echoes = peer_echoes_new ();
+
+  for (guint i = 0; i < members->others->len; i++)
+    {
+      const struct member *m = g_ptr_array_index (members->others, i);
+      struct peer_echo e = { NULL, m->incarnation, m->stamp_ms };
+
+      if (!m->alive)
+        continue;
+      e.node = g_strdup (m->node);
+      g_array_append_val (echoes, e);
+    }
+  return echoes;
+}
+
 const GPtrArray *
 members_others (const struct members *members)
 {
--- a/src/members.h
+++ b/src/members.h
@@ -24,6 +24,13 @@
   int64_t view_age_ms;
   bool alive;
   bool stopping;
+  int64_t stamp_ms;     /* of its last heartbeat, by its own clock */
+  int64_t confirmed_ms; /* stamp of this node's own that the last heartbeat
+                           echoes; -1 for none */
+  int64_t list_age_ms;  /* of its VM list when it was heard; -1 for none */
+  char **leaving;       /* VMs that its list says are leaving */
+  char **busy;          /* closed VMs on which it has runs */
+  GArray *loads;        /* struct peer_load, of the pools that it owns */
 };
 
 struct members;
@@ -51,6 +58,13 @@
 /* Say whether this node itself is stopping, so owns nothing if others can. */
 void members_set_stopping (struct members *members, bool stopping);
 
+/* Return member NODE, or NULL if it was never heard. */
+const struct member *members_find (const struct members *members,
+                                   const char *node);
+
+/* Return the stamps of all members heard, as the echoes of a heartbeat. */
+GArray *members_echoes (const struct members *members);
+
 /* Return the other members as struct member *. */
 const GPtrArray *members_others (const struct members *members);
 
--- a/src/message.h
+++ b/src/message.h
@@ -96,8 +96,9 @@
 struct message_log_state
 {
   bool reachable;
-  uint64_t head;  /* offset after the last record */
-  uint64_t first; /* the oldest offset still kept */
+  uint64_t head;    /* offset after the last record */
+  uint64_t first;   /* the oldest offset still kept */
+  int64_t asked_ms; /* clock time at which the log was asked */
 };
 
 enum vm_state
@@ -124,7 +125,8 @@
 
 struct message_vm_list
 {
-  GArray *vms; /* struct listed_vm */
+  GArray *vms;      /* struct listed_vm */
+  int64_t asked_ms; /* clock time at which the platform was asked */
 };
 
 struct message_peer
@@ -179,6 +181,7 @@
   char *class_name;
   bool idempotent;
   int64_t timeout_ms; /* until the caller's time is over */
+  int64_t send_by_ms; /* clock time after which it may not be sent any more */
   uint64_t max_answer_bytes;
 };
 
--- a/src/operators.c
+++ b/src/operators.c
@@ -253,6 +253,11 @@
   else if (fleet_config (t->fleet) == NULL)
     reply_problem (t, q->query, 503, "no configuration is in force here yet",
                    "publish one, or wait until this node has read it");
+  else if (t->now_ms > t->permit_until_ms)
+    reply_problem (t, q->query, 503,
+                   "this node has not joined, or is cut off from the log and "
+                   "from most other nodes",
+                   "use another node; it goes on by itself");
   else
     reply_take (t, q->query, 200, g_strdup ("{\"ready\":true}"));
 }
--- a/src/peer_message.c
+++ b/src/peer_message.c
@@ -2,7 +2,9 @@
 
 /* Version, kind, sender, incarnation, payload. */
 #define ENVELOPE_TYPE "(yystv)"
-#define HEARTBEAT_TYPE "(sttxbas)"
+#define ECHO_TYPE "(stx)"
+#define LOAD_TYPE "(suuu)"
+#define HEARTBEAT_TYPE "(sttxbxxasasa" ECHO_TYPE "a" LOAD_TYPE ")"
 #define SLOT_ASK_TYPE "(tussssxx)"
 #define SLOT_GRANT_TYPE "(tusx)"
 #define SLOT_REFUSE_TYPE "(tuux)"
@@ -24,6 +26,36 @@
   return names[kind];
 }
 
+static void
+clear_echo (gpointer p)
+{
+  g_free (((struct peer_echo *)p)->node);
+}
+
+static void
+clear_load (gpointer p)
+{
+  g_free (((struct peer_load *)p)->pool);
+}
+
+GArray *
+peer_echoes_new (void)
+{
+  GArray *a = g_array_new (FALSE, TRUE, sizeof (struct peer_echo));
+
+  g_array_set_clear_func (a, clear_echo);
+  return a;
+}
+
+GArray *
+peer_loads_new (void)
+{
+  GArray *a = g_array_new (FALSE, TRUE, sizeof (struct peer_load));
+
+  g_array_set_clear_func (a, clear_load);
+  return a;
+}
+
 struct peer_message *
 peer_message_new (enum peer_kind kind)
 {
@@ -42,6 +74,16 @@
   g_free (a->avoid);
 }
 
+static void
+clear_heartbeat (struct peer_heartbeat *h)
+{
+  g_free (h->zone);
+  g_strfreev (h->leaving);
+  g_strfreev (h->busy);
+  g_clear_pointer (&h->echoes, g_array_unref);
+  g_clear_pointer (&h->loads, g_array_unref);
+}
+
 void
 peer_message_destroy (struct peer_message *message)
 {
@@ -50,8 +92,7 @@
   switch (message->kind)
     {
     case PEER_HEARTBEAT:
-      g_free (message->u.heartbeat.zone);
-      g_strfreev (message->u.heartbeat.leaving);
+      clear_heartbeat (&message->u.heartbeat);
       break;
     case PEER_SLOT_ASK:
       clear_ask (&message->u.slot_ask);
@@ -76,14 +117,54 @@
 }
 
 static GVariant *
-heartbeat_to_variant (const struct peer_heartbeat *h)
+echoes_to_variant (const GArray *echoes)
+{
+  GVariantBuilder b;
+
+  g_variant_builder_init (&b, G_VARIANT_TYPE ("a" ECHO_TYPE));
+  for (guint i = 0; echoes != NULL && i < echoes->len; i++)
+    {
+      const struct peer_echo *e = &g_array_index (echoes, struct peer_echo, i);
+
+      g_variant_builder_add (&b, ECHO_TYPE, e->node, (guint64)e->incarnation,
+                             (gint64)e->stamp_ms);
+    }
+  return g_variant_builder_end (&b);
+}
+
+static GVariant *
+loads_to_variant (const GArray *loads)
+{
+  GVariantBuilder b;
+
+  g_variant_builder_init (&b, G_VARIANT_TYPE ("a" LOAD_TYPE));
+  for (guint i = 0; loads != NULL && i < loads->len; i++)
+    {
+      const struct peer_load *l = &g_array_index (loads, struct peer_load, i);
+
+      g_variant_builder_add (&b, LOAD_TYPE, l->pool, (guint32)l->waiting,
+                             (guint32)l->used, (guint32)l->slots);
+    }
+  return g_variant_builder_end (&b);
+}
+
+static const char *const *
+names_or_none (char **names)
 {
   static const char *const none[] = { NULL };
 
+  return names != NULL ? (const char *const *)names : none;
+}
+
+static GVariant *
+heartbeat_to_variant (const struct peer_heartbeat *h)
+{
   return g_variant_new (
-      "(sttxb^as)", h->zone, (guint64)h->offset, (guint64)h->config_version,
-      (gint64)h->view_age_ms, (gboolean)h->stopping,
-      h->leaving != NULL ? (const char *const *)h->leaving : none);
+      "(sttxbxx^as^as@a" ECHO_TYPE "@a" LOAD_TYPE ")", h->zone,
+      (guint64)h->offset, (guint64)h->config_version, (gint64)h->view_age_ms,
+      (gboolean)h->stopping, (gint64)h->stamp_ms, (gint64)h->list_age_ms,
+      names_or_none (h->leaving), names_or_none (h->busy),
+      echoes_to_variant (h->echoes), loads_to_variant (h->loads));
 }
 
 static GVariant *
@@ -165,14 +246,46 @@
   return result < RUN_RESULT_COUNT;
 }
 
+static GArray *
+read_echoes (GVariantIter *iter)
+{
+  GArray *echoes = peer_echoes_new ();
+  struct peer_echo e;
+
+  while (g_variant_iter_next (iter, ECHO_TYPE, &e.node, &e.incarnation,
+                              &e.stamp_ms))
+    g_array_append_val (echoes, e);
+  g_variant_iter_free (iter);
+  return echoes;
+}
+
+static GArray *
+read_loads (GVariantIter *iter)
+{
+  GArray *loads = peer_loads_new ();
+  struct peer_load l;
+
+  while (g_variant_iter_next (iter, LOAD_TYPE, &l.pool, &l.waiting, &l.used,
+                              &l.slots))
+    g_array_append_val (loads, l);
+  g_variant_iter_free (iter);
+  return loads;
+}
+
 static bool
 read_heartbeat (struct peer_heartbeat *h, GVariant *v)
 {
+  GVariantIter *echoes;
+  GVariantIter *loads;
   gboolean stopping;
 
-  g_variant_get (v, "(sttxb^as)", &h->zone, &h->offset, &h->config_version,
-                 &h->view_age_ms, &stopping, &h->leaving);
+  g_variant_get (v, "(sttxbxx^as^asa" ECHO_TYPE "a" LOAD_TYPE ")", &h->zone,
+                 &h->offset, &h->config_version, &h->view_age_ms, &stopping,
+                 &h->stamp_ms, &h->list_age_ms, &h->leaving, &h->busy, &echoes,
+                 &loads);
   h->stopping = stopping;
+  h->echoes = read_echoes (echoes);
+  h->loads = read_loads (loads);
   return true;
 }
 
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -25,6 +25,23 @@
   PEER_KIND_COUNT
 };
 
+/* "The last heartbeat of yours that I have taken in bore this stamp." */
+struct peer_echo
+{
+  char *node;
+  uint64_t incarnation;
+  int64_t stamp_ms; /* by the clock of NODE */
+};
+
+/* What the owner of a pool knows of its load. */
+struct peer_load
+{
+  char *pool;
+  uint32_t waiting; /* requests */
+  uint32_t used;    /* slots */
+  uint32_t slots;   /* on VMs open for work */
+};
+
 struct peer_heartbeat
 {
   char *zone;
@@ -32,7 +49,12 @@
   uint64_t config_version; /* in force */
   int64_t view_age_ms;     /* since its view was at the log's head */
   bool stopping;
-  char **leaving; /* VMs that the platform said are leaving */
+  int64_t stamp_ms;    /* when it was sent, by the sender's clock */
+  int64_t list_age_ms; /* since it asked for its VM list; -1 for none */
+  char **leaving;      /* VMs that its list says are leaving */
+  char **busy;         /* closed VMs on which it still has runs */
+  GArray *echoes;      /* struct peer_echo; NULL for none */
+  GArray *loads;       /* struct peer_load; NULL for none */
 };
 
 struct peer_slot_ask
@@ -115,6 +137,11 @@
 /* Return the word for KIND in counters. */
 const char *peer_kind_name (enum peer_kind kind);
 
+/* Create empty arrays of struct peer_echo and struct peer_load that free
+   their elements. */
+GArray *peer_echoes_new (void);
+GArray *peer_loads_new (void);
+
 struct peer_message *peer_message_new (enum peer_kind kind);
 void peer_message_destroy (struct peer_message *message);
 
--- /dev/null
+++ b/src/permission.c
@@ -0,0 +1,92 @@
+#include "permission.h"
+
+#include <string.h>
+
+/* The member that is NODE as the log knows it, or NULL. */
+static const struct member *
+joined_member (const struct turn *t, const struct fleet_node *node)
+{
+  const struct member *m = members_find (t->members, node->node);
+
+  return m != NULL && m->incarnation == node->incarnation ? m : NULL;
+}
+
+static gint
+newest_first (gconstpointer a, gconstpointer b)
+{
+  int64_t x = *(const int64_t *)a;
+  int64_t y = *(const int64_t *)b;
+
+  return (x < y) - (x > y);
+}
+
+/* Whether M confirms that this node's view is no older than its own. */
+static bool
+confirms (const struct turn *t, const struct member *m)
+{
+  return m != NULL && !m->stopping && m->offset <= fleet_offset (t->fleet)
+         && m->confirmed_ms >= 0 && m->confirmed_ms <= t->now_ms;
+}
+
+/* The latest moment at which a majority, this node among it, had read no
+   further than this node; -1 for none. */
+static int64_t
+majority_ms (const struct turn *t)
+{
+  const GPtrArray *nodes = fleet_nodes (t->fleet);
+  guint others_needed = nodes->len / 2;
+  GArray *moments = g_array_new (FALSE, FALSE, sizeof (int64_t));
+  int64_t moment_ms = -1;
+
+  for (guint i = 0; i < nodes->len; i++)
+    {
+      const struct fleet_node *n = g_ptr_array_index (nodes, i);
+      const struct member *m = joined_member (t, n);
+
+      if (strcmp (n->node, t->node) != 0 && confirms (t, m))
+        g_array_append_val (moments, m->confirmed_ms);
+    }
+  g_array_sort (moments, newest_first);
+  if (others_needed == 0)
+    moment_ms = t->now_ms;
+  else if (moments->len >= others_needed)
+    moment_ms = g_array_index (moments, int64_t, others_needed - 1);
+  g_array_unref (moments);
+  return moment_ms;
+}
+
+int64_t
+permission_until (const struct turn *turn, int64_t fresh_ms)
+{
+  int64_t moment_ms;
+
+  if (!fleet_has_joined (turn->fleet, turn->node, turn->incarnation))
+    return -1;
+  moment_ms = MAX (fresh_ms, majority_ms (turn));
+  return moment_ms < 0 ? -1 : moment_ms + PERMISSION_MS;
+}
+
+enum readers
+permission_readers (const struct turn *turn, uint64_t offset)
+{
+  const GPtrArray *nodes = fleet_nodes (turn->fleet);
+  uint32_t missing = 0;
+  uint32_t smallest = UINT32_MAX;
+
+  for (guint i = 0; i < nodes->len; i++)
+    {
+      const struct fleet_node *n = g_ptr_array_index (nodes, i);
+      const struct member *m = joined_member (turn, n);
+      uint64_t read = m != NULL ? MAX (m->offset, n->joined) : n->joined;
+
+      if (strcmp (n->node, turn->node) == 0 || read >= offset)
+        continue;
+      missing++;
+      smallest = MIN (smallest, fleet_min_nodes_since (turn->fleet, read));
+    }
+  if (missing == 0)
+    return READERS_ALL;
+  /* A missing node needs half of the nodes besides itself, as it knows
+     them, and only other missing ones would confirm its view. */
+  return missing <= smallest / 2 ? READERS_MOST : READERS_MISSING;
+}
--- /dev/null
+++ b/src/permission.h
@@ -0,0 +1,47 @@
+#ifndef PERMISSION_H
+#define PERMISSION_H
+
+#include "turn.h"
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Whether a node may start work on VMs, and when no node but those that have
+   read an offset may.  docs/FLEET.md has the argument for both halves.
+
+   A node's permission lasts PERMISSION_MS from a moment at which it knows
+   that its view was current enough: either it asked the log and had folded
+   all that the log then held, or a majority of the joined nodes, itself
+   among them, had read no further than itself.  The moment is always that of
+   its own question, by its own clock, so a late answer grants nothing.
+
+   The other half: once so many nodes have read an offset that the rest are
+   no majority, the permission of each of the rest is over PERMISSION_MS
+   later, unless it reads the offset too. */
+
+#define PERMISSION_MS 2500
+
+/* What is waited for in addition, for clocks that run at other rates. */
+#define PERMISSION_MARGIN_MS 500
+
+/* After a node's permission was last seen to hold, a run may be on its way to
+   the edge for this long. */
+#define PERMISSION_SEND_MS 500
+
+/* Return the clock time up to which this node may start work, given that it
+   last asked the log for its head at FRESH_MS (-1 for never) and had read all
+   of it; -1 if it may not. */
+int64_t permission_until (const struct turn *turn, int64_t fresh_ms);
+
+/* What the other nodes may still do against a change at some offset. */
+enum readers
+{
+  READERS_MISSING, /* too many have not read it */
+  READERS_MOST,    /* the rest stop within PERMISSION_MS */
+  READERS_ALL
+};
+
+/* Return which nodes have read up to OFFSET. */
+enum readers permission_readers (const struct turn *turn, uint64_t offset);
+
+#endif
--- a/src/plan.c
+++ b/src/plan.c
@@ -366,6 +366,25 @@
   return s == NULL ? VM_STATE_GONE : s->state;
 }
 
+GHashTable *
+plan_not_live (const struct plan *plan)
+{
+  GHashTable *names
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  GHashTableIter i;
+  gpointer p;
+
+  g_hash_table_iter_init (&i, plan->sights);
+  while (g_hash_table_iter_next (&i, NULL, &p))
+    {
+      const struct sight *s = p;
+
+      if (s->state != VM_STATE_LIVE)
+        g_hash_table_add (names, g_strdup (s->vm));
+    }
+  return names;
+}
+
 bool
 plan_has_list (const struct plan *plan)
 {
--- a/src/plan.h
+++ b/src/plan.h
@@ -26,6 +26,10 @@
 /* Return the state of VM in the platform's list; VM_STATE_GONE if absent. */
 enum vm_state plan_vm_state (const struct plan *plan, const char *vm);
 
+/* Return the set of VMs, once seen, that the last list does not have as live;
+   the caller unrefs it. */
+GHashTable *plan_not_live (const struct plan *plan);
+
 /* Return whether a list has been read. */
 bool plan_has_list (const struct plan *plan);
 
--- a/src/requests.c
+++ b/src/requests.c
@@ -1,11 +1,12 @@
 #include "requests.h"
 
+#include "permission.h"
+
 #include <string.h>
 
 #define ASK_AGAIN_MS 1500
 #define HOLD_RENEW_MS 2000
 #define DEFAULT_RUN_PATIENCE_MS 60000
-#define VIEW_MAX_AGE_MS 3000
 #define LOG_RETRY_AFTER_MS 1000
 #define BUSY_RETRY_AFTER_MS 500
 
@@ -220,13 +221,11 @@
 
 /* Admission. */
 
-/* Whether this node is so cut off that it may not place work. */
+/* Whether this node is so cut off that it may not start work. */
 static bool
 view_is_too_old (const struct turn *t)
 {
-  return t->view_age_ms > VIEW_MAX_AGE_MS && !t->log_reachable
-         && members_alive_count (t->members) == 1
-         && members_others (t->members)->len > 0;
+  return t->now_ms > t->permit_until_ms;
 }
 
 /* Why the key of an earlier claim C may not run again with BODY_HASH;
@@ -447,6 +446,7 @@
   run->class_name = g_strdup (l->class_name);
   run->idempotent = l->idempotent;
   run->timeout_ms = l->deadline_ms - t->now_ms;
+  run->send_by_ms = MIN (t->permit_until_ms, t->now_ms + PERMISSION_SEND_MS);
   run->max_answer_bytes = l->max_answer_bytes;
   turn_put (t, m);
   counters_add (t->counters, COUNTER_DISPATCHED, 1);
--- a/src/turn.h
+++ b/src/turn.h
@@ -24,6 +24,7 @@
   struct counters *counters;
   int64_t view_age_ms; /* since the fleet was at the log's head */
   bool log_reachable;
+  int64_t permit_until_ms; /* until then this node may start work */
   bool stopping;
   GQueue *out; /* struct message * */
 };
