Measure the slopes of control: state, messages, processor time

Cause: docs/CAPACITY.md has to rest on slopes that a command reproduces. Ruled out: estimating from structure sizes alone; hash tables and the JSON of the platform cost more than the structures do.

--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -15,6 +15,7 @@
 static int option_per_rack = 4;
 static int option_slots = 8;
 static char *option_ready;
+static gboolean option_silent;
 
 static const GOptionEntry entries[] = {
   { "port", 0, 0, G_OPTION_ARG_INT, &option_port, "Port; 0 for a free one",
@@ -28,6 +29,8 @@
   { "slots", 0, 0, G_OPTION_ARG_INT, &option_slots, "Slots of a VM", "N" },
   { "ready", 0, 0, G_OPTION_ARG_STRING, &option_ready,
     "File to write the port to when ready", "FILE" },
+  { "silent", 0, 0, G_OPTION_ARG_NONE, &option_silent,
+    "VMs stand in the list only and take no work", NULL },
   { NULL, 0, 0, 0, NULL, NULL, NULL },
 };
 
@@ -341,6 +344,7 @@
   s.lists = g_queue_new ();
   s.starts = g_ptr_array_new ();
   s.workers = g_ptr_array_new_with_free_func (worker_destroy);
+  s.silent = option_silent;
   add_pools (&s);
   serve (&s);
   g_unix_signal_add (SIGTERM, on_signal, s.loop);
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -72,6 +72,7 @@
   GMainLoop *loop;
   SoupServer *server;
   struct faults faults;
+  bool silent; /* VMs are listed only and take no work */
   struct log_store *log;
   GPtrArray *workers; /* struct worker * */
   GPtrArray *starts;  /* struct start * */
--- a/tests/standin/workers.c
+++ b/tests/standin/workers.c
@@ -262,7 +262,10 @@
   w->rack = g_strdup (rack);
   w->slots = slots;
   w->jobs = g_ptr_array_new_with_free_func (job_free);
-  listen (w);
+  if (s->silent)
+    w->port = 1;
+  else
+    listen (w);
   return w;
 }
 
