--- a/src/config.c
+++ b/src/config.c
@@ -11,6 +11,8 @@
 #define MAX_CLASSES 1024
 #define DAY_MS (24 * 3600 * 1000LL)
 
+static const char *const automation_names[] = { "running", "paused", NULL };
+
 static const char *const survive_names[]
     = { "none", "vm", "rack", "zone", NULL };
 
@@ -203,6 +205,7 @@
                             &c->n_services, read_service, &inner);
   c->classes = read_array (f, "classes", MAX_CLASSES, sizeof *c->classes,
                            &c->n_classes, read_class, &inner);
+  c->paused = fields_choice (f, "automation", automation_names, 0) == 1;
   fields_close (f, inner == NULL ? &inner : NULL);
   if (inner == NULL)
     resolve (c, &inner);
--- a/src/config.h
+++ b/src/config.h
@@ -64,7 +64,8 @@
   guint n_services;
   struct config_class *classes;
   guint n_classes;
-  char *text; /* canonical JSON it was read from */
+  bool paused; /* "automation": "paused": begin no drain and no move */
+  char *text;  /* canonical JSON it was read from */
 };
 
 #define CONFIG_MAX_BYTES (1024 * 1024)
--- a/src/core.c
+++ b/src/core.c
@@ -355,7 +355,10 @@
   operators_step (c->operators, t);
   if (t->now_ms - c->planned_ms >= PLAN_EVERY_MS)
     {
-      plan_step (c->plan, t);
+      GArray *loads = own_loads (c);
+
+      plan_step (c->plan, t, c->requests, loads);
+      g_array_unref (loads);
       c->planned_ms = t->now_ms;
     }
 }
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -1,5 +1,7 @@
 #include "fleet.h"
 
+#include "target.h"
+
 #include <string.h>
 
 #define EXPIRY_BUCKET_MS 60000
@@ -58,6 +60,8 @@
   g_free (v->zone);
   g_free (v->rack);
   g_free (v->pool);
+  g_free (v->home_pool);
+  g_free (v->next_pool);
   g_free (v->purpose);
   g_free (v);
 }
@@ -156,6 +160,8 @@
   v->zone = g_strdup (a->zone);
   v->rack = g_strdup (a->rack);
   v->pool = g_strdup (a->pool);
+  v->home_pool = g_strdup (a->pool);
+  v->next_pool = g_strdup ("");
   v->purpose = g_strdup ("added");
   v->slots = a->slots;
   v->phase = VM_SERVING;
@@ -166,25 +172,37 @@
   return VERDICT_ACCEPTED;
 }
 
-/* Whether a VM may go FROM one phase TO another, staying in its pool or
-   changing it.  Only a released VM changes pool. */
+/* The pool that S asks V to go to; "" if it is to stay. */
+static const char *
+next_pool_of (const struct record_vm_step *s)
+{
+  return s->next_pool != NULL ? s->next_pool : "";
+}
+
+/* Whether the phases of V allow step S.  Only a released VM changes pool, and
+   once released it goes nowhere but to the pool it was drained for: an order
+   to the platform may be late, so a release is never taken back. */
 static bool
-step_is_legal (enum vm_phase from, enum vm_phase to, bool same_pool)
+step_is_legal (const struct fleet_vm *v, const struct record_vm_step *s)
 {
-  if (to == VM_DOWN)
-    return same_pool && from != VM_DOWN;
-  switch (from)
+  bool same_pool = strcmp (v->pool, s->pool) == 0;
+  bool moves = v->next_pool[0] != '\0';
+
+  if (s->phase == VM_DOWN)
+    return same_pool && v->phase != VM_DOWN && v->phase != VM_RELEASED;
+  switch (v->phase)
     {
     case VM_SERVING:
-      return same_pool && to == VM_DRAINING;
+      return same_pool && s->phase == VM_DRAINING;
     case VM_DRAINING:
       return same_pool
-             && (to == VM_SERVING || to == VM_RELEASED || to == VM_REBOOTING);
+             && (s->phase == VM_SERVING
+                 || s->phase == (moves ? VM_RELEASED : VM_REBOOTING));
     case VM_RELEASED:
-      return to == VM_SERVING;
+      return s->phase == VM_SERVING && strcmp (v->next_pool, s->pool) == 0;
     case VM_REBOOTING:
     case VM_DOWN:
-      return same_pool && to == VM_SERVING;
+      return same_pool && s->phase == VM_SERVING;
     case VM_PHASE_COUNT:
       break;
     }
@@ -231,13 +249,38 @@
   return n * percent / 100;
 }
 
-static bool
-drain_keeps_budget (const struct fleet *f, const char *pool)
+uint32_t
+fleet_pool_staying (const struct fleet *fleet, const char *pool)
 {
-  uint32_t away;
+  uint32_t n = 0;
 
-  fleet_pool_size (f, pool, &away);
-  return away + 1 <= fleet_pool_budget (f, pool);
+  for (guint i = 0; i < fleet->vms->len; i++)
+    {
+      const struct fleet_vm *v = g_ptr_array_index (fleet->vms, i);
+
+      n += strcmp (v->pool, pool) == 0 && v->next_pool[0] == '\0';
+    }
+  return n;
+}
+
+/* Whether V may be drained to go to NEXT_POOL. */
+static enum verdict
+check_move (const struct fleet *f, const struct fleet_vm *v,
+            const char *next_pool)
+{
+  int from;
+
+  if (next_pool[0] == '\0')
+    return VERDICT_ACCEPTED;
+  if (f->config == NULL || config_find_pool (f->config, next_pool) < 0)
+    return VERDICT_UNKNOWN;
+  if (strcmp (v->pool, next_pool) == 0)
+    return VERDICT_ILLEGAL;
+  from = config_find_pool (f->config, v->pool);
+  if (from >= 0
+      && fleet_pool_staying (f, v->pool) < f->config->pools[from].min_vms + 1)
+    return VERDICT_BUDGET;
+  return VERDICT_ACCEPTED;
 }
 
 static void
@@ -251,6 +294,12 @@
       g_free (v->pool);
       v->pool = g_strdup (s->pool);
     }
+  if (s->phase != VM_RELEASED)
+    {
+      g_free (v->next_pool);
+      v->next_pool
+          = g_strdup (s->phase == VM_DRAINING ? next_pool_of (s) : "");
+    }
   g_free (v->purpose);
   v->purpose = g_strdup (s->purpose);
   v->phase = s->phase;
@@ -269,10 +318,17 @@
     return VERDICT_UNKNOWN;
   if (v->changed != s->since)
     return VERDICT_CONFLICT;
-  if (!step_is_legal (v->phase, s->phase, strcmp (v->pool, s->pool) == 0))
+  if (!step_is_legal (v, s))
     return VERDICT_ILLEGAL;
-  if (s->phase == VM_DRAINING && !drain_keeps_budget (f, v->pool))
-    return VERDICT_BUDGET;
+  if (s->phase == VM_DRAINING)
+    {
+      enum verdict move = check_move (f, v, next_pool_of (s));
+
+      if (move != VERDICT_ACCEPTED)
+        return move;
+      if (target_allows_out (f, v, 0, NULL) != TARGET_ALLOWS)
+        return VERDICT_BUDGET;
+    }
   apply_step (v, s, offset, at_ms);
   return VERDICT_ACCEPTED;
 }
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -33,7 +33,9 @@
   char *zone;
   char *rack;
   char *pool;
-  char *purpose; /* of its last step */
+  char *home_pool; /* where it was added */
+  char *next_pool; /* where it goes once released; "" if it stays */
+  char *purpose;   /* of its last step */
   uint32_t slots;
   enum vm_phase phase;
   uint64_t changed;      /* offset of its last change */
@@ -138,6 +140,9 @@
    class that it serves. */
 uint32_t fleet_pool_budget (const struct fleet *fleet, const char *pool);
 
+/* Return how many VMs POOL keeps if those on their way out of it go. */
+uint32_t fleet_pool_staying (const struct fleet *fleet, const char *pool);
+
 const char *verdict_name (enum verdict verdict);
 
 #endif
--- a/src/permission.c
+++ b/src/permission.c
@@ -90,3 +90,43 @@
      them, and only other missing ones would confirm its view. */
   return missing <= smallest / 2 ? READERS_MOST : READERS_MISSING;
 }
+
+/* Note in *SINCE_MS since when HOLDS has been so. */
+static void
+note (int64_t *since_ms, bool holds, int64_t now_ms)
+{
+  if (!holds)
+    *since_ms = -1;
+  else if (*since_ms < 0)
+    *since_ms = now_ms;
+}
+
+static bool
+has_lasted (int64_t since_ms, int64_t for_ms, int64_t now_ms)
+{
+  return since_ms >= 0 && now_ms - since_ms >= for_ms;
+}
+
+bool
+permission_is_closed (const struct turn *turn, struct closing *closing,
+                      uint64_t offset)
+{
+  enum readers readers = permission_readers (turn, offset);
+
+  if (closing->offset != offset)
+    *closing = (struct closing){ offset, -1, -1 };
+  note (&closing->read_by_most_ms, readers != READERS_MISSING, turn->now_ms);
+  note (&closing->read_by_all_ms, readers == READERS_ALL, turn->now_ms);
+  return has_lasted (closing->read_by_all_ms,
+                     PERMISSION_SEND_MS + PERMISSION_MARGIN_MS, turn->now_ms)
+         || has_lasted (closing->read_by_most_ms,
+                        PERMISSION_MS + PERMISSION_MARGIN_MS, turn->now_ms);
+}
+
+bool
+permission_to_start (const struct turn *turn, const struct fleet_vm *vm,
+                     const char *pool)
+{
+  return vm != NULL && vm->phase == VM_SERVING && strcmp (vm->pool, pool) == 0
+         && turn->now_ms <= turn->permit_until_ms;
+}
--- a/src/permission.h
+++ b/src/permission.h
@@ -44,4 +44,24 @@
 /* Return which nodes have read up to OFFSET. */
 enum readers permission_readers (const struct turn *turn, uint64_t offset);
 
+/* For how long a change has been read, by the clock of the node that waits
+   for it.  Start with the offset 0. */
+struct closing
+{
+  uint64_t offset;
+  int64_t read_by_most_ms; /* since when; -1 for not yet */
+  int64_t read_by_all_ms;
+};
+
+/* Return whether no node can start work any more against what the log said up
+   to OFFSET: each has read that far, and what it had sent before is there, or
+   its permission has lapsed since. */
+bool permission_is_closed (const struct turn *turn, struct closing *closing,
+                           uint64_t offset);
+
+/* Return whether this node may start work of POOL on VM (NULL if the fleet
+   has no such VM) now. */
+bool permission_to_start (const struct turn *turn, const struct fleet_vm *vm,
+                          const char *pool);
+
 #endif
--- a/src/plan.c
+++ b/src/plan.c
@@ -1,62 +1,46 @@
 #include "plan.h"
 
+#include "moves.h"
+#include "permission.h"
+#include "target.h"
+#include "waves.h"
+
 #include <string.h>
 
 #define PROPOSE_AGAIN_MS 3000
-#define LIST_LAG_MS 2000
-#define REBOOT_BLIND_MS 15000
+#define ORDER_AGAIN_MS 5000
+#define LIST_LAG_MS 5000
 #define GONE_CONFIRM_MS 2000
-#define MEMBER_LAPSE_MS 10000
+#define RETURN_PATIENCE_MS 60000
 #define ADDS_PER_STEP 200
+#define LOAD_FADES_MS 10000
+
+/* Pools' loads are weighed against each other by one node, the owner of this
+   name, which is no pool's. */
+#define MOVES_OWNER "/moves"
 
-/* What the planner has seen and done about one VM. */
-struct sight
+/* The peak of a pool's load, which fades. */
+struct peak
 {
-  char *vm;
-  char *address;
-  uint16_t port;
-  char *zone;
-  char *rack;
-  char *pool;
   uint32_t slots;
-  uint32_t running;
-  enum vm_state state;
-  int64_t state_since_ms;
-  int64_t idle_since_ms; /* clock time since which RUNNING was 0; -1 busy */
-  uint64_t proposed_at;  /* the VM's last change when last proposed on */
-  int64_t proposed_ms;
-  uint64_t acted_at; /* the VM's last change when the platform was told */
-  int64_t acted_ms;
-  bool seen_rebooting; /* since the platform was told */
-  bool listed;         /* in the last list */
+  int64_t at_ms;
 };
 
 struct plan
 {
-  GHashTable *sights; /* vm -> struct sight * */
-  bool has_list;
+  struct sights *sights;
+  struct moves *moves;
+  GHashTable *peaks; /* pool -> struct peak * */
 };
 
-static void
-sight_free (gpointer p)
-{
-  struct sight *s = p;
-
-  g_free (s->vm);
-  g_free (s->address);
-  g_free (s->zone);
-  g_free (s->rack);
-  g_free (s->pool);
-  g_free (s);
-}
-
 struct plan *
 plan_new (void)
 {
   struct plan *p = g_new0 (struct plan, 1);
 
-  p->sights
-      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, sight_free);
+  p->sights = sights_new ();
+  p->moves = moves_new ();
+  p->peaks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return p;
 }
 
@@ -65,88 +49,34 @@
 {
   if (plan == NULL)
     return;
-  g_hash_table_unref (plan->sights);
+  sights_destroy (plan->sights);
+  moves_destroy (plan->moves);
+  g_hash_table_unref (plan->peaks);
   g_free (plan);
 }
 
-/* Taking in the list. */
-
-static struct sight *
-sight_of (struct plan *p, const struct listed_vm *v, int64_t now_ms)
-{
-  struct sight *s = g_hash_table_lookup (p->sights, v->vm);
-
-  if (s != NULL)
-    return s;
-  s = g_new0 (struct sight, 1);
-  s->vm = g_strdup (v->vm);
-  s->address = g_strdup (v->address);
-  s->port = v->port;
-  s->zone = g_strdup (v->zone);
-  s->rack = g_strdup (v->rack);
-  s->pool = g_strdup (v->pool);
-  s->slots = v->slots;
-  s->state_since_ms = now_ms;
-  s->idle_since_ms = -1;
-  g_hash_table_insert (p->sights, s->vm, s);
-  return s;
-}
-
-static void
-set_state (struct sight *s, enum vm_state state, int64_t now_ms)
-{
-  if (s->state != state)
-    s->state_since_ms = now_ms;
-  s->state = state;
-  if (state == VM_STATE_REBOOTING || state == VM_STATE_GONE)
-    s->seen_rebooting = true;
-}
-
-static void
-see (struct plan *p, const struct listed_vm *v, int64_t now_ms)
-{
-  struct sight *s = sight_of (p, v, now_ms);
-
-  set_state (s, v->state, now_ms);
-  s->listed = true;
-  s->running = v->running;
-  if (v->running > 0)
-    s->idle_since_ms = -1;
-  else if (s->idle_since_ms < 0)
-    s->idle_since_ms = now_ms;
-}
-
 void
 plan_list (struct plan *plan, const GArray *vms, int64_t now_ms)
 {
-  GHashTableIter i;
-  gpointer p;
-
-  g_hash_table_iter_init (&i, plan->sights);
-  while (g_hash_table_iter_next (&i, NULL, &p))
-    ((struct sight *)p)->listed = false;
-  for (guint k = 0; k < vms->len; k++)
-    see (plan, &g_array_index (vms, struct listed_vm, k), now_ms);
-  g_hash_table_iter_init (&i, plan->sights);
-  while (g_hash_table_iter_next (&i, NULL, &p))
-    if (!((struct sight *)p)->listed)
-      set_state (p, VM_STATE_GONE, now_ms);
-  plan->has_list = true;
+  sights_list (plan->sights, vms, now_ms);
 }
 
 /* Proposing. */
 
 static bool
-is_mine (const struct turn *t, const char *pool)
+is_mine (const struct turn *t, const char *name)
 {
-  return strcmp (members_owner (t->members, pool), t->node) == 0;
+  return strcmp (members_owner (t->members, name), t->node) == 0;
 }
 
 static void
 propose_add (struct turn *t, struct sight *s)
 {
-  struct record *r = record_new (RECORD_VM_ADD, t->node, t->incarnation);
+  struct record *r;
 
+  if (s->proposed_ms != 0 && t->now_ms - s->proposed_ms <= PROPOSE_AGAIN_MS)
+    return;
+  r = record_new (RECORD_VM_ADD, t->node, t->incarnation);
   r->u.vm_add.vm = g_strdup (s->vm);
   r->u.vm_add.address = g_strdup (s->address);
   r->u.vm_add.port = s->port;
@@ -158,9 +88,11 @@
   turn_append (t, r);
 }
 
+/* Propose that V goes on to PHASE in POOL, for NEXT_POOL if it drains. */
 static void
-propose_step (struct turn *t, struct sight *s, const struct fleet_vm *v,
-              enum vm_phase phase, const char *purpose)
+propose (struct turn *t, struct sight *s, const struct fleet_vm *v,
+         enum vm_phase phase, const char *pool, const char *next_pool,
+         const char *purpose)
 {
   struct record *r;
 
@@ -171,7 +103,8 @@
   r->u.vm_step.vm = g_strdup (v->vm);
   r->u.vm_step.since = v->changed;
   r->u.vm_step.phase = phase;
-  r->u.vm_step.pool = g_strdup (v->pool);
+  r->u.vm_step.pool = g_strdup (pool);
+  r->u.vm_step.next_pool = g_strdup (next_pool);
   r->u.vm_step.purpose = g_strdup (purpose);
   s->proposed_at = v->changed;
   s->proposed_ms = t->now_ms;
@@ -179,131 +112,254 @@
 }
 
 static void
-tell_platform (struct turn *t, struct sight *s, const struct fleet_vm *v,
-               enum platform_action action)
+propose_phase (struct turn *t, struct sight *s, const struct fleet_vm *v,
+               enum vm_phase phase, const char *purpose)
+{
+  propose (t, s, v, phase, v->pool, "", purpose);
+}
+
+/* Give the platform an order about V, again if it has shown no effect. */
+static void
+order (struct turn *t, struct sight *s, const struct fleet_vm *v,
+       enum platform_action action, const char *pool)
 {
   struct message *m;
 
-  if (s->acted_at == v->changed)
+  if (s->acted_at == v->changed && t->now_ms - s->acted_ms < ORDER_AGAIN_MS)
     return;
   m = message_new (MESSAGE_PLATFORM);
   m->u.platform.action = action;
   m->u.platform.vm = g_strdup (v->vm);
-  m->u.platform.pool = g_strdup (v->pool);
+  m->u.platform.pool = g_strdup (pool);
+  if (action == PLATFORM_ASSIGN && s->acted_at != v->changed)
+    counters_add (t->counters, COUNTER_VM_MOVES, 1);
   s->acted_at = v->changed;
   s->acted_ms = t->now_ms;
+  s->was_leaving = s->state == VM_STATE_LEAVING;
   s->seen_rebooting = false;
   turn_put (t, m);
 }
 
-/* Whether every node that could still start work has read offset OFFSET, or
-   has been silent for so long that it may start nothing. */
+/* Emptying a VM. */
+
+/* Whether some node says that it has runs on VM in progress. */
 static bool
-all_have_read (const struct turn *t, uint64_t offset)
+is_busy (const struct turn *t, const struct requests *requests, const char *vm)
 {
   const GPtrArray *others = members_others (t->members);
 
+  if (requests_on_vm (requests, vm) > 0)
+    return true;
   for (guint i = 0; i < others->len; i++)
     {
       const struct member *m = g_ptr_array_index (others, i);
 
-      if (m->offset >= offset)
-        continue;
-      if (m->alive || t->now_ms - m->heard_ms < MEMBER_LAPSE_MS)
-        return false;
+      if (m->alive && m->busy != NULL
+          && g_strv_contains ((const char *const *)m->busy, vm))
+        return true;
     }
-  return true;
+  return false;
 }
 
+/* Whether the platform's list shows V empty, and is later than the order to
+   drain, which was given once nobody could start work any more.  If V was
+   leaving already the list's age can't be told; then it is waited for. */
 static bool
-is_empty (const struct turn *t, const struct sight *s,
-          const struct fleet_vm *v)
+list_shows_empty (const struct turn *t, const struct sight *s,
+                  const struct fleet_vm *v)
 {
-  return all_have_read (t, v->changed) && s->acted_at == v->changed
-         && t->now_ms - s->acted_ms >= LIST_LAG_MS && s->idle_since_ms >= 0
-         && t->now_ms - s->idle_since_ms >= LIST_LAG_MS;
+  if (s->acted_at != v->changed || s->running > 0 || s->state == VM_STATE_LIVE)
+    return false;
+  if (!s->was_leaving && s->state_since_ms >= s->acted_ms)
+    return true;
+  return s->idle_since_ms >= 0
+         && t->now_ms - MAX (s->idle_since_ms, s->acted_ms) >= LIST_LAG_MS;
 }
 
-static bool
-has_returned (const struct turn *t, const struct sight *s,
-              const struct fleet_vm *v)
+static void
+step_draining (struct turn *t, const struct requests *requests,
+               struct sight *s, const struct fleet_vm *v)
 {
-  if (s->state != VM_STATE_LIVE || s->acted_at != v->changed)
-    return false;
-  return s->seen_rebooting || t->now_ms - s->acted_ms > REBOOT_BLIND_MS;
+  bool moves = v->next_pool[0] != '\0';
+
+  if (!permission_is_closed (t, &s->closing, v->changed))
+    return;
+  if (s->acted_at != v->changed || s->state == VM_STATE_LIVE)
+    order (t, s, v, PLATFORM_DRAIN, v->pool);
+  if (!is_busy (t, requests, v->vm) && list_shows_empty (t, s, v))
+    propose_phase (t, s, v, moves ? VM_RELEASED : VM_REBOOTING, v->purpose);
+}
+
+/* A released VM goes to its next pool, and nowhere else. */
+static void
+step_released (struct turn *t, struct sight *s, const struct fleet_vm *v)
+{
+  bool there
+      = strcmp (s->pool, v->next_pool) == 0 && s->state == VM_STATE_LIVE;
+
+  if (there)
+    propose (t, s, v, VM_SERVING, v->next_pool, "", v->purpose);
+  else
+    order (t, s, v, PLATFORM_ASSIGN, v->next_pool);
+}
+
+static void
+step_rebooting (struct turn *t, struct sight *s, const struct fleet_vm *v,
+                int64_t patience_ms)
+{
+  bool told = s->acted_at == v->changed;
+
+  if (s->state == VM_STATE_LIVE && told
+      && (s->seen_rebooting || s->was_leaving))
+    {
+      propose_phase (t, s, v, VM_SERVING, v->purpose);
+      return;
+    }
+  if (!told || s->state == VM_STATE_LIVE || s->state == VM_STATE_LEAVING)
+    {
+      order (t, s, v, PLATFORM_REBOOT, v->pool);
+      return;
+    }
+  if (t->now_ms - s->acted_ms >= MAX (patience_ms, RETURN_PATIENCE_MS))
+    propose_phase (t, s, v, VM_DOWN, "did not come back from its reboot");
+}
+
+/* A VM that went down comes back into the pool that the log has it in. */
+static void
+step_down (struct turn *t, struct sight *s, const struct fleet_vm *v)
+{
+  if (s->state != VM_STATE_LIVE)
+    return;
+  if (strcmp (s->pool, v->pool) == 0)
+    propose_phase (t, s, v, VM_SERVING, "back in the VM list");
+  else
+    order (t, s, v, PLATFORM_ASSIGN, v->pool);
+}
+
+static const struct fleet_wave *
+find_wave (const struct fleet *f, const char *name)
+{
+  const GPtrArray *waves = fleet_waves (f);
+
+  for (guint i = 0; i < waves->len; i++)
+    {
+      const struct fleet_wave *w = g_ptr_array_index (waves, i);
+
+      if (strcmp (w->name, name) == 0)
+        return w;
+    }
+  return NULL;
 }
 
 static void
-step_vm (struct turn *t, struct sight *s, const struct fleet_vm *v)
+step_vm (struct turn *t, const struct requests *requests, struct sight *s,
+         const struct fleet_vm *v)
 {
-  bool gone = s->state == VM_STATE_GONE
-              && t->now_ms - s->state_since_ms >= GONE_CONFIRM_MS;
+  const struct fleet_wave *w = find_wave (t->fleet, v->purpose);
+  bool lasts = t->now_ms - s->state_since_ms >= GONE_CONFIRM_MS;
 
-  if (gone && v->phase != VM_DOWN && v->phase != VM_REBOOTING)
+  if (lasts && v->phase == VM_SERVING && s->state != VM_STATE_LIVE)
     {
-      propose_step (t, s, v, VM_DOWN, "gone from the VM list");
+      propose_phase (t, s, v, VM_DOWN, "not live in the VM list");
+      return;
+    }
+  if (lasts && v->phase == VM_DRAINING && s->state == VM_STATE_GONE)
+    {
+      propose_phase (t, s, v, VM_DOWN, "gone from the VM list");
       return;
     }
   switch (v->phase)
     {
     case VM_DRAINING:
-      tell_platform (t, s, v, PLATFORM_DRAIN);
-      if (is_empty (t, s, v))
-        propose_step (t, s, v, VM_REBOOTING, v->purpose);
+      step_draining (t, requests, s, v);
+      break;
+    case VM_RELEASED:
+      step_released (t, s, v);
       break;
     case VM_REBOOTING:
-      tell_platform (t, s, v, PLATFORM_REBOOT);
-      if (has_returned (t, s, v))
-        propose_step (t, s, v, VM_SERVING, v->purpose);
+      step_rebooting (t, s, v, w != NULL ? w->patience_ms : 0);
       break;
     case VM_DOWN:
-      if (s->state == VM_STATE_LIVE)
-        propose_step (t, s, v, VM_SERVING, "back in the VM list");
+      step_down (t, s, v);
       break;
     case VM_SERVING:
-    case VM_RELEASED:
     case VM_PHASE_COUNT:
       break;
     }
 }
 
-static bool
-wave_covers (const struct fleet_wave *w, const struct fleet_vm *v)
+static void
+step_sights (struct plan *p, struct turn *t, const struct requests *requests)
 {
-  return w->pool[0] == '\0' || strcmp (w->pool, v->pool) == 0;
+  GList *all = sights_all (p->sights);
+  int adds = 0;
+
+  for (GList *i = all; i != NULL; i = i->next)
+    {
+      struct sight *s = i->data;
+      const struct fleet_vm *v = fleet_find_vm (t->fleet, s->vm);
+
+      if (v != NULL && s->changed != v->changed)
+        {
+          s->changed = v->changed;
+          s->changed_ms = t->now_ms;
+        }
+      if (!is_mine (t, v != NULL ? v->pool : s->pool))
+        continue;
+      if (v != NULL)
+        step_vm (t, requests, s, v);
+      else if (s->listed && adds++ < ADDS_PER_STEP)
+        propose_add (t, s);
+    }
+  g_list_free (all);
 }
 
-static bool
-wave_wants (const struct fleet_wave *w, const struct fleet_vm *v)
+/* Load. */
+
+static void
+note_peak (struct plan *p, const struct peer_load *l, int64_t now_ms)
+{
+  struct peak *k = g_hash_table_lookup (p->peaks, l->pool);
+  uint32_t slots = l->used + l->waiting;
+
+  if (k == NULL)
+    {
+      k = g_new0 (struct peak, 1);
+      g_hash_table_insert (p->peaks, g_strdup (l->pool), k);
+    }
+  if (slots < k->slots && now_ms - k->at_ms < LOAD_FADES_MS)
+    return;
+  k->slots = slots;
+  k->at_ms = now_ms;
+}
+
+static uint32_t
+peak_of (const struct plan *p, const char *pool)
 {
-  return wave_covers (w, v) && v->maintained < w->accepted;
+  const struct peak *k = g_hash_table_lookup (p->peaks, pool);
+
+  return k == NULL ? 0 : k->slots;
 }
 
-/* Begin the maintenance of as many VMs of POOL as its budget has room for. */
+/* Waves. */
+
 static void
 step_wave (struct plan *p, struct turn *t, const struct fleet_wave *w,
            const char *pool)
 {
-  const GPtrArray *vms = fleet_vms (t->fleet);
-  uint32_t away;
-  uint32_t budget = fleet_pool_budget (t->fleet, pool);
-
-  fleet_pool_size (t->fleet, pool, &away);
-  for (guint i = 0; i < vms->len && away < budget; i++)
-    {
-      const struct fleet_vm *v = g_ptr_array_index (vms, i);
-      struct sight *s = g_hash_table_lookup (p->sights, v->vm);
-
-      if (s == NULL || v->phase != VM_SERVING || strcmp (v->pool, pool) != 0
-          || !wave_wants (w, v))
-        continue;
-      propose_step (t, s, v, VM_DRAINING, w->name);
-      away++;
-    }
+  int64_t elapsed_ms = fleet_time_ms (t->fleet) - w->accepted_at_ms;
+  bool hurry = elapsed_ms > w->finish_within_ms / 2;
+  const struct fleet_vm *v = waves_choose (
+      t->fleet, p->sights, w, pool, hurry ? 0 : peak_of (p, pool), t->now_ms);
+
+  /* One VM of a pool at a time is proposed, so that the next choice sees the
+     verdict on this one. */
+  if (v != NULL)
+    propose_phase (t, sights_find (p->sights, v->vm), v, VM_DRAINING, w->name);
 }
 
 static void
-step_pool (struct plan *p, struct turn *t, const char *pool)
+step_waves (struct plan *p, struct turn *t, const char *pool)
 {
   const GPtrArray *waves = fleet_waves (t->fleet);
 
@@ -318,50 +374,176 @@
     }
 }
 
+/* Moves. */
+
+/* The newest word on the load of POOL, or NULL. */
+static const struct peer_load *
+find_load (const struct turn *t, const GArray *own, const char *pool)
+{
+  const char *owner = members_owner (t->members, pool);
+  const struct member *m = members_find (t->members, owner);
+  const GArray *loads = strcmp (owner, t->node) == 0 ? own
+                        : m != NULL                  ? m->loads
+                                                     : NULL;
+
+  for (guint i = 0; loads != NULL && i < loads->len; i++)
+    {
+      const struct peer_load *l = &g_array_index (loads, struct peer_load, i);
+
+      if (strcmp (l->pool, pool) == 0)
+        return l;
+    }
+  return NULL;
+}
+
+/* The mean run time that the classes of POOL declare. */
+static int64_t
+declared_run_ms (const struct config *c, const char *pool)
+{
+  int64_t sum_ms = 0;
+  guint n = 0;
+
+  for (guint i = 0; i < c->n_classes; i++)
+    {
+      const struct config_class *k = &c->classes[i];
+
+      if (strcmp (c->services[k->service].pool_name, pool) != 0)
+        continue;
+      sum_ms += k->expected_run_ms;
+      n++;
+    }
+  return n == 0 ? 0 : sum_ms / n;
+}
+
 static void
-step_sights (struct plan *p, struct turn *t)
+count_vms (const struct fleet *f, struct move_load *l)
 {
-  GHashTableIter i;
-  gpointer q;
-  int adds = 0;
+  const GPtrArray *vms = fleet_vms (f);
 
-  g_hash_table_iter_init (&i, p->sights);
-  while (g_hash_table_iter_next (&i, NULL, &q))
+  for (guint i = 0; i < vms->len; i++)
     {
-      struct sight *s = q;
-      const struct fleet_vm *v = fleet_find_vm (t->fleet, s->vm);
+      const struct fleet_vm *v = g_ptr_array_index (vms, i);
 
-      if (!is_mine (t, v != NULL ? v->pool : s->pool))
+      l->coming += strcmp (v->next_pool, l->pool) == 0;
+      if (strcmp (v->pool, l->pool) != 0)
         continue;
-      if (v != NULL)
-        step_vm (t, s, v);
-      else if (s->listed && adds < ADDS_PER_STEP
-               && (s->proposed_ms == 0
-                   || t->now_ms - s->proposed_ms > PROPOSE_AGAIN_MS))
+      l->going += v->next_pool[0] != '\0';
+      l->lent += strcmp (v->home_pool, l->pool) != 0;
+      l->vm_slots = MAX (l->vm_slots, v->slots);
+    }
+}
+
+/* Fill LOADS, one for each pool of C.  Return false if the load of one is not
+   known. */
+static bool
+gather_loads (const struct turn *t, const struct config *c, const GArray *own,
+              struct move_load *loads)
+{
+  for (guint i = 0; i < c->n_pools; i++)
+    {
+      struct move_load *l = &loads[i];
+      const struct peer_load *word = find_load (t, own, c->pools[i].name);
+
+      if (word == NULL)
+        return false;
+      *l = (struct move_load){ .pool = c->pools[i].name,
+                               .waiting = word->waiting,
+                               .used = word->used,
+                               .slots = word->slots,
+                               .spare = c->pools[i].spare };
+      l->run_ms = declared_run_ms (c, l->pool);
+      count_vms (t->fleet, l);
+      l->may_shrink
+          = fleet_pool_staying (t->fleet, l->pool) > c->pools[i].min_vms;
+    }
+  return true;
+}
+
+/* The VM of M's lender that goes: one that is no loss to the lender's targets,
+   has not just come, and is the least busy; a lent one first. */
+static const struct fleet_vm *
+choose_moving_vm (struct plan *p, struct turn *t, const struct move *m,
+                  uint32_t needed_slots)
+{
+  const GPtrArray *vms = fleet_vms (t->fleet);
+  const struct fleet_vm *best = NULL;
+  bool best_lent = false;
+  uint32_t best_running = UINT32_MAX;
+
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const struct fleet_vm *v = g_ptr_array_index (vms, i);
+      const struct sight *s = sights_find (p->sights, v->vm);
+      bool lent = strcmp (v->home_pool, v->pool) != 0;
+
+      if (strcmp (v->pool, m->from) != 0 || v->phase != VM_SERVING || s == NULL
+          || s->state != VM_STATE_LIVE
+          || (lent && t->now_ms - s->changed_ms < MOVES_DWELL_MS))
+        continue;
+      if ((m->gives_back && !lent) || lent < best_lent
+          || (lent == best_lent && s->running >= best_running))
+        continue;
+      if (target_allows_out (t->fleet, v, needed_slots, NULL) != TARGET_ALLOWS)
+        continue;
+      best = v;
+      best_lent = lent;
+      best_running = s->running;
+    }
+  return best;
+}
+
+static void
+step_moves (struct plan *p, struct turn *t, const struct config *c,
+            const GArray *own)
+{
+  struct move_load *loads;
+  struct move m;
+
+  if (!is_mine (t, MOVES_OWNER))
+    return;
+  loads = g_new0 (struct move_load, c->n_pools);
+  if (gather_loads (t, c, own, loads))
+    {
+      moves_note (p->moves, loads, c->n_pools, t->now_ms);
+      if (moves_choose (p->moves, loads, c->n_pools, t->now_ms, &m))
         {
-          propose_add (t, s);
-          adds++;
+          const struct fleet_vm *v
+              = choose_moving_vm (p, t, &m, peak_of (p, m.from));
+
+          if (v != NULL)
+            propose (t, sights_find (p->sights, v->vm), v, VM_DRAINING,
+                     v->pool, m.gives_back ? v->home_pool : m.to,
+                     m.gives_back ? "given back" : "lent");
         }
     }
+  g_free (loads);
 }
 
 void
-plan_step (struct plan *plan, struct turn *turn)
+plan_step (struct plan *plan, struct turn *turn,
+           const struct requests *requests, const GArray *loads)
 {
   const struct config *c = fleet_config (turn->fleet);
 
   /* A planner with an old view proposes nothing. */
-  if (c == NULL || !plan->has_list || !turn->log_reachable)
+  if (c == NULL || !sights_has_list (plan->sights) || !turn->log_reachable)
+    return;
+  for (guint i = 0; i < loads->len; i++)
+    note_peak (plan, &g_array_index (loads, struct peer_load, i),
+               turn->now_ms);
+  step_sights (plan, turn, requests);
+  /* What has begun is finished; nothing more begins. */
+  if (c->paused)
     return;
-  step_sights (plan, turn);
   for (guint i = 0; i < c->n_pools; i++)
-    step_pool (plan, turn, c->pools[i].name);
+    step_waves (plan, turn, c->pools[i].name);
+  step_moves (plan, turn, c, loads);
 }
 
 enum vm_state
 plan_vm_state (const struct plan *plan, const char *vm)
 {
-  const struct sight *s = g_hash_table_lookup (plan->sights, vm);
+  const struct sight *s = sights_find (plan->sights, vm);
 
   return s == NULL ? VM_STATE_GONE : s->state;
 }
@@ -369,75 +551,34 @@
 GHashTable *
 plan_not_live (const struct plan *plan)
 {
-  GHashTable *names
-      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  GHashTableIter i;
-  gpointer p;
-
-  g_hash_table_iter_init (&i, plan->sights);
-  while (g_hash_table_iter_next (&i, NULL, &p))
-    {
-      const struct sight *s = p;
-
-      if (s->state != VM_STATE_LIVE)
-        g_hash_table_add (names, g_strdup (s->vm));
-    }
-  return names;
+  return sights_not_live (plan->sights);
 }
 
 bool
 plan_has_list (const struct plan *plan)
 {
-  return plan->has_list;
+  return sights_has_list (plan->sights);
 }
 
 uint32_t
 plan_wave_progress (const struct fleet *fleet, const struct fleet_wave *wave,
                     uint32_t *done)
 {
-  const GPtrArray *vms = fleet_vms (fleet);
-  uint32_t all = 0;
-
-  *done = 0;
-  for (guint i = 0; i < vms->len; i++)
-    {
-      const struct fleet_vm *v = g_ptr_array_index (vms, i);
-
-      if (!wave_covers (wave, v))
-        continue;
-      all++;
-      *done += v->maintained >= wave->accepted;
-    }
-  return all;
+  return waves_progress (fleet, wave, done);
 }
 
-/* Whether WAVE has a VM of POOL in its hands. */
-static bool
-wave_is_busy (const struct fleet *fleet, const struct fleet_wave *wave)
-{
-  const GPtrArray *vms = fleet_vms (fleet);
-
-  for (guint i = 0; i < vms->len; i++)
-    {
-      const struct fleet_vm *v = g_ptr_array_index (vms, i);
-
-      if ((v->phase == VM_DRAINING || v->phase == VM_REBOOTING)
-          && strcmp (v->purpose, wave->name) == 0)
-        return true;
-    }
-  return false;
-}
-
-const char *
+char *
 plan_wave_pause (const struct plan *plan, const struct fleet *fleet,
                  const struct fleet_wave *wave)
 {
-  uint32_t done;
-  uint32_t all = plan_wave_progress (fleet, wave, &done);
+  if (!sights_has_list (plan->sights))
+    return g_strdup ("the platform's VM list has not been read yet");
+  return waves_pause (fleet, wave);
+}
 
-  if (done >= all || wave_is_busy (fleet, wave))
-    return "";
-  if (!plan->has_list)
-    return "the platform's VM list has not been read yet";
-  return "the availability budget is spent by VMs that are down or drained";
+char **
+plan_wave_stragglers (const struct plan *plan, const struct fleet *fleet,
+                      const struct fleet_wave *wave, int64_t now_ms)
+{
+  return waves_stragglers (fleet, plan->sights, wave, now_ms);
 }
--- a/src/plan.h
+++ b/src/plan.h
@@ -1,6 +1,8 @@
 #ifndef PLAN_H
 #define PLAN_H
 
+#include "requests.h"
+#include "sights.h"
 #include "turn.h"
 
 #include <glib.h>
@@ -9,8 +11,8 @@
 
 /* The planner: proposes records for the pools that this node owns.  Adds the
    VMs that the platform lists, notes failures and returns, and carries VMs
-   through maintenance within the pools' availability budgets.  It only
-   proposes; the fold decides, so two planners at once break no rule. */
+   through maintenance and moves within the pools' availability budgets.  It
+   only proposes; the fold decides, so two planners at once break no rule. */
 
 struct plan;
 
@@ -20,8 +22,10 @@
 /* Take in the platform's VM list. */
 void plan_list (struct plan *plan, const GArray *vms, int64_t now_ms);
 
-/* Propose what is due. */
-void plan_step (struct plan *plan, struct turn *turn);
+/* Propose what is due.  LOADS (struct peer_load) is the load of the pools
+   that this node owns. */
+void plan_step (struct plan *plan, struct turn *turn,
+                const struct requests *requests, const GArray *loads);
 
 /* Return the state of VM in the platform's list; VM_STATE_GONE if absent. */
 enum vm_state plan_vm_state (const struct plan *plan, const char *vm);
@@ -37,9 +41,15 @@
 uint32_t plan_wave_progress (const struct fleet *fleet,
                              const struct fleet_wave *wave, uint32_t *done);
 
-/* Return why WAVE makes no progress now, in plain words; "" if it does. */
-const char *plan_wave_pause (const struct plan *plan,
+/* Return why WAVE makes no progress now, in plain words; "" if it does.  The
+   caller frees it. */
+char *plan_wave_pause (const struct plan *plan, const struct fleet *fleet,
+                       const struct fleet_wave *wave);
+
+/* Return the VMs of WAVE whose work in progress has outlasted its patience,
+   by name; the caller frees it. */
+char **plan_wave_stragglers (const struct plan *plan,
                              const struct fleet *fleet,
-                             const struct fleet_wave *wave);
+                             const struct fleet_wave *wave, int64_t now_ms);
 
 #endif
--- a/src/record.c
+++ b/src/record.c
@@ -79,6 +79,7 @@
     case RECORD_VM_STEP:
       g_free (r->u.vm_step.vm);
       g_free (r->u.vm_step.pool);
+      g_free (r->u.vm_step.next_pool);
       g_free (r->u.vm_step.purpose);
       break;
     case RECORD_MAINTAIN:
@@ -159,6 +160,8 @@
       put_int (b, "since", (int64_t)r->u.vm_step.since);
       put_string (b, "phase", phase_names[r->u.vm_step.phase]);
       put_string (b, "pool", r->u.vm_step.pool);
+      if (r->u.vm_step.next_pool != NULL)
+        put_string (b, "next_pool", r->u.vm_step.next_pool);
       put_string (b, "purpose", r->u.vm_step.purpose);
       break;
     case RECORD_CLAIM:
@@ -279,6 +282,7 @@
   if (v->phase >= VM_PHASE_COUNT)
     fields_wrong (f, "phase", "write a phase");
   v->pool = fields_name (f, "pool");
+  v->next_pool = fields_string (f, "next_pool", "");
   v->purpose = fields_string (f, "purpose", "");
 }
 
--- a/src/record.h
+++ b/src/record.h
@@ -65,8 +65,9 @@
   char *vm;
   uint64_t since; /* offset of the VM's last change */
   enum vm_phase phase;
-  char *pool;    /* the pool it is in after this step */
-  char *purpose; /* name of the wave, or why */
+  char *pool;      /* the pool it is in after this step */
+  char *next_pool; /* drained to go there; "" to stay */
+  char *purpose;   /* name of the wave, or why */
 };
 
 struct record_claim
--- a/src/requests.c
+++ b/src/requests.c
@@ -457,8 +457,8 @@
 may_start_on (const struct requests *r, const struct turn *t,
               const struct fleet_vm *v, const char *pool)
 {
-  return v != NULL && v->phase == VM_SERVING && strcmp (v->pool, pool) == 0
-         && !g_hash_table_contains (r->leaving, v->vm) && !view_is_too_old (t);
+  return permission_to_start (t, v, pool)
+         && !g_hash_table_contains (r->leaving, v->vm);
 }
 
 static void
--- /dev/null
+++ b/src/sights.c
@@ -0,0 +1,146 @@
+#include "sights.h"
+
+#include <string.h>
+
+struct sights
+{
+  GHashTable *by_name; /* vm -> struct sight * */
+  bool has_list;
+};
+
+static void
+sight_free (gpointer p)
+{
+  struct sight *s = p;
+
+  g_free (s->vm);
+  g_free (s->address);
+  g_free (s->zone);
+  g_free (s->rack);
+  g_free (s->pool);
+  g_free (s);
+}
+
+struct sights *
+sights_new (void)
+{
+  struct sights *s = g_new0 (struct sights, 1);
+
+  s->by_name
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, sight_free);
+  return s;
+}
+
+void
+sights_destroy (struct sights *sights)
+{
+  if (sights == NULL)
+    return;
+  g_hash_table_unref (sights->by_name);
+  g_free (sights);
+}
+
+static struct sight *
+sight_of (struct sights *sights, const struct listed_vm *v, int64_t now_ms)
+{
+  struct sight *s = g_hash_table_lookup (sights->by_name, v->vm);
+
+  if (s != NULL)
+    return s;
+  s = g_new0 (struct sight, 1);
+  s->vm = g_strdup (v->vm);
+  s->address = g_strdup (v->address);
+  s->port = v->port;
+  s->zone = g_strdup (v->zone);
+  s->rack = g_strdup (v->rack);
+  s->pool = g_strdup (v->pool);
+  s->slots = v->slots;
+  s->state_since_ms = now_ms;
+  s->idle_since_ms = -1;
+  g_hash_table_insert (sights->by_name, s->vm, s);
+  return s;
+}
+
+static void
+set_state (struct sight *s, enum vm_state state, int64_t now_ms)
+{
+  if (s->state != state)
+    s->state_since_ms = now_ms;
+  s->state = state;
+  if (state == VM_STATE_REBOOTING || state == VM_STATE_GONE)
+    s->seen_rebooting = true;
+}
+
+static void
+see (struct sights *sights, const struct listed_vm *v, int64_t now_ms)
+{
+  struct sight *s = sight_of (sights, v, now_ms);
+
+  set_state (s, v->state, now_ms);
+  s->listed = true;
+  s->running = v->running;
+  if (strcmp (s->pool, v->pool) != 0)
+    {
+      g_free (s->pool);
+      s->pool = g_strdup (v->pool);
+    }
+  if (v->running > 0)
+    s->idle_since_ms = -1;
+  else if (s->idle_since_ms < 0)
+    s->idle_since_ms = now_ms;
+}
+
+void
+sights_list (struct sights *sights, const GArray *vms, int64_t now_ms)
+{
+  GHashTableIter i;
+  gpointer p;
+
+  g_hash_table_iter_init (&i, sights->by_name);
+  while (g_hash_table_iter_next (&i, NULL, &p))
+    ((struct sight *)p)->listed = false;
+  for (guint k = 0; k < vms->len; k++)
+    see (sights, &g_array_index (vms, struct listed_vm, k), now_ms);
+  g_hash_table_iter_init (&i, sights->by_name);
+  while (g_hash_table_iter_next (&i, NULL, &p))
+    if (!((struct sight *)p)->listed)
+      set_state (p, VM_STATE_GONE, now_ms);
+  sights->has_list = true;
+}
+
+bool
+sights_has_list (const struct sights *sights)
+{
+  return sights->has_list;
+}
+
+struct sight *
+sights_find (const struct sights *sights, const char *vm)
+{
+  return g_hash_table_lookup (sights->by_name, vm);
+}
+
+GList *
+sights_all (const struct sights *sights)
+{
+  return g_hash_table_get_values (sights->by_name);
+}
+
+GHashTable *
+sights_not_live (const struct sights *sights)
+{
+  GHashTable *names
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  GHashTableIter i;
+  gpointer p;
+
+  g_hash_table_iter_init (&i, sights->by_name);
+  while (g_hash_table_iter_next (&i, NULL, &p))
+    {
+      const struct sight *s = p;
+
+      if (s->state != VM_STATE_LIVE)
+        g_hash_table_add (names, g_strdup (s->vm));
+    }
+  return names;
+}
--- a/src/status.c
+++ b/src/status.c
@@ -1,5 +1,7 @@
 #include "status.h"
 
+#include "target.h"
+
 #include <json-glib/json-glib.h>
 #include <string.h>
 
@@ -18,10 +20,8 @@
   enum target_state state;
   const char *cause;
   const char *remedy;
-  uint32_t vms;
-  uint32_t away;
-  uint32_t budget;
-  uint32_t serving_after_failure; /* slots left after the worst failure */
+  struct target_room room;
+  uint32_t needed_slots; /* that carry the present load */
 };
 
 static const char *const target_names[]
@@ -66,88 +66,62 @@
   return text;
 }
 
-/* The failure domain of V at the size that SURVIVE names. */
-static const char *
-domain_of (const struct fleet_vm *v, enum survive survive)
-{
-  switch (survive)
-    {
-    case SURVIVE_VM:
-      return v->vm;
-    case SURVIVE_RACK:
-      return v->rack;
-    case SURVIVE_ZONE:
-      return v->zone;
-    case SURVIVE_NONE:
-      break;
-    }
-  return "";
-}
-
-/* Slots of POOL left in service after the worst failure SURVIVE. */
+/* The load that a pool's slots carry, if this node knows it. */
 static uint32_t
-slots_after_failure (const struct fleet *f, const char *pool,
-                     enum survive survive)
+needed_slots (const struct status_input *in, const char *pool)
 {
-  GHashTable *lost = g_hash_table_new (g_str_hash, g_str_equal);
-  const GPtrArray *vms = fleet_vms (f);
-  uint32_t all = 0;
-  uint32_t worst = 0;
-
-  for (guint i = 0; i < vms->len; i++)
-    {
-      const struct fleet_vm *v = g_ptr_array_index (vms, i);
-      const char *d = domain_of (v, survive);
-      uint32_t n;
+  uint32_t used;
 
-      if (strcmp (v->pool, pool) != 0 || v->phase != VM_SERVING)
-        continue;
-      all += v->slots;
-      n = GPOINTER_TO_UINT (g_hash_table_lookup (lost, d)) + v->slots;
-      g_hash_table_insert (lost, (char *)d, GUINT_TO_POINTER (n));
-      if (survive != SURVIVE_NONE)
-        worst = MAX (worst, n);
-    }
-  g_hash_table_unref (lost);
-  return all - worst;
+  place_slots (broker_place (in->broker), pool, &used);
+  return used + broker_waiting (in->broker, pool);
 }
 
 static struct target
-judge (const struct turn *t, const struct config_class *k)
+judge (const struct status_input *in, const struct config_class *k)
 {
+  const struct turn *t = in->turn;
   const struct config *c = fleet_config (t->fleet);
   const char *pool = c->services[k->service].pool_name;
-  struct target g = { TARGET_HOLDS, "", "", 0, 0, 0, 0 };
+  struct target g
+      = { TARGET_HOLDS, "", "", target_weigh (t->fleet, k, NULL), 0 };
+  uint32_t left = target_slots_after_failure (&g.room);
 
-  g.vms = fleet_pool_size (t->fleet, pool, &g.away);
-  g.budget = fleet_pool_budget (t->fleet, pool);
-  g.serving_after_failure = slots_after_failure (t->fleet, pool, k->survive);
+  g.needed_slots = needed_slots (in, pool);
   if (t->view_age_ms > VIEW_OLD_MS)
     {
       g.state = TARGET_UNKNOWN;
       g.cause = "the view is old: the platform's log does not answer";
       g.remedy = "see that the platform's log answers; ask another node";
     }
-  else if (g.vms == 0 || g.away > g.budget)
+  else if (!target_budget_holds (&g.room))
     {
       g.state = TARGET_DOES_NOT_HOLD;
       g.cause = "more VMs are out of service than the budget allows";
       g.remedy = "bring VMs back, or cancel maintenance of the pool";
     }
-  else if (g.serving_after_failure == 0)
+  else if (left == 0)
     {
       g.state = TARGET_AT_RISK;
       g.cause = "no slot would be left after the failure to survive";
       g.remedy = "add VMs in other failure domains to the pool";
     }
+  else if (left < g.needed_slots)
+    {
+      g.state = TARGET_AT_RISK;
+      g.cause = "the slots left after the failure to survive would not carry "
+                "the present load";
+      g.remedy = "wait for VMs to return or the load to fall, or add VMs";
+    }
   return g;
 }
 
 static void
-put_target (JsonBuilder *b, const struct turn *t, const struct config_class *k)
+put_target (JsonBuilder *b, const struct status_input *in,
+            const struct config_class *k)
 {
-  struct target g = judge (t, k);
+  struct target g = judge (in, k);
   char *name = g_strconcat (k->service_name, "/", k->name, NULL);
+  uint32_t left = target_slots_after_failure (&g.room);
 
   json_builder_begin_object (b);
   put_string (b, "target", name);
@@ -156,10 +130,14 @@
   put_string (b, "remedy", g.remedy);
   put_int (b, "start_within_ms", k->start_within_ms);
   put_string (b, "survive", survive_name (k->survive));
-  put_int (b, "vms", g.vms);
-  put_int (b, "vms_out", g.away);
-  put_int (b, "vms_out_allowed", g.budget);
-  put_int (b, "slots_after_failure", g.serving_after_failure);
+  put_int (b, "vms", g.room.vms);
+  put_int (b, "vms_out", g.room.vms_out);
+  put_int (b, "vms_out_allowed", g.room.vms_out_most);
+  put_int (b, "slots", g.room.slots);
+  put_string (b, "worst_failure", g.room.domain);
+  put_int (b, "slots_after_failure", left);
+  put_int (b, "slots_needed_now", g.needed_slots);
+  put_int (b, "slots_margin", (int64_t)left - (int64_t)g.needed_slots);
   json_builder_end_object (b);
   g_free (name);
 }
@@ -170,6 +148,9 @@
 {
   uint32_t done;
   uint32_t all = plan_wave_progress (in->turn->fleet, w, &done);
+  char *pause = plan_wave_pause (in->plan, in->turn->fleet, w);
+  char **stragglers
+      = plan_wave_stragglers (in->plan, in->turn->fleet, w, in->turn->now_ms);
 
   json_builder_begin_object (b);
   put_string (b, "name", w->name);
@@ -177,9 +158,14 @@
   put_int (b, "vms", all);
   put_int (b, "done", done);
   put_string (b, "state", done >= all ? "done" : "going");
-  put_string (b, "paused_because",
-              plan_wave_pause (in->plan, in->turn->fleet, w));
+  put_string (b, "paused_because", pause);
+  begin_array (b, "stragglers");
+  for (char **vm = stragglers; *vm != NULL; vm++)
+    json_builder_add_string_value (b, *vm);
+  json_builder_end_array (b);
   json_builder_end_object (b);
+  g_free (pause);
+  g_strfreev (stragglers);
 }
 
 static void
@@ -213,12 +199,15 @@
 put_node (JsonBuilder *b, const struct status_input *in)
 {
   const struct turn *t = in->turn;
+  const struct config *c = fleet_config (t->fleet);
 
   put_string (b, "node", t->node);
   put_int (b, "offset", (int64_t)fleet_offset (t->fleet));
   put_int (b, "configuration", (int64_t)fleet_config_version (t->fleet));
   put_int (b, "view_age_ms", t->view_age_ms);
   put_bool (b, "log_reachable", t->log_reachable);
+  put_bool (b, "may_start_work", t->now_ms <= t->permit_until_ms);
+  put_string (b, "automation", c == NULL || !c->paused ? "running" : "paused");
   put_int (b, "requests", requests_count (in->requests));
   put_int (b, "requests_running", requests_running (in->requests));
 }
@@ -236,7 +225,7 @@
   put_node (b, input);
   begin_array (b, "targets");
   for (guint i = 0; c != NULL && i < c->n_classes; i++)
-    put_target (b, t, &c->classes[i]);
+    put_target (b, input, &c->classes[i]);
   json_builder_end_array (b);
   begin_array (b, "waves");
   for (guint i = 0; i < waves->len; i++)
@@ -325,6 +314,8 @@
   json_builder_begin_object (b);
   put_string (b, "vm", v->vm);
   put_string (b, "pool", v->pool);
+  put_string (b, "home_pool", v->home_pool);
+  put_string (b, "next_pool", v->next_pool);
   put_string (b, "phase", vm_phase_name (v->phase));
   put_string (b, "because", v->purpose);
   put_int (b, "since_offset", (int64_t)v->changed);
@@ -358,7 +349,7 @@
       if (!match)
         continue;
       b = json_builder_new ();
-      put_target (b, in->turn, &c->classes[i]);
+      put_target (b, in, &c->classes[i]);
       return take_text (b);
     }
   return NULL;
--- /dev/null
+++ b/src/waves.c
@@ -0,0 +1,265 @@
+#include "waves.h"
+
+#include "target.h"
+
+#include <string.h>
+
+/* A wave has at most this many refused candidates weighed at a time. */
+#define TRIES_MAX 16
+
+/* A proposal without a verdict stands in the way of the next one so long. */
+#define VERDICT_WAIT_MS 3000
+
+static bool
+covers (const struct fleet_wave *w, const struct fleet_vm *v)
+{
+  return w->pool[0] == '\0' || strcmp (w->pool, v->pool) == 0;
+}
+
+static bool
+wants (const struct fleet_wave *w, const struct fleet_vm *v)
+{
+  return covers (w, v) && v->maintained < w->accepted;
+}
+
+/* A VM that a wave could take, and how it stands in its pool. */
+struct candidate
+{
+  const struct fleet_vm *vm;
+  uint32_t running;
+  uint32_t rack_out; /* VMs of its pool and rack out of service */
+  uint32_t rack_vms; /* of its pool and rack */
+};
+
+static void
+count_rack (const struct fleet *f, struct candidate *c)
+{
+  const GPtrArray *vms = fleet_vms (f);
+
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const struct fleet_vm *v = g_ptr_array_index (vms, i);
+
+      if (strcmp (v->pool, c->vm->pool) != 0
+          || strcmp (v->rack, c->vm->rack) != 0)
+        continue;
+      c->rack_vms++;
+      c->rack_out += v->phase != VM_SERVING;
+    }
+}
+
+/* The racks that are begun first, then the largest, then the least busy. */
+static gint
+compare (gconstpointer a, gconstpointer b)
+{
+  const struct candidate *x = a;
+  const struct candidate *y = b;
+
+  if (x->rack_out != y->rack_out)
+    return x->rack_out > y->rack_out ? -1 : 1;
+  if (x->rack_vms != y->rack_vms)
+    return x->rack_vms > y->rack_vms ? -1 : 1;
+  if (strcmp (x->vm->rack, y->vm->rack) != 0)
+    return strcmp (x->vm->rack, y->vm->rack);
+  if (x->running != y->running)
+    return x->running < y->running ? -1 : 1;
+  return strcmp (x->vm->vm, y->vm->vm);
+}
+
+/* Whether a proposal about V is on its way. */
+static bool
+is_proposed (const struct sight *s, const struct fleet_vm *v, int64_t now_ms)
+{
+  return s->proposed_at == v->changed
+         && now_ms - s->proposed_ms < VERDICT_WAIT_MS;
+}
+
+/* The VMs of POOL that WAVE wants and that serve; NULL if a proposal about one
+   of the pool's is on its way, whose verdict is waited for. */
+static GArray *
+gather (const struct fleet *f, const struct sights *sights,
+        const struct fleet_wave *wave, const char *pool, int64_t now_ms)
+{
+  const GPtrArray *vms = fleet_vms (f);
+  GArray *a = g_array_new (FALSE, FALSE, sizeof (struct candidate));
+
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const struct fleet_vm *v = g_ptr_array_index (vms, i);
+      const struct sight *s = sights_find (sights, v->vm);
+      struct candidate c = { v, 0, 0, 0 };
+
+      if (s == NULL || v->phase != VM_SERVING || strcmp (v->pool, pool) != 0)
+        continue;
+      if (is_proposed (s, v, now_ms))
+        {
+          g_array_unref (a);
+          return NULL;
+        }
+      if (!wants (wave, v) || s->state == VM_STATE_GONE)
+        continue;
+      c.running = s->running;
+      count_rack (f, &c);
+      g_array_append_val (a, c);
+    }
+  g_array_sort (a, compare);
+  return a;
+}
+
+const struct fleet_vm *
+waves_choose (const struct fleet *fleet, const struct sights *sights,
+              const struct fleet_wave *wave, const char *pool,
+              uint32_t needed_slots, int64_t now_ms)
+{
+  GArray *a = gather (fleet, sights, wave, pool, now_ms);
+  const struct fleet_vm *chosen = NULL;
+
+  if (a == NULL)
+    return NULL;
+  for (guint i = 0; i < MIN (a->len, TRIES_MAX) && chosen == NULL; i++)
+    {
+      const struct candidate *c = &g_array_index (a, struct candidate, i);
+
+      if (target_allows_out (fleet, c->vm, needed_slots, NULL)
+          == TARGET_ALLOWS)
+        chosen = c->vm;
+    }
+  g_array_unref (a);
+  return chosen;
+}
+
+uint32_t
+waves_progress (const struct fleet *fleet, const struct fleet_wave *wave,
+                uint32_t *done)
+{
+  const GPtrArray *vms = fleet_vms (fleet);
+  uint32_t all = 0;
+
+  *done = 0;
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const struct fleet_vm *v = g_ptr_array_index (vms, i);
+
+      if (!covers (wave, v))
+        continue;
+      all++;
+      *done += v->maintained >= wave->accepted;
+    }
+  return all;
+}
+
+/* Whether WAVE has a VM in its hands. */
+static bool
+is_under_way (const struct fleet *f, const struct fleet_wave *wave)
+{
+  const GPtrArray *vms = fleet_vms (f);
+
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const struct fleet_vm *v = g_ptr_array_index (vms, i);
+
+      if ((v->phase == VM_DRAINING || v->phase == VM_REBOOTING)
+          && strcmp (v->purpose, wave->name) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* The VMs of POOL that are out of service, each with its phase. */
+static char *
+name_those_out (const struct fleet *f, const char *pool)
+{
+  const GPtrArray *vms = fleet_vms (f);
+  GString *names = g_string_new (NULL);
+
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const struct fleet_vm *v = g_ptr_array_index (vms, i);
+
+      if (strcmp (v->pool, pool) != 0 || v->phase == VM_SERVING)
+        continue;
+      g_string_append_printf (names, "%s%s (%s)", names->len > 0 ? ", " : "",
+                              v->vm, vm_phase_name (v->phase));
+    }
+  if (names->len == 0)
+    g_string_append (names, "none");
+  return g_string_free (names, FALSE);
+}
+
+/* Why V, which WAVE would take, stays in service. */
+static char *
+explain (const struct fleet *f, const struct fleet_vm *v)
+{
+  const struct config_class *k = NULL;
+  enum target_refusal refusal = target_allows_out (f, v, 0, &k);
+  char *out;
+  char *text;
+
+  switch (refusal)
+    {
+    case TARGET_BUDGET:
+      out = name_those_out (f, v->pool);
+      text = g_strdup_printf (
+          "%s/%s allows %u%% of pool %s out of service; out now: %s",
+          k->service_name, k->name, k->max_unavailable_percent, v->pool, out);
+      g_free (out);
+      return text;
+    case TARGET_FAILURE:
+      return g_strdup_printf ("%s/%s would not survive the loss of a %s",
+                              k->service_name, k->name,
+                              survive_name (k->survive));
+    case TARGET_ALLOWS:
+    case TARGET_LOAD:
+      break;
+    }
+  return g_strdup ("waiting for the load to fall");
+}
+
+char *
+waves_pause (const struct fleet *fleet, const struct fleet_wave *wave)
+{
+  const struct config *c = fleet_config (fleet);
+  const GPtrArray *vms = fleet_vms (fleet);
+
+  if (is_under_way (fleet, wave))
+    return g_strdup ("");
+  if (c != NULL && c->paused)
+    return g_strdup ("the configuration says \"automation\": \"paused\"");
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const struct fleet_vm *v = g_ptr_array_index (vms, i);
+
+      if (v->phase == VM_SERVING && wants (wave, v))
+        return explain (fleet, v);
+    }
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const struct fleet_vm *v = g_ptr_array_index (vms, i);
+
+      if (wants (wave, v))
+        return g_strdup_printf ("%s is %s: %s", v->vm,
+                                vm_phase_name (v->phase), v->purpose);
+    }
+  return g_strdup ("");
+}
+
+char **
+waves_stragglers (const struct fleet *fleet, const struct sights *sights,
+                  const struct fleet_wave *wave, int64_t now_ms)
+{
+  const GPtrArray *vms = fleet_vms (fleet);
+  GPtrArray *names = g_ptr_array_new ();
+
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const struct fleet_vm *v = g_ptr_array_index (vms, i);
+      const struct sight *s = sights_find (sights, v->vm);
+
+      if (v->phase == VM_DRAINING && strcmp (v->purpose, wave->name) == 0
+          && s != NULL && s->changed == v->changed
+          && now_ms - s->changed_ms > wave->patience_ms)
+        g_ptr_array_add (names, g_strdup (v->vm));
+    }
+  g_ptr_array_add (names, NULL);
+  return (char **)g_ptr_array_free (names, FALSE);
+}
