Say what became of an earlier attempt that ran, not "not run"

Cause: an idempotent request whose first run failed or was lost is asked for again; when that later attempt could not start (too late, refused by the back end, cancelled), its caller heard "not run", although the first had started. Ruled out: a late start after the refusal (every start came before it). Change: a request remembers how its last run that may have started ended, and its caller hears that instead.

--- a/src/requests.c
+++ b/src/requests.c
@@ -38,6 +38,7 @@
   int64_t asked_ms;
   char *vm;        /* where it runs, or ran last */
   int64_t held_ms; /* last renewal of the slot's lease */
+  enum reason ran; /* how its last run that may have started ended */
   bool abandoned;
 };
 
@@ -162,11 +163,22 @@
   turn_send (t, l->owner, p);
 }
 
+/* What ended L: REASON, unless that says "not run" and an earlier attempt may
+   have started. */
+static enum reason
+true_reason (const struct live *l, enum reason reason)
+{
+  if (l->ran != REASON_NONE && reason_outcome (reason) == OUTCOME_NOT_RUN)
+    return l->ran;
+  return reason;
+}
+
 /* End L, which waits and so has not run in this attempt, for REASON. */
 static void
 end_waiting (struct requests *r, struct turn *t, struct live *l,
              enum reason reason, int64_t retry_after_ms)
 {
+  reason = true_reason (l, reason);
   if (l->state == LIVE_CLAIMING)
     cancel_claim (t, l);
   if (l->state == LIVE_WAITING && l->owner != NULL)
@@ -606,6 +618,8 @@
   if (!l->abandoned && turn->now_ms <= l->start_by_ms)
     choice = retry_decide (budget_of (requests, l), l->idempotent,
                            message->result, l->attempt);
+  if (message->result != RUN_NOT_STARTED)
+    l->ran = reason;
   if (choice == RETRY_AGAIN)
     {
       counters_add_retry (turn->counters, reason);
@@ -614,7 +628,7 @@
     }
   if (choice == RETRY_BUDGET_SPENT)
     reason = REASON_RETRY_BUDGET;
-  finish (requests, turn, l, reason, message->status);
+  finish (requests, turn, l, true_reason (l, reason), message->status);
 }
 
 void
