Send nothing to a back end that the core let go more than a second ago

Cause: the core checks the VM and puts out the run; a pause of the process, a busy edge or a wait for a connection lies between that and the first byte, so a run reached a VM that was drained, found idle and rebooted meanwhile. Ruled out: the planner's wait for acknowledgements (all nodes had read the drain). Change: a run carries the moment it must be sent by; the last check is when the connection stands and the request goes out; what is too late ends as "not sent", which is certain, so the request is asked for again or told truly as not run. Open: a pause between that check and the system call that sends.

--- a/src/backend.c
+++ b/src/backend.c
@@ -26,9 +26,11 @@
   uint64_t received;
   goffset length;
   int64_t started_ms;
+  int64_t send_by_ms;
   bool sent;  /* the back end may have got it */
   bool begun; /* the answer's head has been passed on */
   bool timed_out;
+  bool too_late; /* it was not sent in time, so it is not sent at all */
 };
 
 struct backend *
@@ -84,6 +86,8 @@
 static enum run_result
 broken_result (const struct backend_run *r)
 {
+  if (r->too_late)
+    return RUN_NOT_SENT;
   if (r->timed_out)
     return r->sent ? RUN_TIMED_OUT : RUN_NOT_STARTED;
   if (!r->sent)
@@ -183,10 +187,17 @@
   backend_more (r);
 }
 
+/* The connection stands and the request is about to go out: the last moment
+   at which a process that was paused can see that it is too late. */
 static void
 on_starting (SoupMessage *message, gpointer data)
 {
-  ((struct backend_run *)data)->sent = true;
+  struct backend_run *r = data;
+
+  r->too_late = now_ms () > r->send_by_ms;
+  r->sent = !r->too_late;
+  if (r->too_late)
+    g_cancellable_cancel (r->cancellable);
 }
 
 static gboolean
@@ -232,6 +243,7 @@
   r->functions = functions;
   r->data = data;
   r->max_answer_bytes = order->max_answer_bytes;
+  r->send_by_ms = order->send_by_ms;
   r->started_ms = now_ms ();
   r->cancellable = g_cancellable_new ();
   r->message = make_message (order, task, content_type, body);
--- a/src/callers.c
+++ b/src/callers.c
@@ -238,13 +238,13 @@
     = { run_begin, run_piece, run_end };
 
 static void
-report_not_started (struct callers *c, const struct message_run *order)
+report_not_sent (struct callers *c, const struct message_run *order)
 {
   struct message *m = message_new (MESSAGE_RUN_ENDED);
 
   m->u.run_ended.request = order->request;
   m->u.run_ended.attempt = order->attempt;
-  m->u.run_ended.result = RUN_ABANDONED;
+  m->u.run_ended.result = RUN_NOT_SENT;
   task_post (c->core, m);
 }
 
@@ -256,7 +256,7 @@
 
   if (x == NULL || x->message == NULL || x->run != NULL)
     {
-      report_not_started (c, order);
+      report_not_sent (c, order);
       return;
     }
   x->attempt = order->attempt;
--- a/src/message.c
+++ b/src/message.c
@@ -128,11 +128,17 @@
   g_free (message);
 }
 
+bool
+message_run_may_be_sent (const struct message_run *run, int64_t now_ms)
+{
+  return now_ms <= run->send_by_ms;
+}
+
 const char *
 run_result_name (enum run_result result)
 {
   static const char *const names[RUN_RESULT_COUNT]
-      = { "answered",  "not-started", "failed",    "lost",
+      = { "answered",  "not-started", "not-sent",  "failed",   "lost",
           "truncated", "too-large",   "timed-out", "abandoned" };
 
   return names[result];
--- a/src/message.h
+++ b/src/message.h
@@ -19,6 +19,7 @@
 {
   RUN_ANSWERED,    /* a whole answer reached the caller */
   RUN_NOT_STARTED, /* the back end certainly never started it */
+  RUN_NOT_SENT,    /* this node never sent it to the back end */
   RUN_FAILED,      /* the back end answered that it failed (status 5xx) */
   RUN_LOST,        /* the connection broke; it may have started */
   RUN_TRUNCATED,   /* the answer broke off after its first byte */
@@ -179,6 +180,7 @@
   char *class_name;
   bool idempotent;
   int64_t timeout_ms; /* until the caller's time is over */
+  int64_t send_by_ms; /* clock time after which it may not be sent */
   uint64_t max_answer_bytes;
 };
 
@@ -256,6 +258,11 @@
 /* Create an empty array of struct log_entry that frees its elements. */
 GArray *log_entries_new (void);
 
+/* Return whether RUN may still be sent to its back end at NOW_MS.  The edge
+   asks at the last moment, as the process may have been paused since the core
+   looked at the VM. */
+bool message_run_may_be_sent (const struct message_run *run, int64_t now_ms);
+
 const char *run_result_name (enum run_result result);
 
 #endif
--- a/src/place.c
+++ b/src/place.c
@@ -235,6 +235,7 @@
     case RUN_TRUNCATED:
       note_failure (place, s, now_ms);
       break;
+    case RUN_NOT_SENT:
     case RUN_TIMED_OUT:
     case RUN_ABANDONED:
     case RUN_RESULT_COUNT:
--- a/src/requests.c
+++ b/src/requests.c
@@ -6,6 +6,7 @@
 #define HOLD_RENEW_MS 2000
 #define DEFAULT_RUN_PATIENCE_MS 60000
 #define VIEW_MAX_AGE_MS 3000
+#define SEND_WITHIN_MS 1000
 #define LOG_RETRY_AFTER_MS 1000
 #define BUSY_RETRY_AFTER_MS 500
 
@@ -459,6 +460,7 @@
   run->class_name = g_strdup (l->class_name);
   run->idempotent = l->idempotent;
   run->timeout_ms = l->deadline_ms - t->now_ms;
+  run->send_by_ms = t->now_ms + SEND_WITHIN_MS;
   run->max_answer_bytes = l->max_answer_bytes;
   turn_put (t, m);
   counters_add (t->counters, COUNTER_DISPATCHED, 1);
@@ -569,6 +571,8 @@
       return REASON_NONE;
     case RUN_NOT_STARTED:
       return REASON_BACK_END_REFUSED;
+    case RUN_NOT_SENT:
+      return REASON_TOO_LATE;
     case RUN_FAILED:
       return REASON_BACK_END_FAILED;
     case RUN_LOST:
@@ -618,7 +622,7 @@
   if (!l->abandoned && turn->now_ms <= l->start_by_ms)
     choice = retry_decide (budget_of (requests, l), l->idempotent,
                            message->result, l->attempt);
-  if (message->result != RUN_NOT_STARTED)
+  if (message->result != RUN_NOT_STARTED && message->result != RUN_NOT_SENT)
     l->ran = reason;
   if (choice == RETRY_AGAIN)
     {
--- a/src/retry.c
+++ b/src/retry.c
@@ -27,6 +27,7 @@
   switch (result)
     {
     case RUN_NOT_STARTED:
+    case RUN_NOT_SENT:
       return true;
     case RUN_FAILED:
     case RUN_LOST:
@@ -48,7 +49,8 @@
 {
   if (!may_run_again (idempotent, result))
     return RETRY_GIVE_UP;
-  if (result == RUN_NOT_STARTED && attempt < NOT_STARTED_ATTEMPTS_MAX)
+  if ((result == RUN_NOT_STARTED || result == RUN_NOT_SENT)
+      && attempt < NOT_STARTED_ATTEMPTS_MAX)
     return RETRY_AGAIN;
   if (attempt >= ATTEMPTS_MAX)
     return RETRY_GIVE_UP;
--- a/tests/sim/edge.c
+++ b/tests/sim/edge.c
@@ -185,9 +185,11 @@
 
   if (a == NULL)
     return;
-  if (a->caller_gone || a->run_active)
+  if (a->caller_gone || a->run_active
+      || (w->options.mutation != MUTATION_LATE_SENDS
+          && !message_run_may_be_sent (run, node_clock_ms (w, node))))
     {
-      report_run (w, a, run->attempt, RUN_ABANDONED);
+      report_run (w, a, run->attempt, RUN_NOT_SENT);
       return;
     }
   a->run_active = true;
--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -204,6 +204,7 @@
 void violate (struct world *w, const char *format, ...) G_GNUC_PRINTF (2, 3);
 void node_boot (struct world *w, int node);
 void node_end (struct world *w, int node);
+int64_t node_clock_ms (const struct world *w, int node);
 
 /* log.c */
 void log_write_now (struct world *w, const char *text);
--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -19,8 +19,8 @@
 };
 
 static const char *const mutation_names[WORLD_MUTATION_COUNT]
-    = { "none",      "no-claim",  "every-claim", "lie", "deaf-to-leaving",
-        "no-budget", "no-version" };
+    = { "none",      "no-claim",   "every-claim", "lie", "deaf-to-leaving",
+        "no-budget", "no-version", "late-sends" };
 
 const char *
 world_fault_name (enum world_fault fault)
@@ -246,6 +246,15 @@
   message_destroy (m);
 }
 
+/* Each node's clock starts somewhere else. */
+int64_t
+node_clock_ms (const struct world *w, int node)
+{
+  const struct sim_node *n = &w->nodes[node];
+
+  return n->clock_base_ms + w->now_ms - n->booted_ms;
+}
+
 static void
 core_take (struct world *w, int node, struct message *m)
 {
@@ -253,7 +262,7 @@
   GQueue out = G_QUEUE_INIT;
   struct message *next;
 
-  core_handle (n->core, m, n->clock_base_ms + w->now_ms - n->booted_ms, &out);
+  core_handle (n->core, m, node_clock_ms (w, node), &out);
   while ((next = g_queue_pop_head (&out)) != NULL)
     route (w, node, next);
   promises_node (w, node);
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -49,6 +49,7 @@
   MUTATION_DEAF_TO_LEAVING, /* nobody hears that a VM is leaving */
   MUTATION_NO_BUDGET,       /* the pools' budgets are not known */
   MUTATION_NO_VERSION,      /* a publication replaces whatever is in force */
+  MUTATION_LATE_SENDS,      /* edges send however late the order comes */
   WORLD_MUTATION_COUNT
 };
 
