Start no work just after a pause until the node has heard news

Cause: a node that was paused, or has just begun, takes up grants before it has read the VM list anew; lists and heartbeats that waited in its queues look new but are old, so it started work on VMs that the platform had called leaving for up to 6 s (bound: 3 s). Ruled out: lost heartbeats (it happened with none lost) and the edge (its own check was in time). Change: a gap between messages to the core of over 1 s, with ticks due every 50 ms, is a pause; for 1.2 s from its end the node gives grants back, is not ready, and takes no view of the log as fresh. Ways weighed: stamping each list with the moment it was asked for (does not help for heartbeats, whose clocks differ). Cost: a node answers about 1.2 s later after its start.

--- a/src/core.c
+++ b/src/core.c
@@ -13,6 +13,11 @@
 
 #define JOIN_AGAIN_MS 3000
 #define PLAN_EVERY_MS 200
+/* No message for so long, with ticks due every CORE_TICK_MS, is a pause. */
+#define PAUSE_MS 1000
+/* After a pause, what waited may be old for so long: the VM list and the
+   peers' heartbeats are read anew within it. */
+#define RESUME_MS 1200
 
 struct core
 {
@@ -28,7 +33,10 @@
   struct operators *operators;
   GHashTable *leaving; /* set of VMs that the platform said are leaving */
   bool log_reachable;
-  int64_t fresh_ms; /* when the fleet was last at the log's head */
+  int64_t fresh_ms;   /* when the fleet was last at the log's head */
+  int64_t handled_ms; /* when the last message came; 0 for none */
+  int64_t resumed_ms; /* when the last pause ended */
+  bool resuming;
   int64_t heartbeat_ms;
   int64_t planned_ms;
   int64_t joined_ms; /* when this node last asked to join */
@@ -80,6 +88,22 @@
   return core->fleet;
 }
 
+/* Notice a pause of the process.  What was in its queues meanwhile is old but
+   looks new, so it starts no work until it has surely heard news. */
+static void
+note_time (struct core *c, int64_t now_ms)
+{
+  if (now_ms - c->handled_ms > PAUSE_MS)
+    {
+      c->resumed_ms = now_ms;
+      c->resuming = true;
+      c->fresh_ms = -1;
+    }
+  else if (now_ms - c->resumed_ms >= RESUME_MS)
+    c->resuming = false;
+  c->handled_ms = now_ms;
+}
+
 static struct turn
 begin_turn (struct core *c, int64_t now_ms, GQueue *out)
 {
@@ -92,6 +116,7 @@
     .counters = c->counters,
     .view_age_ms = c->fresh_ms < 0 ? INT32_MAX : now_ms - c->fresh_ms,
     .log_reachable = c->log_reachable,
+    .resuming = c->resuming,
     .stopping = c->stopping,
     .out = out,
   };
@@ -151,7 +176,7 @@
                   int64_t now_ms)
 {
   c->log_reachable = m->reachable;
-  if (m->reachable && fleet_offset (c->fleet) >= m->head)
+  if (!c->resuming && m->reachable && fleet_offset (c->fleet) >= m->head)
     c->fresh_ms = now_ms;
 }
 
@@ -408,8 +433,10 @@
              GQueue *out)
 {
   GQueue work = G_QUEUE_INIT;
-  struct turn t = begin_turn (core, now_ms, &work);
+  struct turn t;
 
+  note_time (core, now_ms);
+  t = begin_turn (core, now_ms, &work);
   handle_one (core, &t, message);
   message_destroy (message);
   drain (core, &t, &work, out);
--- a/src/operators.c
+++ b/src/operators.c
@@ -250,6 +250,11 @@
   if (t->stopping)
     reply_problem (t, q->query, 503, "this node is stopping",
                    "use another node");
+  else if (t->resuming)
+    reply_problem (t, q->query, 503,
+                   "this node has just begun, or was paused, and reads the "
+                   "news first",
+                   "use another node, or try again in two seconds");
   else if (fleet_config (t->fleet) == NULL)
     reply_problem (t, q->query, 503, "no configuration is in force here yet",
                    "publish one, or wait until this node has read it");
--- a/src/requests.c
+++ b/src/requests.c
@@ -514,7 +514,8 @@
   const struct peer_slot_grant *g = &m->u.slot_grant;
   struct live *l = find (r, g->request);
 
-  if (l == NULL || l->state != LIVE_WAITING || l->attempt != g->attempt)
+  if (l == NULL || l->state != LIVE_WAITING || l->attempt != g->attempt
+      || t->resuming)
     {
       return_unwanted (t, m);
       return;
--- a/src/turn.h
+++ b/src/turn.h
@@ -24,6 +24,7 @@
   struct counters *counters;
   int64_t view_age_ms; /* since the fleet was at the log's head */
   bool log_reachable;
+  bool resuming; /* it was paused or is new, and starts nothing yet */
   bool stopping;
   GQueue *out; /* struct message * */
 };
