--- a/src/backend.c
+++ b/src/backend.c
@@ -30,6 +30,7 @@
   bool sent;  /* the back end may have got it */
   bool begun; /* the answer's head has been passed on */
   bool timed_out;
+  bool too_late; /* it was not sent in time, so it is not sent at all */
 };
 
 struct backend *
@@ -85,6 +86,8 @@
 static enum run_result
 broken_result (const struct backend_run *r)
 {
+  if (r->too_late)
+    return RUN_NOT_SENT;
   if (r->timed_out)
     return r->sent ? RUN_TIMED_OUT : RUN_NOT_STARTED;
   if (!r->sent)
@@ -184,17 +187,17 @@
   backend_more (r);
 }
 
+/* The connection stands and the request is about to go out: the last moment
+   at which a process that was paused can see that it is too late. */
 static void
 on_starting (SoupMessage *message, gpointer data)
 {
   struct backend_run *r = data;
 
-  /* The node's permission may have lapsed while the run waited for a
-     connection, or while the whole process was paused. */
-  if (now_ms () > r->send_by_ms)
+  r->too_late = now_ms () > r->send_by_ms;
+  r->sent = !r->too_late;
+  if (r->too_late)
     g_cancellable_cancel (r->cancellable);
-  else
-    r->sent = true;
 }
 
 static gboolean
--- a/src/core.c
+++ b/src/core.c
@@ -3,6 +3,7 @@
 #include "broker.h"
 #include "fleet.h"
 #include "leaving.h"
+#include "listing.h"
 #include "members.h"
 #include "operators.h"
 #include "permission.h"
@@ -15,6 +16,11 @@
 
 #define JOIN_AGAIN_MS 3000
 #define PLAN_EVERY_MS 200
+/* No message for so long, with ticks due every CORE_TICK_MS, is a pause. */
+#define PAUSE_MS 1000
+/* After a pause, what waited may be old for so long: the VM list and the
+   peers' heartbeats are read anew within it. */
+#define RESUME_MS 1200
 
 struct core
 {
@@ -27,13 +33,17 @@
   struct broker *broker;
   struct requests *requests;
   struct plan *plan;
+  struct listing *listing;
   struct operators *operators;
   struct leaving *leaving;
   bool log_reachable;
   int64_t fresh_ms; /* when the log was asked for the head that the fleet was
                        last at */
   int64_t permit_until_ms;
-  bool says_news; /* send a heartbeat at once */
+  bool says_news;     /* send a heartbeat at once */
+  int64_t handled_ms; /* when the last message came; 0 for none */
+  int64_t resumed_ms; /* when the last pause ended */
+  bool resuming;
   int64_t heartbeat_ms;
   int64_t planned_ms;
   int64_t joined_ms; /* when this node last asked to join */
@@ -56,6 +66,7 @@
   c->broker = broker_new (options->seed);
   c->requests = requests_new (options->max_requests);
   c->plan = plan_new ();
+  c->listing = listing_new ();
   c->operators = operators_new ();
   c->leaving = leaving_new ();
   c->fresh_ms = -1;
@@ -70,6 +81,7 @@
     return;
   operators_destroy (core->operators);
   plan_destroy (core->plan);
+  listing_destroy (core->listing);
   requests_destroy (core->requests);
   broker_destroy (core->broker);
   members_destroy (core->members);
@@ -86,6 +98,22 @@
   return core->fleet;
 }
 
+/* Notice a pause of the process.  What was in its queues meanwhile is old but
+   looks new, so it starts no work until it has surely heard news. */
+static void
+note_time (struct core *c, int64_t now_ms)
+{
+  if (now_ms - c->handled_ms > PAUSE_MS)
+    {
+      c->resumed_ms = now_ms;
+      c->resuming = true;
+      c->fresh_ms = -1;
+    }
+  else if (now_ms - c->resumed_ms >= RESUME_MS)
+    c->resuming = false;
+  c->handled_ms = now_ms;
+}
+
 static struct turn
 begin_turn (struct core *c, int64_t now_ms, GQueue *out)
 {
@@ -99,6 +127,7 @@
     .view_age_ms = c->fresh_ms < 0 ? INT32_MAX : now_ms - c->fresh_ms,
     .log_reachable = c->log_reachable,
     .permit_until_ms = c->permit_until_ms,
+    .resuming = c->resuming,
     .stopping = c->stopping,
     .out = out,
   };
@@ -176,7 +205,7 @@
 handle_log_state (struct core *c, const struct message_log_state *m)
 {
   c->log_reachable = m->reachable;
-  if (m->reachable && fleet_offset (c->fleet) >= m->head)
+  if (!c->resuming && m->reachable && fleet_offset (c->fleet) >= m->head)
     c->fresh_ms = MAX (c->fresh_ms, m->asked_ms);
 }
 
@@ -189,21 +218,47 @@
     tell_leaving (c);
 }
 
+/* Weigh anew which VMs leave, after the planner took in their states by a
+   list asked for at ASKED_MS. */
 static void
-handle_vm_list (struct core *c, const struct message_vm_list *m,
-                int64_t now_ms)
+take_states (struct core *c, int64_t asked_ms, int64_t now_ms)
 {
-  GHashTable *names;
+  GHashTable *names = plan_not_live (c->plan);
   guint before = g_hash_table_size (leaving_names (c->leaving));
 
-  plan_list (c->plan, m->vms, now_ms);
-  names = plan_not_live (c->plan);
-  leaving_list (c->leaving, names, m->asked_ms);
+  leaving_list (c->leaving, names, asked_ms);
   g_hash_table_unref (names);
   weigh_leaving (c, now_ms);
   c->says_news |= g_hash_table_size (leaving_names (c->leaving)) > before;
 }
 
+static void
+handle_vm_list (struct core *c, struct turn *t,
+                const struct message_vm_list *m)
+{
+  plan_list (c->plan, m->vms, t->now_ms);
+  plan_add_listed (c->plan, t);
+  listing_tell (c->listing, t, m->vms);
+  take_states (c, m->asked_ms, t->now_ms);
+}
+
+static void
+handle_vm_news (struct core *c, const struct peer_message *p, int64_t now_ms)
+{
+  const GArray *states = p->u.vm_news.states;
+
+  for (guint i = 0; i < states->len; i++)
+    {
+      const struct peer_vm_state *s
+          = &g_array_index (states, struct peer_vm_state, i);
+
+      plan_note (c->plan, s->vm, s->state, s->running, now_ms);
+    }
+  take_states (c, now_ms, now_ms);
+  listing_hear (c->listing, &p->u.vm_news);
+  listing_note_read (c->listing, p->from, now_ms);
+}
+
 static void
 handle_heartbeat (struct core *c, const struct peer_message *p, int64_t now_ms)
 {
@@ -230,6 +285,9 @@
     case PEER_SLOT_REFUSE:
       requests_handle (c->requests, t, p);
       break;
+    case PEER_VM_NEWS:
+      handle_vm_news (c, p, t->now_ms);
+      break;
     case PEER_KIND_COUNT:
       break;
     }
@@ -351,6 +409,8 @@
       || t->now_ms - c->heartbeat_ms >= MEMBERS_HEARTBEAT_MS)
     send_heartbeat (c, t);
   join (c, t);
+  if (listing_is_due (c->listing, t))
+    turn_put (t, message_new (MESSAGE_READ_LIST));
   requests_step (c->requests, t);
   operators_step (c->operators, t);
   if (t->now_ms - c->planned_ms >= PLAN_EVERY_MS)
@@ -405,7 +465,7 @@
       handle_log_state (c, &m->u.log_state);
       break;
     case MESSAGE_VM_LIST:
-      handle_vm_list (c, &m->u.vm_list, t->now_ms);
+      handle_vm_list (c, t, &m->u.vm_list);
       break;
     case MESSAGE_PEER:
       handle_peer (c, t, m->u.peer.peer);
@@ -425,6 +485,7 @@
     case MESSAGE_APPEND_CANCEL:
     case MESSAGE_SEND:
     case MESSAGE_PLATFORM:
+    case MESSAGE_READ_LIST:
     case MESSAGE_REPLY:
     case MESSAGE_STOPPED:
       break;
@@ -463,8 +524,10 @@
              GQueue *out)
 {
   GQueue work = G_QUEUE_INIT;
-  struct turn t = begin_turn (core, now_ms, &work);
+  struct turn t;
 
+  note_time (core, now_ms);
+  t = begin_turn (core, now_ms, &work);
   weigh_permission (core, &t);
   handle_one (core, &t, message);
   weigh_permission (core, &t);
--- a/src/log_task.c
+++ b/src/log_task.c
@@ -6,7 +6,6 @@
 
 #define READ_WAIT_MS 1000
 #define READ_RETRY_MS 200
-#define LIST_EVERY_MS 1000
 #define APPEND_MIN_GAP_MS 60
 #define APPEND_RETRY_MS 250
 #define BATCH_MAX_RECORDS 500
@@ -32,13 +31,11 @@
   bool appending;
   int64_t appended_ms;
   GSource *append_timer;
-  GSource *list_timer;
   GSource *read_timer;
   uint64_t after;   /* offset read so far */
   int64_t asked_ms; /* when the read in progress was sent */
   bool reachable;
-  bool listing;          /* a read of the VM list is in progress */
-  int64_t list_asked_ms; /* when it was sent */
+  int64_t list_asked_ms; /* when the last read of the VM list was sent */
 };
 
 static void read_on (struct log_task *l);
@@ -191,7 +188,6 @@
   struct log_task *l = data;
   struct message *m;
 
-  l->listing = false;
   counters_add (l->counters, COUNTER_VM_LIST_READS, 1);
   if (vms == NULL)
     {
@@ -204,23 +200,6 @@
   task_post (l->core, m);
 }
 
-static void
-list_on (struct log_task *l)
-{
-  if (l->listing)
-    return;
-  l->listing = true;
-  l->list_asked_ms = now_ms ();
-  platform_list (l->platform, on_list, l);
-}
-
-static gboolean
-on_list_timer (gpointer data)
-{
-  list_on (data);
-  return G_SOURCE_CONTINUE;
-}
-
 /* Appending. */
 
 static gboolean
@@ -367,8 +346,6 @@
 
   l->platform = platform_new (&l->settings->platform,
                               l->settings->platform_token, l->counters);
-  l->list_timer = start_timer (LIST_EVERY_MS, on_list_timer, l);
-  list_on (l);
   read_on (l);
 }
 
@@ -388,6 +365,10 @@
     case MESSAGE_PLATFORM:
       act (l, &m->u.platform);
       break;
+    case MESSAGE_READ_LIST:
+      l->list_asked_ms = now_ms ();
+      platform_list (l->platform, on_list, l);
+      break;
     default:
       break;
     }
@@ -400,7 +381,6 @@
   struct log_task *l = data;
 
   stop_timer (&l->append_timer);
-  stop_timer (&l->list_timer);
   stop_timer (&l->read_timer);
   platform_destroy (l->platform);
 }
--- a/src/permission.c
+++ b/src/permission.c
@@ -60,7 +60,8 @@
 {
   int64_t moment_ms;
 
-  if (!fleet_has_joined (turn->fleet, turn->node, turn->incarnation))
+  if (turn->resuming
+      || !fleet_has_joined (turn->fleet, turn->node, turn->incarnation))
     return -1;
   moment_ms = MAX (fresh_ms, majority_ms (turn));
   return moment_ms < 0 ? -1 : moment_ms + PERMISSION_MS;
--- a/src/plan.c
+++ b/src/plan.c
@@ -12,7 +12,7 @@
 #define LIST_LAG_MS 5000
 #define GONE_CONFIRM_MS 2000
 #define RETURN_PATIENCE_MS 60000
-#define ADDS_PER_STEP 200
+#define ADDS_PER_STEP 1000
 #define LOAD_FADES_MS 10000
 
 /* Pools' loads are weighed against each other by one node, the owner of this
@@ -55,6 +55,13 @@
   g_free (plan);
 }
 
+void
+plan_note (struct plan *plan, const char *vm, enum vm_state state,
+           uint32_t running, int64_t now_ms)
+{
+  sights_note (plan->sights, vm, state, running, now_ms);
+}
+
 void
 plan_list (struct plan *plan, const GArray *vms, int64_t now_ms)
 {
@@ -72,11 +79,8 @@
 static void
 propose_add (struct turn *t, struct sight *s)
 {
-  struct record *r;
+  struct record *r = record_new (RECORD_VM_ADD, t->node, t->incarnation);
 
-  if (s->proposed_ms != 0 && t->now_ms - s->proposed_ms <= PROPOSE_AGAIN_MS)
-    return;
-  r = record_new (RECORD_VM_ADD, t->node, t->incarnation);
   r->u.vm_add.vm = g_strdup (s->vm);
   r->u.vm_add.address = g_strdup (s->address);
   r->u.vm_add.port = s->port;
@@ -292,28 +296,46 @@
 step_sights (struct plan *p, struct turn *t, const struct requests *requests)
 {
   GList *all = sights_all (p->sights);
-  int adds = 0;
 
   for (GList *i = all; i != NULL; i = i->next)
     {
       struct sight *s = i->data;
       const struct fleet_vm *v = fleet_find_vm (t->fleet, s->vm);
 
-      if (v != NULL && s->changed != v->changed)
+      if (v == NULL)
+        continue;
+      if (s->changed != v->changed)
         {
           s->changed = v->changed;
           s->changed_ms = t->now_ms;
         }
-      if (!is_mine (t, v != NULL ? v->pool : s->pool))
-        continue;
-      if (v != NULL)
+      if (is_mine (t, v->pool))
         step_vm (t, requests, s, v);
-      else if (s->listed && adds++ < ADDS_PER_STEP)
-        propose_add (t, s);
     }
   g_list_free (all);
 }
 
+void
+plan_add_listed (struct plan *plan, struct turn *turn)
+{
+  GList *all = sights_all (plan->sights);
+  int adds = 0;
+
+  if (fleet_config (turn->fleet) != NULL && turn->log_reachable)
+    for (GList *i = all; i != NULL && adds < ADDS_PER_STEP; i = i->next)
+      {
+        struct sight *s = i->data;
+
+        if (!s->listed || fleet_find_vm (turn->fleet, s->vm) != NULL
+            || (s->proposed_ms != 0
+                && turn->now_ms - s->proposed_ms <= PROPOSE_AGAIN_MS))
+          continue;
+        propose_add (turn, s);
+        adds++;
+      }
+  g_list_free (all);
+}
+
 /* Load. */
 
 static void
--- a/src/sights.c
+++ b/src/sights.c
@@ -71,6 +71,16 @@
     s->seen_rebooting = true;
 }
 
+static void
+set_running (struct sight *s, uint32_t running, int64_t now_ms)
+{
+  s->running = running;
+  if (running > 0)
+    s->idle_since_ms = -1;
+  else if (s->idle_since_ms < 0)
+    s->idle_since_ms = now_ms;
+}
+
 static void
 see (struct sights *sights, const struct listed_vm *v, int64_t now_ms)
 {
@@ -78,16 +88,24 @@
 
   set_state (s, v->state, now_ms);
   s->listed = true;
-  s->running = v->running;
+  set_running (s, v->running, now_ms);
   if (strcmp (s->pool, v->pool) != 0)
     {
       g_free (s->pool);
       s->pool = g_strdup (v->pool);
     }
-  if (v->running > 0)
-    s->idle_since_ms = -1;
-  else if (s->idle_since_ms < 0)
-    s->idle_since_ms = now_ms;
+}
+
+void
+sights_note (struct sights *sights, const char *vm, enum vm_state state,
+             uint32_t running, int64_t now_ms)
+{
+  struct sight *s = sights_find (sights, vm);
+
+  if (s == NULL)
+    return;
+  set_state (s, state, now_ms);
+  set_running (s, running, now_ms);
 }
 
 void
--- a/src/sights.h
+++ b/src/sights.h
@@ -49,6 +49,11 @@
 /* Take in the platform's VM list. */
 void sights_list (struct sights *sights, const GArray *vms, int64_t now_ms);
 
+/* Take in the STATE of VM and the tasks RUNNING on it, by another node's word
+   of the list. */
+void sights_note (struct sights *sights, const char *vm, enum vm_state state,
+                  uint32_t running, int64_t now_ms);
+
 /* Return whether a list has been read. */
 bool sights_has_list (const struct sights *sights);
 
