--- a/src/target.c
+++ b/src/target.c
@@ -101,7 +101,7 @@
 
   if (!target_budget_holds (&r))
     return TARGET_BUDGET;
-  if (left == 0 && best > 0)
+  if (k->survive != SURVIVE_NONE && left == 0 && best > 0)
     return TARGET_FAILURE;
   if (left < needed_slots && best >= needed_slots)
     return TARGET_LOAD;
--- a/tests/scenario/nodes.c
+++ b/tests/scenario/nodes.c
@@ -328,12 +328,21 @@
     }
 }
 
+/* End PROCESS and wait until it has ended: the signal is sent by a thread of
+   the library, which would not get to it if this process ended first. */
+static void
+end_process (GSubprocess *process)
+{
+  if (process == NULL)
+    return;
+  g_subprocess_force_exit (process);
+  g_subprocess_wait (process, NULL, NULL);
+}
+
 void
 run_end_all (struct run *r)
 {
   for (int i = 0; i < r->n_nodes; i++)
-    if (r->nodes[i].process != NULL)
-      g_subprocess_force_exit (r->nodes[i].process);
-  if (r->platform != NULL)
-    g_subprocess_force_exit (r->platform);
+    end_process (r->nodes[i].process);
+  end_process (r->platform);
 }
