Bound the connections of both HTTP edges

libsoup 3.2 bounds the size of headers (100 KB) and by itself neither the number of connections nor the time a caller takes; a caller that stops in the middle of its headers was kept for ever, and one that went away while its request waited was not noticed at all.

Ruled out: accepting the sockets ourselves and handing them to libsoup as streams (soup_server_accept_iostream): libsoup 3.2.3 then closes each after one answer (trial: two requests on one connection, the second heard nothing). Signals alone: none says when the first byte has come.

Change: a module that follows each connection from request-started, asks the kernel (TCP_INFO) four times a second what it has received and what the caller has taken, and closes the idle, slow, stalled, gone and surplus ones, each with a counter. A body that is too large is refused at its Content-Length or at the chunk that outgrows the limit, before the rest is read; a wrong admin token is refused at the headers.

--- a/src/admin.c
+++ b/src/admin.c
@@ -2,12 +2,14 @@
 
 #include "callers.h"
 #include "config.h"
+#include "connections.h"
 #include "http.h"
 
 #include <libsoup/soup.h>
 #include <string.h>
 
 #define WAIT_ALL_MAX_MS 60000
+#define MAX_CONNECTIONS 64
 
 struct admin
 {
@@ -16,6 +18,7 @@
   const struct settings *settings;
   struct counters *counters;
   SoupServer *server;
+  struct connections *connections;
   uint64_t last_number;
   GHashTable *waiting; /* query number -> SoupServerMessage * */
 };
@@ -39,12 +42,21 @@
   { "GET", "explain", QUERY_EXPLAIN },
 };
 
+static char *
+problem_text (guint status, const char *what, const char *remedy)
+{
+  return g_strdup_printf ("{\"type\":\"about:blank\",\"title\":\"%s\","
+                          "\"status\":%u,\"problem\":\"%s\","
+                          "\"remedy\":\"%s\"}",
+                          soup_status_get_phrase (status), status, what,
+                          remedy);
+}
+
 static void
 problem (SoupServerMessage *message, guint status, const char *what,
          const char *remedy)
 {
-  char *text = g_strdup_printf ("{\"problem\":\"%s\",\"remedy\":\"%s\"}", what,
-                                remedy);
+  char *text = problem_text (status, what, remedy);
 
   http_answer_json (message, status, text);
   g_free (text);
@@ -135,9 +147,8 @@
 
   if (n >= 3 && strcmp (path[0], "admin") == 0 && strcmp (path[1], "v1") == 0)
     r = find_route (method, path[2]);
-  if (body == NULL)
-    problem (message, 413, "the body is too large",
-             "send at most 1048576 bytes");
+  if (body == NULL) /* refused as it came */
+    soup_server_message_set_status (message, 413, NULL);
   else if (r != NULL)
     {
       char *subject = n > 3 ? g_strjoinv ("/", path + 3) : g_strdup ("");
@@ -163,36 +174,66 @@
   struct admin *a = data;
   char **parts;
 
-  if (!http_same_secret (http_bearer (message), a->settings->admin_token))
-    {
-      counters_add (a->counters, COUNTER_ADMIN_UNAUTHORIZED, 1);
-      problem (message, 401, "the token is missing or wrong",
-               "send Authorization: Bearer with the node's admin_token");
-      return;
-    }
+  /* Answered already, when its headers had arrived. */
+  if (soup_server_message_get_status (message) != 0)
+    return;
   parts = http_path (message);
   answer (a, message, parts, query);
   g_strfreev (parts);
 }
 
+/* Refuse MESSAGE before any of its body is taken in. */
+static void
+refuse_stranger (struct admin *a, SoupServerMessage *message)
+{
+  static const char what[] = "the token is missing or wrong";
+  static const char remedy[]
+      = "send Authorization: Bearer with the node's admin_token";
+
+  counters_add (a->counters, COUNTER_ADMIN_UNAUTHORIZED, 1);
+  soup_message_body_set_accumulate (
+      soup_server_message_get_request_body (message), FALSE);
+  problem (message, SOUP_STATUS_UNAUTHORIZED, what, remedy);
+  if (http_has_body (message))
+    {
+      char *text = problem_text (SOUP_STATUS_UNAUTHORIZED, what, remedy);
+
+      connections_answer_early (message, SOUP_STATUS_UNAUTHORIZED,
+                                HTTP_PROBLEM_TYPE, text);
+      g_free (text);
+    }
+}
+
 static void
 on_headers (SoupServer *server, SoupServerMessage *message, const char *path,
             GHashTable *query, gpointer data)
 {
-  http_collect_body (message, CONFIG_MAX_BYTES);
+  struct admin *a = data;
+
+  if (http_same_secret (http_bearer (message), a->settings->admin_token))
+    http_collect_body (message, CONFIG_MAX_BYTES, a->counters);
+  else
+    refuse_stranger (a, message);
 }
 
 static void
 start (void *data)
 {
   struct admin *a = data;
+  struct connections_limits limits = {
+    .max = MAX_CONNECTIONS,
+    .idle_ms = a->settings->idle_timeout_ms,
+    .request_ms = a->settings->header_timeout_ms,
+  };
   GError *error = NULL;
 
   a->server = soup_server_new ("server-header", "burdockshed", NULL);
   soup_server_add_early_handler (a->server, NULL, on_headers, a, NULL);
   soup_server_add_handler (a->server, NULL, on_request, a, NULL);
-  if (!http_listen (a->server, a->settings->admin.address,
-                    a->settings->admin.port, &error))
+  a->connections = connections_new (a->server, a->settings->admin.address,
+                                    a->settings->admin.port, &limits, NULL,
+                                    NULL, a->counters, &error);
+  if (a->connections == NULL)
     g_error ("%s", error->message);
 }
 
@@ -223,6 +264,7 @@
 
   soup_server_disconnect (a->server);
   g_hash_table_remove_all (a->waiting);
+  connections_destroy (a->connections);
   g_object_unref (a->server);
 }
 
--- a/src/callers.c
+++ b/src/callers.c
@@ -1,6 +1,7 @@
 #include "callers.h"
 
 #include "backend.h"
+#include "connections.h"
 #include "http.h"
 
 #include <libsoup/soup.h>
@@ -10,6 +11,8 @@
 #define BUSY_RETRY_AFTER_MS 500
 #define KEY_MAX_BYTES 256
 #define TIMEOUT_MAX_MS (24 * 3600 * 1000LL)
+#define EXCHANGE_KEY "shed-exchange"
+#define CLIENT_GONE_STATUS 499
 
 struct callers
 {
@@ -19,6 +22,7 @@
   struct counters *counters;
   uint64_t incarnation;
   SoupServer *server;
+  struct connections *connections;
   struct backend *backend;
   uint64_t last_number;
   GHashTable *exchanges; /* number -> struct exchange * */
@@ -39,16 +43,23 @@
   bool writing; /* a piece of it is being written to the caller */
 };
 
+/* Have no more to do with the caller's message. */
+static void
+let_go (struct exchange *x)
+{
+  if (x->message == NULL)
+    return;
+  g_signal_handlers_disconnect_by_data (x->message, x);
+  g_object_set_data (G_OBJECT (x->message), EXCHANGE_KEY, NULL);
+  g_clear_object (&x->message);
+}
+
 static void
 exchange_free (gpointer p)
 {
   struct exchange *x = p;
 
-  if (x->message != NULL)
-    {
-      g_signal_handlers_disconnect_by_data (x->message, x);
-      g_object_unref (x->message);
-    }
+  let_go (x);
   g_clear_pointer (&x->body, g_bytes_unref);
   g_free (x->content_type);
   g_free (x);
@@ -69,8 +80,7 @@
   struct exchange *x = data;
   struct message *m;
 
-  g_signal_handlers_disconnect_by_data (x->message, x);
-  g_clear_object (&x->message);
+  let_go (x);
   m = message_new (MESSAGE_ABANDON);
   m->u.abandon.request = x->number;
   task_post (x->callers->core, m);
@@ -82,6 +92,28 @@
     backend_more (x->run); /* read on, so that its outcome is known */
 }
 
+/* The caller has closed its connection while MESSAGE waits for its answer,
+   when libsoup does not look at it. */
+static void
+on_caller_gone (void *data, SoupServerMessage *message)
+{
+  struct exchange *x = g_object_get_data (G_OBJECT (message), EXCHANGE_KEY);
+  bool begun;
+
+  if (x == NULL)
+    return;
+  begun = x->begun;
+  g_object_ref (message);
+  on_finished (message, x);
+  if (!begun)
+    soup_server_message_set_status (message, CLIENT_GONE_STATUS, NULL);
+  soup_server_message_unpause (message);
+  g_object_unref (message);
+}
+
+static const struct connections_functions connections_functions
+    = { on_caller_gone };
+
 static struct exchange *
 exchange_new (struct callers *c, SoupServerMessage *message)
 {
@@ -91,6 +123,7 @@
               | ++c->last_number;
   x->callers = c;
   x->message = g_object_ref (message);
+  g_object_set_data (G_OBJECT (message), EXCHANGE_KEY, x);
   g_signal_connect (message, "finished", G_CALLBACK (on_finished), x);
   g_hash_table_insert (c->exchanges, &x->number, x);
   soup_server_message_pause (message);
@@ -183,15 +216,6 @@
   soup_server_message_unpause (x->message);
 }
 
-static void
-cut_connection (SoupServerMessage *message)
-{
-  GSocket *socket = soup_server_message_get_socket (message);
-
-  if (socket != NULL)
-    g_socket_close (socket, NULL);
-}
-
 /* Part of the answer is out and the rest will not come: the caller must see
    an error, not a short answer. */
 static void
@@ -202,7 +226,7 @@
   if (message != NULL)
     {
       g_signal_handlers_disconnect_by_data (message, x);
-      cut_connection (message);
+      connections_cut (message);
       soup_server_message_unpause (message);
     }
   g_hash_table_remove (x->callers->exchanges, &x->number);
@@ -339,7 +363,9 @@
 
   if (body == NULL)
     {
-      refuse_here (c, message, REASON_BODY_TOO_LARGE);
+      /* It was refused as it came, and counted then. */
+      soup_server_message_set_status (
+          message, reason_status (REASON_BODY_TOO_LARGE), NULL);
       return;
     }
   if (!read_timeout (message, &timeout_ms) || strlen (key) > KEY_MAX_BYTES)
@@ -427,7 +453,7 @@
 {
   struct callers *c = data;
 
-  http_collect_body (message, c->settings->max_body_bytes);
+  http_collect_body (message, c->settings->max_body_bytes, c->counters);
 }
 
 /* The task. */
@@ -436,14 +462,21 @@
 start (void *data)
 {
   struct callers *c = data;
+  struct connections_limits limits = {
+    .max = c->settings->max_connections,
+    .idle_ms = c->settings->idle_timeout_ms,
+    .request_ms = c->settings->header_timeout_ms,
+  };
   GError *error = NULL;
 
   c->backend = backend_new (c->settings);
   c->server = soup_server_new ("server-header", "burdockshed", NULL);
   soup_server_add_early_handler (c->server, NULL, on_headers, c, NULL);
   soup_server_add_handler (c->server, NULL, on_request, c, NULL);
-  if (!http_listen (c->server, c->settings->callers.address,
-                    c->settings->callers.port, &error))
+  c->connections = connections_new (
+      c->server, c->settings->callers.address, c->settings->callers.port,
+      &limits, &connections_functions, c, c->counters, &error);
+  if (c->connections == NULL)
     g_error ("%s", error->message);
 }
 
@@ -477,6 +510,7 @@
   backend_destroy (c->backend);
   soup_server_disconnect (c->server);
   g_hash_table_remove_all (c->exchanges);
+  connections_destroy (c->connections);
   g_object_unref (c->server);
 }
 
--- a/src/counters.c
+++ b/src/counters.c
@@ -47,8 +47,21 @@
   [COUNTER_GRANTS_STALE] = "slot_grants_stale",
   [COUNTER_LATE_ANSWERS] = "late_answers",
   [COUNTER_ADMIN_UNAUTHORIZED] = "admin_unauthorized",
+  [COUNTER_CONNECTIONS_ACCEPTED] = "connections_accepted",
+  [COUNTER_CONNECTIONS_REFUSED] = "connections_refused",
+  [COUNTER_CONNECTIONS_IDLE_CLOSED] = "connections_idle_closed",
+  [COUNTER_CONNECTIONS_SLOW_CLOSED] = "connections_slow_closed",
+  [COUNTER_CONNECTIONS_STALLED] = "connections_stalled",
+  [COUNTER_CONNECTIONS_BROKEN] = "connections_broken",
+  [COUNTER_CALLERS_GONE] = "callers_gone",
 };
 
+const char *
+counter_name (enum counter counter)
+{
+  return counter_names[counter];
+}
+
 struct counters *
 counters_new (void)
 {
--- a/src/counters.h
+++ b/src/counters.h
@@ -48,6 +48,13 @@
   COUNTER_GRANTS_STALE,
   COUNTER_LATE_ANSWERS,
   COUNTER_ADMIN_UNAUTHORIZED,
+  COUNTER_CONNECTIONS_ACCEPTED,
+  COUNTER_CONNECTIONS_REFUSED,
+  COUNTER_CONNECTIONS_IDLE_CLOSED,
+  COUNTER_CONNECTIONS_SLOW_CLOSED,
+  COUNTER_CONNECTIONS_STALLED,
+  COUNTER_CONNECTIONS_BROKEN,
+  COUNTER_CALLERS_GONE,
   COUNTER_COUNT
 };
 
@@ -56,6 +63,9 @@
 struct counters *counters_new (void);
 void counters_destroy (struct counters *counters);
 
+/* Return the name of COUNTER as it is printed. */
+const char *counter_name (enum counter counter);
+
 /* Add AMOUNT to COUNTER. */
 void counters_add (struct counters *counters, enum counter counter,
                    uint64_t amount);
--- a/src/http.c
+++ b/src/http.c
@@ -1,6 +1,6 @@
 #include "http.h"
 
-#include "error.h"
+#include "connections.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
@@ -11,6 +11,7 @@
 {
   GByteArray *bytes;
   uint64_t max_bytes;
+  struct counters *counters;
   bool too_large;
 };
 
@@ -18,8 +19,9 @@
 http_answer_json (SoupServerMessage *message, guint status, const char *text)
 {
   soup_server_message_set_status (message, status, NULL);
-  soup_server_message_set_response (message, "application/json",
-                                    SOUP_MEMORY_COPY, text, strlen (text));
+  soup_server_message_set_response (
+      message, status >= 400 ? HTTP_PROBLEM_TYPE : "application/json",
+      SOUP_MEMORY_COPY, text, strlen (text));
 }
 
 static void
@@ -29,8 +31,8 @@
   json_builder_add_string_value (b, value);
 }
 
-static char *
-problem_text (enum reason reason, int64_t retry_after_ms)
+char *
+http_problem_text (enum reason reason, int64_t retry_after_ms)
 {
   JsonBuilder *b = json_builder_new ();
   JsonNode *root;
@@ -58,12 +60,12 @@
 http_answer_problem (SoupServerMessage *message, enum reason reason,
                      int64_t retry_after_ms)
 {
-  char *text = problem_text (reason, retry_after_ms);
+  char *text = http_problem_text (reason, retry_after_ms);
   SoupMessageHeaders *h = soup_server_message_get_response_headers (message);
   char seconds[24];
 
   soup_server_message_set_status (message, reason_status (reason), NULL);
-  soup_server_message_set_response (message, "application/problem+json",
+  soup_server_message_set_response (message, HTTP_PROBLEM_TYPE,
                                     SOUP_MEMORY_TAKE, text, strlen (text));
   if (retry_after_ms <= 0)
     return;
@@ -104,6 +106,19 @@
   g_free (b);
 }
 
+static void
+refuse_body (SoupServerMessage *message, struct body *b)
+{
+  char *text = http_problem_text (REASON_BODY_TOO_LARGE, 0);
+
+  b->too_large = true;
+  g_byte_array_set_size (b->bytes, 0);
+  counters_add_reason (b->counters, REASON_BODY_TOO_LARGE);
+  connections_answer_early (message, reason_status (REASON_BODY_TOO_LARGE),
+                            HTTP_PROBLEM_TYPE, text);
+  g_free (text);
+}
+
 static void
 on_chunk (SoupServerMessage *message, GBytes *chunk, gpointer data)
 {
@@ -114,24 +129,36 @@
   if (b->too_large)
     return;
   if (b->bytes->len + size > b->max_bytes)
-    {
-      b->too_large = true;
-      g_byte_array_set_size (b->bytes, 0);
-      return;
-    }
-  g_byte_array_append (b->bytes, bytes, (guint)size);
+    refuse_body (message, b);
+  else
+    g_byte_array_append (b->bytes, bytes, (guint)size);
+}
+
+bool
+http_has_body (SoupServerMessage *message)
+{
+  SoupMessageHeaders *h = soup_server_message_get_request_headers (message);
+
+  return soup_message_headers_get_encoding (h) == SOUP_ENCODING_CHUNKED
+         || soup_message_headers_get_content_length (h) > 0;
 }
 
 void
-http_collect_body (SoupServerMessage *message, uint64_t max_bytes)
+http_collect_body (SoupServerMessage *message, uint64_t max_bytes,
+                   struct counters *counters)
 {
   struct body *b = g_new0 (struct body, 1);
+  goffset length = soup_message_headers_get_content_length (
+      soup_server_message_get_request_headers (message));
 
   b->bytes = g_byte_array_new ();
   b->max_bytes = max_bytes;
+  b->counters = counters;
   g_object_set_data_full (G_OBJECT (message), BODY_KEY, b, body_free);
   soup_message_body_set_accumulate (
       soup_server_message_get_request_body (message), FALSE);
+  if (length > 0 && (uint64_t)length > max_bytes)
+    refuse_body (message, b);
   g_signal_connect (message, "got-chunk", G_CALLBACK (on_chunk), b);
 }
 
@@ -169,24 +196,3 @@
   g_ptr_array_add (kept, NULL);
   return (char **)g_ptr_array_free (kept, FALSE);
 }
-
-bool
-http_listen (SoupServer *server, const char *address, uint16_t port,
-             GError **error)
-{
-  GSocketAddress *a = g_inet_socket_address_new_from_string (address, port);
-  GError *cause = NULL;
-  bool good;
-
-  g_return_val_if_fail (a != NULL, false);
-  good = soup_server_listen (server, a, 0, &cause);
-  g_object_unref (a);
-  if (!good)
-    {
-      g_set_error (error, SHED_ERROR, ERROR_UNREACHABLE,
-                   "can't listen on %s port %u: %s; choose a free port",
-                   address, port, cause->message);
-      g_error_free (cause);
-    }
-  return good;
-}
--- a/src/reason.c
+++ b/src/reason.c
@@ -95,6 +95,14 @@
   = { "timeout", OUTCOME_UNKNOWN, 504,
       "it started and did not end in time; ask GET /v1/requests/KEY, or "
       "send a longer Request-Timeout-Ms" },
+  [REASON_TOO_SLOW]
+  = { "request-too-slow", OUTCOME_NOT_RUN, 408,
+      "send the whole request within the node's header_timeout_ms, and its "
+      "body at 16 KB a second or more" },
+  [REASON_KEY_NOT_FOUND]
+  = { "key-not-found", OUTCOME_UNKNOWN, 404,
+      "check the key and the team's token; only keys of classes that are not "
+      "idempotent are kept, for remember_key_ms" },
 };
 
 const char *
--- a/src/settings.c
+++ b/src/settings.c
@@ -66,6 +66,7 @@
       = (uint32_t)fields_int (l, "max_connections", 1, 100000, 2048);
   s->header_timeout_ms
       = fields_int (l, "header_timeout_ms", 100, 600000, 10000);
+  s->idle_timeout_ms = fields_int (l, "idle_timeout_ms", 100, 3600000, 60000);
   s->stop_patience_ms = fields_int (l, "stop_patience_ms", 0, 3600000, 60000);
   s->connections_per_worker
       = (uint32_t)fields_int (l, "connections_per_worker", 1, 64, 8);
--- a/src/settings.h
+++ b/src/settings.h
@@ -37,6 +37,7 @@
   uint64_t max_body_bytes;         /* one request body */
   uint32_t max_connections;        /* of callers */
   int64_t header_timeout_ms;       /* to send a whole request */
+  int64_t idle_timeout_ms;         /* between two requests */
   int64_t stop_patience_ms;        /* for requests in progress at SIGTERM */
   uint32_t connections_per_worker; /* from this node */
   bool log_json;
