--- a/src/admin.c
+++ b/src/admin.c
@@ -29,17 +29,18 @@
   const char *method;
   const char *name;
   enum query_kind kind;
+  bool needs_subject;
 };
 
 static const struct route routes[] = {
-  { "GET", "configuration", QUERY_CONFIGURATION },
-  { "POST", "configuration", QUERY_PUBLISH },
-  { "PUT", "configuration", QUERY_PUBLISH },
-  { "GET", "maintenance", QUERY_MAINTENANCE },
-  { "POST", "maintenance", QUERY_MAINTAIN },
-  { "DELETE", "maintenance", QUERY_MAINTAIN_CANCEL },
-  { "GET", "status", QUERY_STATUS },
-  { "GET", "explain", QUERY_EXPLAIN },
+  { "GET", "configuration", QUERY_CONFIGURATION, false },
+  { "POST", "configuration", QUERY_PUBLISH, false },
+  { "PUT", "configuration", QUERY_PUBLISH, false },
+  { "GET", "maintenance", QUERY_MAINTENANCE, false },
+  { "POST", "maintenance", QUERY_MAINTAIN, false },
+  { "DELETE", "maintenance", QUERY_MAINTAIN_CANCEL, true },
+  { "GET", "status", QUERY_STATUS, false },
+  { "GET", "explain", QUERY_EXPLAIN, true },
 };
 
 static char *
@@ -79,6 +80,23 @@
   return value == NULL ? "" : value;
 }
 
+/* Whether NAME is absent from QUERY, or a number from 0 to MAX. */
+static bool
+is_number_or_absent (GHashTable *query, const char *name, gint64 max)
+{
+  const char *text = parameter (query, name);
+
+  return text[0] == '\0'
+         || g_ascii_string_to_signed (text, 10, 0, max, NULL, NULL);
+}
+
+static bool
+parameters_are_good (GHashTable *query)
+{
+  return is_number_or_absent (query, "base", G_MAXINT64)
+         && is_number_or_absent (query, "wait_ms", WAIT_ALL_MAX_MS);
+}
+
 static void
 read_publish_parameters (struct message_query *q, GHashTable *query)
 {
@@ -119,6 +137,16 @@
 {
   GString *text = g_string_new (NULL);
 
+  counters_render_json (a->counters, text);
+  http_answer_json (message, 200, text->str);
+  g_string_free (text, TRUE);
+}
+
+static void
+answer_metrics (struct admin *a, SoupServerMessage *message)
+{
+  GString *text = g_string_new (NULL);
+
   counters_render (a->counters, text);
   soup_server_message_set_status (message, 200, NULL);
   soup_server_message_set_response (message, "text/plain; charset=utf-8",
@@ -136,35 +164,64 @@
   return NULL;
 }
 
+static bool
+is_under_admin (char **path)
+{
+  return g_strv_length (path) >= 3 && strcmp (path[0], "admin") == 0
+         && strcmp (path[1], "v1") == 0;
+}
+
+/* Whether one of the routes, or the counters, has NAME. */
+static bool
+is_page (const char *name)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (routes); i++)
+    if (strcmp (routes[i].name, name) == 0)
+      return true;
+  return strcmp (name, "counters") == 0;
+}
+
+static void
+ask_route (struct admin *a, SoupServerMessage *message, const struct route *r,
+           GHashTable *query, GBytes *body)
+{
+  char *prefix = g_strdup_printf ("/admin/v1/%s/", r->name);
+  const char *subject = http_path_after (message, prefix);
+
+  if (r->needs_subject && subject == NULL)
+    problem (message, 400, "the path names nothing",
+             "add a name, as in /admin/v1/explain/SUBJECT");
+  else if (parameters_are_good (query))
+    ask_core (a, message, r->kind, subject != NULL ? subject : "", query,
+              body);
+  else
+    problem (message, 400, "base or wait_ms is not a number in range",
+             "write base=VERSION, and wait_ms from 0 to 60000");
+  g_free (prefix);
+}
+
 static void
 answer (struct admin *a, SoupServerMessage *message, char **path,
-        GHashTable *query)
+        GHashTable *query, GBytes *body)
 {
-  guint n = g_strv_length (path);
   const char *method = soup_server_message_get_method (message);
-  const struct route *r = NULL;
-  GBytes *body = http_take_body (message);
-
-  if (n >= 3 && strcmp (path[0], "admin") == 0 && strcmp (path[1], "v1") == 0)
-    r = find_route (method, path[2]);
-  if (body == NULL) /* refused as it came */
-    soup_server_message_set_status (message, 413, NULL);
-  else if (r != NULL)
-    {
-      char *subject = n > 3 ? g_strjoinv ("/", path + 3) : g_strdup ("");
+  bool get = strcmp (method, "GET") == 0;
+  const struct route *r
+      = is_under_admin (path) ? find_route (method, path[2]) : NULL;
 
-      ask_core (a, message, r->kind, subject, query, body);
-      g_free (subject);
-    }
-  else if ((n == 1 && strcmp (path[0], "metrics") == 0)
-           || (n == 3 && strcmp (path[2], "counters") == 0))
+  if (r != NULL)
+    ask_route (a, message, r, query, body);
+  else if (get && is_under_admin (path) && strcmp (path[2], "counters") == 0)
     answer_counters (a, message);
+  else if (get && path[0] != NULL && strcmp (path[0], "metrics") == 0)
+    answer_metrics (a, message);
+  else if (is_under_admin (path) && is_page (path[2]))
+    problem (message, 405, "the page does not take this method",
+             "see the API page for the methods of each");
   else
     problem (message, 404, "no such page",
              "use /admin/v1/configuration, maintenance, status, counters or "
-             "explain/SUBJECT");
-  if (body != NULL)
-    g_bytes_unref (body);
+             "explain/SUBJECT, or /metrics");
 }
 
 static void
@@ -172,14 +229,22 @@
             GHashTable *query, gpointer data)
 {
   struct admin *a = data;
+  GBytes *body;
   char **parts;
 
   /* Answered already, when its headers had arrived. */
   if (soup_server_message_get_status (message) != 0)
     return;
+  body = http_take_body (message);
+  if (body == NULL) /* refused as it came */
+    {
+      soup_server_message_set_status (message, 413, NULL);
+      return;
+    }
   parts = http_path (message);
-  answer (a, message, parts, query);
+  answer (a, message, parts, query, body);
   g_strfreev (parts);
+  g_bytes_unref (body);
 }
 
 /* Refuse MESSAGE before any of its body is taken in. */
--- a/src/backend.c
+++ b/src/backend.c
@@ -39,7 +39,7 @@
   b->session = soup_session_new_with_options (
       "max-conns", 100000, "max-conns-per-host",
       (int)settings->connections_per_worker, "idle-timeout", IDLE_CONNECTION_S,
-      NULL);
+      "proxy-resolver", NULL, NULL);
   /* Answers go through as they are. */
   soup_session_remove_feature_by_type (b->session, SOUP_TYPE_CONTENT_DECODER);
   return b;
--- a/src/callers.c
+++ b/src/callers.c
@@ -417,21 +417,40 @@
          && (b == NULL || strcmp (path[1], b) == 0);
 }
 
+static bool
+is_get (SoupServerMessage *message)
+{
+  const char *method = soup_server_message_get_method (message);
+
+  return strcmp (method, "GET") == 0 || strcmp (method, "HEAD") == 0;
+}
+
+static void
+route_key (struct callers *c, SoupServerMessage *message, const char *key)
+{
+  const char *method = soup_server_message_get_method (message);
+
+  if (strlen (key) <= KEY_MAX_BYTES && strcmp (method, "GET") == 0)
+    ask_core (c, message, QUERY_KEY, key);
+  else if (strlen (key) <= KEY_MAX_BYTES && strcmp (method, "DELETE") == 0)
+    ask_core (c, message, QUERY_CANCEL, key);
+  else
+    refuse_here (c, message, REASON_BAD_REQUEST);
+}
+
 static void
 route (struct callers *c, SoupServerMessage *message, char **path)
 {
   const char *method = soup_server_message_get_method (message);
+  const char *key = http_path_after (message, "/v1/requests/");
 
   if (path_is (path, 4, "v1", "services") && strcmp (method, "POST") == 0)
     begin_request (c, message, path);
-  else if (path_is (path, 3, "v1", "requests") && strcmp (method, "GET") == 0)
-    ask_core (c, message, QUERY_KEY, path[2]);
-  else if (path_is (path, 3, "v1", "requests")
-           && strcmp (method, "DELETE") == 0)
-    ask_core (c, message, QUERY_CANCEL, path[2]);
-  else if (path_is (path, 1, "healthz", NULL))
+  else if (key != NULL)
+    route_key (c, message, key);
+  else if (path_is (path, 1, "healthz", NULL) && is_get (message))
     http_answer_json (message, 200, "{\"alive\":true}");
-  else if (path_is (path, 1, "readyz", NULL))
+  else if (path_is (path, 1, "readyz", NULL) && is_get (message))
     ask_core (c, message, QUERY_READY, "");
   else
     refuse_here (c, message, REASON_BAD_REQUEST);
--- a/src/commands.c
+++ b/src/commands.c
@@ -11,6 +11,7 @@
 #include <libsoup/soup.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 #define FILE_MAX_BYTES CONFIG_MAX_BYTES
 #define CALL_TIMEOUT_S 75
@@ -40,8 +41,8 @@
 call (const struct command_options *o, const char *method, const char *path,
       const char *body, struct node_answer *answer, GError **error)
 {
-  SoupSession *session
-      = soup_session_new_with_options ("timeout", CALL_TIMEOUT_S, NULL);
+  SoupSession *session = soup_session_new_with_options (
+      "timeout", CALL_TIMEOUT_S, "proxy-resolver", NULL, NULL);
   char *uri = g_strdup_printf ("http://%s%s", o->node, path);
   char *bearer = g_strconcat ("Bearer ", o->token, NULL);
   SoupMessage *m = soup_message_new (method, uri);
@@ -73,9 +74,11 @@
     }
   if (bytes != NULL)
     {
+      const char *text = g_bytes_get_data (bytes, NULL);
+
       answer->status = soup_message_get_status (m);
-      answer->text = g_strndup (g_bytes_get_data (bytes, NULL),
-                                g_bytes_get_size (bytes));
+      answer->text
+          = g_strndup (text != NULL ? text : "", g_bytes_get_size (bytes));
       g_bytes_unref (bytes);
     }
   g_clear_object (&m);
@@ -111,8 +114,13 @@
     {
       JsonObject *o = json_node_get_object (root);
 
+      /* A callers' edge names its reason instead of a problem. */
+      const char *problem = member (o, "problem");
+
       fprintf (stderr, "burdockshed: %s\nwhat to do: %s\n",
-               member (o, "problem"), member (o, "remedy"));
+               problem[0] != '\0' ? problem : member (o, "reason"),
+               problem[0] != '\0' ? member (o, "remedy")
+                                  : "name the node's admin address and port");
     }
   else
     fprintf (stderr, "burdockshed: the node answered %u\n", a->status);
@@ -170,18 +178,18 @@
     {
       struct settings *s = settings_from_json (root, error);
 
-      *kind = "settings";
+      *kind = "the settings are";
       settings_destroy (s);
       return s != NULL;
     }
   if (looks_like (root, "finish_within_ms"))
     {
-      *kind = "maintenance intention";
+      *kind = "the maintenance intention is";
       return check_maintain (root, error);
     }
   struct config *c = config_from_json (root, error);
 
-  *kind = "configuration";
+  *kind = "the configuration is";
   config_destroy (c);
   return c != NULL;
 }
@@ -203,71 +211,11 @@
       g_prefix_error (&error, "%s: ", filename);
       return print_error (error);
     }
-  printf ("%s: the %s is in order\n", filename, kind);
+  printf ("%s: %s in order\n", filename, kind);
   return EXIT_STATUS_DONE;
 }
 
-/* publish and maintain */
-
-static char *
-read_text (const char *filename, GError **error)
-{
-  JsonNode *root = fields_parse_file (filename, FILE_MAX_BYTES, error);
-  char *text;
-
-  if (root == NULL)
-    return NULL;
-  text = json_to_string (root, FALSE);
-  json_node_unref (root);
-  return text;
-}
-
-int
-command_publish (const struct command_options *options)
-{
-  GError *error = NULL;
-  char *text = read_text (options->subject, &error);
-  char *path;
-  int status;
-
-  if (text == NULL)
-    return print_error (error);
-  path = g_strdup_printf ("/admin/v1/configuration?wait_ms=%d%s%s",
-                          options->wait_ms,
-                          options->base != NULL ? "&base=" : "",
-                          options->base != NULL ? options->base : "");
-  status = call_and_print (options, "POST", path, text);
-  g_free (path);
-  g_free (text);
-  return status;
-}
-
-int
-command_maintain (const struct command_options *options)
-{
-  GError *error = NULL;
-  char *text;
-  char *path;
-  int status;
-
-  if (options->list)
-    return call_and_print (options, "GET", "/admin/v1/maintenance", NULL);
-  if (options->cancel)
-    {
-      path = g_strconcat ("/admin/v1/maintenance/", options->subject, NULL);
-      status = call_and_print (options, "DELETE", path, NULL);
-      g_free (path);
-      return status;
-    }
-  text = read_text (options->subject, &error);
-  if (text == NULL)
-    return print_error (error);
-  status = call_and_print (options, "POST", "/admin/v1/maintenance", text);
-  g_free (text);
-  return status;
-}
-
-/* status */
+/* Showing answers. */
 
 static int
 print_targets (JsonArray *targets)
@@ -306,58 +254,156 @@
     }
 }
 
-static int
-print_status (const char *text)
+static void
+print_view (JsonObject *o)
 {
-  JsonNode *root = json_from_string (text, NULL);
-  JsonObject *o;
-  int status;
-
-  if (root == NULL)
-    return EXIT_STATUS_UNREACHABLE;
-  o = json_node_get_object (root);
   printf ("offset %" G_GINT64_FORMAT ", configuration %" G_GINT64_FORMAT
           ", by node %s\n",
           json_object_get_int_member (o, "offset"),
           json_object_get_int_member (o, "configuration"), member (o, "node"));
+}
+
+static int
+print_status (JsonObject *o)
+{
+  int status;
+
+  print_view (o);
   status = print_targets (json_object_get_array_member (o, "targets"));
   print_waves (json_object_get_array_member (o, "waves"));
-  json_node_unref (root);
   return status;
 }
 
 static int
-status_once (const struct command_options *options)
+print_list (JsonObject *o)
+{
+  JsonArray *waves = json_object_get_array_member (o, "waves");
+
+  print_view (o);
+  if (json_array_get_length (waves) == 0)
+    printf ("no maintenance intention is in force\n");
+  print_waves (waves);
+  return EXIT_STATUS_DONE;
+}
+
+/* Show an answer's TEXT by SHOW. */
+static int
+show_text (const char *text, int (*show) (JsonObject *))
+{
+  JsonNode *root = json_from_string (text, NULL);
+  int status = EXIT_STATUS_UNREACHABLE;
+
+  if (root != NULL && JSON_NODE_HOLDS_OBJECT (root))
+    status = show (json_node_get_object (root));
+  else
+    fprintf (stderr, "burdockshed: the node's answer is not JSON; is the "
+                     "address that of its admin edge?\n");
+  if (root != NULL)
+    json_node_unref (root);
+  return status;
+}
+
+/* Get PATH and show the answer by SHOW, or as it is for --json. */
+static int
+get_and_show (const struct command_options *options, const char *path,
+              int (*show) (JsonObject *))
 {
   struct node_answer a = { 0, NULL };
   GError *error = NULL;
-  int status;
+  int status = EXIT_STATUS_DONE;
 
-  if (!call (options, "GET", "/admin/v1/status", NULL, &a, &error))
+  if (!call (options, "GET", path, NULL, &a, &error))
     return print_error (error);
   if (a.status >= 300)
     status = print_problem (&a);
   else if (options->json)
-    {
-      printf ("%s\n", a.text);
-      status = EXIT_STATUS_DONE;
-    }
+    printf ("%s\n", a.text);
   else
-    status = print_status (a.text);
+    status = show_text (a.text, show);
   g_free (a.text);
   return status;
 }
 
+/* publish and maintain */
+
+static char *
+read_text (const char *filename, GError **error)
+{
+  JsonNode *root = fields_parse_file (filename, FILE_MAX_BYTES, error);
+  char *text;
+
+  if (root == NULL)
+    return NULL;
+  text = json_to_string (root, FALSE);
+  json_node_unref (root);
+  return text;
+}
+
+int
+command_publish (const struct command_options *options)
+{
+  GError *error = NULL;
+  char *text = read_text (options->subject, &error);
+  char *path;
+  int status;
+
+  if (text == NULL)
+    return print_error (error);
+  path = g_strdup_printf ("/admin/v1/configuration?wait_ms=%d%s%s",
+                          options->wait_ms,
+                          options->base != NULL ? "&base=" : "",
+                          options->base != NULL ? options->base : "");
+  status = call_and_print (options, "POST", path, text);
+  g_free (path);
+  g_free (text);
+  return status;
+}
+
+int
+command_maintain (const struct command_options *options)
+{
+  GError *error = NULL;
+  char *text;
+  char *path;
+  int status;
+
+  if (options->list)
+    return get_and_show (options, "/admin/v1/maintenance", print_list);
+  if (options->cancel)
+    {
+      char *name = g_uri_escape_string (options->subject, NULL, FALSE);
+
+      path = g_strconcat ("/admin/v1/maintenance/", name, NULL);
+      status = call_and_print (options, "DELETE", path, NULL);
+      g_free (path);
+      g_free (name);
+      return status;
+    }
+  text = read_text (options->subject, &error);
+  if (text == NULL)
+    return print_error (error);
+  status = call_and_print (options, "POST", "/admin/v1/maintenance", text);
+  g_free (text);
+  return status;
+}
+
+/* status, counters and explain */
+
 int
 command_status (const struct command_options *options)
 {
-  int status = status_once (options);
+  int status = get_and_show (options, "/admin/v1/status", print_status);
 
   while (options->watch)
     {
       fflush (stdout);
       g_usleep (WATCH_EVERY_US);
-      status = status_once (options);
+      /* On a terminal each status takes the place of the one before. */
+      if (isatty (STDOUT_FILENO))
+        printf ("\033[H\033[2J");
+      else
+        printf ("\n");
+      status = get_and_show (options, "/admin/v1/status", print_status);
     }
   return status;
 }
@@ -365,15 +411,18 @@
 int
 command_counters (const struct command_options *options)
 {
-  return call_and_print (options, "GET", "/metrics", NULL);
+  return call_and_print (
+      options, "GET", options->json ? "/admin/v1/counters" : "/metrics", NULL);
 }
 
 int
 command_explain (const struct command_options *options)
 {
-  char *path = g_strconcat ("/admin/v1/explain/", options->subject, NULL);
+  char *subject = g_uri_escape_string (options->subject, "/", FALSE);
+  char *path = g_strconcat ("/admin/v1/explain/", subject, NULL);
   int status = call_and_print (options, "GET", path, NULL);
 
+  g_free (subject);
   g_free (path);
   return status;
 }
--- a/src/core.c
+++ b/src/core.c
@@ -2,6 +2,7 @@
 
 #include "broker.h"
 #include "fleet.h"
+#include "keys.h"
 #include "members.h"
 #include "operators.h"
 #include "plan.h"
@@ -26,6 +27,7 @@
   struct requests *requests;
   struct plan *plan;
   struct operators *operators;
+  struct keys *keys;
   GHashTable *leaving; /* set of VMs that the platform said are leaving */
   bool log_reachable;
   int64_t fresh_ms; /* when the fleet was last at the log's head */
@@ -52,6 +54,7 @@
   c->requests = requests_new (options->max_requests);
   c->plan = plan_new ();
   c->operators = operators_new ();
+  c->keys = keys_new ();
   c->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->fresh_ms = -1;
   return c;
@@ -62,6 +65,7 @@
 {
   if (core == NULL)
     return;
+  keys_destroy (core->keys);
   operators_destroy (core->operators);
   plan_destroy (core->plan);
   requests_destroy (core->requests);
@@ -210,6 +214,10 @@
     case PEER_SLOT_REFUSE:
       requests_handle (c->requests, t, p);
       break;
+    case PEER_KEY_CANCEL:
+    case PEER_KEY_CANCELLED:
+      keys_handle (c->keys, t, c->requests, p);
+      break;
     case PEER_KIND_COUNT:
       break;
     }
@@ -310,6 +318,7 @@
   join (c, t);
   requests_step (c->requests, t);
   operators_step (c->operators, t);
+  keys_step (c->keys, t);
   if (t->now_ms - c->planned_ms >= PLAN_EVERY_MS)
     {
       plan_step (c->plan, t);
@@ -335,7 +344,10 @@
 {
   struct status_input in = { t, c->plan, c->broker, c->requests };
 
-  operators_query (c->operators, t, &in, c->requests, q);
+  if (q->kind == QUERY_KEY || q->kind == QUERY_CANCEL)
+    keys_query (c->keys, t, c->requests, q);
+  else
+    operators_query (c->operators, t, &in, q);
 }
 
 static void
--- a/src/counters.c
+++ b/src/counters.c
@@ -212,3 +212,35 @@
                                        memory_order_relaxed));
   render_control (counters, out);
 }
+
+static uint64_t
+get_retry (const struct counters *counters, enum reason reason)
+{
+  return atomic_load_explicit (&counters->retries[reason],
+                               memory_order_relaxed);
+}
+
+static void
+render_reasons (const struct counters *counters, GString *out,
+                const char *name,
+                uint64_t (*get) (const struct counters *, enum reason))
+{
+  g_string_append_printf (out, ",\"%s\":{", name);
+  for (int i = 1; i < REASON_COUNT; i++)
+    g_string_append_printf (out, "%s\"%s\":%" G_GUINT64_FORMAT,
+                            i > 1 ? "," : "", reason_name (i),
+                            (guint64)get (counters, i));
+  g_string_append_c (out, '}');
+}
+
+void
+counters_render_json (const struct counters *counters, GString *out)
+{
+  for (int i = 0; i < COUNTER_COUNT; i++)
+    g_string_append_printf (out, "%s\"%s\":%" G_GUINT64_FORMAT,
+                            i > 0 ? "," : "{", counter_names[i],
+                            (guint64)counters_get (counters, i));
+  render_reasons (counters, out, "refusals_by_reason", counters_get_reason);
+  render_reasons (counters, out, "retries_by_reason", get_retry);
+  g_string_append_c (out, '}');
+}
--- a/src/counters.h
+++ b/src/counters.h
@@ -121,4 +121,8 @@
 /* Write every counter as `name{label="value"} number` lines to OUT. */
 void counters_render (const struct counters *counters, GString *out);
 
+/* Write every counter as one JSON object to OUT, with refusals and retries as
+   objects by reason. */
+void counters_render_json (const struct counters *counters, GString *out);
+
 #endif
--- a/src/http.c
+++ b/src/http.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #define BODY_KEY "shed-body"
+#define PATH_PARTS_MAX 16
 
 struct body
 {
@@ -180,19 +181,23 @@
 http_path (SoupServerMessage *message)
 {
   const char *path = g_uri_get_path (soup_server_message_get_uri (message));
-  char **parts = g_strsplit (path, "/", 16);
+  char **parts = g_strsplit (path, "/", PATH_PARTS_MAX);
   GPtrArray *kept = g_ptr_array_new ();
 
   for (char **p = parts; *p != NULL; p++)
-    {
-      char *plain = g_uri_unescape_string (*p, NULL);
-
-      if (plain != NULL && plain[0] != '\0')
-        g_ptr_array_add (kept, plain);
-      else
-        g_free (plain);
-    }
+    if (**p != '\0')
+      g_ptr_array_add (kept, g_strdup (*p));
   g_strfreev (parts);
   g_ptr_array_add (kept, NULL);
   return (char **)g_ptr_array_free (kept, FALSE);
 }
+
+const char *
+http_path_after (SoupServerMessage *message, const char *prefix)
+{
+  const char *path = g_uri_get_path (soup_server_message_get_uri (message));
+
+  if (!g_str_has_prefix (path, prefix) || path[strlen (prefix)] == '\0')
+    return NULL;
+  return path + strlen (prefix);
+}
--- a/src/http.h
+++ b/src/http.h
@@ -41,8 +41,12 @@
 /* Return the body that was collected, or NULL if it was refused. */
 GBytes *http_take_body (SoupServerMessage *message);
 
-/* Return the URI path of MESSAGE split at '/', without empty parts, each
-   unescaped.  Free with g_strfreev. */
+/* Return the URI path of MESSAGE, which libsoup has decoded, split at '/' and
+   without empty parts.  Free with g_strfreev. */
 char **http_path (SoupServerMessage *message);
 
+/* Return the part of the decoded path of MESSAGE that follows PREFIX, slashes
+   and all, or NULL if there is none. */
+const char *http_path_after (SoupServerMessage *message, const char *prefix);
+
 #endif
--- a/src/main.c
+++ b/src/main.c
@@ -6,11 +6,14 @@
 #include "settings.h"
 
 #include <argp.h>
+#include <gio/gio.h>
+#include <stdbool.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #define DEFAULT_WAIT_MS 0
+#define WAIT_MAX_MS 60000
 
 const char *argp_program_version = "burdockshed " BURDOCKSHED_VERSION;
 
@@ -81,6 +84,29 @@
   return 0;
 }
 
+static error_t
+parse_wait (const char *arg, struct argp_state *state, int *wait_ms)
+{
+  gint64 value = 0;
+
+  if (!g_ascii_string_to_signed (arg, 10, 0, WAIT_MAX_MS, &value, NULL))
+    argp_error (state,
+                "--wait-ms %s: write a number of milliseconds from 0 to %d",
+                arg, WAIT_MAX_MS);
+  *wait_ms = (int)value;
+  return 0;
+}
+
+static error_t
+parse_base (const char *arg, struct argp_state *state, const char **base)
+{
+  if (!g_ascii_string_to_signed (arg, 10, 0, G_MAXINT64, NULL, NULL))
+    argp_error (state, "--base %s: write a version, as publish printed it",
+                arg);
+  *base = arg;
+  return 0;
+}
+
 static error_t
 parse_option (int key, char *arg, struct argp_state *state)
 {
@@ -110,11 +136,9 @@
       a->command_options.cancel = true;
       return 0;
     case OPTION_BASE:
-      a->command_options.base = arg;
-      return 0;
+      return parse_base (arg, state, &a->command_options.base);
     case OPTION_WAIT:
-      a->command_options.wait_ms = atoi (arg);
-      return 0;
+      return parse_wait (arg, state, &a->command_options.wait_ms);
     case ARGP_KEY_ARG:
       return parse_argument (a, arg);
     default:
@@ -156,17 +180,34 @@
 {
   const char *name;
   int (*run) (const struct command_options *options);
-  const char *subject; /* what it needs, or NULL */
+  const char *subject; /* what it needs, or NULL if it takes no subject */
 };
 
 static const struct node_command node_commands[] = {
   { "publish", command_publish, "publish needs a FILE" },
-  { "maintain", command_maintain, "maintain needs a FILE, or --list" },
+  { "maintain", command_maintain,
+    "maintain needs a FILE, --list, or --cancel and a NAME" },
   { "status", command_status, NULL },
   { "counters", command_counters, NULL },
   { "explain", command_explain, "explain needs a KEY, TARGET or VM" },
 };
 
+/* Whether TEXT is ADDRESS:PORT with an IP number. */
+static bool
+is_endpoint (const char *text)
+{
+  GSocketConnectable *c = g_network_address_parse (text, 0, NULL);
+  bool good = false;
+
+  if (c == NULL)
+    return false;
+  good = g_network_address_get_port (G_NETWORK_ADDRESS (c)) != 0
+         && g_hostname_is_ip_address (
+             g_network_address_get_hostname (G_NETWORK_ADDRESS (c)));
+  g_object_unref (c);
+  return good;
+}
+
 static int
 run_node_command (const struct node_command *command,
                   const struct command_options *o)
@@ -175,8 +216,13 @@
     return usage ("name a node: --node ADDRESS:PORT or BURDOCKSHED_NODE");
   if (o->token == NULL)
     return usage ("give its token: --token TOKEN or BURDOCKSHED_TOKEN");
+  if (!is_endpoint (o->node))
+    return usage ("the node is not an address and a port; write it as "
+                  "127.0.0.1:8081 or [::1]:8081");
   if (command->subject != NULL && o->subject == NULL && !o->list)
     return usage (command->subject);
+  if (command->subject == NULL && o->subject != NULL)
+    return usage ("this command takes no FILE or SUBJECT");
   return command->run (o);
 }
 
--- a/src/operators.c
+++ b/src/operators.c
@@ -70,6 +70,10 @@
   JsonNode *root;
 
   json_builder_begin_object (b);
+  json_builder_set_member_name (b, "type");
+  json_builder_add_string_value (b, "about:blank");
+  json_builder_set_member_name (b, "status");
+  json_builder_add_int_value (b, status);
   json_builder_set_member_name (b, "problem");
   json_builder_add_string_value (b, problem);
   json_builder_set_member_name (b, "remedy");
@@ -97,8 +101,8 @@
     reply_take (t, query, 200, text);
   else
     reply_problem (t, query, 404, "nothing with that name is known here",
-                   "check the name; keys are forgotten after "
-                   "remember_key_ms");
+                   "check the name; write a target as SERVICE/CLASS; keys "
+                   "are forgotten after remember_key_ms");
 }
 
 static void
@@ -217,33 +221,6 @@
                                (guint64)fleet_offset (t->fleet), c->text));
 }
 
-static void
-cancel_key (struct turn *t, struct requests *requests,
-            const struct message_query *q)
-{
-  const struct config *c = fleet_config (t->fleet);
-  int team = c == NULL ? -1 : config_find_team_by_token (c, q->token);
-
-  for (guint i = 0; team >= 0 && i < c->n_classes; i++)
-    {
-      const struct config_class *k = &c->classes[i];
-      struct key_id id = key_id_make (c->teams[team].name, k->service_name,
-                                      k->name, q->subject);
-
-      if (requests_cancel (requests, t, id))
-        {
-          reply_take (t, q->query, 200,
-                      g_strdup ("{\"outcome\":\"not-run\",\"reason\":"
-                                "\"cancelled\"}"));
-          return;
-        }
-    }
-  reply_problem (t, q->query, 409,
-                 "no request with that key waits at this node",
-                 "ask GET /v1/requests/KEY; a running request is not "
-                 "cancelled");
-}
-
 static void
 reply_ready (struct turn *t, const struct message_query *q)
 {
@@ -259,7 +236,7 @@
 
 void
 operators_query (struct operators *operators, struct turn *turn,
-                 const struct status_input *input, struct requests *requests,
+                 const struct status_input *input,
                  const struct message_query *message)
 {
   switch (message->kind)
@@ -277,6 +254,8 @@
       maintain_cancel (operators, turn, message);
       break;
     case QUERY_MAINTENANCE:
+      reply_take (turn, message->query, 200, status_render_waves (input));
+      break;
     case QUERY_STATUS:
       reply_take (turn, message->query, 200, status_render (input));
       break;
@@ -284,12 +263,8 @@
       reply_or_missing (turn, message->query,
                         status_explain (input, message->subject));
       break;
-    case QUERY_KEY:
-      reply_or_missing (turn, message->query,
-                        status_key (turn, message->token, message->subject));
-      break;
+    case QUERY_KEY: /* keys.c answers these */
     case QUERY_CANCEL:
-      cancel_key (turn, requests, message);
       break;
     case QUERY_READY:
       reply_ready (turn, message);
@@ -330,12 +305,22 @@
 }
 
 static void
-reply_refused (struct turn *t, const struct pending *p, enum verdict verdict)
+reply_refused (struct turn *t, const struct pending *p, enum record_kind kind,
+               enum verdict verdict)
 {
-  char *text = g_strdup_printf (
+  char *text;
+
+  if (kind == RECORD_MAINTAIN && verdict == VERDICT_CONFLICT)
+    {
+      reply_problem (t, p->query, 409,
+                     "an intention with that name is there already",
+                     "choose another name, or cancel that one first: "
+                     "burdockshed maintain --cancel NAME");
+      return;
+    }
+  text = g_strdup_printf (
       "the log's verdict is %s; version %" G_GUINT64_FORMAT " is in force",
       verdict_name (verdict), (guint64)fleet_config_version (t->fleet));
-
   reply_problem (t, p->query, verdict == VERDICT_UNKNOWN ? 404 : 409, text,
                  verdict_remedy (verdict));
   g_free (text);
@@ -362,7 +347,7 @@
       if (verdict == VERDICT_ACCEPTED)
         reply_accepted (turn, p, false);
       else
-        reply_refused (turn, p, verdict);
+        reply_refused (turn, p, record->kind, verdict);
       g_ptr_array_remove_index (operators->pending, i);
       return;
     }
--- a/src/operators.h
+++ b/src/operators.h
@@ -14,7 +14,6 @@
 /* Answer MESSAGE, or keep it until its record is folded. */
 void operators_query (struct operators *operators, struct turn *turn,
                       const struct status_input *input,
-                      struct requests *requests,
                       const struct message_query *message);
 
 /* Take in the fold's VERDICT of RECORD at OFFSET. */
--- a/src/peer_message.c
+++ b/src/peer_message.c
@@ -9,10 +9,13 @@
 #define SLOT_RETURN_TYPE "(tusux)"
 #define SLOT_HOLD_TYPE "(tuss)"
 #define SLOT_CANCEL_TYPE "(tu)"
+#define KEY_CANCEL_TYPE "(ttt)"
+#define KEY_CANCELLED_TYPE "(tb)"
 
 static const char *const payload_types[PEER_KIND_COUNT]
-    = { HEARTBEAT_TYPE,   SLOT_ASK_TYPE,  SLOT_GRANT_TYPE, SLOT_REFUSE_TYPE,
-        SLOT_RETURN_TYPE, SLOT_HOLD_TYPE, SLOT_CANCEL_TYPE };
+    = { HEARTBEAT_TYPE,   SLOT_ASK_TYPE,    SLOT_GRANT_TYPE,
+        SLOT_REFUSE_TYPE, SLOT_RETURN_TYPE, SLOT_HOLD_TYPE,
+        SLOT_CANCEL_TYPE, KEY_CANCEL_TYPE,  KEY_CANCELLED_TYPE };
 
 const char *
 peer_kind_name (enum peer_kind kind)
@@ -68,6 +71,8 @@
       break;
     case PEER_SLOT_REFUSE:
     case PEER_SLOT_CANCEL:
+    case PEER_KEY_CANCEL:
+    case PEER_KEY_CANCELLED:
     case PEER_KIND_COUNT:
       break;
     }
@@ -122,6 +127,14 @@
       return g_variant_new (SLOT_CANCEL_TYPE,
                             (guint64)m->u.slot_cancel.request,
                             (guint32)m->u.slot_cancel.attempt);
+    case PEER_KEY_CANCEL:
+      return g_variant_new (KEY_CANCEL_TYPE, (guint64)m->u.key_cancel.query,
+                            (guint64)m->u.key_cancel.key.high,
+                            (guint64)m->u.key_cancel.key.low);
+    case PEER_KEY_CANCELLED:
+      return g_variant_new (KEY_CANCELLED_TYPE,
+                            (guint64)m->u.key_cancelled.query,
+                            (gboolean)m->u.key_cancelled.cancelled);
     case PEER_KIND_COUNT:
       break;
     }
@@ -180,6 +193,8 @@
 static bool
 read_payload (struct peer_message *m, GVariant *v)
 {
+  gboolean cancelled;
+
   switch (m->kind)
     {
     case PEER_HEARTBEAT:
@@ -208,6 +223,15 @@
       g_variant_get (v, SLOT_CANCEL_TYPE, &m->u.slot_cancel.request,
                      &m->u.slot_cancel.attempt);
       return true;
+    case PEER_KEY_CANCEL:
+      g_variant_get (v, KEY_CANCEL_TYPE, &m->u.key_cancel.query,
+                     &m->u.key_cancel.key.high, &m->u.key_cancel.key.low);
+      return true;
+    case PEER_KEY_CANCELLED:
+      g_variant_get (v, KEY_CANCELLED_TYPE, &m->u.key_cancelled.query,
+                     &cancelled);
+      m->u.key_cancelled.cancelled = cancelled;
+      return true;
     case PEER_KIND_COUNT:
       break;
     }
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -22,6 +22,8 @@
   PEER_SLOT_RETURN,
   PEER_SLOT_HOLD,
   PEER_SLOT_CANCEL,
+  PEER_KEY_CANCEL,
+  PEER_KEY_CANCELLED,
   PEER_KIND_COUNT
 };
 
@@ -87,6 +89,19 @@
   uint32_t attempt;
 };
 
+/* "Cancel the request with this key if it waits at your node." */
+struct peer_key_cancel
+{
+  uint64_t query; /* of the asking node */
+  struct key_id key;
+};
+
+struct peer_key_cancelled
+{
+  uint64_t query;
+  bool cancelled; /* it waited, and will never run */
+};
+
 struct peer_message
 {
   enum peer_kind kind;
@@ -101,6 +116,8 @@
     struct peer_slot_return slot_return;
     struct peer_slot_hold slot_hold;
     struct peer_slot_cancel slot_cancel;
+    struct peer_key_cancel key_cancel;
+    struct peer_key_cancelled key_cancelled;
   } u;
 };
 
--- a/src/platform.c
+++ b/src/platform.c
@@ -54,7 +54,8 @@
   if (token[0] != '\0')
     p->authorization = g_strconcat ("Bearer ", token, NULL);
   p->counters = counters;
-  p->session = soup_session_new_with_options ("max-conns-per-host", 6, NULL);
+  p->session = soup_session_new_with_options ("max-conns-per-host", 6,
+                                              "proxy-resolver", NULL, NULL);
   p->cancellable = g_cancellable_new ();
   return p;
 }
--- a/src/requests.c
+++ b/src/requests.c
@@ -542,6 +542,8 @@
     case PEER_SLOT_RETURN:
     case PEER_SLOT_HOLD:
     case PEER_SLOT_CANCEL:
+    case PEER_KEY_CANCEL:
+    case PEER_KEY_CANCELLED:
     case PEER_KIND_COUNT:
       break;
     }
--- a/src/status.c
+++ b/src/status.c
@@ -223,12 +223,37 @@
   put_int (b, "requests_running", requests_running (in->requests));
 }
 
+static void
+put_waves (JsonBuilder *b, const struct status_input *in)
+{
+  const GPtrArray *waves = fleet_waves (in->turn->fleet);
+
+  begin_array (b, "waves");
+  for (guint i = 0; i < waves->len; i++)
+    put_wave (b, in, g_ptr_array_index (waves, i));
+  json_builder_end_array (b);
+}
+
+char *
+status_render_waves (const struct status_input *input)
+{
+  const struct fleet *fleet = input->turn->fleet;
+  JsonBuilder *b = json_builder_new ();
+
+  json_builder_begin_object (b);
+  put_int (b, "offset", (int64_t)fleet_offset (fleet));
+  put_int (b, "configuration", (int64_t)fleet_config_version (fleet));
+  put_string (b, "node", input->turn->node);
+  put_waves (b, input);
+  json_builder_end_object (b);
+  return take_text (b);
+}
+
 char *
 status_render (const struct status_input *input)
 {
   const struct turn *t = input->turn;
   const struct config *c = fleet_config (t->fleet);
-  const GPtrArray *waves = fleet_waves (t->fleet);
   const GPtrArray *others = members_others (t->members);
   JsonBuilder *b = json_builder_new ();
 
@@ -238,10 +263,7 @@
   for (guint i = 0; c != NULL && i < c->n_classes; i++)
     put_target (b, t, &c->classes[i]);
   json_builder_end_array (b);
-  begin_array (b, "waves");
-  for (guint i = 0; i < waves->len; i++)
-    put_wave (b, input, g_ptr_array_index (waves, i));
-  json_builder_end_array (b);
+  put_waves (b, input);
   begin_array (b, "pools");
   for (guint i = 0; c != NULL && i < c->n_pools; i++)
     put_pool (b, input, c->pools[i].name);
--- a/src/status.h
+++ b/src/status.h
@@ -20,6 +20,10 @@
 /* Return the status as JSON, which the caller frees. */
 char *status_render (const struct status_input *input);
 
+/* Return the maintenance intentions and their progress as JSON, which the
+   caller frees. */
+char *status_render_waves (const struct status_input *input);
+
 /* Return why SUBJECT (a key, "service/class" target, VM or wave) is as it is,
    as JSON, or NULL if nothing has that name. */
 char *status_explain (const struct status_input *input, const char *subject);
--- a/tests/unit/test_connections.c
+++ b/tests/unit/test_connections.c
@@ -14,6 +14,8 @@
 #define LARGE_ANSWER (64 * 1024 * 1024)
 #define WHOLE "POST /echo HTTP/1.1\r\nHost: a\r\nContent-Length: 2\r\n\r\nhi"
 
+static const char large_answer[LARGE_ANSWER];
+
 struct edge
 {
   SoupServer *server;
@@ -54,8 +56,8 @@
       e->held = message;
     }
   else if (strcmp (path, "/large") == 0)
-    soup_server_message_set_response (message, "text/plain", SOUP_MEMORY_TAKE,
-                                      g_malloc0 (LARGE_ANSWER), LARGE_ANSWER);
+    soup_server_message_set_response (
+        message, "text/plain", SOUP_MEMORY_STATIC, large_answer, LARGE_ANSWER);
   else
     {
       gsize size;
