Refuse deep nesting, and fuzz the parsers from fixed seeds

Cause, found by the new test: json-glib parses by recursion, so 200,000 brackets in a configuration, a record or a platform's answer overran the stack (exit 139). An empty answer of the platform tripped an assertion of json-glib.

Ruled out: counting every bracket (a bracket in a string counts then, and a closing one there hides an opening one); parsing on a larger stack.

Change: before parsing, brackets outside strings are counted up to 64 deep, and what JSON has no place for outside a string, such as a comment, is refused, since it could hide a quotation mark from the count.

Test: test_fuzz, 9 cases; 4,000 mutations for each text parser and each kind of peer message, 600 platform answers over HTTP.

--- a/src/fields.c
+++ b/src/fields.c
@@ -4,6 +4,8 @@
 
 #include <string.h>
 
+#define DEPTH_MAX 64
+
 struct fields
 {
   JsonObject *object; /* borrowed from the node; NULL if it is none */
@@ -268,14 +270,64 @@
   return node;
 }
 
+/* Whether C may stand outside a string in JSON. */
+static bool
+is_outside_string (char c)
+{
+  return g_ascii_isalnum (c)
+         || (c != '\0' && strchr (" \t\r\n+-.,:{}[]", c) != NULL);
+}
+
+/* Return what is wrong with the outer form of TEXT, or NULL.  The JSON parser
+   recurses, so deep nesting would overrun its stack; and it takes comments,
+   which could hide a quotation mark, and so nesting, from this count. */
+static const char *
+find_fault_of_form (const char *text, gsize size)
+{
+  int depth = 0;
+  bool in_string = false;
+
+  for (gsize i = 0; i < size; i++)
+    {
+      if (in_string && text[i] == '\\')
+        i++;
+      else if (text[i] == '"')
+        in_string = !in_string;
+      else if (in_string)
+        continue;
+      else if (!is_outside_string (text[i]))
+        return "holds a character that can't stand outside a string; take "
+               "out comments and odd quotation marks";
+      else if (text[i] == '{' || text[i] == '[')
+        depth++;
+      else if ((text[i] == '}' || text[i] == ']') && depth > 0)
+        depth--;
+      if (depth > DEPTH_MAX)
+        return "is nested too deep; nest it less";
+    }
+  return NULL;
+}
+
 JsonNode *
 fields_parse (const char *text, gssize length, const char *source,
               GError **error)
 {
-  JsonParser *parser = json_parser_new_immutable ();
+  const char *fault;
+  JsonParser *parser;
   GError *cause = NULL;
   JsonNode *root = NULL;
 
+  if (text == NULL) /* as an empty GBytes has it */
+    text = "";
+  fault
+      = find_fault_of_form (text, length < 0 ? strlen (text) : (gsize)length);
+  if (fault != NULL)
+    {
+      g_set_error (error, SHED_ERROR, ERROR_INVALID, "%s is not JSON: it %s",
+                   source, fault);
+      return NULL;
+    }
+  parser = json_parser_new_immutable ();
   if (!json_parser_load_from_data (parser, text, length, &cause))
     {
       g_set_error (error, SHED_ERROR, ERROR_INVALID,
--- /dev/null
+++ b/tests/unit/test_fuzz.c
@@ -0,0 +1,539 @@
+#include "config.h"
+#include "fields.h"
+#include "peer_message.h"
+#include "platform.h"
+#include "record.h"
+#include "settings.h"
+
+#include <libsoup/soup.h>
+#include <string.h>
+#include <sys/resource.h>
+
+/* Mutations of valid input, from fixed seeds, for every parser at an edge.
+   Whatever comes in, a parser either takes it or says what is wrong; it does
+   not crash, warn, or keep memory. */
+
+#define ROUNDS 4000
+#define PLATFORM_ROUNDS 600
+#define MUTATIONS_MAX 6
+#define DEEP 200000
+/* The address sanitizer sets up to 256 MB of freed memory aside. */
+#ifdef __SANITIZE_ADDRESS__
+#define GROWTH_MAX_KB ((64 + 256) * 1024)
+#else
+#define GROWTH_MAX_KB (64 * 1024)
+#endif
+
+static GRand *dice;
+
+static gsize
+roll (gsize sides)
+{
+  return (gsize)g_rand_int_range (dice, 0, (gint32)MAX (sides, 1));
+}
+
+static void
+mutate_once (GByteArray *b)
+{
+  static const char *const pieces[]
+      = { "0",       "-1",       "99999999999999999999",
+          "1e308",   "\"\"",     "null",
+          "{}",      "[]",       "true",
+          "\\u0000", "\"",       ":",
+          ",",       "{",        "}",
+          "]",       "\xff\xfe", "/" };
+  gsize at = roll (b->len);
+  gsize wanted = roll (40) + 1;
+  gsize n = MIN (wanted, b->len - at);
+  const char *piece;
+  GByteArray *rest;
+
+  switch (roll (6))
+    {
+    case 0:
+      if (b->len > 0)
+        b->data[at] = (guint8)roll (256);
+      break;
+    case 1:
+      if (b->len > 0)
+        b->data[at] ^= (guint8)(1U << roll (8));
+      break;
+    case 2:
+      if (n > 0)
+        g_byte_array_remove_range (b, (guint)at, (guint)n);
+      break;
+    case 3:
+      g_byte_array_set_size (b, (guint)at);
+      break;
+    default:
+      piece = pieces[roll (G_N_ELEMENTS (pieces))];
+      rest = g_byte_array_new ();
+      g_byte_array_append (rest, b->data + at, b->len - (guint)at);
+      g_byte_array_set_size (b, (guint)at);
+      g_byte_array_append (b, (const guint8 *)piece, (guint)strlen (piece));
+      g_byte_array_append (b, rest->data, rest->len);
+      g_byte_array_unref (rest);
+      break;
+    }
+}
+
+static GByteArray *
+mutate (const void *data, gsize size)
+{
+  GByteArray *b = g_byte_array_new ();
+  gsize times = roll (MUTATIONS_MAX) + 1;
+
+  g_byte_array_append (b, data, (guint)size);
+  for (gsize i = 0; i < times; i++)
+    mutate_once (b);
+  return b;
+}
+
+static long
+peak_kb (void)
+{
+  struct rusage usage;
+
+  getrusage (RUSAGE_SELF, &usage);
+  return usage.ru_maxrss;
+}
+
+/* A parser of text returns whether it took it, and an error if not. */
+typedef bool (*text_parser) (const char *text, gsize size, GError **error);
+
+static bool
+parse_settings (const char *text, gsize size, GError **error)
+{
+  JsonNode *root = fields_parse (text, (gssize)size, "settings", error);
+  struct settings *s;
+
+  if (root == NULL)
+    return false;
+  s = settings_from_json (root, error);
+  json_node_unref (root);
+  settings_destroy (s);
+  return s != NULL;
+}
+
+static bool
+parse_configuration (const char *text, gsize size, GError **error)
+{
+  struct config *c = config_from_text (text, (gssize)size, error);
+
+  config_destroy (c);
+  return c != NULL;
+}
+
+static bool
+parse_intention (const char *text, gsize size, GError **error)
+{
+  JsonNode *root = fields_parse (text, (gssize)size, "intention", error);
+  struct record_maintain m = { 0 };
+  bool good;
+
+  if (root == NULL)
+    return false;
+  good = record_read_maintain (root, &m, error);
+  json_node_unref (root);
+  g_free (m.name);
+  g_free (m.pool);
+  return good;
+}
+
+static bool
+parse_record (const char *text, gsize size, GError **error)
+{
+  struct record *r = record_from_text (text, (gssize)size, error);
+
+  record_destroy (r);
+  return r != NULL;
+}
+
+/* Try PARSE on mutations of TEXT, which itself is in order. */
+static void
+fuzz_text (text_parser parse, const char *text, guint32 seed)
+{
+  GError *error = NULL;
+  guint refused = 0;
+  long before_kb;
+
+  dice = g_rand_new_with_seed (seed);
+  g_assert_true (parse (text, strlen (text), &error));
+  g_assert_no_error (error);
+  before_kb = peak_kb ();
+  for (int i = 0; i < ROUNDS; i++)
+    {
+      GByteArray *b = mutate (text, strlen (text));
+
+      if (!parse ((const char *)b->data, b->len, &error))
+        {
+          g_assert_nonnull (error);
+          g_assert_cmpuint (strlen (error->message), >, 10);
+          refused++;
+        }
+      g_clear_error (&error);
+      g_byte_array_unref (b);
+    }
+  g_assert_cmpuint (refused, >, ROUNDS / 10);
+  g_assert_cmpint (peak_kb () - before_kb, <, GROWTH_MAX_KB);
+  g_rand_free (dice);
+}
+
+static char *
+read_file (const char *name)
+{
+  char *text = NULL;
+
+  g_assert_true (g_file_get_contents (name, &text, NULL, NULL));
+  return text;
+}
+
+static void
+test_settings (void)
+{
+  char *text = read_file ("examples/kandy/settings.json");
+
+  fuzz_text (parse_settings, text, 11);
+  g_free (text);
+}
+
+static void
+test_configuration (void)
+{
+  char *text = read_file ("examples/kandy/configuration.json");
+
+  fuzz_text (parse_configuration, text, 12);
+  g_free (text);
+}
+
+static void
+test_intention (void)
+{
+  char *text = read_file ("examples/kandy/maintenance.json");
+
+  fuzz_text (parse_intention, text, 13);
+  g_free (text);
+}
+
+static void
+fill (struct record *r)
+{
+  switch (r->kind)
+    {
+    case RECORD_CONFIG:
+      r->u.config.text = read_file ("examples/kandy/configuration.json");
+      break;
+    case RECORD_VM_ADD:
+      r->u.vm_add.vm = g_strdup ("vm-1");
+      r->u.vm_add.address = g_strdup ("127.0.0.1");
+      r->u.vm_add.port = 80;
+      r->u.vm_add.zone = g_strdup ("z");
+      r->u.vm_add.rack = g_strdup ("r");
+      r->u.vm_add.pool = g_strdup ("search");
+      r->u.vm_add.slots = 8;
+      break;
+    case RECORD_VM_STEP:
+      r->u.vm_step.vm = g_strdup ("vm-1");
+      r->u.vm_step.since = 1;
+      r->u.vm_step.phase = VM_DRAINING;
+      r->u.vm_step.pool = g_strdup ("search");
+      r->u.vm_step.purpose = g_strdup ("wave");
+      break;
+    case RECORD_MAINTAIN:
+      r->u.maintain.name = g_strdup ("wave");
+      r->u.maintain.pool = g_strdup ("search");
+      r->u.maintain.finish_within_ms = 3600000;
+      r->u.maintain.patience_ms = 1000;
+      break;
+    case RECORD_CLAIM:
+      r->u.claim.remember_ms = 1000;
+      break;
+    case RECORD_OUTCOME:
+      r->u.outcome.outcome = OUTCOME_NOT_RUN;
+      r->u.outcome.reason = REASON_TOO_LATE;
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+test_record (void)
+{
+  static const enum record_kind kinds[]
+      = { RECORD_CONFIG, RECORD_VM_ADD,   RECORD_VM_STEP,
+          RECORD_CLAIM,  RECORD_MAINTAIN, RECORD_OUTCOME };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (kinds); i++)
+    {
+      struct record *r = record_new (kinds[i], "n1", 3);
+      char *text;
+
+      fill (r);
+      text = record_to_text (r);
+      fuzz_text (parse_record, text, 20 + (guint32)i);
+      g_free (text);
+      record_destroy (r);
+    }
+}
+
+static char *
+repeat (const char *piece, guint times)
+{
+  GString *s = g_string_new (NULL);
+
+  for (guint i = 0; i < times; i++)
+    g_string_append (s, piece);
+  return g_string_free (s, FALSE);
+}
+
+/* Nesting costs a parser stack; it is refused before it is parsed. */
+static void
+test_deep_nesting (void)
+{
+  static const char *const pieces[] = { "[", "{\"a\":", "[{\"a\":" };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (pieces); i++)
+    {
+      char *text = repeat (pieces[i], DEEP);
+      GError *error = NULL;
+
+      g_assert_false (parse_configuration (text, strlen (text), &error));
+      g_assert_nonnull (strstr (error->message, "nested"));
+      g_clear_error (&error);
+      g_assert_false (parse_record (text, strlen (text), &error));
+      g_clear_error (&error);
+      g_free (text);
+    }
+}
+
+/* Neither a comment nor a string hides nesting from the check. */
+static void
+test_hidden_nesting (void)
+{
+  static const char *const pieces[]
+      = { "/*\"*/[", "//\"\n[", "[\"]\",", "{\"}\":", "'\"'[", "[\"\\\"]\"," };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (pieces); i++)
+    {
+      char *text = repeat (pieces[i], DEEP);
+      GError *error = NULL;
+
+      g_assert_false (parse_configuration (text, strlen (text), &error));
+      g_clear_error (&error);
+      g_free (text);
+    }
+}
+
+/* Brackets inside a string nest nothing. */
+static void
+test_brackets_in_string (void)
+{
+  char *inner = repeat ("[\\\"{\\\\", 100);
+  char *text = g_strconcat ("{\"a\":\"", inner, "\"}", NULL);
+  JsonNode *root = fields_parse (text, -1, "text", NULL);
+
+  g_assert_nonnull (root);
+  json_node_unref (root);
+  g_free (text);
+  g_free (inner);
+}
+
+/* Peer messages. */
+
+static struct peer_message *
+make_peer (enum peer_kind kind)
+{
+  static char *leaving[] = { (char *)"vm-1", (char *)"vm-2", NULL };
+  struct peer_message *p = peer_message_new (kind);
+
+  p->from = g_strdup ("n1");
+  p->incarnation = 5;
+  switch (kind)
+    {
+    case PEER_HEARTBEAT:
+      p->u.heartbeat.zone = g_strdup ("z");
+      p->u.heartbeat.leaving = g_strdupv (leaving);
+      break;
+    case PEER_SLOT_ASK:
+      p->u.slot_ask.pool = g_strdup ("search");
+      p->u.slot_ask.class_name = g_strdup ("counter-lookup");
+      p->u.slot_ask.team = g_strdup ("t");
+      p->u.slot_ask.avoid = g_strdup ("");
+      break;
+    case PEER_SLOT_GRANT:
+      p->u.slot_grant.vm = g_strdup ("vm-1");
+      break;
+    case PEER_SLOT_REFUSE:
+      p->u.slot_refuse.reason = REASON_TOO_LATE;
+      break;
+    case PEER_SLOT_RETURN:
+      p->u.slot_return.vm = g_strdup ("vm-1");
+      break;
+    case PEER_SLOT_HOLD:
+      p->u.slot_hold.vm = g_strdup ("vm-1");
+      p->u.slot_hold.pool = g_strdup ("search");
+      break;
+    default:
+      break;
+    }
+  return p;
+}
+
+/* What was read from mutated bytes can be written and read again. */
+static void
+read_peer (GByteArray *b)
+{
+  GBytes *bytes = g_bytes_new (b->data, b->len);
+  struct peer_message *p = NULL;
+  enum peer_read read = peer_message_from_bytes (bytes, &p);
+
+  g_assert_true ((read == PEER_READ_GOOD) == (p != NULL));
+  if (p != NULL)
+    {
+      GBytes *again = peer_message_to_bytes (p);
+      struct peer_message *q = NULL;
+
+      g_assert_cmpint (peer_message_from_bytes (again, &q), ==,
+                       PEER_READ_GOOD);
+      g_assert_cmpint (q->kind, ==, p->kind);
+      g_assert_cmpstr (q->from, ==, p->from);
+      peer_message_destroy (q);
+      g_bytes_unref (again);
+    }
+  peer_message_destroy (p);
+  g_bytes_unref (bytes);
+}
+
+static void
+test_peer_message (void)
+{
+  long before_kb = peak_kb ();
+
+  dice = g_rand_new_with_seed (31);
+  for (int kind = 0; kind < PEER_KIND_COUNT; kind++)
+    {
+      struct peer_message *p = make_peer ((enum peer_kind)kind);
+      GBytes *bytes = peer_message_to_bytes (p);
+      gsize size;
+      const void *data = g_bytes_get_data (bytes, &size);
+
+      for (int i = 0; i < ROUNDS; i++)
+        {
+          GByteArray *b = mutate (data, size);
+
+          read_peer (b);
+          g_byte_array_unref (b);
+        }
+      g_bytes_unref (bytes);
+      peer_message_destroy (p);
+    }
+  g_assert_cmpint (peak_kb () - before_kb, <, GROWTH_MAX_KB);
+  g_rand_free (dice);
+}
+
+/* The platform's answers, over HTTP. */
+
+struct fake_platform
+{
+  SoupServer *server;
+  const char *text;
+  guint done;
+  guint refused;
+};
+
+static void
+on_platform_request (SoupServer *server, SoupServerMessage *message,
+                     const char *path, GHashTable *query, gpointer data)
+{
+  const struct fake_platform *f = data;
+  GByteArray *b = mutate (f->text, strlen (f->text));
+
+  soup_server_message_set_status (message, 200, NULL);
+  soup_server_message_set_response (message, "application/json",
+                                    SOUP_MEMORY_COPY, (const char *)b->data,
+                                    b->len);
+  g_byte_array_unref (b);
+}
+
+static void
+on_read (struct platform_read_result *r, void *data)
+{
+  struct fake_platform *f = data;
+
+  f->done++;
+  f->refused += r->entries == NULL;
+  if (r->entries != NULL)
+    g_array_unref (r->entries);
+}
+
+static void
+on_list (GArray *vms, void *data)
+{
+  struct fake_platform *f = data;
+
+  f->done++;
+  f->refused += vms == NULL;
+  if (vms != NULL)
+    g_array_unref (vms);
+}
+
+static void
+test_platform_answers (void)
+{
+  struct fake_platform f = { soup_server_new (NULL, NULL), NULL, 0, 0 };
+  struct counters *counters = counters_new ();
+  struct endpoint endpoint = { (char *)"127.0.0.1", 0 };
+  struct platform *p;
+  GSList *uris;
+
+  dice = g_rand_new_with_seed (41);
+  soup_server_add_handler (f.server, NULL, on_platform_request, &f, NULL);
+  g_assert_true (soup_server_listen_local (
+      f.server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL));
+  uris = soup_server_get_uris (f.server);
+  endpoint.port = (uint16_t)g_uri_get_port (uris->data);
+  p = platform_new (&endpoint, "", counters);
+  for (guint i = 0; i < PLATFORM_ROUNDS; i++)
+    {
+      if (i % 2 == 0)
+        {
+          f.text = "{\"first\":1,\"head\":2,\"records\":[{\"offset\":1,"
+                   "\"at_ms\":5,\"data\":\"{}\"},{\"offset\":2,\"at_ms\":6,"
+                   "\"data\":\"x\"}]}";
+          platform_read (p, 0, 0, on_read, &f);
+        }
+      else
+        {
+          f.text = "{\"vms\":[{\"vm\":\"a\",\"address\":\"127.0.0.1\","
+                   "\"port\":1,\"zone\":\"z\",\"rack\":\"r\",\"pool\":\"p\","
+                   "\"slots\":8,\"running\":0,\"state\":\"live\"}]}";
+          platform_list (p, on_list, &f);
+        }
+      while (f.done <= i)
+        g_main_context_iteration (NULL, TRUE);
+    }
+  g_assert_cmpuint (f.refused, >, PLATFORM_ROUNDS / 10);
+  g_assert_cmpuint (f.refused, <, PLATFORM_ROUNDS);
+  platform_destroy (p);
+  g_object_unref (f.server);
+  g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
+  counters_destroy (counters);
+  g_rand_free (dice);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/fuzz/settings", test_settings);
+  g_test_add_func ("/fuzz/configuration", test_configuration);
+  g_test_add_func ("/fuzz/intention", test_intention);
+  g_test_add_func ("/fuzz/record", test_record);
+  g_test_add_func ("/fuzz/peer-message", test_peer_message);
+  g_test_add_func ("/fuzz/platform-answers", test_platform_answers);
+  g_test_add_func ("/fuzz/deep-nesting", test_deep_nesting);
+  g_test_add_func ("/fuzz/hidden-nesting", test_hidden_nesting);
+  g_test_add_func ("/fuzz/brackets-in-string", test_brackets_in_string);
+  return g_test_run ();
+}
