--- a/src/core.c
+++ b/src/core.c
@@ -2,6 +2,7 @@
 
 #include "broker.h"
 #include "fleet.h"
+#include "keys.h"
 #include "listing.h"
 #include "members.h"
 #include "operators.h"
@@ -33,6 +34,7 @@
   struct plan *plan;
   struct listing *listing;
   struct operators *operators;
+  struct keys *keys;
   GHashTable *leaving; /* set of VMs that the platform said are leaving */
   bool log_reachable;
   int64_t fresh_ms;   /* when the fleet was last at the log's head */
@@ -63,6 +65,7 @@
   c->plan = plan_new ();
   c->listing = listing_new ();
   c->operators = operators_new ();
+  c->keys = keys_new ();
   c->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->fresh_ms = -1;
   return c;
@@ -73,6 +76,7 @@
 {
   if (core == NULL)
     return;
+  keys_destroy (core->keys);
   operators_destroy (core->operators);
   plan_destroy (core->plan);
   listing_destroy (core->listing);
@@ -261,6 +265,10 @@
     case PEER_VM_NEWS:
       handle_vm_news (c, p, t->now_ms);
       break;
+    case PEER_KEY_CANCEL:
+    case PEER_KEY_CANCELLED:
+      keys_handle (c->keys, t, c->requests, p);
+      break;
     case PEER_KIND_COUNT:
       break;
     }
@@ -363,6 +371,7 @@
     turn_put (t, message_new (MESSAGE_READ_LIST));
   requests_step (c->requests, t);
   operators_step (c->operators, t);
+  keys_step (c->keys, t);
   if (t->now_ms - c->planned_ms >= PLAN_EVERY_MS)
     {
       plan_step (c->plan, t);
@@ -388,7 +397,10 @@
 {
   struct status_input in = { t, c->plan, c->broker, c->requests };
 
-  operators_query (c->operators, t, &in, c->requests, q);
+  if (q->kind == QUERY_KEY || q->kind == QUERY_CANCEL)
+    keys_query (c->keys, t, c->requests, q);
+  else
+    operators_query (c->operators, t, &in, q);
 }
 
 static void
--- a/src/http.c
+++ b/src/http.c
@@ -1,16 +1,18 @@
 #include "http.h"
 
-#include "error.h"
+#include "connections.h"
 
 #include <json-glib/json-glib.h>
 #include <string.h>
 
 #define BODY_KEY "shed-body"
+#define PATH_PARTS_MAX 16
 
 struct body
 {
   GByteArray *bytes;
   uint64_t max_bytes;
+  struct counters *counters;
   bool too_large;
 };
 
@@ -18,8 +20,9 @@
 http_answer_json (SoupServerMessage *message, guint status, const char *text)
 {
   soup_server_message_set_status (message, status, NULL);
-  soup_server_message_set_response (message, "application/json",
-                                    SOUP_MEMORY_COPY, text, strlen (text));
+  soup_server_message_set_response (
+      message, status >= 400 ? HTTP_PROBLEM_TYPE : "application/json",
+      SOUP_MEMORY_COPY, text, strlen (text));
 }
 
 static void
@@ -29,8 +32,8 @@
   json_builder_add_string_value (b, value);
 }
 
-static char *
-problem_text (enum reason reason, int64_t retry_after_ms)
+char *
+http_problem_text (enum reason reason, int64_t retry_after_ms)
 {
   JsonBuilder *b = json_builder_new ();
   JsonNode *root;
@@ -58,12 +61,12 @@
 http_answer_problem (SoupServerMessage *message, enum reason reason,
                      int64_t retry_after_ms)
 {
-  char *text = problem_text (reason, retry_after_ms);
+  char *text = http_problem_text (reason, retry_after_ms);
   SoupMessageHeaders *h = soup_server_message_get_response_headers (message);
   char seconds[24];
 
   soup_server_message_set_status (message, reason_status (reason), NULL);
-  soup_server_message_set_response (message, "application/problem+json",
+  soup_server_message_set_response (message, HTTP_PROBLEM_TYPE,
                                     SOUP_MEMORY_TAKE, text, strlen (text));
   if (retry_after_ms <= 0)
     return;
@@ -104,6 +107,19 @@
   g_free (b);
 }
 
+static void
+refuse_body (SoupServerMessage *message, struct body *b)
+{
+  char *text = http_problem_text (REASON_BODY_TOO_LARGE, 0);
+
+  b->too_large = true;
+  g_byte_array_set_size (b->bytes, 0);
+  counters_add_reason (b->counters, REASON_BODY_TOO_LARGE);
+  connections_answer_early (message, reason_status (REASON_BODY_TOO_LARGE),
+                            HTTP_PROBLEM_TYPE, text);
+  g_free (text);
+}
+
 static void
 on_chunk (SoupServerMessage *message, GBytes *chunk, gpointer data)
 {
@@ -114,24 +130,36 @@
   if (b->too_large)
     return;
   if (b->bytes->len + size > b->max_bytes)
-    {
-      b->too_large = true;
-      g_byte_array_set_size (b->bytes, 0);
-      return;
-    }
-  g_byte_array_append (b->bytes, bytes, (guint)size);
+    refuse_body (message, b);
+  else
+    g_byte_array_append (b->bytes, bytes, (guint)size);
+}
+
+bool
+http_has_body (SoupServerMessage *message)
+{
+  SoupMessageHeaders *h = soup_server_message_get_request_headers (message);
+
+  return soup_message_headers_get_encoding (h) == SOUP_ENCODING_CHUNKED
+         || soup_message_headers_get_content_length (h) > 0;
 }
 
 void
-http_collect_body (SoupServerMessage *message, uint64_t max_bytes)
+http_collect_body (SoupServerMessage *message, uint64_t max_bytes,
+                   struct counters *counters)
 {
   struct body *b = g_new0 (struct body, 1);
+  goffset length = soup_message_headers_get_content_length (
+      soup_server_message_get_request_headers (message));
 
   b->bytes = g_byte_array_new ();
   b->max_bytes = max_bytes;
+  b->counters = counters;
   g_object_set_data_full (G_OBJECT (message), BODY_KEY, b, body_free);
   soup_message_body_set_accumulate (
       soup_server_message_get_request_body (message), FALSE);
+  if (length > 0 && (uint64_t)length > max_bytes)
+    refuse_body (message, b);
   g_signal_connect (message, "got-chunk", G_CALLBACK (on_chunk), b);
 }
 
@@ -153,40 +181,23 @@
 http_path (SoupServerMessage *message)
 {
   const char *path = g_uri_get_path (soup_server_message_get_uri (message));
-  char **parts = g_strsplit (path, "/", 16);
+  char **parts = g_strsplit (path, "/", PATH_PARTS_MAX);
   GPtrArray *kept = g_ptr_array_new ();
 
   for (char **p = parts; *p != NULL; p++)
-    {
-      char *plain = g_uri_unescape_string (*p, NULL);
-
-      if (plain != NULL && plain[0] != '\0')
-        g_ptr_array_add (kept, plain);
-      else
-        g_free (plain);
-    }
+    if (**p != '\0')
+      g_ptr_array_add (kept, g_strdup (*p));
   g_strfreev (parts);
   g_ptr_array_add (kept, NULL);
   return (char **)g_ptr_array_free (kept, FALSE);
 }
 
-bool
-http_listen (SoupServer *server, const char *address, uint16_t port,
-             GError **error)
+const char *
+http_path_after (SoupServerMessage *message, const char *prefix)
 {
-  GSocketAddress *a = g_inet_socket_address_new_from_string (address, port);
-  GError *cause = NULL;
-  bool good;
-
-  g_return_val_if_fail (a != NULL, false);
-  good = soup_server_listen (server, a, 0, &cause);
-  g_object_unref (a);
-  if (!good)
-    {
-      g_set_error (error, SHED_ERROR, ERROR_UNREACHABLE,
-                   "can't listen on %s port %u: %s; choose a free port",
-                   address, port, cause->message);
-      g_error_free (cause);
-    }
-  return good;
+  const char *path = g_uri_get_path (soup_server_message_get_uri (message));
+
+  if (!g_str_has_prefix (path, prefix) || path[strlen (prefix)] == '\0')
+    return NULL;
+  return path + strlen (prefix);
 }
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -23,6 +23,8 @@
   PEER_SLOT_HOLD,
   PEER_SLOT_CANCEL,
   PEER_VM_NEWS,
+  PEER_KEY_CANCEL,
+  PEER_KEY_CANCELLED,
   PEER_KIND_COUNT
 };
 
@@ -102,6 +104,19 @@
   GArray *states; /* struct peer_vm_state */
 };
 
+/* "Cancel the request with this key if it waits at your node." */
+struct peer_key_cancel
+{
+  uint64_t query; /* of the asking node */
+  struct key_id key;
+};
+
+struct peer_key_cancelled
+{
+  uint64_t query;
+  bool cancelled; /* it waited, and will never run */
+};
+
 struct peer_message
 {
   enum peer_kind kind;
@@ -117,6 +132,8 @@
     struct peer_slot_hold slot_hold;
     struct peer_slot_cancel slot_cancel;
     struct peer_vm_news vm_news;
+    struct peer_key_cancel key_cancel;
+    struct peer_key_cancelled key_cancelled;
   } u;
 };
 
