Order the queue by urgency, refuse early, and place in constant time

Cause: a pool's owner kept one line by deadline. Short work stood behind long work that already ran, one that could not start in time heard so only after its whole target, a failing VM beyond the ejection budget drew load, cancel walked every queue, and placing walked every VM.

--- a/src/place.h
+++ b/src/place.h
@@ -26,10 +26,12 @@
 bool place_is_open (const struct place *place, const char *vm,
                     const char *pool);
 
-/* Take a slot of POOL on any VM but AVOID ("" for none), if another has room.
-   Return the VM's name, or NULL if there is no free slot. */
+/* Take a slot of POOL on any VM but AVOID ("" for none), if another has room:
+   one of those with the most free slots.  A run that MAY_PROBE goes first to
+   a VM that was set aside and is due to be tried again.  Return the VM's name,
+   or NULL if there is no free slot.  The cost does not grow with the pool. */
 const char *place_take (struct place *place, const char *pool,
-                        const char *avoid, int64_t now_ms);
+                        const char *avoid, bool may_probe, int64_t now_ms);
 
 /* Note that a slot of VM is in use, by word of another node. */
 void place_hold (struct place *place, const char *vm);
--- a/src/requests.c
+++ b/src/requests.c
@@ -6,7 +6,8 @@
 #define HOLD_RENEW_MS 2000
 #define DEFAULT_RUN_PATIENCE_MS 60000
 #define VIEW_MAX_AGE_MS 3000
-#define LOG_RETRY_AFTER_MS 1000
+#define LOG_RETRY_AFTER_MIN_MS 1000
+#define LOG_RETRY_AFTER_MAX_MS 30000
 #define BUSY_RETRY_AFTER_MS 500
 
 enum live_state
@@ -326,6 +327,15 @@
   counters_add (t->counters, COUNTER_CLAIMS_APPENDED, 1);
 }
 
+/* When to come back while the log does not answer: an outage that has lasted
+   for long is likely to last for as long again. */
+static int64_t
+log_retry_after_ms (const struct turn *t)
+{
+  return CLAMP (t->view_age_ms, LOG_RETRY_AFTER_MIN_MS,
+                LOG_RETRY_AFTER_MAX_MS);
+}
+
 /* Admit a request that is not idempotent: claim its key, unless an earlier
    claim or the state of the log forbids it. */
 static enum reason
@@ -372,7 +382,7 @@
     reason = begin_claimed (requests, turn, l, message, k);
   if (reason != REASON_NONE)
     {
-      send_refusal (turn, message->request, reason, LOG_RETRY_AFTER_MS);
+      send_refusal (turn, message->request, reason, log_retry_after_ms (turn));
       live_free (l);
       return;
     }
--- a/tests/replay/generate.c
+++ b/tests/replay/generate.c
@@ -6,15 +6,17 @@
 /* Traces from a seed: the shape of each deployment, and how its demand, its
    run times and its failures are drawn. */
 
-#define HORIZON_MS 170000
+#define HORIZON_MS 180000
 #define FIRST_BURST_MS 12000
 #define BURST_EVERY_MS 22000
 #define BURST_MIN_MS 3000
 #define BURST_MAX_MS 6000
 #define BURST_FACTOR 5.0
+#define HEAVY_BURST_FACTOR 8.0 /* twice what the pool holds */
 #define QUIET_FACTOR 0.05
 #define LULL_MS 9000 /* demand is at its mean and quiet in turns */
 #define LOAD_AT_MEAN 0.25
+#define HEAVY "-heavy"
 #define RUN_SIGMA 0.7
 #define STRAGGLER_SHARE 0.002
 #define NEVER_SHARE 0.002
@@ -37,6 +39,7 @@
   const char *name;
   const char *zone_prefix;
   const char *teams[8];
+  double team_shares[8]; /* of the demand, as their quotas are */
   struct shape_class classes[8];
 };
 
@@ -45,6 +48,7 @@
     "kandy",
     { "trade-unions", "estate-welfare", "credit-societies",
       "garment-factories", NULL },
+    { 0.3, 0.3, 0.2, 0.2 },
     { { "search", "counter-lookup", 12, 80 },
       { "search", "batch-lookup", 0, 800 },
       { "reconcile", "overnight", 10, 5000 },
@@ -55,6 +59,7 @@
   { "thessaly",
     "thessaly",
     { "agronomists", "tractor-terminals", "members", NULL },
+    { 0.4, 0.4, 0.2 },
     { { "plans", "spreading-plan", 12, 600 },
       { "plans", "preview", 0, 400 },
       { "soil-watch", "soil-series", 10, 20000 },
@@ -70,7 +75,7 @@
   GRand *random;
   GArray *trace;
   uint64_t requests;
-  guint n_teams;
+  double burst_factor;
 };
 
 static double
@@ -104,16 +109,6 @@
   return vms;
 }
 
-static uint32_t
-pool_classes (const struct shape *s, const char *service)
-{
-  uint32_t n = 0;
-
-  for (const struct shape_class *c = s->classes; c->service != NULL; c++)
-    n += strcmp (c->service, service) == 0;
-  return n;
-}
-
 static void
 add_vms (struct maker *m)
 {
@@ -141,6 +136,18 @@
       }
 }
 
+static const char *
+draw_team (struct maker *m)
+{
+  double left = g_rand_double (m->random);
+  guint i = 0;
+
+  while ((left -= m->shape->team_shares[i]) > 0
+         && m->shape->teams[i + 1] != NULL)
+    i++;
+  return m->shape->teams[i];
+}
+
 static void
 add_request (struct maker *m, const struct shape_class *c, int64_t at_ms)
 {
@@ -151,7 +158,7 @@
                            .service = c->service,
                            .class_name = c->class_name };
 
-  e.team = m->shape->teams[g_rand_int_range (r, 0, (gint32)m->n_teams)];
+  e.team = draw_team (m);
   e.run_ms = draw_run_ms (r, c->run_ms);
   e.declared_run_ms = MAX (
       (int64_t)(e.run_ms * pow (10.0, g_rand_double_range (r, -1, 1))), 1);
@@ -165,10 +172,11 @@
 
 /* The demand of a class at AT_MS, as a multiple of its mean. */
 static double
-demand (int64_t at_ms, int64_t burst_ms, int64_t burst_for_ms)
+demand (const struct maker *m, int64_t at_ms, int64_t burst_ms,
+        int64_t burst_for_ms)
 {
   if (at_ms >= burst_ms && at_ms < burst_ms + burst_for_ms)
-    return BURST_FACTOR;
+    return m->burst_factor;
   return at_ms / LULL_MS % 2 == 0 ? 1.0 : QUIET_FACTOR;
 }
 
@@ -179,8 +187,7 @@
   uint32_t slots = pool_vms (m->shape, c->service) * SLOTS_PER_VM;
   double mean_run_ms
       = c->run_ms * (exp (RUN_SIGMA * RUN_SIGMA / 2) + STRAGGLER_SHARE * 78.0);
-  double load = LOAD_AT_MEAN * 2 / (1 + pool_classes (m->shape, c->service));
-  double per_ms = MAX (load, 0.24) * slots / mean_run_ms;
+  double per_ms = LOAD_AT_MEAN * slots / mean_run_ms;
   int64_t burst_ms = FIRST_BURST_MS + (int64_t)place * BURST_EVERY_MS
                      + g_rand_int_range (m->random, -2000, 2000);
   int64_t burst_for_ms
@@ -195,7 +202,8 @@
   g_array_append_val (m->trace, burst);
   while (at_ms < HORIZON_MS)
     {
-      double rate = per_ms * demand ((int64_t)at_ms, burst_ms, burst_for_ms);
+      double rate
+          = per_ms * demand (m, (int64_t)at_ms, burst_ms, burst_for_ms);
       double gap_ms = -log (1.0 - g_rand_double (m->random)) / rate;
 
       /* A long gap may reach over a change of rate: draw it again there. */
@@ -247,7 +255,7 @@
   struct trace_event wave
       = { .kind = TRACE_MAINTAIN, .at_ms = 60000, .pool = fifth };
   struct trace_event outage
-      = { .kind = TRACE_OUTAGE, .at_ms = 145000, .for_ms = 10000 };
+      = { .kind = TRACE_OUTAGE, .at_ms = 155000, .for_ms = 10000 };
 
   add_vm_event (m, TRACE_VM_BREAKS, first,
                 (guint)g_rand_int_range (m->random, 0, 12), 30000, 30000);
@@ -264,9 +272,11 @@
 generate_trace (const char *deployment, uint32_t seed)
 {
   struct maker m = { .random = g_rand_new_with_seed (seed) };
+  bool heavy = g_str_has_suffix (deployment, HEAVY);
 
+  m.burst_factor = heavy ? HEAVY_BURST_FACTOR : BURST_FACTOR;
   for (guint i = 0; i < G_N_ELEMENTS (shapes); i++)
-    if (strcmp (shapes[i].name, deployment) == 0)
+    if (g_str_has_prefix (deployment, shapes[i].name))
       m.shape = &shapes[i];
   if (m.shape == NULL)
     {
@@ -274,8 +284,6 @@
       return NULL;
     }
   m.trace = trace_new ();
-  while (m.shape->teams[m.n_teams] != NULL)
-    m.n_teams++;
   add_vms (&m);
   for (guint i = 0; m.shape->classes[i].service != NULL; i++)
     add_class (&m, i);
--- a/tests/replay/main.c
+++ b/tests/replay/main.c
@@ -103,6 +103,8 @@
   int64_t end_ms;     /* of the replay */
   GArray *waits;
   GArray *burst_waits;
+  GArray *beside_waits;  /* of those that came beside another's burst */
+  GArray *refused_after; /* how long the refused had waited */
 };
 
 static void
@@ -110,7 +112,9 @@
              const struct config_class *k)
 {
   const struct fate *f = &g_array_index (fates, struct fate, i);
+  double after_ms = (double)f->refused_after_ms;
 
+  g_array_append_val (s->refused_after, after_ms);
   s->refused++;
   s->burst_refused += f->in_burst;
   s->false_refusals += f->reason == REASON_TOO_LATE
@@ -142,6 +146,8 @@
       g_array_append_val (s->waits, wait_ms);
       if (f->in_burst)
         g_array_append_val (s->burst_waits, wait_ms);
+      if (f->beside_burst)
+        g_array_append_val (s->beside_waits, wait_ms);
     }
   else if (!f->cancelled)
     sum_refused (s, fates, i, k);
@@ -168,14 +174,19 @@
   put (out, name, "burst_wait_p99_ms", quantile (s->burst_waits, 0.99));
   put (out, name, "burst_refused_percent",
        percent (s->burst_refused, s->burst));
+  put (out, name, "beside_burst_wait_p99_ms",
+       quantile (s->beside_waits, 0.99));
+  put (out, name, "refused_after_p50_ms", quantile (s->refused_after, 0.5));
 }
 
 /* How long after the class's burst its wait was back to normal, as a multiple
    of the burst's length. */
 static double
-recovery (const GArray *trace, const GArray *fates, const char *class_name,
-          int64_t target_ms)
+recovery (const GArray *trace, const GArray *fates,
+          const struct config_class *k)
 {
+  const char *class_name = k->name;
+  int64_t target_ms = k->start_within_ms;
   const struct trace_event *b = NULL;
   int64_t last_ms = 0;
 
@@ -198,7 +209,7 @@
                   || f->started_ms - f->came_ms > target_ms / WAIT_PARTS;
 
       if (strcmp (f->event->class_name, class_name) == 0 && !f->cancelled
-          && (slow || f->returns > 0) && at_ms > last_ms
+          && fits (f, k) && (slow || f->returns > 0) && at_ms > last_ms
           && at_ms < b->at_ms + 4 * b->for_ms)
         last_ms = at_ms;
     }
@@ -274,14 +285,18 @@
 
       s.waits = g_array_new (FALSE, FALSE, sizeof (double));
       s.burst_waits = g_array_new (FALSE, FALSE, sizeof (double));
+      s.beside_waits = g_array_new (FALSE, FALSE, sizeof (double));
+      s.refused_after = g_array_new (FALSE, FALSE, sizeof (double));
       for (guint i = 0; i < fates->len; i++)
         if (g_array_index (fates, struct fate, i).class_place == k)
           sum_fate (&s, fates, i, c);
       put_class (out, c->name, &s);
       put (out, c->name, "recovery_by_burst_length",
-           recovery (trace, fates, c->name, c->start_within_ms));
+           recovery (trace, fates, c));
       g_array_unref (s.waits);
       g_array_unref (s.burst_waits);
+      g_array_unref (s.beside_waits);
+      g_array_unref (s.refused_after);
     }
 }
 
--- a/tests/replay/replay.c
+++ b/tests/replay/replay.c
@@ -11,7 +11,7 @@
 
 #define PEER_DELAY_MS 1
 #define SETTLE_MS 3000
-#define AFTER_MS 30000
+#define AFTER_MS 70000
 #define TICK_MS CORE_TICK_MS
 
 struct node
@@ -139,6 +139,8 @@
 
   if (f == NULL)
     return;
+  if (f->returns == 0)
+    f->refused_after_ms = w->now_ms - f->came_ms;
   if (f->returns == 1)
     f->taken = false;
   f->reason = m->reason;
@@ -392,9 +394,12 @@
         {
           struct fate *f = &g_array_index (fates, struct fate, k);
 
-          if (f->event->class_name == b->class_name
-              && f->event->at_ms >= b->at_ms
-              && f->event->at_ms < b->at_ms + b->for_ms)
+          if (f->event->service != b->service || f->event->at_ms < b->at_ms
+              || f->event->at_ms >= b->at_ms + b->for_ms)
+            continue;
+          if (f->event->class_name != b->class_name)
+            f->beside_burst = true;
+          else
             f->in_burst = true;
         }
     }
--- a/tests/replay/replay.h
+++ b/tests/replay/replay.h
@@ -14,6 +14,7 @@
   const struct trace_event *event;
   uint32_t class_place; /* in the configuration */
   bool in_burst;        /* it came while its class was at its peak */
+  bool beside_burst;    /* or while another class of its service was */
   bool cancelled;
   bool answered;
   bool ended;
@@ -23,6 +24,7 @@
   int64_t started_ms;    /* first run sent since then; -1 for none */
   int64_t runs_until_ms; /* end of its last run, if nothing ends it sooner */
   int64_t refused_ms;    /* -1 unless refused in the end */
+  int64_t refused_after_ms; /* of waiting, the first time */
   enum reason reason;
   bool back_in_time; /* came back once at the time it was told */
   bool taken;        /* and was not refused again */
--- a/tests/replay/trace.h
+++ b/tests/replay/trace.h
@@ -55,8 +55,9 @@
 /* Read a trace file.  Return NULL with ERROR set if a line is wrong. */
 GArray *trace_read (const char *filename, GError **error);
 
-/* Make the trace of DEPLOYMENT, "kandy" or "thessaly", for SEED.  Return NULL
-   if there is no such deployment. */
+/* Make the trace of DEPLOYMENT, "kandy" or "thessaly", for SEED; with "-heavy"
+   after the name, with higher bursts.  Return NULL if there is no such
+   deployment. */
 GArray *generate_trace (const char *deployment, uint32_t seed);
 
 #endif
