--- a/tests/scenario/nodes.c
+++ b/tests/scenario/nodes.c
@@ -328,12 +328,22 @@
     }
 }
 
+/* Kill CHILD and wait for its end: the signal is sent by another thread, so
+   a run that ended at once would leave the child behind. */
+static void
+end_child (GSubprocess **child)
+{
+  if (*child == NULL)
+    return;
+  g_subprocess_force_exit (*child);
+  g_subprocess_wait (*child, NULL, NULL);
+  g_clear_object (child);
+}
+
 void
 run_end_all (struct run *r)
 {
   for (int i = 0; i < r->n_nodes; i++)
-    if (r->nodes[i].process != NULL)
-      g_subprocess_force_exit (r->nodes[i].process);
-  if (r->platform != NULL)
-    g_subprocess_force_exit (r->platform);
+    end_child (&r->nodes[i].process);
+  end_child (&r->platform);
 }
