--- a/tests/scenario/judge.c
+++ b/tests/scenario/judge.c
@@ -243,6 +243,8 @@
 {
   struct verdicts v;
 
+  if (g_strv_length (words) < 3)
+    run_die (r, "write METRIC RELATION NUMBER");
   if (strcmp (words[0], "counter") == 0)
     {
       *used = 3;
--- a/tests/scenario/nodes.c
+++ b/tests/scenario/nodes.c
@@ -115,6 +115,7 @@
                                    G_SUBPROCESS_FLAGS_NONE, &error);
   if (r->platform == NULL)
     run_die (r, "%s", error->message);
+  health_watch (r, NULL, r->platform);
   for (int i = 0; i < 500 && port == NULL; i++)
     {
       run_wait_ms (r, 20);
@@ -212,15 +213,18 @@
 {
   char *path = settings_path (r, n);
   char *log = g_strconcat (path, ".log", NULL);
-  GSubprocessLauncher *launcher
-      = g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_NONE);
+  GSubprocessLauncher *launcher;
   GError *error = NULL;
 
+  if (n->process != NULL)
+    run_die (r, "%s runs already", n->name);
+  launcher = g_subprocess_launcher_new (G_SUBPROCESS_FLAGS_NONE);
   g_subprocess_launcher_set_stderr_file_path (launcher, log);
   n->process = g_subprocess_launcher_spawn (launcher, &error, r->binary,
                                             "serve", "--settings", path, NULL);
   if (n->process == NULL)
     run_die (r, "%s", error->message);
+  health_watch (r, n, n->process);
   n->stopping = false;
   n->frozen = false;
   g_object_unref (launcher);
@@ -234,13 +238,12 @@
   if (n->process == NULL)
     run_die (r, "%s does not run", n->name);
   g_subprocess_send_signal (n->process, signal_number);
+  n->stopping = true;
   if (signal_number == SIGKILL)
     {
       g_subprocess_wait (n->process, NULL, NULL);
       g_clear_object (&n->process);
     }
-  else
-    n->stopping = true;
 }
 
 static void
@@ -320,7 +323,10 @@
 {
   for (int i = 0; i < r->n_nodes; i++)
     if (r->nodes[i].process != NULL)
-      g_subprocess_force_exit (r->nodes[i].process);
+      {
+        r->nodes[i].stopping = true;
+        g_subprocess_force_exit (r->nodes[i].process);
+      }
   if (r->platform != NULL)
     g_subprocess_force_exit (r->platform);
 }
--- a/tests/scenario/scenario.c
+++ b/tests/scenario/scenario.c
@@ -11,6 +11,7 @@
 #define READY_WITHIN_MS 15000
 #define STOP_WITHIN_MS 30000
 #define LOADS_WITHIN_MS 60000
+#define RUN_WITHIN_S 165
 
 int64_t
 run_now_ms (void)
@@ -29,7 +30,9 @@
   va_end (args);
   printf ("%s:%d: %s\n", r->script, r->line, text);
   fflush (stdout);
+  r->failed = true;
   run_end_all (r);
+  health_tidy (r);
   exit (1);
 }
 
@@ -46,12 +49,22 @@
     }
 }
 
+/* End the run unless WORDS holds at least COUNT words, as USAGE says. */
+static void
+need_words (struct run *r, char **words, guint count, const char *usage)
+{
+  if (g_strv_length (words) < count)
+    run_die (r, "write: %s", usage);
+}
+
 static int64_t
 read_duration_ms (struct run *r, const char *word)
 {
   char *end = NULL;
-  int64_t n = g_ascii_strtoll (word, &end, 10);
+  int64_t n = word == NULL ? 0 : g_ascii_strtoll (word, &end, 10);
 
+  if (word == NULL || end == word)
+    run_die (r, "write a time such as 5s or 200ms");
   if (strcmp (end, "ms") == 0)
     return n;
   if (strcmp (end, "s") == 0)
@@ -66,6 +79,7 @@
 step_each_node (struct run *r, char **words,
                 void (*act) (struct run *, struct node *))
 {
+  need_words (r, words, 1, "STEP NODE..., or STEP all");
   for (char **w = words; *w != NULL; w++)
     {
       if (strcmp (*w, "all") == 0)
@@ -91,6 +105,8 @@
 static void
 freeze_node (struct run *r, struct node *n)
 {
+  if (n->process == NULL)
+    run_die (r, "%s does not run", n->name);
   g_subprocess_send_signal (n->process, SIGSTOP);
   n->frozen = true;
 }
@@ -98,6 +114,8 @@
 static void
 thaw_node (struct run *r, struct node *n)
 {
+  if (n->process == NULL)
+    run_die (r, "%s does not run", n->name);
   g_subprocess_send_signal (n->process, SIGCONT);
   n->frozen = false;
 }
@@ -137,10 +155,13 @@
 static void
 step_vm (struct run *r, char **words)
 {
-  char *path = g_strdup_printf ("/vms/%s/%s", words[0], words[1]);
+  char *path;
   guint status;
-  char *text
-      = run_call (r, r->platform_port, "POST", path, NULL, "{}", &status);
+  char *text;
+
+  need_words (r, words, 2, "vm VM ORDER");
+  path = g_strdup_printf ("/vms/%s/%s", words[0], words[1]);
+  text = run_call (r, r->platform_port, "POST", path, NULL, "{}", &status);
 
   if (status != 200)
     run_die (r, "the stand-in refused %s", path);
@@ -168,13 +189,16 @@
 static void
 step_command (struct run *r, char **words)
 {
-  struct node *n = nodes_find (r, words[0]);
-  char *address = g_strdup_printf ("127.0.0.1:%u", n->admin_port);
+  struct node *n;
+  char *address;
   GPtrArray *argv = g_ptr_array_new ();
   GSubprocess *p;
   struct finished f = { NULL, false };
   GError *error = NULL;
 
+  need_words (r, words, 2, "command NODE WORD...");
+  n = nodes_find (r, words[0]);
+  address = g_strdup_printf ("127.0.0.1:%u", n->admin_port);
   g_ptr_array_add (argv, r->binary);
   for (char **w = words + 1; *w != NULL; w++)
     g_ptr_array_add (argv, *w);
@@ -189,6 +213,7 @@
                          &error);
   if (p == NULL)
     run_die (r, "%s", error->message);
+  health_watch (r, NULL, p);
   /* The relays work in this process, so it must not block. */
   g_subprocess_communicate_utf8_async (p, NULL, NULL, on_communicated, &f);
   while (!f.done)
@@ -202,6 +227,17 @@
   g_free (address);
 }
 
+static int64_t
+read_number (struct run *r, const char *word)
+{
+  char *end = NULL;
+  int64_t n = g_ascii_strtoll (word, &end, 10);
+
+  if (end == word || *end != '\0')
+    run_die (r, "%s is no number", word);
+  return n;
+}
+
 static bool
 holds (struct run *r, int64_t value, const char *relation, int64_t bound)
 {
@@ -221,11 +257,17 @@
 step_expect (struct run *r, char **words)
 {
   int used = 0;
-  int64_t value = judge_metric (r, words, &used);
-  const char *relation = words[used];
-  int64_t bound = g_ascii_strtoll (words[used + 1], NULL, 10);
+  int64_t value;
+  const char *relation;
+  int64_t bound;
   int64_t give_up_ms = run_now_ms ();
 
+  need_words (r, words, 3, "expect METRIC RELATION NUMBER [within TIME]");
+  value = judge_metric (r, words, &used);
+  need_words (r, words, (guint)used + 2,
+              "expect METRIC RELATION NUMBER [within TIME]");
+  relation = words[used];
+  bound = read_number (r, words[used + 1]);
   if (words[used + 2] != NULL && strcmp (words[used + 2], "within") == 0)
     give_up_ms += read_duration_ms (r, words[used + 3]);
   while (!holds (r, value, relation, bound) && run_now_ms () < give_up_ms)
@@ -242,6 +284,31 @@
   r->failed = true;
 }
 
+static void
+step_nodes (struct run *r, char **words)
+{
+  int64_t count;
+
+  need_words (r, words, 1, "nodes COUNT");
+  count = read_number (r, words[0]);
+  if (count < 1 || count > MAX_NODES || r->n_nodes > 0)
+    run_die (r, "nodes is written once, with 1 to %d", MAX_NODES);
+  if (r->platform == NULL)
+    run_die (r, "write platform before nodes");
+  nodes_prepare (r, (int)count);
+}
+
+static void
+step_cut (struct run *r, char **words, bool cut)
+{
+  static const char *const links[] = { "platform", "peers", "all", NULL };
+
+  need_words (r, words, 2, "cut NODE platform|peers|all");
+  if (!g_strv_contains (links, words[1]))
+    run_die (r, "%s is none of platform, peers and all", words[1]);
+  nodes_cut (r, nodes_find (r, words[0]), words[1], cut);
+}
+
 static void
 run_step (struct run *r, char **words)
 {
@@ -251,7 +318,7 @@
   if (strcmp (step, "platform") == 0)
     platform_start (r, rest);
   else if (strcmp (step, "nodes") == 0)
-    nodes_prepare (r, atoi (rest[0]));
+    step_nodes (r, rest);
   else if (strcmp (step, "start") == 0)
     step_each_node (r, rest, node_start);
   else if (strcmp (step, "ready") == 0)
@@ -267,9 +334,9 @@
   else if (strcmp (step, "thaw") == 0)
     step_each_node (r, rest, thaw_node);
   else if (strcmp (step, "cut") == 0)
-    nodes_cut (r, nodes_find (r, rest[0]), rest[1], true);
+    step_cut (r, rest, true);
   else if (strcmp (step, "heal") == 0)
-    nodes_cut (r, nodes_find (r, rest[0]), rest[1], false);
+    step_cut (r, rest, false);
   else if (strcmp (step, "fault") == 0)
     step_fault (r, rest);
   else if (strcmp (step, "vm") == 0)
@@ -301,6 +368,7 @@
     return;
   printf ("%s\n", line);
   fflush (stdout);
+  health_note_line (line);
   if (!g_shell_parse_argv (line, NULL, &words, &error))
     run_die (r, "%s", error->message);
   run_step (r, words);
@@ -335,13 +403,17 @@
   r.script = argv[3];
   r.quiet = getenv ("SCENARIO_QUIET") != NULL;
   r.directory = g_dir_make_tmp ("burdockshed-XXXXXX", NULL);
+  health_limit (RUN_WITHIN_S);
   r.loads = g_ptr_array_new ();
   r.session = soup_session_new_with_options ("max-conns", 4000,
                                              "max-conns-per-host", 1000, NULL);
   lines = g_strsplit (text, "\n", -1);
   for (char **l = lines; *l != NULL; l++)
     run_line (&r, *l);
+  run_wait_ms (&r, 20); /* a node that has just ended is seen */
+  health_check_logs (&r);
   run_end_all (&r);
+  health_tidy (&r);
   g_strfreev (lines);
   g_free (text);
   return r.failed ? 1 : 0;
--- a/tests/scenario/scenario.h
+++ b/tests/scenario/scenario.h
@@ -119,6 +119,18 @@
                 const char *path, const char *token, const char *body,
                 guint *status);
 
+/* health.c */
+/* End the run and all its children if it takes longer than WITHIN_S. */
+void health_limit (guint within_s);
+/* Remember LINE for the report of a run that takes too long. */
+void health_note_line (const char *line);
+/* Watch PROCESS; if it is node N's, it may end only when told to. */
+void health_watch (struct run *r, struct node *n, GSubprocess *process);
+/* Fail the run if a log of a node holds a sanitizer's report or worse. */
+void health_check_logs (struct run *r);
+/* Remove the scratch directory, or say where it is if the run failed. */
+void health_tidy (struct run *r);
+
 /* relay.c */
 struct relay *relay_new (uint16_t target);
 void relay_set_cut (struct relay *relay, bool cut);
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -147,9 +147,11 @@
           "%s{\"at_ms\":%" G_GINT64_FORMAT ",\"ended_ms\":%" G_GINT64_FORMAT
           ",\"vm\":\"%s\",\"vm_pool\":\"%s\",\"pool\":\"%s\","
           "\"task\":\"%s\",\"id\":\"%s\",\"target\":\"%s\","
-          "\"vm_state\":\"%s\",\"end\":\"%s\"}",
+          "\"vm_state\":\"%s\",\"leaving_ms\":%" G_GINT64_FORMAT
+          ",\"end\":\"%s\"}",
           i == 0 ? "" : ",\n", (gint64)t->at_ms, (gint64)t->ended_ms, t->vm,
-          t->vm_pool, t->pool, t->task, t->id, t->target, t->vm_state, t->end);
+          t->vm_pool, t->pool, t->task, t->id, t->target, t->vm_state,
+          (gint64)t->leaving_ms, t->end);
     }
   g_string_append (text, "]");
   answer_text (message, 200, text->str);
--- a/tests/standin/standin.h
+++ b/tests/standin/standin.h
@@ -36,10 +36,11 @@
   char *vm_pool; /* where the platform has the VM */
   char *pool;    /* what the node named */
   char *task;
-  char *id;       /* the body's "id" */
-  char *target;   /* SERVICE/CLASS */
-  char *vm_state; /* when it started */
-  char *end;      /* "running", "answered", "failed", "cut" */
+  char *id;           /* the body's "id" */
+  char *target;       /* SERVICE/CLASS */
+  char *vm_state;     /* when it started */
+  int64_t leaving_ms; /* how long the list had called the VM leaving */
+  char *end;          /* "running", "answered", "failed", "cut" */
 };
 
 enum worker_state
@@ -62,7 +63,8 @@
   uint16_t port;
   enum worker_state state;
   bool fails_all;
-  int64_t slow_ms; /* added to each run */
+  int64_t told_leaving_ms; /* when a list first called it so; 0 if not */
+  int64_t slow_ms;         /* added to each run */
   SoupServer *server;
   GPtrArray *jobs; /* struct job *, running */
 };
--- a/tests/standin/workers.c
+++ b/tests/standin/workers.c
@@ -175,6 +175,8 @@
   s->id = g_strdup (id);
   s->target = g_strdup (g_str_has_prefix (path, "/run/") ? path + 5 : path);
   s->vm_state = g_strdup (worker_state_name (w->state));
+  if (w->told_leaving_ms > 0)
+    s->leaving_ms = s->at_ms - w->told_leaving_ms;
   s->end = g_strdup ("running");
   g_ptr_array_add (w->standin->starts, s);
   return s;
@@ -288,6 +290,7 @@
 go_dark (struct worker *w, enum worker_state state)
 {
   cut_jobs (w);
+  w->told_leaving_ms = 0;
   if (w->server != NULL)
     soup_server_disconnect (w->server);
   g_clear_object (&w->server);
@@ -324,6 +327,7 @@
   if (w->server == NULL)
     listen (w);
   w->state = WORKER_LIVE;
+  w->told_leaving_ms = 0;
   vm_list_note (w->standin);
 }
 
