--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -93,7 +93,8 @@
   int64_t booted_ms;
   int64_t clock_base_ms;
   bool frozen;
-  GQueue held; /* struct event *, while frozen */
+  int64_t frozen_ms; /* since when */
+  GQueue held;       /* struct event *, while frozen */
   int64_t last_ms[CHANNEL_COUNT];
   int64_t last_peer_ms[MAX_NODES]; /* of messages to each peer */
   uint64_t last_request;
--- a/tests/sim/sim.c
+++ b/tests/sim/sim.c
@@ -9,7 +9,7 @@
    first seed that breaks a promise is printed and ends the run. */
 
 #define DEFAULT_NODES 3
-#define DEFAULT_FAULTS_MS 8000
+#define DEFAULT_FAULTS_MS 6000
 
 enum option_key
 {
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -50,6 +50,8 @@
   MUTATION_NO_BUDGET,       /* the pools' budgets are not known */
   MUTATION_NO_VERSION,      /* a publication replaces whatever is in force */
   MUTATION_LATE_SENDS,      /* edges send however late the order comes */
+  MUTATION_NO_PAUSE,        /* cores see no gap while their node is frozen */
+  MUTATION_NO_ACK,          /* all are taken to have read the log to its end */
   WORLD_MUTATION_COUNT
 };
 
