--- a/src/counters.c
+++ b/src/counters.c
@@ -54,6 +54,7 @@
   [COUNTER_RECORDS_MALFORMED] = "records_malformed",
   [COUNTER_VM_LIST_READS] = "vm_list_reads",
   [COUNTER_VM_LIST_FAILURES] = "vm_list_failures",
+  [COUNTER_VM_LIST_BYTES] = "vm_list_bytes_read",
   [COUNTER_VM_MOVES] = "vm_moves",
   [COUNTER_VM_DRAINS] = "vm_drains",
   [COUNTER_VM_REBOOTS] = "vm_reboots",
@@ -73,8 +74,21 @@
   [COUNTER_GRANTS_STALE] = "slot_grants_stale",
   [COUNTER_LATE_ANSWERS] = "late_answers",
   [COUNTER_ADMIN_UNAUTHORIZED] = "admin_unauthorized",
+  [COUNTER_CONNECTIONS_ACCEPTED] = "connections_accepted",
+  [COUNTER_CONNECTIONS_REFUSED] = "connections_refused",
+  [COUNTER_CONNECTIONS_IDLE_CLOSED] = "connections_idle_closed",
+  [COUNTER_CONNECTIONS_SLOW_CLOSED] = "connections_slow_closed",
+  [COUNTER_CONNECTIONS_STALLED] = "connections_stalled",
+  [COUNTER_CONNECTIONS_BROKEN] = "connections_broken",
+  [COUNTER_CALLERS_GONE] = "callers_gone",
 };
 
+const char *
+counter_name (enum counter counter)
+{
+  return counter_names[counter];
+}
+
 struct counters *
 counters_new (void)
 {
@@ -199,3 +213,35 @@
                                        memory_order_relaxed));
   render_control (counters, out);
 }
+
+static uint64_t
+get_retry (const struct counters *counters, enum reason reason)
+{
+  return atomic_load_explicit (&counters->retries[reason],
+                               memory_order_relaxed);
+}
+
+static void
+render_reasons (const struct counters *counters, GString *out,
+                const char *name,
+                uint64_t (*get) (const struct counters *, enum reason))
+{
+  g_string_append_printf (out, ",\"%s\":{", name);
+  for (int i = 1; i < REASON_COUNT; i++)
+    g_string_append_printf (out, "%s\"%s\":%" G_GUINT64_FORMAT,
+                            i > 1 ? "," : "", reason_name (i),
+                            (guint64)get (counters, i));
+  g_string_append_c (out, '}');
+}
+
+void
+counters_render_json (const struct counters *counters, GString *out)
+{
+  for (int i = 0; i < COUNTER_COUNT; i++)
+    g_string_append_printf (out, "%s\"%s\":%" G_GUINT64_FORMAT,
+                            i > 0 ? "," : "{", counter_names[i],
+                            (guint64)counters_get (counters, i));
+  render_reasons (counters, out, "refusals_by_reason", counters_get_reason);
+  render_reasons (counters, out, "retries_by_reason", get_retry);
+  g_string_append_c (out, '}');
+}
