--- a/tests/sim/edge.c
+++ b/tests/sim/edge.c
@@ -72,6 +72,7 @@
   a = g_new0 (struct attempt, 1);
   a->call = call;
   a->node = node;
+  a->sent_ms = w->now_ms;
   a->incarnation = n->incarnation;
   a->request = REQUEST_BITS | ++n->last_request;
   g_ptr_array_add (w->attempts, a);
--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -144,6 +144,7 @@
   int node;
   uint64_t incarnation;
   uint64_t request;
+  int64_t sent_ms;
   bool over;        /* the caller has heard, or has gone */
   bool caller_gone; /* as the edge sees it */
   bool run_active;
