Reboot a VM only when nothing sent before the drain can still reach it

Cause: a VM counted as empty as soon as all nodes had read that it drains and the list had shown it idle for 2 s; a node that read the drain late could have let a run go just before, which is sent up to 1 s later and shows in the list only after its lag. Ruled out: the edge's own deadline (all sends were in time). Change: the wait for the list begins when all have read the drain, plus the time within which a run is sent.

--- a/src/message.h
+++ b/src/message.h
@@ -168,6 +168,9 @@
   char *text;      /* JSON */
 };
 
+/* A run is sent to its back end within this time, or not at all. */
+#define MESSAGE_SEND_WITHIN_MS 1000
+
 /* Run REQUEST on a back end; its edge has the body. */
 struct message_run
 {
--- a/src/plan.c
+++ b/src/plan.c
@@ -27,6 +27,8 @@
   int64_t proposed_ms;
   uint64_t acted_at; /* the VM's last change when the platform was told */
   int64_t acted_ms;
+  uint64_t read_at;    /* the VM's last change that all nodes have read */
+  int64_t read_ms;     /* since when */
   bool seen_rebooting; /* since the platform was told */
   bool listed;         /* in the last list */
 };
@@ -233,12 +235,25 @@
   return true;
 }
 
+/* Since when no node may send work to V any more: the last that was let go
+   before all had read of V's change is sent shortly after, or not at all.
+   Return whether that moment has come, and is LIST_LAG_MS past. */
 static bool
-is_empty (const struct turn *t, const struct sight *s,
-          const struct fleet_vm *v)
+is_closed (const struct turn *t, struct sight *s, const struct fleet_vm *v)
+{
+  if (!all_have_read (t, v->changed))
+    return false;
+  if (s->read_at != v->changed)
+    s->read_ms = t->now_ms;
+  s->read_at = v->changed;
+  return t->now_ms - s->read_ms >= MESSAGE_SEND_WITHIN_MS + LIST_LAG_MS;
+}
+
+static bool
+is_empty (const struct turn *t, struct sight *s, const struct fleet_vm *v)
 {
   /* Only what was seen since the platform calls it leaving counts. */
-  return all_have_read (t, v->changed) && s->state == VM_STATE_LEAVING
+  return is_closed (t, s, v) && s->state == VM_STATE_LEAVING
          && s->acted_at == v->changed
          && t->now_ms - s->state_since_ms >= LIST_LAG_MS
          && s->idle_since_ms >= 0
--- a/src/requests.c
+++ b/src/requests.c
@@ -6,7 +6,6 @@
 #define HOLD_RENEW_MS 2000
 #define DEFAULT_RUN_PATIENCE_MS 60000
 #define VIEW_MAX_AGE_MS 3000
-#define SEND_WITHIN_MS 1000
 #define LOG_RETRY_AFTER_MS 1000
 #define BUSY_RETRY_AFTER_MS 500
 
@@ -460,7 +459,7 @@
   run->class_name = g_strdup (l->class_name);
   run->idempotent = l->idempotent;
   run->timeout_ms = l->deadline_ms - t->now_ms;
-  run->send_by_ms = t->now_ms + SEND_WITHIN_MS;
+  run->send_by_ms = t->now_ms + MESSAGE_SEND_WITHIN_MS;
   run->max_answer_bytes = l->max_answer_bytes;
   turn_put (t, m);
   counters_add (t->counters, COUNTER_DISPATCHED, 1);
