Close kept connections that their callers have closed

Ruled out: leaving it to the idle limit, since shutting the socket down does not wake libsoup either (trial).

Change: the scan finds these by TCP's state, shuts the socket down, and a scan later closes the descriptor itself. A connection about to end no longer counts against the limit. Known and left: libsoup keeps about 2 KB of memory for each connection that ends while it is kept.

--- a/src/connections.c
+++ b/src/connections.c
@@ -9,11 +9,11 @@
 #include <sys/socket.h>
 
 #define SCAN_EVERY_MS 250
-#define RESCAN_MIN_GAP_MS 50
 #define LINGER_MS 1000
+#define SHUT_MS 200
 #define BODY_MIN_BYTES_PER_S 16384
-/* Refused connections that still linger, above the limit. */
-#define REFUSED_MAX 64
+/* Connections that are about to end and still get an answer. */
+#define ENDING_MAX 64
 /* States of TCP in which the other side has closed. */
 #define TCP_STATE_CLOSE 7
 #define TCP_STATE_CLOSE_WAIT 8
@@ -38,7 +38,8 @@
   uint64_t received_mark;     /* bytes received before the next request */
   uint64_t acked;             /* bytes of answers that the caller has taken */
   int64_t acked_ms;           /* when that number last grew */
-  bool refused;
+  bool ending; /* refused or shut: not counted against the limit */
+  bool is_shut;
 };
 
 struct connections
@@ -50,8 +51,7 @@
   struct counters *counters;
   GSource *scan;
   GHashTable *all; /* set of struct connection * */
-  uint32_t refused;
-  int64_t scanned_ms;
+  uint32_t ending;
 };
 
 static int64_t
@@ -70,13 +70,26 @@
          == 0;
 }
 
-/* Make libsoup see the end of the connection, which it then closes. */
+/* Count C no longer against the limit: it is about to end. */
+static void
+count_out (struct connection *c)
+{
+  if (!c->ending)
+    c->owner->ending++;
+  c->ending = true;
+}
+
+/* Make libsoup see the end of the connection, which it then closes.  It does
+   not close one that waits for a further request (libsoup 3.2.3), so the next
+   scan closes what is still open. */
 static void
 shut (struct connection *c)
 {
   g_socket_shutdown (c->socket, TRUE, TRUE, NULL);
+  count_out (c);
   c->state = CONNECTION_CLOSING;
-  c->deadline_ms = INT64_MAX;
+  c->is_shut = true;
+  c->deadline_ms = now_ms () + SHUT_MS;
 }
 
 /* Send TEXT as a whole answer past libsoup.  It fits the send buffer of a
@@ -110,10 +123,20 @@
 
 /* Closing what is late. */
 
+static bool
+is_closed_by_caller (const struct tcp_info *info)
+{
+  return info->tcpi_state == TCP_STATE_CLOSE_WAIT
+         || info->tcpi_state == TCP_STATE_CLOSE;
+}
+
 static void
 scan_idle (struct connection *c, const struct tcp_info *info, int64_t now)
 {
-  if (info->tcpi_bytes_received > c->received_mark)
+  /* First, as the kernel counts the end of the stream as a byte. */
+  if (is_closed_by_caller (info))
+    shut (c);
+  else if (info->tcpi_bytes_received > c->received_mark)
     {
       c->state = CONNECTION_READING;
       c->deadline_ms = now + c->owner->limits.request_ms;
@@ -140,8 +163,7 @@
   struct connections *owner = c->owner;
   bool all_taken = info->tcpi_unacked == 0 && info->tcpi_notsent_bytes == 0;
 
-  if (info->tcpi_state == TCP_STATE_CLOSE_WAIT
-      || info->tcpi_state == TCP_STATE_CLOSE)
+  if (is_closed_by_caller (info))
     {
       counters_add (owner->counters, COUNTER_CALLERS_GONE, 1);
       shut (c);
@@ -168,8 +190,8 @@
 
   if (c->state == CONNECTION_READING)
     counters_add (owner->counters, COUNTER_CONNECTIONS_BROKEN, 1);
-  if (c->refused)
-    owner->refused--;
+  if (c->ending)
+    owner->ending--;
   g_hash_table_remove (owner->all, c);
 }
 
@@ -188,6 +210,18 @@
   forget (c);
 }
 
+static void
+close_late (struct connection *c)
+{
+  if (!c->is_shut)
+    {
+      shut (c);
+      return;
+    }
+  g_socket_close (c->socket, NULL);
+  detach (c);
+}
+
 static void
 scan_one (struct connection *c, int64_t now)
 {
@@ -213,7 +247,7 @@
       break;
     case CONNECTION_CLOSING:
       if (now >= c->deadline_ms)
-        shut (c);
+        close_late (c);
       break;
     }
 }
@@ -229,7 +263,6 @@
   for (GList *i = all; i != NULL; i = i->next)
     scan_one (i->data, now);
   g_list_free (all);
-  cs->scanned_ms = now;
 }
 
 static gboolean
@@ -315,20 +348,40 @@
       struct connection *c = p;
       struct tcp_info info;
 
-      if (c->state != CONNECTION_IDLE || !read_tcp_info (c, &info)
-          || info.tcpi_bytes_received > c->received_mark)
+      if (c->state != CONNECTION_IDLE || !read_tcp_info (c, &info))
         continue;
-      counters_add (cs->counters, COUNTER_CONNECTIONS_IDLE_CLOSED, 1);
+      if (!is_closed_by_caller (&info))
+        {
+          if (info.tcpi_bytes_received > c->received_mark)
+            continue;
+          counters_add (cs->counters, COUNTER_CONNECTIONS_IDLE_CLOSED, 1);
+        }
       shut (c);
       return true;
     }
   return false;
 }
 
+/* Forget the connections that have been closed since the last scan. */
+static void
+sweep (struct connections *cs)
+{
+  GList *all = g_hash_table_get_keys (cs->all);
+
+  for (GList *i = all; i != NULL; i = i->next)
+    {
+      struct connection *c = i->data;
+
+      if (g_socket_is_closed (c->socket))
+        detach (c);
+    }
+  g_list_free (all);
+}
+
 static uint32_t
 counted (const struct connections *cs)
 {
-  return g_hash_table_size (cs->all) - cs->refused;
+  return g_hash_table_size (cs->all) - cs->ending;
 }
 
 static struct connection *
@@ -339,25 +392,24 @@
 
   if (counted (cs) >= cs->limits.max)
     {
-      if (now_ms () - cs->scanned_ms >= RESCAN_MIN_GAP_MS)
-        scan (cs);
+      sweep (cs);
       full = counted (cs) >= cs->limits.max && !make_room (cs);
     }
 
   counters_add (cs->counters, COUNTER_CONNECTIONS_ACCEPTED, 1);
   c->owner = cs;
   c->socket = socket;
-  c->refused = full;
   g_hash_table_add (cs->all, c);
   g_object_weak_ref (G_OBJECT (socket), on_socket_gone, c);
   g_object_set_data (G_OBJECT (socket), CONNECTION_KEY, c);
   if (!full)
     return c;
   counters_add (cs->counters, COUNTER_CONNECTIONS_REFUSED, 1);
-  if (cs->refused++ < REFUSED_MAX)
+  if (cs->ending < ENDING_MAX)
     refuse_raw (c, REASON_OVERLOADED);
   else
     shut (c);
+  count_out (c);
   return c;
 }
 
--- a/tests/unit/test_connections.c
+++ b/tests/unit/test_connections.c
@@ -561,6 +561,61 @@
   edge_close (&e);
 }
 
+static guint
+open_files (void)
+{
+  GDir *d = g_dir_open ("/proc/self/fd", 0, NULL);
+  guint n = 0;
+
+  while (g_dir_read_name (d) != NULL)
+    n++;
+  g_dir_close (d);
+  return n;
+}
+
+/* A kept connection that its caller closes between two requests is closed
+   here too; libsoup 3.2.3 by itself keeps its descriptor for ever. */
+static void
+test_kept_then_closed (void)
+{
+  struct edge e;
+  guint before;
+
+  edge_open (&e);
+  assert_serves (&e);
+  work_ms (1000);
+  before = open_files ();
+  for (int i = 0; i < 20; i++)
+    {
+      assert_serves (&e);
+      work_ms (50);
+    }
+  work_ms (1000);
+  g_assert_cmpuint (open_files (), <=, before);
+  g_assert_cmpuint (connections_open (e.connections), ==, 0);
+  edge_close (&e);
+}
+
+/* One that the edge closes for idleness gives its descriptor back as well. */
+static void
+test_idle_then_closed (void)
+{
+  struct edge e;
+  guint before;
+  GSocket *s;
+
+  edge_open (&e);
+  before = open_files ();
+  s = client_open (&e);
+  say (s, WHOLE);
+  g_assert_true (heard (s, "\r\n\r\nhi"));
+  work_ms (IDLE_MS + 1200);
+  client_close (s);
+  g_assert_cmpuint (open_files (), <=, before);
+  g_assert_cmpuint (connections_open (e.connections), ==, 0);
+  edge_close (&e);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -571,6 +626,8 @@
   g_test_add_func ("/connections/half-body-then-gone",
                    test_half_body_then_gone);
   g_test_add_func ("/connections/idle", test_idle);
+  g_test_add_func ("/connections/kept-then-closed", test_kept_then_closed);
+  g_test_add_func ("/connections/idle-then-closed", test_idle_then_closed);
   g_test_add_func ("/connections/slow-second-request",
                    test_slow_second_request);
   g_test_add_func ("/connections/too-many", test_too_many);
