--- a/src/requests.c
+++ b/src/requests.c
@@ -6,6 +6,7 @@
 #define HOLD_RENEW_MS 2000
 #define DEFAULT_RUN_PATIENCE_MS 60000
 #define VIEW_MAX_AGE_MS 3000
+#define SEND_WITHIN_MS 1000
 #define LOG_RETRY_AFTER_MS 1000
 #define BUSY_RETRY_AFTER_MS 500
 
@@ -38,6 +39,7 @@
   int64_t asked_ms;
   char *vm;        /* where it runs, or ran last */
   int64_t held_ms; /* last renewal of the slot's lease */
+  enum reason ran; /* how its last run that may have started ended */
   bool abandoned;
 };
 
@@ -162,11 +164,22 @@
   turn_send (t, l->owner, p);
 }
 
+/* What ended L: REASON, unless that says "not run" and an earlier attempt may
+   have started. */
+static enum reason
+true_reason (const struct live *l, enum reason reason)
+{
+  if (l->ran != REASON_NONE && reason_outcome (reason) == OUTCOME_NOT_RUN)
+    return l->ran;
+  return reason;
+}
+
 /* End L, which waits and so has not run in this attempt, for REASON. */
 static void
 end_waiting (struct requests *r, struct turn *t, struct live *l,
              enum reason reason, int64_t retry_after_ms)
 {
+  reason = true_reason (l, reason);
   if (l->state == LIVE_CLAIMING)
     cancel_claim (t, l);
   if (l->state == LIVE_WAITING && l->owner != NULL)
@@ -447,6 +460,7 @@
   run->class_name = g_strdup (l->class_name);
   run->idempotent = l->idempotent;
   run->timeout_ms = l->deadline_ms - t->now_ms;
+  run->send_by_ms = t->now_ms + SEND_WITHIN_MS;
   run->max_answer_bytes = l->max_answer_bytes;
   turn_put (t, m);
   counters_add (t->counters, COUNTER_DISPATCHED, 1);
@@ -500,7 +514,8 @@
   const struct peer_slot_grant *g = &m->u.slot_grant;
   struct live *l = find (r, g->request);
 
-  if (l == NULL || l->state != LIVE_WAITING || l->attempt != g->attempt)
+  if (l == NULL || l->state != LIVE_WAITING || l->attempt != g->attempt
+      || t->resuming)
     {
       return_unwanted (t, m);
       return;
@@ -542,6 +557,7 @@
     case PEER_SLOT_RETURN:
     case PEER_SLOT_HOLD:
     case PEER_SLOT_CANCEL:
+    case PEER_VM_NEWS:
     case PEER_KEY_CANCEL:
     case PEER_KEY_CANCELLED:
     case PEER_KIND_COUNT:
@@ -559,6 +575,8 @@
       return REASON_NONE;
     case RUN_NOT_STARTED:
       return REASON_BACK_END_REFUSED;
+    case RUN_NOT_SENT:
+      return REASON_TOO_LATE;
     case RUN_FAILED:
       return REASON_BACK_END_FAILED;
     case RUN_LOST:
@@ -608,6 +626,8 @@
   if (!l->abandoned && turn->now_ms <= l->start_by_ms)
     choice = retry_decide (budget_of (requests, l), l->idempotent,
                            message->result, l->attempt);
+  if (message->result != RUN_NOT_STARTED && message->result != RUN_NOT_SENT)
+    l->ran = reason;
   if (choice == RETRY_AGAIN)
     {
       counters_add_retry (turn->counters, reason);
@@ -616,7 +636,7 @@
     }
   if (choice == RETRY_BUDGET_SPENT)
     reason = REASON_RETRY_BUDGET;
-  finish (requests, turn, l, reason, message->status);
+  finish (requests, turn, l, true_reason (l, reason), message->status);
 }
 
 void
--- a/tests/unit/test_fuzz.c
+++ b/tests/unit/test_fuzz.c
@@ -341,6 +341,16 @@
 
 /* Peer messages. */
 
+static void
+add_vm_state (struct peer_message *p, const char *vm, enum vm_state state)
+{
+  struct peer_vm_state s = { g_strdup (vm), state, 3 };
+
+  if (p->u.vm_news.states == NULL)
+    p->u.vm_news.states = peer_vm_states_new ();
+  g_array_append_val (p->u.vm_news.states, s);
+}
+
 static struct peer_message *
 make_peer (enum peer_kind kind)
 {
@@ -374,6 +384,10 @@
       p->u.slot_hold.vm = g_strdup ("vm-1");
       p->u.slot_hold.pool = g_strdup ("search");
       break;
+    case PEER_VM_NEWS:
+      add_vm_state (p, "vm-1", VM_STATE_LEAVING);
+      add_vm_state (p, "vm-2", VM_STATE_GONE);
+      break;
     default:
       break;
     }
