--- a/src/core.c
+++ b/src/core.c
@@ -2,6 +2,8 @@
 
 #include "broker.h"
 #include "fleet.h"
+#include "keys.h"
+#include "listing.h"
 #include "members.h"
 #include "operators.h"
 #include "plan.h"
@@ -13,6 +15,11 @@
 
 #define JOIN_AGAIN_MS 3000
 #define PLAN_EVERY_MS 200
+/* No message for so long, with ticks due every CORE_TICK_MS, is a pause. */
+#define PAUSE_MS 1000
+/* After a pause, what waited may be old for so long: the VM list and the
+   peers' heartbeats are read anew within it. */
+#define RESUME_MS 1200
 
 struct core
 {
@@ -25,10 +32,15 @@
   struct broker *broker;
   struct requests *requests;
   struct plan *plan;
+  struct listing *listing;
   struct operators *operators;
+  struct keys *keys;
   GHashTable *leaving; /* set of VMs that the platform said are leaving */
   bool log_reachable;
-  int64_t fresh_ms; /* when the fleet was last at the log's head */
+  int64_t fresh_ms;   /* when the fleet was last at the log's head */
+  int64_t handled_ms; /* when the last message came; 0 for none */
+  int64_t resumed_ms; /* when the last pause ended */
+  bool resuming;
   int64_t heartbeat_ms;
   int64_t planned_ms;
   int64_t joined_ms; /* when this node last asked to join */
@@ -51,7 +63,9 @@
   c->broker = broker_new (options->seed);
   c->requests = requests_new (options->max_requests);
   c->plan = plan_new ();
+  c->listing = listing_new ();
   c->operators = operators_new ();
+  c->keys = keys_new ();
   c->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->fresh_ms = -1;
   return c;
@@ -62,8 +76,10 @@
 {
   if (core == NULL)
     return;
+  keys_destroy (core->keys);
   operators_destroy (core->operators);
   plan_destroy (core->plan);
+  listing_destroy (core->listing);
   requests_destroy (core->requests);
   broker_destroy (core->broker);
   members_destroy (core->members);
@@ -80,6 +96,22 @@
   return core->fleet;
 }
 
+/* Notice a pause of the process.  What was in its queues meanwhile is old but
+   looks new, so it starts no work until it has surely heard news. */
+static void
+note_time (struct core *c, int64_t now_ms)
+{
+  if (now_ms - c->handled_ms > PAUSE_MS)
+    {
+      c->resumed_ms = now_ms;
+      c->resuming = true;
+      c->fresh_ms = -1;
+    }
+  else if (now_ms - c->resumed_ms >= RESUME_MS)
+    c->resuming = false;
+  c->handled_ms = now_ms;
+}
+
 static struct turn
 begin_turn (struct core *c, int64_t now_ms, GQueue *out)
 {
@@ -92,6 +124,7 @@
     .counters = c->counters,
     .view_age_ms = c->fresh_ms < 0 ? INT32_MAX : now_ms - c->fresh_ms,
     .log_reachable = c->log_reachable,
+    .resuming = c->resuming,
     .stopping = c->stopping,
     .out = out,
   };
@@ -151,7 +184,7 @@
                   int64_t now_ms)
 {
   c->log_reachable = m->reachable;
-  if (m->reachable && fleet_offset (c->fleet) >= m->head)
+  if (!c->resuming && m->reachable && fleet_offset (c->fleet) >= m->head)
     c->fresh_ms = now_ms;
 }
 
@@ -169,10 +202,12 @@
 }
 
 static void
-handle_vm_list (struct core *c, const struct message_vm_list *m,
-                int64_t now_ms)
+handle_vm_list (struct core *c, struct turn *t,
+                const struct message_vm_list *m)
 {
-  plan_list (c->plan, m->vms, now_ms);
+  plan_list (c->plan, m->vms, t->now_ms);
+  plan_add_listed (c->plan, t);
+  listing_tell (c->listing, t, m->vms);
   for (guint i = 0; i < m->vms->len; i++)
     {
       const struct listed_vm *v = &g_array_index (m->vms, struct listed_vm, i);
@@ -181,6 +216,23 @@
     }
 }
 
+static void
+handle_vm_news (struct core *c, const struct peer_message *p, int64_t now_ms)
+{
+  const GArray *states = p->u.vm_news.states;
+
+  for (guint i = 0; i < states->len; i++)
+    {
+      const struct peer_vm_state *s
+          = &g_array_index (states, struct peer_vm_state, i);
+
+      plan_note (c->plan, s->vm, s->state, s->running, now_ms);
+      set_leaving (c, s->vm, s->state != VM_STATE_LIVE);
+    }
+  listing_hear (c->listing, &p->u.vm_news);
+  listing_note_read (c->listing, p->from, now_ms);
+}
+
 static void
 handle_heartbeat (struct core *c, const struct peer_message *p, int64_t now_ms)
 {
@@ -210,6 +262,13 @@
     case PEER_SLOT_REFUSE:
       requests_handle (c->requests, t, p);
       break;
+    case PEER_VM_NEWS:
+      handle_vm_news (c, p, t->now_ms);
+      break;
+    case PEER_KEY_CANCEL:
+    case PEER_KEY_CANCELLED:
+      keys_handle (c->keys, t, c->requests, p);
+      break;
     case PEER_KIND_COUNT:
       break;
     }
@@ -308,8 +367,11 @@
       || t->now_ms - c->heartbeat_ms >= MEMBERS_HEARTBEAT_MS)
     send_heartbeat (c, t);
   join (c, t);
+  if (listing_is_due (c->listing, t))
+    turn_put (t, message_new (MESSAGE_READ_LIST));
   requests_step (c->requests, t);
   operators_step (c->operators, t);
+  keys_step (c->keys, t);
   if (t->now_ms - c->planned_ms >= PLAN_EVERY_MS)
     {
       plan_step (c->plan, t);
@@ -335,7 +397,10 @@
 {
   struct status_input in = { t, c->plan, c->broker, c->requests };
 
-  operators_query (c->operators, t, &in, c->requests, q);
+  if (q->kind == QUERY_KEY || q->kind == QUERY_CANCEL)
+    keys_query (c->keys, t, c->requests, q);
+  else
+    operators_query (c->operators, t, &in, q);
 }
 
 static void
@@ -359,7 +424,7 @@
       handle_log_state (c, &m->u.log_state, t->now_ms);
       break;
     case MESSAGE_VM_LIST:
-      handle_vm_list (c, &m->u.vm_list, t->now_ms);
+      handle_vm_list (c, t, &m->u.vm_list);
       break;
     case MESSAGE_PEER:
       handle_peer (c, t, m->u.peer.peer);
@@ -379,6 +444,7 @@
     case MESSAGE_APPEND_CANCEL:
     case MESSAGE_SEND:
     case MESSAGE_PLATFORM:
+    case MESSAGE_READ_LIST:
     case MESSAGE_REPLY:
     case MESSAGE_STOPPED:
       break;
@@ -408,8 +474,10 @@
              GQueue *out)
 {
   GQueue work = G_QUEUE_INIT;
-  struct turn t = begin_turn (core, now_ms, &work);
+  struct turn t;
 
+  note_time (core, now_ms);
+  t = begin_turn (core, now_ms, &work);
   handle_one (core, &t, message);
   message_destroy (message);
   drain (core, &t, &work, out);
--- a/src/counters.h
+++ b/src/counters.h
@@ -29,6 +29,7 @@
   COUNTER_RECORDS_MALFORMED,
   COUNTER_VM_LIST_READS,
   COUNTER_VM_LIST_FAILURES,
+  COUNTER_VM_LIST_BYTES,
   COUNTER_VM_MOVES,
   COUNTER_VM_DRAINS,
   COUNTER_VM_REBOOTS,
@@ -48,6 +49,13 @@
   COUNTER_GRANTS_STALE,
   COUNTER_LATE_ANSWERS,
   COUNTER_ADMIN_UNAUTHORIZED,
+  COUNTER_CONNECTIONS_ACCEPTED,
+  COUNTER_CONNECTIONS_REFUSED,
+  COUNTER_CONNECTIONS_IDLE_CLOSED,
+  COUNTER_CONNECTIONS_SLOW_CLOSED,
+  COUNTER_CONNECTIONS_STALLED,
+  COUNTER_CONNECTIONS_BROKEN,
+  COUNTER_CALLERS_GONE,
   COUNTER_COUNT
 };
 
@@ -83,6 +91,9 @@
 struct counters *counters_new (void);
 void counters_destroy (struct counters *counters);
 
+/* Return the name of COUNTER as it is printed. */
+const char *counter_name (enum counter counter);
+
 /* Add AMOUNT to COUNTER. */
 void counters_add (struct counters *counters, enum counter counter,
                    uint64_t amount);
@@ -111,4 +122,8 @@
 /* Write every counter as `name{label="value"} number` lines to OUT. */
 void counters_render (const struct counters *counters, GString *out);
 
+/* Write every counter as one JSON object to OUT, with refusals and retries as
+   objects by reason. */
+void counters_render_json (const struct counters *counters, GString *out);
+
 #endif
--- /dev/null
+++ b/tests/replay/tests.cmake
@@ -0,0 +1,21 @@
+# Replays of traces through the product's own decisions.
+file(GLOB REPLAY_SOURCES CONFIGURE_DEPENDS replay/*.c)
+add_executable(replay ${REPLAY_SOURCES})
+target_link_libraries(replay PRIVATE shed)
+
+# add_replay (NAME DEPLOYMENT CONFIGURATION OUTCOMES): the trace of seed 1.
+function(add_replay name deployment configuration outcomes)
+  add_test(NAME replay_${name}
+    COMMAND replay run ${deployment} 1
+      examples/${configuration}/configuration.json
+      tests/replay/${outcomes}.outcomes
+    WORKING_DIRECTORY ${CMAKE_SOURCE_DIR})
+  set_tests_properties(replay_${name} PROPERTIES TIMEOUT 180)
+endfunction()
+foreach(deployment kandy thessaly)
+  add_replay(${deployment} ${deployment} ${deployment} ${deployment})
+  add_replay(${deployment}_heavy ${deployment}-heavy ${deployment}
+    ${deployment})
+  add_replay(${deployment}_short_work ${deployment} ${deployment}
+    ${deployment}-short-work)
+endforeach()
