--- a/src/broker.c
+++ b/src/broker.c
@@ -1,9 +1,6 @@
 #include "broker.h"
 
-#include "admit.h"
-#include "estimate.h"
-#include "queue.h"
-#include "quota.h"
+#include "pool.h"
 
 #include <string.h>
 
@@ -11,33 +8,6 @@
 #define SLOT_LEASE_MS 6000
 #define QUEUE_MAX 20000
 
-/* A class is patient if its target is so many times that of the pool's most
-   urgent one. */
-#define PATIENT_FACTOR 4
-/* The most slots that patient work may have, stragglers of any class among
-   them; and the least, also while urgent work waits, once it has waited for a
-   part of its target. */
-#define PATIENT_MAX_PERCENT 50
-#define PATIENT_MIN_PERCENT 5
-#define PATIENT_PRESSING_PARTS 4
-
-struct grant;
-
-/* What the owner keeps of one pool. */
-struct pool
-{
-  char *name;
-  struct queue *queue;
-  struct quota *quota;
-  GHashTable *estimates; /* class name -> struct estimate * */
-  struct admit admit[LANE_COUNT];
-  uint32_t running[LANE_COUNT]; /* but for the stragglers */
-  uint32_t stragglers;          /* running; of either lane */
-  uint64_t config_version;      /* that the figures below are from */
-  int64_t tightest_ms;          /* start_within_ms of its urgent classes */
-  bool has_idempotent;
-};
-
 /* A slot in use, kept under a lease of the node that uses it. */
 struct grant
 {
@@ -111,21 +81,9 @@
 }
 
 static void
-free_estimate (gpointer p)
+destroy_pool (gpointer p)
 {
-  estimate_destroy (p);
-}
-
-static void
-pool_free (gpointer p)
-{
-  struct pool *o = p;
-
-  queue_destroy (o->queue);
-  quota_destroy (o->quota);
-  g_hash_table_unref (o->estimates);
-  g_free (o->name);
-  g_free (o);
+  pool_destroy (p);
 }
 
 struct broker *
@@ -134,7 +92,8 @@
   struct broker *b = g_new0 (struct broker, 1);
 
   b->place = place_new (seed);
-  b->pools = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, pool_free);
+  b->pools
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, destroy_pool);
   b->waiting = g_hash_table_new (waiting_hash, waiting_equal);
   b->grants
       = g_hash_table_new_full (grant_hash, grant_equal, grant_free, NULL);
@@ -155,39 +114,6 @@
   g_free (broker);
 }
 
-/* Pools and classes. */
-
-static bool
-is_of_pool (const struct config *c, const struct config_class *k,
-            const char *pool)
-{
-  return strcmp (c->services[k->service].pool_name, pool) == 0;
-}
-
-/* Take in the configuration, if another is in force. */
-static void
-sync_pool (struct pool *o, const struct turn *t)
-{
-  const struct config *c = fleet_config (t->fleet);
-  uint64_t version = fleet_config_version (t->fleet);
-
-  if (c == NULL || o->config_version == version)
-    return;
-  o->config_version = version;
-  o->tightest_ms = INT64_MAX;
-  o->has_idempotent = false;
-  for (guint i = 0; i < c->n_classes; i++)
-    {
-      const struct config_class *k = &c->classes[i];
-
-      if (!is_of_pool (c, k, o->name))
-        continue;
-      o->tightest_ms = MIN (o->tightest_ms, k->start_within_ms);
-      o->has_idempotent |= k->idempotent;
-    }
-  quota_sync (o->quota, c);
-}
-
 static struct pool *
 pool_of (struct broker *b, const struct turn *t, const char *name)
 {
@@ -195,44 +121,13 @@
 
   if (o == NULL)
     {
-      o = g_new0 (struct pool, 1);
-      o->name = g_strdup (name);
-      o->queue = queue_new ();
-      o->quota = quota_new ();
-      o->estimates = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                            free_estimate);
-      o->tightest_ms = INT64_MAX;
+      o = pool_new (name);
       g_hash_table_insert (b->pools, o->name, o);
     }
-  sync_pool (o, t);
+  pool_sync (o, t->fleet);
   return o;
 }
 
-static struct estimate *
-estimate_of (struct pool *o, const char *class_name, int64_t expected_ms)
-{
-  struct estimate *e = g_hash_table_lookup (o->estimates, class_name);
-
-  if (e != NULL)
-    return e;
-  e = estimate_new (expected_ms);
-  g_hash_table_insert (o->estimates, g_strdup (class_name), e);
-  return e;
-}
-
-/* Return the class CLASS_NAME of a service of POOL, or NULL. */
-static const struct config_class *
-class_of (const struct turn *t, const struct pool *o, const char *class_name)
-{
-  const struct config *c = fleet_config (t->fleet);
-
-  for (guint i = 0; c != NULL && i < c->n_classes; i++)
-    if (strcmp (c->classes[i].name, class_name) == 0
-        && is_of_pool (c, &c->classes[i], o->name))
-      return &c->classes[i];
-  return NULL;
-}
-
 /* Grants. */
 
 static gint
@@ -310,45 +205,9 @@
 /* Admission. */
 
 static uint32_t
-patient_min (uint32_t slots)
-{
-  return MAX (slots * PATIENT_MIN_PERCENT / 100, 1);
-}
-
-static uint32_t
-patient_max (uint32_t slots)
-{
-  return MAX (slots * PATIENT_MAX_PERCENT / 100, 1);
-}
-
-/* The slots that LANE of a pool with SLOTS can count on. */
-static uint32_t
-lane_slots (const struct pool *o, enum lane lane, uint32_t slots)
-{
-  uint32_t kept = o->stragglers;
-
-  if (lane == LANE_PATIENT)
-    return patient_max (slots);
-  if (queue_length (o->queue, LANE_PATIENT) > 0)
-    kept += patient_min (slots);
-  return slots > kept ? slots - kept : 1;
-}
-
-static struct admit_load
-load_before (const struct broker *b, const struct pool *o,
-             const struct waiting *w)
+slots_of (const struct broker *b, const struct pool *o)
 {
-  uint32_t slots = place_slots (b->place, o->name, NULL);
-  uint32_t usable = lane_slots (o, w->lane, slots);
-  uint32_t waiting = queue_length (o->queue, w->lane);
-  struct admit_load l = { .slots_milli = usable * INT64_C (1000) };
-
-  if (slots == 0)
-    l.slots_milli = 0;
-  l.ahead = queue_ahead (o->queue, w, &l.ahead_of_team);
-  l.mean_us = queue_work_us (o->queue, w->lane) / MAX (waiting, 1);
-  l.entitled_milli = quota_entitled_milli (o->quota, w->team, usable);
-  return l;
+  return place_slots (b->place, o->name, NULL);
 }
 
 /* Take W out of what waits. */
@@ -365,7 +224,7 @@
            enum reason reason)
 {
   struct pool *o = w->pool;
-  struct admit_load l = load_before (b, o, w);
+  struct admit_load l = pool_load_before (o, w, slots_of (b, o));
   int64_t wait_ms = admit_wait_ms (&l);
   int64_t excess_ms = wait_ms - (w->start_by_ms - t->now_ms);
 
@@ -381,8 +240,8 @@
             const struct waiting *w)
 {
   const struct pool *o = w->pool;
-  struct admit_load l = load_before (b, o, w);
-  uint32_t slots = place_slots (b->place, o->name, NULL);
+  struct admit_load l = pool_load_before (o, w, slots_of (b, o));
+  uint32_t slots = slots_of (b, o);
 
   if (queue_length (o->queue, w->lane) > QUEUE_MAX)
     return REASON_QUEUE_FULL;
@@ -401,7 +260,7 @@
 {
   const struct peer_slot_ask *a = &m->u.slot_ask;
   struct pool *o = pool_of (b, t, a->pool);
-  const struct config_class *k = class_of (t, o, a->class_name);
+  const struct config_class *k = pool_class (o, t->fleet, a->class_name);
   struct waiting *w = g_new0 (struct waiting, 1);
 
   w->node = g_strdup (m->from);
@@ -414,11 +273,10 @@
   w->avoid = g_strdup (a->avoid);
   w->start_by_ms = t->now_ms + a->wait_ms;
   w->target_ms = k != NULL ? k->start_within_ms : a->wait_ms;
-  if (k != NULL && k->start_within_ms / PATIENT_FACTOR > o->tightest_ms)
-    w->lane = LANE_PATIENT;
+  w->lane = pool_lane (o, k);
   w->may_probe = k == NULL || k->idempotent || !o->has_idempotent;
-  w->run_us
-      = estimate_mean_us (estimate_of (o, a->class_name, MAX (a->run_ms, 1)));
+  w->run_us = estimate_mean_us (
+      pool_estimate (o, a->class_name, MAX (a->run_ms, 1)));
   return w;
 }
 
@@ -555,7 +413,7 @@
   g->attempt = w->attempt;
   g->lane = w->lane;
   g->team = w->team;
-  g->estimate = estimate_of (w->pool, w->class_name, w->run_us / 1000);
+  g->estimate = pool_estimate (w->pool, w->class_name, w->run_us / 1000);
   g_hash_table_add (b->grants, g);
   set_timer (b, g);
   w->team->used++;
@@ -568,37 +426,6 @@
   counters_add (t->counters, COUNTER_GRANTS, 1);
 }
 
-/* Whether W, of the patient lane, has waited so long that its lane may claim
-   its least share before urgent work. */
-static bool
-is_pressing (const struct turn *t, const struct waiting *w)
-{
-  int64_t left_ms = w->start_by_ms - t->now_ms;
-
-  return left_ms < w->target_ms - w->target_ms / PATIENT_PRESSING_PARTS;
-}
-
-/* Return who of O gets the next slot, or NULL if nobody may. */
-static struct waiting *
-choose (const struct broker *b, const struct turn *t, const struct pool *o)
-{
-  uint32_t slots = place_slots (b->place, o->name, NULL);
-  struct waiting *urgent
-      = queue_next (o->queue, LANE_URGENT, o->quota, slots, t->now_ms);
-  struct waiting *patient
-      = queue_next (o->queue, LANE_PATIENT, o->quota, slots, t->now_ms);
-  uint32_t running = o->running[LANE_PATIENT];
-
-  if (patient != NULL && running < patient_min (slots)
-      && (urgent == NULL || is_pressing (t, patient)))
-    return patient;
-  if (urgent != NULL || patient == NULL)
-    return urgent;
-  if (running + o->stragglers < patient_max (slots))
-    return patient;
-  return NULL;
-}
-
 static void
 expire (struct broker *b, struct turn *t, struct pool *o, enum lane lane)
 {
@@ -606,9 +433,7 @@
 
   while ((w = queue_earliest (o->queue, lane)) != NULL
          && w->start_by_ms < t->now_ms)
-    turn_away (b, t, w,
-               place_slots (b->place, o->name, NULL) == 0 ? REASON_NO_VM
-                                                          : REASON_TOO_LATE);
+    turn_away (b, t, w, slots_of (b, o) == 0 ? REASON_NO_VM : REASON_TOO_LATE);
   admit_note (&o->admit[lane], w != NULL, t->now_ms);
 }
 
@@ -619,7 +444,7 @@
 
   expire (b, t, o, LANE_URGENT);
   expire (b, t, o, LANE_PATIENT);
-  while ((w = choose (b, t, o)) != NULL)
+  while ((w = pool_choose (o, slots_of (b, o), t->now_ms)) != NULL)
     {
       const char *vm
           = place_take (b->place, o->name, w->avoid, w->may_probe, t->now_ms);
