Bound the retries of runs that never started

Cause: a run that a back end did not start was tried up to 20 times outside of any budget, so when no back end took work, each request came to 20 runs. Ruled out: the budget of failed runs (10 retries and 8% of the requests); such a run may be turned away by the dozen when an owner changes or a VM fails.

--- a/src/retry.h
+++ b/src/retry.h
@@ -8,11 +8,14 @@
 
 /* Whether a run that brought no answer is tried again.  Each class has a
    budget that its requests fill, so that retries stay a small share of them
-   even when everything fails. */
+   even when everything fails.  Runs that certainly never started have one of
+   their own, which is larger: a VM that has just failed, or an owner that has
+   just changed, turns many away within moments. */
 
 struct retry_budget
 {
   int64_t milli_tokens; /* one retry costs 1000 */
+  int64_t not_started_milli_tokens;
 };
 
 enum retry_choice
