--- /dev/null
+++ b/tests/bench/bench_decisions.c
@@ -0,0 +1,181 @@
+#include "../unit/broker_fixture.h"
+
+#include "fit.h"
+#include "plan.h"
+
+#include <stdio.h>
+
+/* What deciding costs: one placement, one admission, one fold of a record and
+   one plan, on the product's own functions. */
+
+#define PLACEMENTS 200000
+#define ASKS 20000
+#define RECORDS 200000
+#define PLANS 20
+
+static double
+now_us (void)
+{
+  return (double)g_get_monotonic_time ();
+}
+
+/* One slot taken and given back, with half of the slots of VMS in use. */
+static double
+placement_us (uint32_t vms)
+{
+  struct fixture f;
+  struct place *p = place_new (1);
+  double began_us;
+  double took_us;
+
+  fixture_open (&f);
+  fixture_add_vms (&f, "search", vms, 8);
+  place_sync (p, f.fleet);
+  for (uint32_t i = 0; i < vms * 4; i++)
+    place_take (p, "search", "", true, 0);
+  began_us = now_us ();
+  for (int i = 0; i < PLACEMENTS; i++)
+    place_give (p, place_take (p, "search", "", true, i), RUN_ANSWERED, i);
+  took_us = (now_us () - began_us) / PLACEMENTS;
+  place_destroy (p);
+  fixture_close (&f);
+  return took_us;
+}
+
+/* One request asked for, granted and returned, while others of TEAMS teams
+   wait. */
+static double
+admission_us (uint32_t teams)
+{
+  struct fixture f;
+  double began_us;
+  double took_us;
+
+  fixture_open (&f);
+  fixture_add_vms (&f, "search", 12, 8);
+  broker_sync (f.broker, &f.turn);
+  for (uint32_t i = 1; i <= 96 + teams; i++)
+    {
+      char *team = g_strdup_printf ("team-%u", i % teams);
+
+      fixture_ask (&f, i, "counter-lookup", team, 2000);
+      g_free (team);
+    }
+  fixture_next_grant (&f);
+  began_us = now_us ();
+  for (uint32_t i = 1; i <= ASKS; i++)
+    {
+      struct message *m;
+
+      fixture_ask (&f, 96 + teams + i, "counter-lookup", "team-1", 2000);
+      fixture_return (&f, i, RUN_ANSWERED);
+      broker_step (f.broker, &f.turn);
+      while ((m = g_queue_pop_head (&f.out)) != NULL)
+        message_destroy (m);
+    }
+  took_us = (now_us () - began_us) / ASKS;
+  fixture_close (&f);
+  return took_us;
+}
+
+static double
+fold_us (void)
+{
+  struct fleet *fleet = fleet_new ();
+  struct record **records = g_new0 (struct record *, RECORDS);
+  double began_us;
+  double took_us;
+
+  for (uint64_t i = 0; i < RECORDS; i++)
+    {
+      records[i] = record_new (RECORD_CLAIM, "n1", 1);
+      records[i]->u.claim.key = (struct key_id){ .high = i, .low = ~i };
+      records[i]->u.claim.request = i + 1;
+      records[i]->u.claim.remember_ms = 3600000;
+    }
+  began_us = now_us ();
+  for (uint64_t i = 0; i < RECORDS; i++)
+    fleet_fold (fleet, records[i], i + 1, 1);
+  took_us = (now_us () - began_us) / RECORDS;
+  for (uint64_t i = 0; i < RECORDS; i++)
+    record_destroy (records[i]);
+  g_free (records);
+  fleet_destroy (fleet);
+  return took_us;
+}
+
+static GArray *
+list_of (uint32_t vms)
+{
+  GArray *list = listed_vms_new ();
+
+  for (uint32_t i = 0; i < vms; i++)
+    {
+      struct listed_vm l = { .vm = g_strdup_printf ("search-%u", i),
+                             .address = g_strdup ("127.0.0.1"),
+                             .port = 1,
+                             .zone = g_strdup ("z"),
+                             .rack = g_strdup ("r"),
+                             .pool = g_strdup ("search"),
+                             .slots = 8,
+                             .state = VM_STATE_LIVE };
+
+      g_array_append_val (list, l);
+    }
+  return list;
+}
+
+static double
+plan_us (uint32_t vms)
+{
+  struct fixture f;
+  struct plan *plan = plan_new ();
+  GArray *list = list_of (vms);
+  double began_us;
+  double took_us;
+
+  fixture_open (&f);
+  fixture_add_vms (&f, "search", vms, 8);
+  plan_list (plan, list, 1);
+  began_us = now_us ();
+  for (int i = 0; i < PLANS; i++)
+    {
+      struct message *m;
+
+      f.turn.now_ms += 200;
+      plan_step (plan, &f.turn);
+      while ((m = g_queue_pop_head (&f.out)) != NULL)
+        message_destroy (m);
+    }
+  took_us = (now_us () - began_us) / PLANS;
+  g_array_unref (list);
+  plan_destroy (plan);
+  fixture_close (&f);
+  return took_us;
+}
+
+static void
+report (const char *name, double (*measure) (uint32_t), const uint32_t *sizes,
+        size_t n)
+{
+  struct point points[8];
+
+  for (size_t i = 0; i < n; i++)
+    points[i] = (struct point){ sizes[i], measure (sizes[i]) };
+  fit_print (name, "us", points, n);
+}
+
+int
+main (void)
+{
+  static const uint32_t pools[] = { 10, 50, 240, 1000 };
+  static const uint32_t teams[] = { 3, 9, 24, 72 };
+  static const uint32_t vms[] = { 50, 500, 2000, 5500 };
+
+  report ("placement by workers a pool", placement_us, pools, 4);
+  report ("ask, grant and return by teams that wait", admission_us, teams, 4);
+  report ("plan by VMs", plan_us, vms, 4);
+  printf ("fold of a claim: %.2f us, %.0f records a second\n", fold_us (),
+          1e6 / fold_us ());
+  return 0;
+}
--- a/tests/replay/tests.cmake
+++ b/tests/replay/tests.cmake
@@ -19,3 +19,7 @@
   add_replay(${deployment}_short_work ${deployment} ${deployment}
     ${deployment}-short-work)
 endforeach()
+
+# What one decision costs.
+add_executable(bench_decisions bench/bench_decisions.c bench/fit.c)
+target_link_libraries(bench_decisions PRIVATE shed)
