Weigh putting stragglers aside, and a node's death, in the replay

Baseline "parking": one queue by deadline in which a run that outran eight times what its class expects is put aside (a checkpoint) while others wait.

--- a/tests/replay/baseline.c
+++ b/tests/replay/baseline.c
@@ -22,7 +22,9 @@
   double left_ms; /* of its run */
   double due_ms;  /* to start by */
   double end_ms;  /* while it runs */
+  double park_ms; /* how long it may run before it is put aside */
   bool started;
+  bool parked; /* it outran its estimate */
 };
 
 struct line
@@ -31,7 +33,8 @@
   GSequence *running; /* by end */
   GSequence *victims; /* the running, the first to give way last */
   GCompareDataFunc order;
-  bool preempts;
+  bool preempts; /* what ranks lower gives way */
+  bool parks;    /* only what outran its estimate gives way */
   uint32_t slots;
   struct baseline_result *result;
 };
@@ -64,6 +67,8 @@
   const struct job *x = a;
   const struct job *y = b;
 
+  if (x->parked != y->parked)
+    return x->parked ? 1 : -1;
   if (x->straggler != y->straggler)
     return x->straggler ? 1 : -1;
   if (x->target_ms != y->target_ms)
@@ -71,6 +76,18 @@
   return by_place (x, y);
 }
 
+/* By deadline, and what was put aside last. */
+static gint
+by_park (gconstpointer a, gconstpointer b, gpointer unused)
+{
+  const struct job *x = a;
+  const struct job *y = b;
+
+  if (x->parked != y->parked)
+    return x->parked ? 1 : -1;
+  return by_deadline (a, b, NULL);
+}
+
 static gint
 by_end (gconstpointer a, gconstpointer b, gpointer unused)
 {
@@ -111,6 +128,8 @@
         = now_ms - j->came_ms;
   j->started = true;
   j->end_ms = now_ms + j->left_ms;
+  if (l->parks && !j->parked)
+    j->end_ms = now_ms + MIN (j->left_ms, j->park_ms);
   g_sequence_insert_sorted (l->running, j, by_end, NULL);
   g_sequence_insert_sorted (l->victims, j, by_rank, NULL);
 }
@@ -123,6 +142,30 @@
   j->left_ms = j->end_ms - now_ms;
 }
 
+/* J has run until END_MS, all it needed or all that it may. */
+static void
+finish (struct line *l, struct job *j)
+{
+  double ran_ms = MIN (j->left_ms, j->park_ms);
+
+  take_out (l->running, j, by_end);
+  take_out (l->victims, j, by_rank);
+  if (!l->parks || j->parked || ran_ms >= j->left_ms)
+    return;
+  j->left_ms -= ran_ms;
+  j->parked = true;
+  g_sequence_insert_sorted (l->waiting, j, l->order, NULL);
+}
+
+/* Whether VICTIM gives way to J. */
+static bool
+gives_way (const struct line *l, const struct job *victim, const struct job *j)
+{
+  if (l->parks)
+    return victim->parked && !j->parked;
+  return l->preempts && by_rank (j, victim, NULL) < 0;
+}
+
 static void
 start_waiting (struct line *l, double now_ms)
 {
@@ -138,7 +181,7 @@
           take_out (l->waiting, j, l->order);
           continue;
         }
-      if (full && !(l->preempts && by_rank (j, victim, NULL) < 0))
+      if (full && !gives_way (l, victim, j))
         return;
       take_out (l->waiting, j, l->order);
       if (full)
@@ -174,7 +217,7 @@
         {
           double now_ms = end->end_ms;
 
-          stop (l, end, now_ms);
+          finish (l, end);
           start_waiting (l, now_ms);
           continue;
         }
@@ -318,6 +361,7 @@
       j.left_ms = (double)f->event->run_ms;
       j.target_ms = k->start_within_ms;
       j.due_ms = j.came_ms + (double)k->start_within_ms;
+      j.park_ms = (double)k->expected_run_ms * STRAGGLER_FACTOR;
       j.straggler = f->event->run_ms > k->expected_run_ms * STRAGGLER_FACTOR;
       g_array_append_val (jobs, j);
     }
@@ -343,6 +387,11 @@
       l.preempts = true;
       run_line (&l, jobs, -1);
       break;
+    case BASELINE_PARKING:
+      l.order = by_park;
+      l.parks = true;
+      run_line (&l, jobs, -1);
+      break;
     case BASELINE_ONE_QUEUE:
       run_line (&l, jobs, -1);
       break;
@@ -373,6 +422,7 @@
 {
   static const char *const names[BASELINE_COUNT] = {
     [BASELINE_CLAIRVOYANT] = "clairvoyant",
+    [BASELINE_PARKING] = "parking",
     [BASELINE_ONE_QUEUE] = "one-queue",
     [BASELINE_FIXED_SHARES] = "fixed-shares",
     [BASELINE_TWO_CHOICES] = "two-choices",
--- a/tests/replay/main.c
+++ b/tests/replay/main.c
@@ -6,10 +6,11 @@
 
 /* replay generate DEPLOYMENT SEED
    replay run DEPLOYMENT SEED|FILE CONFIGURATION [OUTCOMES]
+   replay kill DEPLOYMENT SEED|FILE CONFIGURATION NODE AT_MS
 
-   The second prints the figures of one replay as NAME VALUE lines, and checks
-   the stated outcomes, lines of NAME <= VALUE, NAME >= VALUE or
-   NAME = VALUE. */
+   The second, and the third whose node NODE dies at AT_MS, prints the figures
+   of one replay as NAME VALUE lines, and checks the stated outcomes, lines of
+   NAME <= VALUE, NAME >= VALUE or NAME = VALUE. */
 
 #define NODES 8
 #define RETURNS 3
@@ -313,11 +314,28 @@
   return FALSE;
 }
 
+/* The share of the requests that were refused even after coming back. */
+static double
+refused_at_end (const GArray *fates)
+{
+  uint32_t refused = 0;
+
+  for (guint i = 0; i < fates->len; i++)
+    {
+      const struct fate *f = &g_array_index (fates, struct fate, i);
+
+      refused += f->ended && !f->cancelled && f->refused_ms >= 0
+                 && f->reason != REASON_BODY_TOO_LARGE;
+    }
+  return percent (refused, fates->len);
+}
+
 static void
 put_all (figures *out, const GArray *trace, const struct replay_result *r)
 {
   put (out, "all", "runs", (double)r->runs);
   put (out, "all", "requests", r->fates->len);
+  put (out, "all", "refused_at_end_percent", refused_at_end (r->fates));
   put (out, "all", "runs_over_slots", (double)r->runs_over_slots);
   put (out, "all", "runs_on_broken_percent",
        percent ((double)r->runs_on_broken,
@@ -398,11 +416,9 @@
 }
 
 static int
-run (const char *deployment, const char *source, const char *config_name,
-     const char *outcomes)
+run (const struct replay_options *o, const char *deployment,
+     const char *source, const char *config_name, const char *outcomes)
 {
-  struct replay_options o
-      = { .n_nodes = NODES, .max_returns = RETURNS, .kill_node = -1 };
   GError *error = NULL;
   char *text = replay_config (config_name, &error);
   bool is_seed = g_ascii_isdigit (source[0]);
@@ -421,7 +437,7 @@
       return 2;
     }
   config = config_from_text (text, -1, NULL);
-  r = replay_run (trace, text, &o);
+  r = replay_run (trace, text, o);
   put_all (f, trace, r);
   put_classes (f, trace, r, config);
   for (guint p = 0; p < config->n_pools; p++)
@@ -441,16 +457,27 @@
 int
 main (int argc, char **argv)
 {
+  struct replay_options o
+      = { .n_nodes = NODES, .max_returns = RETURNS, .kill_node = -1 };
   GArray *trace;
 
+  if (argc == 7 && strcmp (argv[1], "kill") == 0)
+    {
+      o.kill_node = atoi (argv[5]);
+      o.kill_ms = atoi (argv[6]);
+      return run (&o, argv[2], argv[3], argv[4], NULL);
+    }
   if (argc >= 5 && strcmp (argv[1], "run") == 0)
-    return run (argv[2], argv[3], argv[4], argc > 5 ? argv[5] : NULL);
+    return run (&o, argv[2], argv[3], argv[4], argc > 5 ? argv[5] : NULL);
   if (argc != 4 || strcmp (argv[1], "generate") != 0
       || (trace = generate_trace (argv[2], (uint32_t)atoi (argv[3]))) == NULL)
     {
-      fprintf (stderr, "usage: replay generate DEPLOYMENT SEED\n"
-                       "       replay run DEPLOYMENT SEED|FILE CONFIGURATION "
-                       "[OUTCOMES]\n");
+      fprintf (stderr,
+               "usage: replay generate DEPLOYMENT SEED\n"
+               "       replay run DEPLOYMENT SEED|FILE CONFIGURATION "
+               "[OUTCOMES]\n"
+               "       replay kill DEPLOYMENT SEED|FILE CONFIGURATION NODE "
+               "AT_MS\n");
       return 2;
     }
   trace_write (trace, stdout);
--- a/tests/replay/replay.h
+++ b/tests/replay/replay.h
@@ -64,6 +64,7 @@
 enum baseline
 {
   BASELINE_CLAIRVOYANT,  /* one queue, true run times, preemption */
+  BASELINE_PARKING,      /* one queue by deadline; stragglers put aside */
   BASELINE_ONE_QUEUE,    /* one queue by deadline, no preemption */
   BASELINE_FIXED_SHARES, /* each node has its own share of the slots */
   BASELINE_TWO_CHOICES,  /* each node picks from two by gossiped load */
