--- a/tests/sim/world.c
+++ b/tests/sim/world.c
@@ -8,6 +8,7 @@
 #define TICK_MAX_MS 70
 #define LINK_MAX_MS 4
 #define LATE_MAX_MS 2500
+#define EDGE_LATE_MAX_MS 6000
 #define DROP_PERCENT 30
 #define SETTLE_MS 10000
 
@@ -229,7 +230,7 @@
 static void
 route (struct world *w, int node, struct message *m)
 {
-  int64_t late_ms = w->edge_late[node] > 0 ? draw (w, 0, LATE_MAX_MS) : 0;
+  int64_t late_ms = w->edge_late[node] > 0 ? draw (w, 0, EDGE_LATE_MAX_MS) : 0;
   struct event *e;
 
   switch (m->kind)
