--- a/src/admin.c
+++ b/src/admin.c
@@ -2,12 +2,14 @@
 
 #include "callers.h"
 #include "config.h"
+#include "connections.h"
 #include "http.h"
 
 #include <libsoup/soup.h>
 #include <string.h>
 
 #define WAIT_ALL_MAX_MS 60000
+#define MAX_CONNECTIONS 64
 
 struct admin
 {
@@ -16,6 +18,7 @@
   const struct settings *settings;
   struct counters *counters;
   SoupServer *server;
+  struct connections *connections;
   uint64_t last_number;
   GHashTable *waiting; /* query number -> SoupServerMessage * */
 };
@@ -26,25 +29,35 @@
   const char *method;
   const char *name;
   enum query_kind kind;
+  bool needs_subject;
 };
 
 static const struct route routes[] = {
-  { "GET", "configuration", QUERY_CONFIGURATION },
-  { "POST", "configuration", QUERY_PUBLISH },
-  { "PUT", "configuration", QUERY_PUBLISH },
-  { "GET", "maintenance", QUERY_MAINTENANCE },
-  { "POST", "maintenance", QUERY_MAINTAIN },
-  { "DELETE", "maintenance", QUERY_MAINTAIN_CANCEL },
-  { "GET", "status", QUERY_STATUS },
-  { "GET", "explain", QUERY_EXPLAIN },
+  { "GET", "configuration", QUERY_CONFIGURATION, false },
+  { "POST", "configuration", QUERY_PUBLISH, false },
+  { "PUT", "configuration", QUERY_PUBLISH, false },
+  { "GET", "maintenance", QUERY_MAINTENANCE, false },
+  { "POST", "maintenance", QUERY_MAINTAIN, false },
+  { "DELETE", "maintenance", QUERY_MAINTAIN_CANCEL, true },
+  { "GET", "status", QUERY_STATUS, false },
+  { "GET", "explain", QUERY_EXPLAIN, true },
 };
 
+static char *
+problem_text (guint status, const char *what, const char *remedy)
+{
+  return g_strdup_printf ("{\"type\":\"about:blank\",\"title\":\"%s\","
+                          "\"status\":%u,\"problem\":\"%s\","
+                          "\"remedy\":\"%s\"}",
+                          soup_status_get_phrase (status), status, what,
+                          remedy);
+}
+
 static void
 problem (SoupServerMessage *message, guint status, const char *what,
          const char *remedy)
 {
-  char *text = g_strdup_printf ("{\"problem\":\"%s\",\"remedy\":\"%s\"}", what,
-                                remedy);
+  char *text = problem_text (status, what, remedy);
 
   http_answer_json (message, status, text);
   g_free (text);
@@ -67,6 +80,23 @@
   return value == NULL ? "" : value;
 }
 
+/* Whether NAME is absent from QUERY, or a number from 0 to MAX. */
+static bool
+is_number_or_absent (GHashTable *query, const char *name, gint64 max)
+{
+  const char *text = parameter (query, name);
+
+  return text[0] == '\0'
+         || g_ascii_string_to_signed (text, 10, 0, max, NULL, NULL);
+}
+
+static bool
+parameters_are_good (GHashTable *query)
+{
+  return is_number_or_absent (query, "base", G_MAXINT64)
+         && is_number_or_absent (query, "wait_ms", WAIT_ALL_MAX_MS);
+}
+
 static void
 read_publish_parameters (struct message_query *q, GHashTable *query)
 {
@@ -107,6 +137,16 @@
 {
   GString *text = g_string_new (NULL);
 
+  counters_render_json (a->counters, text);
+  http_answer_json (message, 200, text->str);
+  g_string_free (text, TRUE);
+}
+
+static void
+answer_metrics (struct admin *a, SoupServerMessage *message)
+{
+  GString *text = g_string_new (NULL);
+
   counters_render (a->counters, text);
   soup_server_message_set_status (message, 200, NULL);
   soup_server_message_set_response (message, "text/plain; charset=utf-8",
@@ -124,36 +164,64 @@
   return NULL;
 }
 
+static bool
+is_under_admin (char **path)
+{
+  return g_strv_length (path) >= 3 && strcmp (path[0], "admin") == 0
+         && strcmp (path[1], "v1") == 0;
+}
+
+/* Whether one of the routes, or the counters, has NAME. */
+static bool
+is_page (const char *name)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (routes); i++)
+    if (strcmp (routes[i].name, name) == 0)
+      return true;
+  return strcmp (name, "counters") == 0;
+}
+
+static void
+ask_route (struct admin *a, SoupServerMessage *message, const struct route *r,
+           GHashTable *query, GBytes *body)
+{
+  char *prefix = g_strdup_printf ("/admin/v1/%s/", r->name);
+  const char *subject = http_path_after (message, prefix);
+
+  if (r->needs_subject && subject == NULL)
+    problem (message, 400, "the path names nothing",
+             "add a name, as in /admin/v1/explain/SUBJECT");
+  else if (parameters_are_good (query))
+    ask_core (a, message, r->kind, subject != NULL ? subject : "", query,
+              body);
+  else
+    problem (message, 400, "base or wait_ms is not a number in range",
+             "write base=VERSION, and wait_ms from 0 to 60000");
+  g_free (prefix);
+}
+
 static void
 answer (struct admin *a, SoupServerMessage *message, char **path,
-        GHashTable *query)
+        GHashTable *query, GBytes *body)
 {
-  guint n = g_strv_length (path);
   const char *method = soup_server_message_get_method (message);
-  const struct route *r = NULL;
-  GBytes *body = http_take_body (message);
-
-  if (n >= 3 && strcmp (path[0], "admin") == 0 && strcmp (path[1], "v1") == 0)
-    r = find_route (method, path[2]);
-  if (body == NULL)
-    problem (message, 413, "the body is too large",
-             "send at most 1048576 bytes");
-  else if (r != NULL)
-    {
-      char *subject = n > 3 ? g_strjoinv ("/", path + 3) : g_strdup ("");
+  bool get = strcmp (method, "GET") == 0;
+  const struct route *r
+      = is_under_admin (path) ? find_route (method, path[2]) : NULL;
 
-      ask_core (a, message, r->kind, subject, query, body);
-      g_free (subject);
-    }
-  else if ((n == 1 && strcmp (path[0], "metrics") == 0)
-           || (n == 3 && strcmp (path[2], "counters") == 0))
+  if (r != NULL)
+    ask_route (a, message, r, query, body);
+  else if (get && is_under_admin (path) && strcmp (path[2], "counters") == 0)
     answer_counters (a, message);
+  else if (get && path[0] != NULL && strcmp (path[0], "metrics") == 0)
+    answer_metrics (a, message);
+  else if (is_under_admin (path) && is_page (path[2]))
+    problem (message, 405, "the page does not take this method",
+             "see the API page for the methods of each");
   else
     problem (message, 404, "no such page",
              "use /admin/v1/configuration, maintenance, status, counters or "
-             "explain/SUBJECT");
-  if (body != NULL)
-    g_bytes_unref (body);
+             "explain/SUBJECT, or /metrics");
 }
 
 static void
@@ -161,38 +229,76 @@
             GHashTable *query, gpointer data)
 {
   struct admin *a = data;
+  GBytes *body;
   char **parts;
 
-  if (!http_same_secret (http_bearer (message), a->settings->admin_token))
+  /* Answered already, when its headers had arrived. */
+  if (soup_server_message_get_status (message) != 0)
+    return;
+  body = http_take_body (message);
+  if (body == NULL) /* refused as it came */
     {
-      counters_add (a->counters, COUNTER_ADMIN_UNAUTHORIZED, 1);
-      problem (message, 401, "the token is missing or wrong",
-               "send Authorization: Bearer with the node's admin_token");
+      soup_server_message_set_status (message, 413, NULL);
       return;
     }
   parts = http_path (message);
-  answer (a, message, parts, query);
+  answer (a, message, parts, query, body);
   g_strfreev (parts);
+  g_bytes_unref (body);
+}
+
+/* Refuse MESSAGE before any of its body is taken in. */
+static void
+refuse_stranger (struct admin *a, SoupServerMessage *message)
+{
+  static const char what[] = "the token is missing or wrong";
+  static const char remedy[]
+      = "send Authorization: Bearer with the node's admin_token";
+
+  counters_add (a->counters, COUNTER_ADMIN_UNAUTHORIZED, 1);
+  soup_message_body_set_accumulate (
+      soup_server_message_get_request_body (message), FALSE);
+  problem (message, SOUP_STATUS_UNAUTHORIZED, what, remedy);
+  if (http_has_body (message))
+    {
+      char *text = problem_text (SOUP_STATUS_UNAUTHORIZED, what, remedy);
+
+      connections_answer_early (message, SOUP_STATUS_UNAUTHORIZED,
+                                HTTP_PROBLEM_TYPE, text);
+      g_free (text);
+    }
 }
 
 static void
 on_headers (SoupServer *server, SoupServerMessage *message, const char *path,
             GHashTable *query, gpointer data)
 {
-  http_collect_body (message, CONFIG_MAX_BYTES);
+  struct admin *a = data;
+
+  if (http_same_secret (http_bearer (message), a->settings->admin_token))
+    http_collect_body (message, CONFIG_MAX_BYTES, a->counters);
+  else
+    refuse_stranger (a, message);
 }
 
 static void
 start (void *data)
 {
   struct admin *a = data;
+  struct connections_limits limits = {
+    .max = MAX_CONNECTIONS,
+    .idle_ms = a->settings->idle_timeout_ms,
+    .request_ms = a->settings->header_timeout_ms,
+  };
   GError *error = NULL;
 
   a->server = soup_server_new ("server-header", "burdockshed", NULL);
   soup_server_add_early_handler (a->server, NULL, on_headers, a, NULL);
   soup_server_add_handler (a->server, NULL, on_request, a, NULL);
-  if (!http_listen (a->server, a->settings->admin.address,
-                    a->settings->admin.port, &error))
+  a->connections = connections_new (a->server, a->settings->admin.address,
+                                    a->settings->admin.port, &limits, NULL,
+                                    NULL, a->counters, &error);
+  if (a->connections == NULL)
     g_error ("%s", error->message);
 }
 
@@ -223,6 +329,7 @@
 
   soup_server_disconnect (a->server);
   g_hash_table_remove_all (a->waiting);
+  connections_destroy (a->connections);
   g_object_unref (a->server);
 }
 
--- a/src/core.c
+++ b/src/core.c
@@ -2,6 +2,7 @@
 
 #include "broker.h"
 #include "fleet.h"
+#include "keys.h"
 #include "leaving.h"
 #include "listing.h"
 #include "members.h"
@@ -35,6 +36,7 @@
   struct plan *plan;
   struct listing *listing;
   struct operators *operators;
+  struct keys *keys;
   struct leaving *leaving;
   bool log_reachable;
   int64_t fresh_ms; /* when the log was asked for the head that the fleet was
@@ -68,6 +70,7 @@
   c->plan = plan_new ();
   c->listing = listing_new ();
   c->operators = operators_new ();
+  c->keys = keys_new ();
   c->leaving = leaving_new ();
   c->fresh_ms = -1;
   c->permit_until_ms = -1;
@@ -79,6 +82,7 @@
 {
   if (core == NULL)
     return;
+  keys_destroy (core->keys);
   operators_destroy (core->operators);
   plan_destroy (core->plan);
   listing_destroy (core->listing);
@@ -288,6 +292,10 @@
     case PEER_VM_NEWS:
       handle_vm_news (c, p, t->now_ms);
       break;
+    case PEER_KEY_CANCEL:
+    case PEER_KEY_CANCELLED:
+      keys_handle (c->keys, t, c->requests, p);
+      break;
     case PEER_KIND_COUNT:
       break;
     }
@@ -413,6 +421,7 @@
     turn_put (t, message_new (MESSAGE_READ_LIST));
   requests_step (c->requests, t);
   operators_step (c->operators, t);
+  keys_step (c->keys, t);
   if (t->now_ms - c->planned_ms >= PLAN_EVERY_MS)
     {
       GArray *loads = own_loads (c);
@@ -441,7 +450,10 @@
 {
   struct status_input in = { t, c->plan, c->broker, c->requests };
 
-  operators_query (c->operators, t, &in, c->requests, q);
+  if (q->kind == QUERY_KEY || q->kind == QUERY_CANCEL)
+    keys_query (c->keys, t, c->requests, q);
+  else
+    operators_query (c->operators, t, &in, q);
 }
 
 static void
--- a/src/peer_message.c
+++ b/src/peer_message.c
@@ -12,17 +12,32 @@
 #define SLOT_HOLD_TYPE "(tuss)"
 #define SLOT_CANCEL_TYPE "(tu)"
 #define VM_NEWS_TYPE "a(syu)"
-
-static const char *const payload_types[PEER_KIND_COUNT]
-    = { HEARTBEAT_TYPE,   SLOT_ASK_TYPE,  SLOT_GRANT_TYPE,  SLOT_REFUSE_TYPE,
-        SLOT_RETURN_TYPE, SLOT_HOLD_TYPE, SLOT_CANCEL_TYPE, VM_NEWS_TYPE };
+#define KEY_CANCEL_TYPE "(ttt)"
+#define KEY_CANCELLED_TYPE "(tb)"
+
+static const char *const payload_types[PEER_KIND_COUNT] = {
+  [PEER_HEARTBEAT] = HEARTBEAT_TYPE,
+  [PEER_SLOT_ASK] = SLOT_ASK_TYPE,
+  [PEER_SLOT_GRANT] = SLOT_GRANT_TYPE,
+  [PEER_SLOT_REFUSE] = SLOT_REFUSE_TYPE,
+  [PEER_SLOT_RETURN] = SLOT_RETURN_TYPE,
+  [PEER_SLOT_HOLD] = SLOT_HOLD_TYPE,
+  [PEER_SLOT_CANCEL] = SLOT_CANCEL_TYPE,
+  [PEER_VM_NEWS] = VM_NEWS_TYPE,
+  [PEER_KEY_CANCEL] = KEY_CANCEL_TYPE,
+  [PEER_KEY_CANCELLED] = KEY_CANCELLED_TYPE,
+};
 
 const char *
 peer_kind_name (enum peer_kind kind)
 {
-  static const char *const names[PEER_KIND_COUNT]
-      = { "heartbeat",   "slot-ask",  "slot-grant",  "slot-refuse",
-          "slot-return", "slot-hold", "slot-cancel", "vm-news" };
+  static const char *const names[PEER_KIND_COUNT] = {
+    [PEER_HEARTBEAT] = "heartbeat",     [PEER_SLOT_ASK] = "slot-ask",
+    [PEER_SLOT_GRANT] = "slot-grant",   [PEER_SLOT_REFUSE] = "slot-refuse",
+    [PEER_SLOT_RETURN] = "slot-return", [PEER_SLOT_HOLD] = "slot-hold",
+    [PEER_SLOT_CANCEL] = "slot-cancel", [PEER_VM_NEWS] = "vm-news",
+    [PEER_KEY_CANCEL] = "key-cancel",   [PEER_KEY_CANCELLED] = "key-cancelled",
+  };
 
   return names[kind];
 }
@@ -128,6 +143,8 @@
       break;
     case PEER_SLOT_REFUSE:
     case PEER_SLOT_CANCEL:
+    case PEER_KEY_CANCEL:
+    case PEER_KEY_CANCELLED:
     case PEER_KIND_COUNT:
       break;
     }
@@ -241,6 +258,14 @@
                             (guint32)m->u.slot_cancel.attempt);
     case PEER_VM_NEWS:
       return vm_news_to_variant (&m->u.vm_news);
+    case PEER_KEY_CANCEL:
+      return g_variant_new (KEY_CANCEL_TYPE, (guint64)m->u.key_cancel.query,
+                            (guint64)m->u.key_cancel.key.high,
+                            (guint64)m->u.key_cancel.key.low);
+    case PEER_KEY_CANCELLED:
+      return g_variant_new (KEY_CANCELLED_TYPE,
+                            (guint64)m->u.key_cancelled.query,
+                            (gboolean)m->u.key_cancelled.cancelled);
     case PEER_KIND_COUNT:
       break;
     }
@@ -352,6 +377,8 @@
 static bool
 read_payload (struct peer_message *m, GVariant *v)
 {
+  gboolean cancelled;
+
   switch (m->kind)
     {
     case PEER_HEARTBEAT:
@@ -382,6 +409,15 @@
       return true;
     case PEER_VM_NEWS:
       return read_vm_news (&m->u.vm_news, v);
+    case PEER_KEY_CANCEL:
+      g_variant_get (v, KEY_CANCEL_TYPE, &m->u.key_cancel.query,
+                     &m->u.key_cancel.key.high, &m->u.key_cancel.key.low);
+      return true;
+    case PEER_KEY_CANCELLED:
+      g_variant_get (v, KEY_CANCELLED_TYPE, &m->u.key_cancelled.query,
+                     &cancelled);
+      m->u.key_cancelled.cancelled = cancelled;
+      return true;
     case PEER_KIND_COUNT:
       break;
     }
--- a/src/permission.c
+++ b/src/permission.c
@@ -119,7 +119,8 @@
   note (&closing->read_by_most_ms, readers != READERS_MISSING, turn->now_ms);
   note (&closing->read_by_all_ms, readers == READERS_ALL, turn->now_ms);
   return has_lasted (closing->read_by_all_ms,
-                     PERMISSION_SEND_MS + PERMISSION_MARGIN_MS, turn->now_ms)
+                     MESSAGE_SEND_WITHIN_MS + PERMISSION_MARGIN_MS,
+                     turn->now_ms)
          || has_lasted (closing->read_by_most_ms,
                         PERMISSION_MS + PERMISSION_MARGIN_MS, turn->now_ms);
 }
--- a/src/permission.h
+++ b/src/permission.h
@@ -24,10 +24,6 @@
 /* What is waited for in addition, for clocks that run at other rates. */
 #define PERMISSION_MARGIN_MS 500
 
-/* After a node's permission was last seen to hold, a run may be on its way to
-   the edge for this long. */
-#define PERMISSION_SEND_MS 500
-
 /* Return the clock time up to which this node may start work, given that it
    last asked the log for its head at FRESH_MS (-1 for never) and had read all
    of it; -1 if it may not. */
--- a/src/requests.c
+++ b/src/requests.c
@@ -7,7 +7,8 @@
 #define ASK_AGAIN_MS 1500
 #define HOLD_RENEW_MS 2000
 #define DEFAULT_RUN_PATIENCE_MS 60000
-#define LOG_RETRY_AFTER_MS 1000
+#define LOG_RETRY_AFTER_MIN_MS 1000
+#define LOG_RETRY_AFTER_MAX_MS 30000
 #define BUSY_RETRY_AFTER_MS 500
 
 enum live_state
@@ -337,6 +338,15 @@
   counters_add (t->counters, COUNTER_CLAIMS_APPENDED, 1);
 }
 
+/* When to come back while the log does not answer: an outage that has lasted
+   for long is likely to last for as long again. */
+static int64_t
+log_retry_after_ms (const struct turn *t)
+{
+  return CLAMP (t->view_age_ms, LOG_RETRY_AFTER_MIN_MS,
+                LOG_RETRY_AFTER_MAX_MS);
+}
+
 /* Admit a request that is not idempotent: claim its key, unless an earlier
    claim or the state of the log forbids it. */
 static enum reason
@@ -383,7 +393,7 @@
     reason = begin_claimed (requests, turn, l, message, k);
   if (reason != REASON_NONE)
     {
-      send_refusal (turn, message->request, reason, LOG_RETRY_AFTER_MS);
+      send_refusal (turn, message->request, reason, log_retry_after_ms (turn));
       live_free (l);
       return;
     }
@@ -458,7 +468,8 @@
   run->class_name = g_strdup (l->class_name);
   run->idempotent = l->idempotent;
   run->timeout_ms = l->deadline_ms - t->now_ms;
-  run->send_by_ms = MIN (t->permit_until_ms, t->now_ms + PERMISSION_SEND_MS);
+  run->send_by_ms
+      = MIN (t->permit_until_ms, t->now_ms + MESSAGE_SEND_WITHIN_MS);
   run->max_answer_bytes = l->max_answer_bytes;
   turn_put (t, m);
   counters_add (t->counters, COUNTER_DISPATCHED, 1);
@@ -556,6 +567,8 @@
     case PEER_SLOT_HOLD:
     case PEER_SLOT_CANCEL:
     case PEER_VM_NEWS:
+    case PEER_KEY_CANCEL:
+    case PEER_KEY_CANCELLED:
     case PEER_KIND_COUNT:
       break;
     }
--- a/tests/sim/log.c
+++ b/tests/sim/log.c
@@ -4,6 +4,7 @@
 
 /* The fake log, and each node's task that appends to it and reads it. */
 
+#define HOUR_MS 3600000
 #define APPEND_GAP_MS 60
 #define APPEND_RETRY_MS 250
 #define READ_RETRY_MS 200
@@ -245,6 +246,8 @@
 
   state->u.log_state.reachable = reachable;
   state->u.log_state.asked_ms = w->now_ms;
+  if (world_permission_is_off (w))
+    state->u.log_state.asked_ms += HOUR_MS;
   if (reachable)
     {
       if (n->read_after < w->entries->len)
--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -93,7 +93,8 @@
   int64_t booted_ms;
   int64_t clock_base_ms;
   bool frozen;
-  GQueue held; /* struct event *, while frozen */
+  int64_t frozen_ms; /* since when */
+  GQueue held;       /* struct event *, while frozen */
   int64_t last_ms[CHANNEL_COUNT];
   int64_t last_peer_ms[MAX_NODES]; /* of messages to each peer */
   uint64_t last_request;
@@ -143,6 +144,7 @@
   int node;
   uint64_t incarnation;
   uint64_t request;
+  int64_t sent_ms;
   bool over;        /* the caller has heard, or has gone */
   bool caller_gone; /* as the edge sees it */
   bool run_active;
@@ -214,6 +216,10 @@
 void log_write (struct world *w, const struct event *e);
 void log_appended (struct world *w, const struct event *e);
 void log_read (struct world *w, int node);
+
+/* Return whether a mutation keeps the nodes' permission to start work from
+   lapsing. */
+bool world_permission_is_off (const struct world *w);
 void outgoing_free (gpointer p);
 
 /* vms.c */
--- a/tests/sim/world.h
+++ b/tests/sim/world.h
@@ -49,7 +49,12 @@
   MUTATION_DEAF_TO_LEAVING, /* nobody hears that a VM is leaving */
   MUTATION_NO_BUDGET,       /* the pools' budgets are not known */
   MUTATION_NO_VERSION,      /* a publication replaces whatever is in force */
-  MUTATION_LATE_SENDS,      /* edges send however late the order comes */
+  MUTATION_LATE_SENDS,      /* edges send however late the order comes, and
+                               their nodes do not say that a run is under way */
+  MUTATION_NO_PAUSE,        /* cores see no gap while their node is frozen, and
+                               their permission does not lapse */
+  MUTATION_NO_ACK,          /* all are taken to have read the log to its end,
+                               and no permission lapses */
   WORLD_MUTATION_COUNT
 };
 
