--- /dev/null
+++ b/tests/unit/test_wave.c
@@ -0,0 +1,417 @@
+#include "core.h"
+#include "fleet.h"
+
+#include <glib.h>
+#include <string.h>
+
+/* Maintenance waves on a virtual clock: one node's core, a log, and a small
+   fake of the platform's VMs. */
+
+#define VMS 12
+#define PER_RACK 4
+#define REBOOT_MS 30000
+#define BUDGET 3 /* 25% of 12 */
+#define LIST_EVERY_MS 1500
+
+#define CONFIG                                                                \
+  "{\"automation\":\"%s\",\"teams\":[{\"name\":\"t\",\"token_sha256\":"       \
+  "\"b45f6aab3f78ddf81953881d73f96fa19564b50ee1f733ea5f782d548a1f1189\","     \
+  "\"quota_slots\":8}],"                                                      \
+  "\"pools\":[{\"name\":\"a\"}],"                                             \
+  "\"services\":[{\"name\":\"s\",\"pool\":\"a\"}],"                           \
+  "\"classes\":[{\"name\":\"c\",\"service\":\"s\",\"start_within_ms\":1000,"  \
+  "\"survive\":\"rack\",\"max_unavailable_percent\":25}]}"
+
+struct fake_vm
+{
+  char name[8];
+  enum vm_state state;
+  int64_t back_ms; /* when it is live again; -1 for not by itself */
+  uint32_t running;
+  int reboots;
+};
+
+struct world
+{
+  struct core *core;
+  struct counters *counters;
+  int64_t now_ms;
+  int64_t listed_ms;
+  uint64_t head;
+  GPtrArray *log; /* struct record *, not yet read */
+  struct fake_vm vms[VMS];
+  int never_return; /* reboots to come that do not end */
+  char *reply;
+};
+
+static void take (struct world *w, struct message *m);
+
+static struct fake_vm *
+find_vm (struct world *w, const char *name)
+{
+  for (int i = 0; i < VMS; i++)
+    if (strcmp (w->vms[i].name, name) == 0)
+      return &w->vms[i];
+  g_assert_not_reached ();
+}
+
+static void
+obey (struct world *w, const struct message_platform *order)
+{
+  struct fake_vm *v = find_vm (w, order->vm);
+
+  if (order->action == PLATFORM_DRAIN && v->state == VM_STATE_LIVE)
+    v->state = VM_STATE_LEAVING;
+  if (order->action != PLATFORM_REBOOT || v->state == VM_STATE_REBOOTING)
+    return;
+  g_assert_cmpuint (v->running, ==, 0);
+  v->reboots++;
+  v->state = VM_STATE_REBOOTING;
+  v->back_ms = w->never_return > 0 ? -1 : w->now_ms + REBOOT_MS;
+  if (w->never_return > 0)
+    w->never_return--;
+}
+
+static void
+take_out (struct world *w, struct message *m)
+{
+  switch (m->kind)
+    {
+    case MESSAGE_APPEND:
+      g_ptr_array_add (w->log, g_steal_pointer (&m->u.append.record));
+      break;
+    case MESSAGE_PLATFORM:
+      obey (w, &m->u.platform);
+      break;
+    case MESSAGE_REPLY:
+      g_free (w->reply);
+      w->reply = g_strdup (m->u.reply.text);
+      break;
+    default:
+      break;
+    }
+  message_destroy (m);
+}
+
+static void
+take (struct world *w, struct message *m)
+{
+  GQueue out = G_QUEUE_INIT;
+  struct message *next;
+
+  core_handle (w->core, m, w->now_ms, &out);
+  while ((next = g_queue_pop_head (&out)) != NULL)
+    take_out (w, next);
+}
+
+/* What was appended is in the log, and read. */
+static void
+read_log (struct world *w)
+{
+  struct message *state = message_new (MESSAGE_LOG_STATE);
+
+  if (w->log->len > 0)
+    {
+      struct message *m = message_new (MESSAGE_RECORDS);
+
+      m->u.records.entries = log_entries_new ();
+      for (guint i = 0; i < w->log->len; i++)
+        {
+          struct log_entry e
+              = { ++w->head, w->now_ms, g_ptr_array_index (w->log, i) };
+
+          g_array_append_val (m->u.records.entries, e);
+        }
+      g_ptr_array_set_size (w->log, 0);
+      take (w, m);
+    }
+  state->u.log_state.reachable = true;
+  state->u.log_state.head = w->head;
+  state->u.log_state.asked_ms = w->now_ms;
+  take (w, state);
+}
+
+static void
+read_list (struct world *w)
+{
+  struct message *m = message_new (MESSAGE_VM_LIST);
+
+  m->u.vm_list.vms = listed_vms_new ();
+  m->u.vm_list.asked_ms = w->now_ms;
+  for (int i = 0; i < VMS; i++)
+    {
+      struct listed_vm l = { .vm = g_strdup (w->vms[i].name),
+                             .address = g_strdup ("127.0.0.1"),
+                             .port = 1,
+                             .zone = g_strdup ("z"),
+                             .rack = g_strdup_printf ("r%d", i / PER_RACK),
+                             .pool = g_strdup ("a"),
+                             .slots = 8,
+                             .running = w->vms[i].running,
+                             .state = w->vms[i].state };
+
+      g_array_append_val (m->u.vm_list.vms, l);
+    }
+  take (w, m);
+  w->listed_ms = w->now_ms;
+}
+
+static uint32_t
+count_out (struct world *w)
+{
+  uint32_t out;
+
+  fleet_pool_size (core_fleet (w->core), "a", &out);
+  return out;
+}
+
+/* Let TIME_MS pass; no more than MOST VMs may be out of service meanwhile. */
+static void
+pass (struct world *w, int64_t time_ms, uint32_t most)
+{
+  for (int64_t end_ms = w->now_ms + time_ms; w->now_ms < end_ms;)
+    {
+      w->now_ms += CORE_TICK_MS;
+      for (int i = 0; i < VMS; i++)
+        if (w->vms[i].back_ms >= 0 && w->now_ms >= w->vms[i].back_ms)
+          {
+            w->vms[i].state = VM_STATE_LIVE;
+            w->vms[i].back_ms = -1;
+          }
+      read_log (w);
+      if (w->now_ms - w->listed_ms >= LIST_EVERY_MS)
+        read_list (w);
+      take (w, message_new (MESSAGE_TICK));
+      g_assert_cmpuint (count_out (w), <=, most);
+    }
+}
+
+static void
+publish (struct world *w, const char *automation)
+{
+  struct record *r = record_new (RECORD_CONFIG, "n0", 1);
+
+  r->u.config.base = fleet_config_version (core_fleet (w->core));
+  r->u.config.text = g_strdup_printf (CONFIG, automation);
+  g_ptr_array_add (w->log, r);
+}
+
+static void
+maintain (struct world *w, const char *name)
+{
+  struct record *r = record_new (RECORD_MAINTAIN, "n0", 1);
+
+  r->u.maintain.name = g_strdup (name);
+  r->u.maintain.pool = g_strdup ("a");
+  r->u.maintain.finish_within_ms = 3600000;
+  r->u.maintain.patience_ms = 20000;
+  g_ptr_array_add (w->log, r);
+}
+
+static void
+set_up (struct world *w)
+{
+  struct core_options options = {
+    .node = "n0", .zone = "z", .incarnation = 1, .max_requests = 10, .seed = 1
+  };
+
+  memset (w, 0, sizeof *w);
+  w->counters = counters_new ();
+  w->core = core_new (&options, w->counters);
+  w->log = g_ptr_array_new ();
+  w->now_ms = 10000;
+  for (int i = 0; i < VMS; i++)
+    {
+      g_snprintf (w->vms[i].name, sizeof w->vms[i].name, "v%02d", i);
+      w->vms[i].back_ms = -1;
+    }
+  publish (w, "running");
+  pass (w, 5000, 0);
+  g_assert_cmpuint (fleet_vms (core_fleet (w->core))->len, ==, VMS);
+}
+
+static void
+tear_down (struct world *w)
+{
+  core_destroy (w->core);
+  counters_destroy (w->counters);
+  g_ptr_array_unref (w->log);
+  g_free (w->reply);
+}
+
+static int
+count_maintained (const struct world *w)
+{
+  int n = 0;
+
+  for (int i = 0; i < VMS; i++)
+    n += w->vms[i].reboots > 0 && w->vms[i].state == VM_STATE_LIVE;
+  return n;
+}
+
+static const char *
+status (struct world *w)
+{
+  struct message *m = message_new (MESSAGE_QUERY);
+
+  m->u.query.kind = QUERY_STATUS;
+  m->u.query.subject = g_strdup ("");
+  m->u.query.token = g_strdup ("");
+  m->u.query.text = g_strdup ("");
+  take (w, m);
+  return w->reply;
+}
+
+/* Pass time until all VMs were maintained, at most FOR_MS.  Return how long
+   it took. */
+static int64_t
+finish (struct world *w, int64_t for_ms, uint32_t most)
+{
+  int64_t began_ms = w->now_ms;
+
+  while ((count_maintained (w) < VMS || count_out (w) > 0)
+         && w->now_ms - began_ms < for_ms)
+    pass (w, 200, most);
+  return w->now_ms - began_ms;
+}
+
+static void
+test_a_wave_is_nearly_as_short_as_the_budget_allows (void)
+{
+  struct world w;
+  int64_t bound_ms = VMS / BUDGET * REBOOT_MS;
+  int64_t took_ms;
+
+  set_up (&w);
+  maintain (&w, "w1");
+  took_ms = finish (&w, 600000, BUDGET);
+  g_test_message ("%d ms, lower bound %d ms, ratio %.3f", (int)took_ms,
+                  (int)bound_ms, (double)took_ms / (double)bound_ms);
+  g_assert_cmpint (count_maintained (&w), ==, VMS);
+  g_assert_cmpint (took_ms * 100, <=, bound_ms * 125);
+  for (int i = 0; i < VMS; i++)
+    g_assert_cmpint (w.vms[i].reboots, ==, 1);
+  tear_down (&w);
+}
+
+static void
+test_overlapping_waves_maintain_a_vm_once (void)
+{
+  struct world w;
+
+  set_up (&w);
+  maintain (&w, "w1");
+  maintain (&w, "w2");
+  finish (&w, 600000, BUDGET);
+  pass (&w, 60000, BUDGET);
+  for (int i = 0; i < VMS; i++)
+    g_assert_cmpint (w.vms[i].reboots, ==, 1);
+  tear_down (&w);
+}
+
+static void
+test_failures_pause_a_wave_and_it_goes_on (void)
+{
+  struct world w;
+  int done;
+
+  set_up (&w);
+  maintain (&w, "w1");
+  pass (&w, 40000, BUDGET);
+  done = count_maintained (&w);
+  g_assert_cmpint (done, >, 0);
+  /* A rack fails: four VMs, more than the budget by themselves. */
+  for (int i = VMS - PER_RACK; i < VMS; i++)
+    {
+      w.vms[i].state = VM_STATE_GONE;
+      w.vms[i].back_ms = -1;
+    }
+  pass (&w, 80000, BUDGET + PER_RACK);
+  g_assert_cmpuint (count_out (&w), ==, PER_RACK);
+  g_assert_nonnull (strstr (status (&w), "allows 25% of pool a"));
+  g_assert_nonnull (strstr (status (&w), "v11 (down)"));
+  done = count_maintained (&w);
+  pass (&w, 60000, PER_RACK);
+  g_assert_cmpint (count_maintained (&w), ==, done);
+  for (int i = VMS - PER_RACK; i < VMS; i++)
+    w.vms[i].back_ms = w.now_ms;
+  finish (&w, 600000, PER_RACK);
+  g_assert_cmpint (count_maintained (&w), ==, VMS);
+  tear_down (&w);
+}
+
+static void
+test_a_vm_that_never_returns_counts_as_out (void)
+{
+  struct world w;
+
+  set_up (&w);
+  w.never_return = 1;
+  maintain (&w, "w1");
+  finish (&w, 600000, BUDGET);
+  g_assert_cmpint (count_maintained (&w), ==, VMS - 1);
+  g_assert_cmpuint (count_out (&w), ==, 1);
+  g_assert_nonnull (strstr (status (&w), "did not come back"));
+  tear_down (&w);
+}
+
+static void
+test_a_straggler_is_named_and_not_cut (void)
+{
+  struct world w;
+
+  set_up (&w);
+  for (int i = 0; i < VMS; i++)
+    w.vms[i].running = 1;
+  maintain (&w, "w1");
+  pass (&w, 15000, BUDGET);
+  g_assert_nonnull (strstr (status (&w), "\"stragglers\":[]"));
+  pass (&w, 60000, BUDGET);
+  g_assert_null (strstr (status (&w), "\"stragglers\":[]"));
+  for (int i = 0; i < VMS; i++)
+    {
+      g_assert_cmpint (w.vms[i].reboots, ==, 0);
+      w.vms[i].running = 0;
+    }
+  finish (&w, 600000, BUDGET);
+  g_assert_cmpint (count_maintained (&w), ==, VMS);
+  tear_down (&w);
+}
+
+static void
+test_paused_automation_begins_nothing (void)
+{
+  struct world w;
+
+  set_up (&w);
+  publish (&w, "paused");
+  pass (&w, 1000, 0);
+  maintain (&w, "w1");
+  pass (&w, 60000, 0);
+  g_assert_nonnull (strstr (status (&w), "\"automation\":\"paused\""));
+  publish (&w, "running");
+  pass (&w, 10000, BUDGET);
+  g_assert_cmpuint (count_out (&w), ==, BUDGET);
+  /* What has begun is finished; nothing more begins. */
+  publish (&w, "paused");
+  pass (&w, 60000, BUDGET);
+  g_assert_cmpuint (count_out (&w), ==, 0);
+  g_assert_cmpint (count_maintained (&w), ==, BUDGET);
+  tear_down (&w);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/wave/length",
+                   test_a_wave_is_nearly_as_short_as_the_budget_allows);
+  g_test_add_func ("/wave/overlap", test_overlapping_waves_maintain_a_vm_once);
+  g_test_add_func ("/wave/failures",
+                   test_failures_pause_a_wave_and_it_goes_on);
+  g_test_add_func ("/wave/never-returns",
+                   test_a_vm_that_never_returns_counts_as_out);
+  g_test_add_func ("/wave/straggler", test_a_straggler_is_named_and_not_cut);
+  g_test_add_func ("/wave/paused", test_paused_automation_begins_nothing);
+  return g_test_run ();
+}
