Set up the library's types before there are threads

Cause: about one start in a hundred hung for ever: three threads used GLib's and libsoup's types for the first time at once; one held the class lock and waited for a type that another was registering, which waited for the class lock (stacks: g_type_class_ref in soup_session_new against g_socket_address_get_type). Ruled out: ports taken by another run (the node had logged its start and held no socket). Change: the classes are set up in the main thread first.

--- a/src/serve.c
+++ b/src/serve.c
@@ -10,7 +10,10 @@
 #include "peers.h"
 #include "task.h"
 
+#include <gio/gio.h>
 #include <glib-unix.h>
+#include <json-glib/json-glib.h>
+#include <libsoup/soup.h>
 #include <signal.h>
 #include <stdbool.h>
 
@@ -170,6 +173,28 @@
   return G_SOURCE_CONTINUE;
 }
 
+/* Set up the library's types before there are threads: two threads that use
+   them for the first time at once can wait for each other for ever. */
+static void
+prepare_types (void)
+{
+  const GType types[] = {
+    SOUP_TYPE_SERVER,           SOUP_TYPE_SESSION,
+    SOUP_TYPE_MESSAGE,          SOUP_TYPE_SERVER_MESSAGE,
+    G_TYPE_INET_SOCKET_ADDRESS, G_TYPE_SOCKET,
+    G_TYPE_SOCKET_CLIENT,       G_TYPE_SOCKET_SERVICE,
+    G_TYPE_SOCKET_CONNECTION,   G_TYPE_TCP_CONNECTION,
+    G_TYPE_CANCELLABLE,         G_TYPE_TASK,
+    JSON_TYPE_PARSER,           JSON_TYPE_BUILDER,
+    JSON_TYPE_GENERATOR,
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (types); i++)
+    g_type_class_unref (g_type_class_ref (types[i]));
+  g_object_unref (soup_server_new (NULL, NULL));
+  g_object_unref (soup_session_new ());
+}
+
 static void
 node_start (struct node *n)
 {
@@ -224,6 +249,7 @@
 
   signal (SIGPIPE, SIG_IGN);
   n.loop = g_main_loop_new (NULL, FALSE);
+  prepare_types ();
   node_start (&n);
   g_unix_signal_add (SIGTERM, on_signal, &n);
   g_unix_signal_add (SIGINT, on_signal, &n);
