--- a/tests/scenario/load.c
+++ b/tests/scenario/load.c
@@ -55,12 +55,25 @@
 make_body (const struct load *l, const char *id)
 {
   int run_ms = l->run_ms;
+  char *pad;
+  char *body;
 
   if (l->straggler_percent > 0
       && l->made % 100 < (uint64_t)l->straggler_percent)
     run_ms = l->straggler_ms;
-  return g_strdup_printf ("{\"id\":\"%s\",\"run_ms\":%d,\"answer_bytes\":%d}",
-                          id, run_ms, l->answer_bytes);
+  pad = g_strnfill ((gsize)l->body_bytes, 'x');
+  body = g_strdup_printf ("{\"id\":\"%s\",\"run_ms\":%d,\"answer_bytes\":%d,"
+                          "\"pad\":\"%s\"}",
+                          id, run_ms, l->answer_bytes, pad);
+  g_free (pad);
+  return body;
+}
+
+/* What an answer that is to break off is asked for with. */
+static char *
+make_truncating_body (const char *body)
+{
+  return g_strdup_printf ("{\"truncate\":true,%s", body + 1);
 }
 
 /* Whether TEXT is the whole answer to BODY of request ID. */
@@ -122,6 +135,11 @@
       g_free (a->body);
       return;
     }
+  if (a->sent->whole_body != NULL)
+    {
+      g_free (a->body);
+      a->body = g_steal_pointer (&a->sent->whole_body);
+    }
   g = g_new0 (struct again, 1);
   g->load = l;
   g->sent = a->sent;
@@ -256,6 +274,7 @@
 begin_request (struct load *l)
 {
   struct sent *s = g_new0 (struct sent, 1);
+  char *body;
 
   s->id
       = g_strdup_printf ("%s-%" G_GUINT64_FORMAT, l->name, (guint64)++l->made);
@@ -264,7 +283,25 @@
   s->keyed = l->keyed;
   g_ptr_array_add (l->sent, s);
   l->pending++;
-  begin_attempt (l, s, make_body (l, s->id));
+  body = make_body (l, s->id);
+  if (l->truncate_percent > 0 && l->made % 100 < (uint64_t)l->truncate_percent)
+    {
+      s->whole_body = body;
+      body = make_truncating_body (body);
+    }
+  begin_attempt (l, s, body);
+  if (!l->race)
+    return;
+  l->pending++;
+  body = make_body (l, s->id);
+  if (l->other_body)
+    {
+      char *other = g_strconcat (body, " ", NULL);
+
+      g_free (body);
+      body = other;
+    }
+  begin_attempt (l, s, body);
 }
 
 static gboolean
@@ -303,6 +340,14 @@
     l->straggler_ms = atoi (value);
   else if (strcmp (name, "answer_bytes") == 0)
     l->answer_bytes = atoi (value);
+  else if (strcmp (name, "body_bytes") == 0)
+    l->body_bytes = atoi (value);
+  else if (strcmp (name, "truncate_percent") == 0)
+    l->truncate_percent = atoi (value);
+  else if (strcmp (name, "race") == 0)
+    l->race = atoi (value) != 0;
+  else if (strcmp (name, "other_body") == 0)
+    l->other_body = atoi (value) != 0;
   else if (strcmp (name, "timeout_ms") == 0)
     l->timeout_ms = atoi (value);
   else if (strcmp (name, "for_ms") == 0)
--- a/tests/scenario/scenario.h
+++ b/tests/scenario/scenario.h
@@ -50,6 +50,7 @@
   bool wrong_answer;
   bool keyed;
   char *last_reason;
+  char *whole_body; /* to ask with after an answer that broke off; or NULL */
 };
 
 struct load
@@ -66,6 +67,10 @@
   int straggler_percent;
   int straggler_ms;
   int answer_bytes;
+  int body_bytes;       /* padding of the request */
+  int truncate_percent; /* of answers that break off at the first attempt */
+  bool race;            /* each request goes to two nodes at once */
+  bool other_body;      /* the second of which with another body */
   int timeout_ms;
   int node; /* index, or -1 for all in turn */
   int64_t until_ms;
--- a/tests/standin/workers.c
+++ b/tests/standin/workers.c
@@ -2,6 +2,9 @@
 
 #include <string.h>
 
+/* How long a half answer is left standing before its connection breaks. */
+#define TRUNCATE_AFTER_MS 30
+
 /* A task in progress on a VM. */
 struct job
 {
@@ -93,23 +96,35 @@
   return text;
 }
 
+static gboolean
+on_cut (gpointer data)
+{
+  SoupServerMessage *message = data;
+
+  break_connection (message);
+  g_object_unref (message);
+  return G_SOURCE_REMOVE;
+}
+
 static void
 answer_job (struct job *j)
 {
   GString *text = make_answer (j);
-  SoupMessageHeaders *h
-      = soup_server_message_get_response_headers (j->message);
+  SoupServerMessage *m = j->message;
+  SoupMessageHeaders *h = soup_server_message_get_response_headers (m);
 
-  soup_server_message_set_status (j->message, 200, NULL);
+  soup_server_message_set_status (m, 200, NULL);
   soup_message_headers_append (h, "Worker", j->worker->vm);
-  if (j->truncate)
-    soup_message_headers_set_content_length (h, (goffset)text->len + 100);
-  soup_server_message_set_response (j->message, "application/octet-stream",
-                                    SOUP_MEMORY_COPY, text->str, text->len);
-  if (j->truncate)
+  if (!j->truncate)
+    soup_server_message_set_response (m, "application/octet-stream",
+                                      SOUP_MEMORY_COPY, text->str, text->len);
+  else
     {
-      soup_message_headers_set_content_length (h, (goffset)text->len + 100);
-      soup_message_headers_replace (h, "Connection", "close");
+      /* Half of it goes out, and then the connection breaks. */
+      soup_message_headers_set_content_length (h, (goffset)text->len);
+      soup_message_body_append (soup_server_message_get_response_body (m),
+                                SOUP_MEMORY_COPY, text->str, text->len / 2);
+      g_timeout_add (TRUNCATE_AFTER_MS, on_cut, g_object_ref (m));
     }
   g_string_free (text, TRUE);
 }
