Refuse a late copy of a claim whose key was forgotten

Cause: an append whose reply was lost may be written again much later. Once the key's time was over, such a copy of an old claim found no claim of its key and was accepted as a new one, which made the key unusable for a second term and let its node call a request not run that had run.

Ruled out: a time limit inside the claim, since a node knows the log's time only by the records it reads, and an idle log would make every claim late.

Change: a claim says up to which offset its node had folded the log. The fold keeps the highest offset of a claim that was forgotten, and refuses a claim made before that was seen: a copy was made before its original was written. A key's time now counts from its last change, so a long run does not use it up.

The test of a forgotten key now says that the second claim had seen the first; it is as strict as before, and the new test asserts that without it the claim is refused.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -1,24 +1,11 @@
 #include "fleet.h"
 
+#include "fleet_state.h"
+
 #include <string.h>
 
 #define EXPIRY_BUCKET_MS 60000
 
-struct fleet
-{
-  uint64_t offset;
-  int64_t time_ms;
-  struct config *config;
-  uint64_t config_version;
-  GPtrArray *vms;
-  GHashTable *vms_by_name; /* borrows from vms */
-  GHashTable *claims;      /* struct key_id * inside its claim -> claim */
-  GHashTable *expiries;    /* bucket number -> GArray of struct key_id */
-  int64_t next_bucket;     /* the first not yet swept; 0 before any */
-  GPtrArray *waves;
-  GPtrArray *nodes;
-};
-
 static const char *const verdict_names[VERDICT_COUNT]
     = { "accepted", "repeated", "conflict", "illegal", "budget", "unknown" };
 
@@ -130,6 +117,13 @@
 
 /* VMs. */
 
+void
+fleet_put_vm (struct fleet *fleet, struct fleet_vm *vm)
+{
+  g_ptr_array_add (fleet->vms, vm);
+  g_hash_table_insert (fleet->vms_by_name, vm->vm, vm);
+}
+
 static enum verdict
 fold_vm_add (struct fleet *f, const struct record *r, uint64_t offset,
              int64_t at_ms)
@@ -151,8 +145,7 @@
   v->phase = VM_SERVING;
   v->changed = offset;
   v->changed_at_ms = at_ms;
-  g_ptr_array_add (f->vms, v);
-  g_hash_table_insert (f->vms_by_name, v->vm, v);
+  fleet_put_vm (f, v);
   return VERDICT_ACCEPTED;
 }
 
@@ -297,8 +290,10 @@
       struct key_id *key = &g_array_index (keys, struct key_id, i);
       struct fleet_claim *c = g_hash_table_lookup (f->claims, key);
 
-      if (c != NULL && c->expires_ms <= f->time_ms)
-        g_hash_table_remove (f->claims, key);
+      if (c == NULL || c->expires_ms > f->time_ms)
+        continue;
+      f->forgotten = MAX (f->forgotten, c->claimed);
+      g_hash_table_remove (f->claims, key);
     }
   g_hash_table_remove (f->expiries, &bucket);
 }
@@ -324,23 +319,54 @@
   return c;
 }
 
+void
+fleet_put_claim (struct fleet *fleet, struct fleet_claim *claim)
+{
+  g_hash_table_replace (fleet->claims, &claim->key, claim);
+  expire_later (fleet, claim->key, claim->expires_ms);
+}
+
+/* Whether claim N was made before its node knew of a claim that has been
+   forgotten since: N may be a late copy of that very claim, so it must not be
+   taken for a new one. */
+static bool
+may_be_forgotten_copy (const struct fleet *f, const struct record_claim *n)
+{
+  const struct fleet_claim *old = g_hash_table_lookup (f->claims, &n->key);
+  uint64_t forgotten = f->forgotten;
+
+  if (old != NULL && old->expires_ms <= f->time_ms)
+    forgotten = MAX (forgotten, old->claimed);
+  return n->seen < forgotten;
+}
+
+/* The verdict on claim R, when OLD is what is remembered of its key. */
 static enum verdict
-fold_claim (struct fleet *f, const struct record *r, uint64_t offset,
-            int64_t at_ms)
+judge_claim (const struct fleet *f, const struct record *r,
+             const struct fleet_claim *old)
 {
   const struct record_claim *n = &r->u.claim;
-  const struct fleet_claim *old = fleet_find_claim (f, n->key);
-  struct fleet_claim *c;
 
-  if (old != NULL && old->incarnation == r->incarnation
-      && old->request == n->request)
+  if (old == NULL)
+    return n->prior != 0 || may_be_forgotten_copy (f, n) ? VERDICT_CONFLICT
+                                                         : VERDICT_ACCEPTED;
+  if (old->incarnation == r->incarnation && old->request == n->request)
     return VERDICT_REPEATED;
-  if (old != NULL
-      && !(old->settled && old->outcome == OUTCOME_NOT_RUN
-           && old->changed == n->prior))
-    return VERDICT_CONFLICT;
-  if (old == NULL && n->prior != 0)
-    return VERDICT_CONFLICT;
+  if (old->settled && old->outcome == OUTCOME_NOT_RUN
+      && old->changed == n->prior)
+    return VERDICT_ACCEPTED;
+  return VERDICT_CONFLICT;
+}
+
+static enum verdict
+fold_claim (struct fleet *f, const struct record *r, uint64_t offset)
+{
+  const struct record_claim *n = &r->u.claim;
+  enum verdict verdict = judge_claim (f, r, fleet_find_claim (f, n->key));
+  struct fleet_claim *c;
+
+  if (verdict != VERDICT_ACCEPTED)
+    return verdict;
   c = g_new0 (struct fleet_claim, 1);
   c->key = n->key;
   c->body_hash = n->body_hash;
@@ -348,13 +374,15 @@
   c->request = n->request;
   c->claimed = offset;
   c->changed = offset;
-  c->expires_ms = at_ms + n->remember_ms;
+  c->remember_ms = n->remember_ms;
+  c->expires_ms = f->time_ms + n->remember_ms;
   c->node = g_intern_string (r->node);
-  g_hash_table_replace (f->claims, &c->key, c);
-  expire_later (f, c->key, c->expires_ms);
+  fleet_put_claim (f, c);
   return VERDICT_ACCEPTED;
 }
 
+/* A key is remembered from its last change, so a long run does not use up
+   its time. */
 static enum verdict
 fold_outcome (struct fleet *f, const struct record *r, uint64_t offset)
 {
@@ -372,6 +400,8 @@
   c->reason = o->reason;
   c->status = o->status;
   c->changed = offset;
+  c->expires_ms = f->time_ms + c->remember_ms;
+  expire_later (f, c->key, c->expires_ms);
   return VERDICT_ACCEPTED;
 }
 
@@ -499,7 +529,7 @@
     case RECORD_VM_STEP:
       return fold_vm_step (fleet, record, offset, at_ms);
     case RECORD_CLAIM:
-      return fold_claim (fleet, record, offset, at_ms);
+      return fold_claim (fleet, record, offset);
     case RECORD_OUTCOME:
       return fold_outcome (fleet, record, offset);
     case RECORD_MAINTAIN:
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -48,11 +48,12 @@
   uint64_t body_hash;
   uint64_t incarnation; /* of the claiming node */
   uint64_t request;
-  uint64_t claimed;   /* offset of the claim */
-  uint64_t changed;   /* offset of its last change */
-  int64_t expires_ms; /* log time */
-  const char *node;   /* interned */
-  bool settled;       /* the outcome below is known */
+  uint64_t claimed;    /* offset of the claim */
+  uint64_t changed;    /* offset of its last change */
+  int64_t remember_ms; /* from its last change */
+  int64_t expires_ms;  /* log time */
+  const char *node;    /* interned */
+  bool settled;        /* the outcome below is known */
   enum outcome outcome;
   enum reason reason;
   uint32_t status;
--- a/src/record.c
+++ b/src/record.c
@@ -167,6 +167,7 @@
       put_hex (b, "body", r->u.claim.body_hash);
       put_int (b, "request", (int64_t)r->u.claim.request);
       put_int (b, "prior", (int64_t)r->u.claim.prior);
+      put_int (b, "seen", (int64_t)r->u.claim.seen);
       put_int (b, "remember_ms", r->u.claim.remember_ms);
       break;
     case RECORD_OUTCOME:
@@ -299,6 +300,7 @@
   c->body_hash = get_hex (f, "body");
   c->request = get_offset (f, "request");
   c->prior = get_offset (f, "prior");
+  c->seen = get_offset (f, "seen");
   c->remember_ms = fields_int (f, "remember_ms", 1, 30 * DAY_MS, 0);
 }
 
--- a/src/record.h
+++ b/src/record.h
@@ -75,6 +75,7 @@
   uint64_t body_hash;
   uint64_t request; /* the claiming node's number of the request */
   uint64_t prior;   /* offset of the key's last change, 0 for none */
+  uint64_t seen;    /* offset the claiming node had folded */
   int64_t remember_ms;
 };
 
--- a/src/requests.c
+++ b/src/requests.c
@@ -319,6 +319,7 @@
   r->u.claim.body_hash = m->body_hash;
   r->u.claim.request = m->request;
   r->u.claim.prior = prior;
+  r->u.claim.seen = fleet_offset (t->fleet);
   r->u.claim.remember_ms = k->remember_key_ms;
   l->state = LIVE_CLAIMING;
   l->claim_uid = g_strdup (r->uid);
@@ -388,11 +389,12 @@
             const struct record *record)
 {
   const struct fleet_claim *c = fleet_find_claim (t->fleet, l->key);
-  enum reason reason = REASON_KEY_UNKNOWN;
+  enum reason reason = REASON_NONE;
 
   if (c != NULL)
     reason = earlier_claim_reason (t, c, record->u.claim.body_hash);
-  /* The other claim may have been given up meanwhile; it may be sent again. */
+  /* The other claim was given up or forgotten meanwhile.  No copy of ours can
+     win any more, so it may be sent again. */
   if (reason == REASON_NONE)
     reason = REASON_TOO_LATE;
   counters_add (t->counters, COUNTER_CLAIMS_LOST, 1);
@@ -410,10 +412,12 @@
 
   if (verdict == VERDICT_REPEATED)
     return;
-  if (l == NULL || l->state != LIVE_CLAIMING)
+  if (l != NULL && l->state != LIVE_CLAIMING)
+    return;
+  if (l == NULL)
     {
-      /* Nobody waits for it any more and it was never sent: say so, so that
-         the key can be used again. */
+      /* Given up while it was being claimed, so it never was dispatched: say
+         so, so that the key can be used again. */
       if (verdict == VERDICT_ACCEPTED)
         append_outcome (turn, record->u.claim.key, offset, OUTCOME_NOT_RUN,
                         REASON_CANCELLED, 0);
