--- a/src/fleet.c
+++ b/src/fleet.c
@@ -290,7 +290,8 @@
       struct key_id *key = &g_array_index (keys, struct key_id, i);
       struct fleet_claim *c = g_hash_table_lookup (f->claims, key);
 
-      if (c == NULL || c->expires_ms > f->time_ms)
+      /* The key's time may have changed since it was listed here. */
+      if (c == NULL || c->expires_ms / EXPIRY_BUCKET_MS != bucket)
         continue;
       f->forgotten = MAX (f->forgotten, c->claimed);
       g_hash_table_remove (f->claims, key);
--- /dev/null
+++ b/src/snapshot.c
@@ -0,0 +1,410 @@
+#include "snapshot.h"
+
+#include "fleet_state.h"
+
+#include <string.h>
+#include <xxhash.h>
+#include <zstd.h>
+
+#define COMPRESSION_LEVEL 1
+#define SNAPSHOT_VERSION 1
+
+#define VM_TYPE "(ssqssssuutxt)"
+#define CLAIM_TYPE "(tttttttxxuuuu)"
+#define WAVE_TYPE "(ssxxtx)"
+#define NODE_TYPE "(sstt)"
+/* Version, offset, time, configuration (version, text), highest forgotten
+   offset, expiry bucket, VMs, names of claiming nodes, claims, waves, nodes.
+ */
+#define STATE_TYPE                                                            \
+  "(utxtstxa" VM_TYPE "asa" CLAIM_TYPE "a" WAVE_TYPE "a" NODE_TYPE ")"
+
+/* A claim as it stands in an array of CLAIM_TYPE. */
+struct claim_row
+{
+  guint64 key_high;
+  guint64 key_low;
+  guint64 body_hash;
+  guint64 incarnation;
+  guint64 request;
+  guint64 claimed;
+  guint64 changed;
+  gint64 remember_ms;
+  gint64 expires_ms;
+  guint32 node; /* place among the names */
+  guint32 settled;
+  guint32 reason_outcome; /* reason << 8 | outcome */
+  guint32 status;
+};
+
+bool
+digest_equal (struct digest a, struct digest b)
+{
+  return a.high == b.high && a.low == b.low;
+}
+
+/* Writing. */
+
+static GVariant *
+write_vms (const struct fleet *f)
+{
+  GVariantBuilder b;
+
+  g_variant_builder_init (&b, G_VARIANT_TYPE ("a" VM_TYPE));
+  for (guint i = 0; i < f->vms->len; i++)
+    {
+      const struct fleet_vm *v = g_ptr_array_index (f->vms, i);
+
+      g_variant_builder_add (&b, VM_TYPE, v->vm, v->address, v->port, v->zone,
+                             v->rack, v->pool, v->purpose, v->slots,
+                             (guint32)v->phase, (guint64)v->changed,
+                             (gint64)v->changed_at_ms, (guint64)v->maintained);
+    }
+  return g_variant_builder_end (&b);
+}
+
+static int
+compare_rows (gconstpointer a, gconstpointer b)
+{
+  const struct claim_row *x = a;
+  const struct claim_row *y = b;
+
+  if (x->key_high != y->key_high)
+    return x->key_high < y->key_high ? -1 : 1;
+  if (x->key_low != y->key_low)
+    return x->key_low < y->key_low ? -1 : 1;
+  return 0;
+}
+
+static int
+compare_names (gconstpointer a, gconstpointer b)
+{
+  return strcmp (*(const char *const *)a, *(const char *const *)b);
+}
+
+/* Return the sorted names of all nodes that hold claims, and in *PLACES the
+   place of each. */
+static GPtrArray *
+claiming_nodes (const struct fleet *f, GHashTable **places)
+{
+  GPtrArray *names = g_ptr_array_new ();
+  GHashTableIter i;
+  gpointer p;
+
+  *places = g_hash_table_new (g_str_hash, g_str_equal);
+  g_hash_table_iter_init (&i, f->claims);
+  while (g_hash_table_iter_next (&i, NULL, &p))
+    {
+      const char *node = ((struct fleet_claim *)p)->node;
+
+      if (g_hash_table_add (*places, (char *)node))
+        g_ptr_array_add (names, (char *)node);
+    }
+  g_ptr_array_sort (names, compare_names);
+  for (guint k = 0; k < names->len; k++)
+    g_hash_table_insert (*places, g_ptr_array_index (names, k),
+                         GUINT_TO_POINTER (k));
+  return names;
+}
+
+static struct claim_row
+make_row (const struct fleet_claim *c, GHashTable *places)
+{
+  struct claim_row r = {
+    .key_high = c->key.high,
+    .key_low = c->key.low,
+    .body_hash = c->body_hash,
+    .incarnation = c->incarnation,
+    .request = c->request,
+    .claimed = c->claimed,
+    .changed = c->changed,
+    .remember_ms = c->remember_ms,
+    .expires_ms = c->expires_ms,
+    .node = GPOINTER_TO_UINT (g_hash_table_lookup (places, c->node)),
+    .settled = c->settled,
+    .reason_outcome = (guint32)c->reason << 8 | (guint32)c->outcome,
+    .status = c->status,
+  };
+
+  return r;
+}
+
+static GVariant *
+write_claims (const struct fleet *f, GVariant **names_out)
+{
+  GArray *rows = g_array_sized_new (FALSE, FALSE, sizeof (struct claim_row),
+                                    g_hash_table_size (f->claims));
+  GHashTable *places;
+  GPtrArray *names = claiming_nodes (f, &places);
+  GHashTableIter i;
+  gpointer p;
+  GVariant *v;
+
+  g_hash_table_iter_init (&i, f->claims);
+  while (g_hash_table_iter_next (&i, NULL, &p))
+    {
+      struct claim_row r = make_row (p, places);
+
+      g_array_append_val (rows, r);
+    }
+  g_array_sort (rows, compare_rows);
+  v = g_variant_new_fixed_array (G_VARIANT_TYPE (CLAIM_TYPE), rows->data,
+                                 rows->len, sizeof (struct claim_row));
+  *names_out
+      = g_variant_new_strv ((const char *const *)names->pdata, names->len);
+  g_hash_table_unref (places);
+  g_ptr_array_unref (names);
+  g_array_unref (rows);
+  return v;
+}
+
+static GVariant *
+write_waves (const struct fleet *f)
+{
+  GVariantBuilder b;
+
+  g_variant_builder_init (&b, G_VARIANT_TYPE ("a" WAVE_TYPE));
+  for (guint i = 0; i < f->waves->len; i++)
+    {
+      const struct fleet_wave *w = g_ptr_array_index (f->waves, i);
+
+      g_variant_builder_add (&b, WAVE_TYPE, w->name, w->pool,
+                             (gint64)w->finish_within_ms,
+                             (gint64)w->patience_ms, (guint64)w->accepted,
+                             (gint64)w->accepted_at_ms);
+    }
+  return g_variant_builder_end (&b);
+}
+
+static GVariant *
+write_nodes (const struct fleet *f)
+{
+  GVariantBuilder b;
+
+  g_variant_builder_init (&b, G_VARIANT_TYPE ("a" NODE_TYPE));
+  for (guint i = 0; i < f->nodes->len; i++)
+    {
+      const struct fleet_node *n = g_ptr_array_index (f->nodes, i);
+
+      g_variant_builder_add (&b, NODE_TYPE, n->node, n->zone,
+                             (guint64)n->incarnation, (guint64)n->joined);
+    }
+  return g_variant_builder_end (&b);
+}
+
+/* Return the state of F, which the caller unrefs. */
+static GBytes *
+write_state (const struct fleet *f)
+{
+  GVariant *names;
+  GVariant *claims = write_claims (f, &names);
+  GVariant *v = g_variant_new (
+      "(utxtstx@a" VM_TYPE "@as@a" CLAIM_TYPE "@a" WAVE_TYPE "@a" NODE_TYPE
+      ")",
+      (guint32)SNAPSHOT_VERSION, (guint64)f->offset, (gint64)f->time_ms,
+      (guint64)f->config_version, f->config != NULL ? f->config->text : "",
+      (guint64)f->forgotten, (gint64)f->next_bucket, write_vms (f), names,
+      claims, write_waves (f), write_nodes (f));
+  GBytes *bytes;
+
+  g_variant_ref_sink (v);
+  bytes = g_variant_get_data_as_bytes (v);
+  g_variant_unref (v);
+  return bytes;
+}
+
+static struct digest
+digest_of (GBytes *state)
+{
+  gsize size;
+  const void *data = g_bytes_get_data (state, &size);
+  XXH128_hash_t h = XXH3_128bits (data, size);
+  struct digest d = { h.high64, h.low64 };
+
+  return d;
+}
+
+struct digest
+snapshot_digest (const struct fleet *fleet)
+{
+  GBytes *state = write_state (fleet);
+  struct digest d = digest_of (state);
+
+  g_bytes_unref (state);
+  return d;
+}
+
+GBytes *
+snapshot_write (const struct fleet *fleet, struct digest *digest)
+{
+  GBytes *state = write_state (fleet);
+  gsize size;
+  const void *data = g_bytes_get_data (state, &size);
+  gsize bound = ZSTD_compressBound (size);
+  guint8 *packed = g_malloc (bound);
+  gsize n = ZSTD_compress (packed, bound, data, size, COMPRESSION_LEVEL);
+
+  *digest = digest_of (state);
+  g_bytes_unref (state);
+  if (ZSTD_isError (n))
+    g_error ("zstd can't compress a snapshot: %s", ZSTD_getErrorName (n));
+  return g_bytes_new_take (g_realloc (packed, n), n);
+}
+
+/* Reading. */
+
+static void
+read_vms (struct fleet *f, GVariant *array)
+{
+  GVariantIter i;
+  struct fleet_vm v = { 0 };
+  guint32 phase;
+
+  g_variant_iter_init (&i, array);
+  while (g_variant_iter_next (&i, VM_TYPE, &v.vm, &v.address, &v.port, &v.zone,
+                              &v.rack, &v.pool, &v.purpose, &v.slots, &phase,
+                              &v.changed, &v.changed_at_ms, &v.maintained))
+    {
+      v.phase = (enum vm_phase)phase;
+      fleet_put_vm (f, g_memdup2 (&v, sizeof v));
+    }
+}
+
+static struct fleet_claim *
+read_row (const struct claim_row *r, const char *node)
+{
+  struct fleet_claim *c = g_new0 (struct fleet_claim, 1);
+
+  c->key.high = r->key_high;
+  c->key.low = r->key_low;
+  c->body_hash = r->body_hash;
+  c->incarnation = r->incarnation;
+  c->request = r->request;
+  c->claimed = r->claimed;
+  c->changed = r->changed;
+  c->remember_ms = r->remember_ms;
+  c->expires_ms = r->expires_ms;
+  c->node = g_intern_string (node);
+  c->settled = r->settled != 0;
+  c->outcome = (enum outcome) (r->reason_outcome & 0xff);
+  c->reason = (enum reason) (r->reason_outcome >> 8);
+  c->status = r->status;
+  return c;
+}
+
+static bool
+read_claims (struct fleet *f, GVariant *array, GVariant *names)
+{
+  gsize n = 0;
+  const struct claim_row *rows
+      = g_variant_get_fixed_array (array, &n, sizeof *rows);
+  gsize n_names = 0;
+  const char **nodes = g_variant_get_strv (names, &n_names);
+  bool good = true;
+
+  for (gsize i = 0; good && i < n; i++)
+    {
+      good = rows[i].node < n_names;
+      if (good)
+        fleet_put_claim (f, read_row (&rows[i], nodes[rows[i].node]));
+    }
+  g_free (nodes);
+  return good;
+}
+
+static void
+read_waves (struct fleet *f, GVariant *array)
+{
+  GVariantIter i;
+  struct fleet_wave w = { 0 };
+
+  g_variant_iter_init (&i, array);
+  while (g_variant_iter_next (&i, WAVE_TYPE, &w.name, &w.pool,
+                              &w.finish_within_ms, &w.patience_ms, &w.accepted,
+                              &w.accepted_at_ms))
+    g_ptr_array_add (f->waves, g_memdup2 (&w, sizeof w));
+}
+
+static void
+read_nodes (struct fleet *f, GVariant *array)
+{
+  GVariantIter i;
+  struct fleet_node n = { 0 };
+
+  g_variant_iter_init (&i, array);
+  while (g_variant_iter_next (&i, NODE_TYPE, &n.node, &n.zone, &n.incarnation,
+                              &n.joined))
+    g_ptr_array_add (f->nodes, g_memdup2 (&n, sizeof n));
+}
+
+static bool
+read_state (struct fleet *f, GVariant *v)
+{
+  guint32 version;
+  const char *text;
+  GVariant *part[5];
+  bool good;
+
+  g_variant_get (v,
+                 "(utxt&stx@a" VM_TYPE "@as@a" CLAIM_TYPE "@a" WAVE_TYPE
+                 "@a" NODE_TYPE ")",
+                 &version, &f->offset, &f->time_ms, &f->config_version, &text,
+                 &f->forgotten, &f->next_bucket, &part[0], &part[1], &part[2],
+                 &part[3], &part[4]);
+  if (text[0] != '\0')
+    f->config = config_from_text (text, -1, NULL);
+  good = version == SNAPSHOT_VERSION
+         && (f->config != NULL) == (text[0] != '\0')
+         && read_claims (f, part[2], part[1]);
+  if (good)
+    {
+      read_vms (f, part[0]);
+      read_waves (f, part[3]);
+      read_nodes (f, part[4]);
+    }
+  for (gsize i = 0; i < G_N_ELEMENTS (part); i++)
+    g_variant_unref (part[i]);
+  return good;
+}
+
+/* Return the state that BYTES hold, or NULL. */
+static GBytes *
+unpack (GBytes *bytes)
+{
+  gsize size;
+  const void *data = g_bytes_get_data (bytes, &size);
+  unsigned long long n = ZSTD_getFrameContentSize (data, size);
+  guint8 *state;
+  gsize got;
+
+  if (n == 0 || n > SNAPSHOT_MAX_BYTES)
+    return NULL; /* the codes for an error are above every size */
+  state = g_malloc (n);
+  got = ZSTD_decompress (state, n, data, size);
+  if (!ZSTD_isError (got) && got == n)
+    return g_bytes_new_take (state, n);
+  g_free (state);
+  return NULL;
+}
+
+struct fleet *
+snapshot_read (GBytes *bytes, struct digest digest)
+{
+  GBytes *state = unpack (bytes);
+  struct fleet *f = NULL;
+  GVariant *v;
+
+  if (state == NULL)
+    return NULL;
+  v = g_variant_new_from_bytes (G_VARIANT_TYPE (STATE_TYPE), state, FALSE);
+  g_variant_ref_sink (v);
+  if (digest_equal (digest_of (state), digest) && g_variant_is_normal_form (v))
+    {
+      f = fleet_new ();
+      if (!read_state (f, v))
+        g_clear_pointer (&f, fleet_destroy);
+    }
+  g_variant_unref (v);
+  g_bytes_unref (state);
+  return f;
+}
