Start from a checkpoint or a peer, and never below what a peer has folded

A node is not ready, and refuses with view-too-old, until it has been at the log's head by a read begun after it started or was resumed from a pause, or, with the log out, has reached the highest offset that any peer had folded.

Appends: after an unclear one nothing is sent again before a read begun later has reached the head; 429 halves a node's rate and each success brings it back a little; the usual rate follows from the number of nodes. Records are counted by kind. A stopping node waits up to 8 s for its outcomes to stand in the log.

--- a/src/broker.c
+++ b/src/broker.c
@@ -263,6 +263,8 @@
     case PEER_HEARTBEAT:
     case PEER_SLOT_GRANT:
     case PEER_SLOT_REFUSE:
+    case PEER_SNAPSHOT_ASK:
+    case PEER_SNAPSHOT_PART:
     case PEER_KIND_COUNT:
       break;
     }
--- a/src/core.c
+++ b/src/core.c
@@ -5,6 +5,7 @@
 #include "members.h"
 #include "operators.h"
 #include "plan.h"
+#include "recovery.h"
 #include "requests.h"
 #include "status.h"
 #include "turn.h"
@@ -13,6 +14,10 @@
 
 #define JOIN_AGAIN_MS 3000
 #define PLAN_EVERY_MS 200
+/* Messages come at least every tick; a longer gap was a pause. */
+#define PAUSE_MS 1500
+/* How long a stopping node waits for its last records to stand in the log. */
+#define FLUSH_MS 8000
 
 struct core
 {
@@ -26,6 +31,10 @@
   struct requests *requests;
   struct plan *plan;
   struct operators *operators;
+  struct recovery *recovery;
+  int64_t handled_ms;   /* when the last message was handled */
+  GHashTable *unlogged; /* set of uids: records that a stop waits for */
+  int64_t stopping_ms;
   GHashTable *leaving; /* set of VMs that the platform said are leaving */
   bool log_reachable;
   int64_t fresh_ms; /* when the fleet was last at the log's head */
@@ -52,6 +61,8 @@
   c->requests = requests_new (options->max_requests);
   c->plan = plan_new ();
   c->operators = operators_new ();
+  c->recovery = recovery_new ();
+  c->unlogged = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->fresh_ms = -1;
   return c;
@@ -62,12 +73,14 @@
 {
   if (core == NULL)
     return;
+  recovery_destroy (core->recovery);
   operators_destroy (core->operators);
   plan_destroy (core->plan);
   requests_destroy (core->requests);
   broker_destroy (core->broker);
   members_destroy (core->members);
   fleet_destroy (core->fleet);
+  g_hash_table_unref (core->unlogged);
   g_hash_table_unref (core->leaving);
   g_free (core->node);
   g_free (core->zone);
@@ -92,6 +105,7 @@
     .counters = c->counters,
     .view_age_ms = c->fresh_ms < 0 ? INT32_MAX : now_ms - c->fresh_ms,
     .log_reachable = c->log_reachable,
+    .behind = !recovery_caught_up (c->recovery),
     .stopping = c->stopping,
     .out = out,
   };
@@ -111,48 +125,90 @@
     counters_add (c->counters, COUNTER_RECORDS_REFUSED, 1);
   if (r->incarnation != c->incarnation || strcmp (r->node, c->node) != 0)
     return;
+  g_hash_table_remove (c->unlogged, r->uid);
   if (r->kind == RECORD_CLAIM)
     requests_claimed (c->requests, t, r, e->offset, verdict);
   else
     operators_folded (c->operators, t, r, e->offset, verdict);
 }
 
+/* Fold E.  Return whether it may have changed a VM. */
+static bool
+fold_entry (struct core *c, struct turn *t, const struct log_entry *e)
+{
+  const struct record *r = e->record;
+
+  if (e->offset <= fleet_offset (c->fleet))
+    return false;
+  counters_add (c->counters, COUNTER_LOG_RECORDS_READ, 1);
+  if (r == NULL)
+    {
+      fleet_skip (c->fleet, e->offset);
+      counters_add (c->counters, COUNTER_RECORDS_MALFORMED, 1);
+      return false;
+    }
+  note_fold (c, t, e, fleet_fold (c->fleet, r, e->offset, e->at_ms));
+  if (r->kind == RECORD_CHECKPOINT)
+    recovery_note (c->recovery, t, &r->u.checkpoint);
+  return r->kind == RECORD_VM_ADD || r->kind == RECORD_VM_STEP;
+}
+
+/* Put a restored fleet in place of this node's, and fold what was read behind
+   it. */
 static void
-handle_records (struct core *c, struct turn *t,
-                const struct message_records *m)
+install (struct core *c, struct turn *t)
 {
-  bool vms_changed = false;
+  GQueue *held;
+  struct fleet *f = recovery_take (c->recovery, &held);
+  struct log_entry *e;
 
-  for (guint i = 0; i < m->entries->len; i++)
+  if (f == NULL)
+    return;
+  fleet_destroy (c->fleet);
+  c->fleet = f;
+  t->fleet = f;
+  counters_add (c->counters, COUNTER_SNAPSHOTS_RESTORED, 1);
+  /* Which of them stand in the part that was not read can't be told. */
+  g_hash_table_remove_all (c->unlogged);
+  requests_restored (c->requests, t);
+  while ((e = g_queue_pop_head (held)) != NULL)
     {
-      const struct log_entry *e
-          = &g_array_index (m->entries, struct log_entry, i);
+      fold_entry (c, t, e);
+      record_destroy (e->record);
+      g_free (e);
+    }
+  g_queue_free (held);
+  broker_sync (c->broker, t);
+}
 
-      if (e->offset <= fleet_offset (c->fleet))
-        continue;
-      counters_add (c->counters, COUNTER_LOG_RECORDS_READ, 1);
-      if (e->record == NULL)
-        {
-          fleet_skip (c->fleet, e->offset);
-          counters_add (c->counters, COUNTER_RECORDS_MALFORMED, 1);
-          continue;
-        }
-      note_fold (c, t, e,
-                 fleet_fold (c->fleet, e->record, e->offset, e->at_ms));
-      vms_changed |= e->record->kind == RECORD_VM_ADD
-                     || e->record->kind == RECORD_VM_STEP;
+static void
+handle_records (struct core *c, struct turn *t, struct message_records *m)
+{
+  bool vms_changed = false;
+
+  if (recovery_hold (c->recovery, t, m))
+    {
+      install (c, t);
+      return;
     }
+  for (guint i = 0; i < m->entries->len; i++)
+    vms_changed
+        |= fold_entry (c, t, &g_array_index (m->entries, struct log_entry, i));
   if (vms_changed)
     broker_sync (c->broker, t);
 }
 
 static void
-handle_log_state (struct core *c, const struct message_log_state *m,
-                  int64_t now_ms)
+handle_log_state (struct core *c, struct turn *t,
+                  const struct message_log_state *m)
 {
   c->log_reachable = m->reachable;
+  t->log_reachable = m->reachable;
+  recovery_log_state (c->recovery, t, m);
+  /* The answer says where the head was when it was asked for, or later. */
   if (m->reachable && fleet_offset (c->fleet) >= m->head)
-    c->fresh_ms = now_ms;
+    c->fresh_ms
+        = MAX (c->fresh_ms, m->asked_ms != 0 ? m->asked_ms : t->now_ms);
 }
 
 /* The VM list and the peers' words of it. */
@@ -186,6 +242,7 @@
 {
   const struct peer_heartbeat *h = &p->u.heartbeat;
 
+  recovery_hear (c->recovery, h->offset);
   if (members_hear (c->members, p, now_ms))
     counters_add (c->counters, COUNTER_OWNER_CHANGES, 1);
   for (char **vm = h->leaving; vm != NULL && *vm != NULL; vm++)
@@ -210,6 +267,11 @@
     case PEER_SLOT_REFUSE:
       requests_handle (c->requests, t, p);
       break;
+    case PEER_SNAPSHOT_ASK:
+    case PEER_SNAPSHOT_PART:
+      recovery_handle (c->recovery, t, p);
+      install (c, t);
+      break;
     case PEER_KIND_COUNT:
       break;
     }
@@ -286,11 +348,24 @@
   counters_set_gauge (k, GAUGE_TABLE_REQUESTS, requests_count (c->requests));
 }
 
+/* Whether a stop waits until R stands in the log: without its outcome, a key
+   stays unknown for as long as it is remembered. */
+static bool
+stop_waits_for (const struct record *r)
+{
+  return r->kind == RECORD_OUTCOME || r->kind == RECORD_NODE_LEAVE;
+}
+
 static void
 finish_stopping (struct core *c, struct turn *t)
 {
   if (!c->stopping || c->stopped || requests_count (c->requests) > 0)
     return;
+  if (g_hash_table_size (c->unlogged) > 0
+      && t->now_ms - c->stopping_ms < FLUSH_MS)
+    return;
+  counters_add (c->counters, COUNTER_OUTCOMES_UNLOGGED,
+                g_hash_table_size (c->unlogged));
   c->stopped = true;
   turn_put (t, message_new (MESSAGE_STOPPED));
 }
@@ -308,9 +383,10 @@
       || t->now_ms - c->heartbeat_ms >= MEMBERS_HEARTBEAT_MS)
     send_heartbeat (c, t);
   join (c, t);
+  recovery_step (c->recovery, t);
   requests_step (c->requests, t);
   operators_step (c->operators, t);
-  if (t->now_ms - c->planned_ms >= PLAN_EVERY_MS)
+  if (!t->behind && t->now_ms - c->planned_ms >= PLAN_EVERY_MS)
     {
       plan_step (c->plan, t);
       c->planned_ms = t->now_ms;
@@ -325,6 +401,7 @@
   r->u.node_leave.zone = g_strdup (c->zone);
   turn_append (t, r);
   c->stopping = true;
+  c->stopping_ms = t->now_ms;
   t->stopping = true;
   members_set_stopping (c->members, true);
   send_heartbeat (c, t);
@@ -339,7 +416,7 @@
 }
 
 static void
-handle_one (struct core *c, struct turn *t, const struct message *m)
+handle_one (struct core *c, struct turn *t, struct message *m)
 {
   switch (m->kind)
     {
@@ -356,7 +433,7 @@
       handle_records (c, t, &m->u.records);
       break;
     case MESSAGE_LOG_STATE:
-      handle_log_state (c, &m->u.log_state, t->now_ms);
+      handle_log_state (c, t, &m->u.log_state);
       break;
     case MESSAGE_VM_LIST:
       handle_vm_list (c, &m->u.vm_list, t->now_ms);
@@ -380,11 +457,26 @@
     case MESSAGE_SEND:
     case MESSAGE_PLATFORM:
     case MESSAGE_REPLY:
+    case MESSAGE_READ_NOW:
     case MESSAGE_STOPPED:
       break;
     }
 }
 
+/* Notice that the process was paused: what it holds may be old, whatever the
+   messages that waited meanwhile say. */
+static void
+notice_pause (struct core *c, int64_t now_ms, GQueue *out)
+{
+  if (c->handled_ms != 0 && now_ms - c->handled_ms > PAUSE_MS)
+    {
+      recovery_resumed (c->recovery, now_ms);
+      counters_add (c->counters, COUNTER_RESUMED, 1);
+      g_queue_push_tail (out, message_new (MESSAGE_READ_NOW));
+    }
+  c->handled_ms = now_ms;
+}
+
 /* Handle at once what this node sent to itself; pass the rest on to OUT. */
 static void
 drain (struct core *c, struct turn *t, GQueue *work, GQueue *out)
@@ -399,7 +491,11 @@
           message_destroy (m);
         }
       else
-        g_queue_push_tail (out, m);
+        {
+          if (m->kind == MESSAGE_APPEND && stop_waits_for (m->u.append.record))
+            g_hash_table_add (c->unlogged, g_strdup (m->u.append.record->uid));
+          g_queue_push_tail (out, m);
+        }
     }
 }
 
@@ -408,8 +504,10 @@
              GQueue *out)
 {
   GQueue work = G_QUEUE_INIT;
-  struct turn t = begin_turn (core, now_ms, &work);
+  struct turn t;
 
+  notice_pause (core, now_ms, out);
+  t = begin_turn (core, now_ms, &work);
   handle_one (core, &t, message);
   message_destroy (message);
   drain (core, &t, &work, out);
--- a/src/counters.c
+++ b/src/counters.c
@@ -9,6 +9,14 @@
   _Atomic uint64_t bytes[DIRECTION_COUNT];
 };
 
+/* What was handed to the log of one kind of record. */
+struct record_counter
+{
+  _Atomic (const char *) name; /* NULL until the first */
+  _Atomic uint64_t records;
+  _Atomic uint64_t bytes;
+};
+
 struct counters
 {
   _Atomic uint64_t values[COUNTER_COUNT];
@@ -16,6 +24,7 @@
   _Atomic uint64_t retries[REASON_COUNT];
   _Atomic uint64_t gauges[GAUGE_COUNT];
   struct peer_counter peers[COUNTERS_PEER_KINDS];
+  struct record_counter records[COUNTERS_RECORD_KINDS];
 };
 
 static const char *const gauge_names[GAUGE_COUNT] = {
@@ -43,9 +52,22 @@
   [COUNTER_CLAIMS_APPENDED] = "claims_appended",
   [COUNTER_CLAIMS_WON] = "claims_won",
   [COUNTER_CLAIMS_LOST] = "claims_lost",
+  [COUNTER_CHECKPOINTS_PUBLISHED] = "checkpoints_published",
+  [COUNTER_CHECKPOINT_BYTES_APPENDED] = "checkpoint_bytes_appended",
+  [COUNTER_SNAPSHOTS_RESTORED] = "snapshots_restored",
+  [COUNTER_SNAPSHOTS_CORRUPT] = "snapshots_corrupt",
+  [COUNTER_SNAPSHOTS_OLDER] = "snapshots_older",
+  [COUNTER_SNAPSHOT_BYTES_SENT] = "snapshot_bytes_sent",
+  [COUNTER_SNAPSHOT_BYTES_RECEIVED] = "snapshot_bytes_received",
+  [COUNTER_SNAPSHOT_BYTES_DUPLICATE] = "snapshot_bytes_duplicate",
+  [COUNTER_LOG_GAPS] = "log_gaps",
+  [COUNTER_OUTCOMES_UNLOGGED] = "outcomes_unlogged_at_stop",
+  [COUNTER_RESUMED] = "resumed_after_pause",
   [COUNTER_LOG_APPENDS] = "log_appends",
   [COUNTER_LOG_APPEND_FAILURES] = "log_append_failures",
   [COUNTER_LOG_APPEND_UNCLEAR] = "log_append_unclear",
+  [COUNTER_LOG_APPENDS_THROTTLED] = "log_appends_throttled",
+  [COUNTER_LOG_RESENT] = "log_records_resent",
   [COUNTER_LOG_RECORDS_READ] = "log_records_read",
   [COUNTER_LOG_READ_FAILURES] = "log_read_failures",
   [COUNTER_LOG_BYTES_READ] = "log_bytes_read",
@@ -151,6 +173,35 @@
   atomic_fetch_add_explicit (&p->bytes[direction], size, memory_order_relaxed);
 }
 
+void
+counters_add_record (struct counters *counters, unsigned kind,
+                     const char *name, uint64_t size)
+{
+  struct record_counter *r;
+
+  if (kind >= COUNTERS_RECORD_KINDS)
+    return;
+  r = &counters->records[kind];
+  atomic_store_explicit (&r->name, name, memory_order_relaxed);
+  atomic_fetch_add_explicit (&r->records, 1, memory_order_relaxed);
+  atomic_fetch_add_explicit (&r->bytes, size, memory_order_relaxed);
+}
+
+static void
+render_record (const struct record_counter *r, GString *out)
+{
+  const char *name = atomic_load_explicit (&r->name, memory_order_relaxed);
+
+  if (name == NULL)
+    return;
+  g_string_append_printf (
+      out,
+      "log_records_appended{kind=\"%s\"} %" G_GUINT64_FORMAT
+      "\nlog_record_bytes_appended{kind=\"%s\"} %" G_GUINT64_FORMAT "\n",
+      name, (guint64)atomic_load_explicit (&r->records, memory_order_relaxed),
+      name, (guint64)atomic_load_explicit (&r->bytes, memory_order_relaxed));
+}
+
 static void
 render_peer (const struct peer_counter *p, GString *out)
 {
@@ -176,6 +227,8 @@
   for (int i = 0; i < GAUGE_COUNT; i++)
     g_string_append_printf (out, "%s %" G_GUINT64_FORMAT "\n", gauge_names[i],
                             (guint64)counters_get_gauge (counters, i));
+  for (int i = 0; i < COUNTERS_RECORD_KINDS; i++)
+    render_record (&counters->records[i], out);
   for (int i = 0; i < COUNTERS_PEER_KINDS; i++)
     render_peer (&counters->peers[i], out);
 }
--- a/src/counters.h
+++ b/src/counters.h
@@ -18,9 +18,22 @@
   COUNTER_CLAIMS_APPENDED,
   COUNTER_CLAIMS_WON,
   COUNTER_CLAIMS_LOST,
+  COUNTER_CHECKPOINTS_PUBLISHED,
+  COUNTER_CHECKPOINT_BYTES_APPENDED,
+  COUNTER_SNAPSHOTS_RESTORED,
+  COUNTER_SNAPSHOTS_CORRUPT, /* another digest than was announced */
+  COUNTER_SNAPSHOTS_OLDER,   /* would take the fleet back, or leave a gap */
+  COUNTER_SNAPSHOT_BYTES_SENT,
+  COUNTER_SNAPSHOT_BYTES_RECEIVED,
+  COUNTER_SNAPSHOT_BYTES_DUPLICATE, /* received and not needed */
+  COUNTER_LOG_GAPS,                 /* the log no longer held what was next */
+  COUNTER_OUTCOMES_UNLOGGED,        /* at a stop that could not wait longer */
+  COUNTER_RESUMED,                  /* gone on after a pause of the process */
   COUNTER_LOG_APPENDS,
   COUNTER_LOG_APPEND_FAILURES,
   COUNTER_LOG_APPEND_UNCLEAR,
+  COUNTER_LOG_APPENDS_THROTTLED, /* above the log's rate */
+  COUNTER_LOG_RESENT,            /* records, after an unclear append */
   COUNTER_LOG_RECORDS_READ,
   COUNTER_LOG_READ_FAILURES,
   COUNTER_LOG_BYTES_READ,
@@ -77,6 +90,7 @@
 };
 
 #define COUNTERS_PEER_KINDS 32
+#define COUNTERS_RECORD_KINDS 32
 
 struct counters;
 
@@ -103,6 +117,11 @@
                         unsigned kind, const char *name, uint64_t size);
 
 uint64_t counters_get (const struct counters *counters, enum counter counter);
+/* Count one record handed to the log, of the kind numbered KIND and named NAME
+   (which lives as long as the program), of SIZE bytes. */
+void counters_add_record (struct counters *counters, unsigned kind,
+                          const char *name, uint64_t size);
+
 uint64_t counters_get_gauge (const struct counters *counters,
                              enum gauge gauge);
 uint64_t counters_get_reason (const struct counters *counters,
--- a/src/fleet.c
+++ b/src/fleet.c
@@ -541,6 +541,8 @@
       return fold_node_join (fleet, record, offset);
     case RECORD_NODE_LEAVE:
       return fold_node_leave (fleet, record);
+    case RECORD_CHECKPOINT:
+      return VERDICT_ACCEPTED; /* changes nothing */
     case RECORD_KIND_COUNT:
       break;
     }
--- a/src/log_task.c
+++ b/src/log_task.c
@@ -6,8 +6,12 @@
 
 #define READ_WAIT_MS 1000
 #define READ_RETRY_MS 200
+#define PROBE_AFTER_MS 10
 #define LIST_EVERY_MS 1000
-#define APPEND_MIN_GAP_MS 60
+/* Appends a second that all nodes together make at most. */
+#define APPENDS_PER_S 130
+#define APPEND_MIN_GAP_MS 20
+#define APPEND_MAX_GAP_MS 2000
 #define APPEND_RETRY_MS 250
 #define BATCH_MAX_RECORDS 500
 #define PENDING_MAX 20000
@@ -30,11 +34,17 @@
   GQueue *pending; /* struct outgoing *, oldest first */
   guint in_flight; /* how many of the oldest are being appended */
   bool appending;
+  bool unclear;       /* the oldest may stand in the log already */
+  int64_t unclear_ms; /* since when */
+  int64_t gap_ms;     /* between appends */
   int64_t appended_ms;
   GSource *append_timer;
   GSource *list_timer;
   GSource *read_timer;
-  uint64_t after; /* offset read so far */
+  GSource *probe_timer;
+  uint64_t after;   /* offset read so far */
+  int64_t read_ms;  /* when the read that waits was begun */
+  int64_t probe_ms; /* when the read that does not wait was begun, or 0 */
   bool reachable;
 };
 
@@ -80,7 +90,8 @@
 /* Reading. */
 
 static void
-post_state (struct log_task *l, bool reachable, uint64_t first, uint64_t head)
+post_state (struct log_task *l, bool reachable, uint64_t first, uint64_t head,
+            int64_t asked_ms)
 {
   struct message *m = message_new (MESSAGE_LOG_STATE);
 
@@ -91,6 +102,7 @@
   m->u.log_state.reachable = reachable;
   m->u.log_state.first = first;
   m->u.log_state.head = head;
+  m->u.log_state.asked_ms = asked_ms;
   task_post (l->core, m);
 }
 
@@ -117,11 +129,25 @@
     }
 }
 
+/* Drop the entries that an earlier answer has brought already. */
 static void
-take_entries (struct log_task *l, GArray *entries)
+drop_known (const struct log_task *l, GArray *entries)
+{
+  guint n = 0;
+
+  while (n < entries->len
+         && g_array_index (entries, struct log_entry, n).offset <= l->after)
+    n++;
+  if (n > 0)
+    g_array_remove_range (entries, 0, n);
+}
+
+static void
+take_entries (struct log_task *l, GArray *entries, uint64_t first)
 {
   struct message *m;
 
+  drop_known (l, entries);
   for (guint i = 0; i < entries->len; i++)
     {
       const struct log_entry *e
@@ -139,6 +165,7 @@
     }
   m = message_new (MESSAGE_RECORDS);
   m->u.records.entries = entries;
+  m->u.records.first = first;
   task_post (l->core, m);
 }
 
@@ -152,26 +179,77 @@
   return G_SOURCE_REMOVE;
 }
 
+/* An append was unclear, and a read begun later has reached the head: what
+   was not seen is not there, so it may be sent again.  Should the first still
+   be written later, the log holds it twice, and its condition lets it take
+   effect once. */
 static void
-on_read (struct platform_read_result *r, void *data)
+clear_doubt (struct log_task *l)
 {
-  struct log_task *l = data;
+  l->unclear = false;
+  for (GList *i = l->pending->head; i != NULL; i = i->next)
+    {
+      if (!((struct outgoing *)i->data)->sent)
+        break;
+      counters_add (l->counters, COUNTER_LOG_RESENT, 1);
+    }
+  append_on (l);
+}
 
+/* Take in the answer to a read that was begun at ASKED_MS.  Return whether
+   there was one. */
+static bool
+take_answer (struct log_task *l, struct platform_read_result *r,
+             int64_t asked_ms)
+{
   if (r->entries == NULL)
     {
       counters_add (l->counters, COUNTER_LOG_READ_FAILURES, 1);
-      post_state (l, false, 0, 0);
-      l->read_timer = start_timer (READ_RETRY_MS, on_read_timer, l);
-      return;
+      post_state (l, false, 0, 0, asked_ms);
+      return false;
     }
-  take_entries (l, r->entries);
-  post_state (l, true, r->first, r->head);
-  read_on (l);
+  take_entries (l, r->entries, r->first);
+  post_state (l, true, r->first, r->head, asked_ms);
+  if (l->unclear && asked_ms > l->unclear_ms && l->after >= r->head)
+    clear_doubt (l);
+  return true;
+}
+
+static void
+on_read (struct platform_read_result *r, void *data)
+{
+  struct log_task *l = data;
+
+  if (take_answer (l, r, l->read_ms))
+    read_on (l);
+  else
+    l->read_timer = start_timer (READ_RETRY_MS, on_read_timer, l);
+}
+
+static void
+on_probe (struct platform_read_result *r, void *data)
+{
+  struct log_task *l = data;
+  int64_t asked_ms = l->probe_ms;
+
+  l->probe_ms = 0;
+  take_answer (l, r, asked_ms);
+}
+
+/* Read at once, beside the read that waits for the next record. */
+static void
+probe (struct log_task *l)
+{
+  if (l->probe_ms != 0)
+    return;
+  l->probe_ms = now_ms ();
+  platform_read (l->platform, l->after, 0, on_probe, l);
 }
 
 static void
 read_on (struct log_task *l)
 {
+  l->read_ms = now_ms ();
   /* The first read after a failure does not wait, so that an outage's end is
      seen at once. */
   platform_read (l->platform, l->after, l->reachable ? READ_WAIT_MS : 0,
@@ -232,6 +310,43 @@
     outgoing_free (g_queue_pop_head (l->pending));
 }
 
+static gboolean
+on_probe_timer (gpointer data)
+{
+  struct log_task *l = data;
+
+  stop_timer (&l->probe_timer);
+  probe (l);
+  return G_SOURCE_REMOVE;
+}
+
+/* The least time between two appends of this node, so that all nodes
+   together stay within the log's rate. */
+static int64_t
+least_gap_ms (const struct log_task *l)
+{
+  return MAX (APPEND_MIN_GAP_MS,
+              (l->settings->n_peers + 1) * 1000 / APPENDS_PER_S);
+}
+
+/* The log takes fewer appends than this node makes: make half as many, with
+   more records in each. */
+static void
+slow_down (struct log_task *l)
+{
+  int64_t jitter_ms = g_random_int_range (0, 20);
+
+  counters_add (l->counters, COUNTER_LOG_APPENDS_THROTTLED, 1);
+  l->gap_ms = MIN (2 * l->gap_ms + jitter_ms, APPEND_MAX_GAP_MS);
+}
+
+/* The log keeps up: go back towards the usual rate, a little each time. */
+static void
+speed_up (struct log_task *l)
+{
+  l->gap_ms = MAX (l->gap_ms - l->gap_ms / 16 - 1, least_gap_ms (l));
+}
+
 static void
 on_append (enum append_result result, void *data)
 {
@@ -243,17 +358,25 @@
     {
     case APPEND_DONE:
       drop_batch (l);
+      speed_up (l);
       append_on (l);
       return;
+    case APPEND_TOO_FAST:
+      slow_down (l);
+      l->in_flight = 0;
+      append_later (l, l->gap_ms);
+      return;
     case APPEND_NOT_DONE:
       counters_add (l->counters, COUNTER_LOG_APPEND_FAILURES, 1);
       break;
     case APPEND_UNCLEAR:
-      /* Every record carries its condition, so one that stands in the log
-         twice takes effect once: it is sent again unless the reader sees it
-         first. */
+      /* Nothing is sent again before a later read has reached the head. */
       counters_add (l->counters, COUNTER_LOG_APPEND_UNCLEAR, 1);
-      break;
+      l->in_flight = 0;
+      l->unclear = true;
+      l->unclear_ms = now_ms ();
+      l->probe_timer = start_timer (PROBE_AFTER_MS, on_probe_timer, l);
+      return;
     }
   l->in_flight = 0;
   append_later (l, APPEND_RETRY_MS);
@@ -263,9 +386,9 @@
 append_on (struct log_task *l)
 {
   GPtrArray *texts;
-  int64_t gap_ms = l->appended_ms + APPEND_MIN_GAP_MS - now_ms ();
+  int64_t gap_ms = l->appended_ms + l->gap_ms - now_ms ();
 
-  if (l->appending || g_queue_is_empty (l->pending))
+  if (l->appending || l->unclear || g_queue_is_empty (l->pending))
     return;
   if (gap_ms > 0)
     {
@@ -301,6 +424,8 @@
   o = g_new0 (struct outgoing, 1);
   o->uid = g_strdup (r->uid);
   o->text = record_to_text (r);
+  counters_add_record (l->counters, r->kind, record_kind_name (r->kind),
+                       strlen (o->text));
   g_queue_push_tail (l->pending, o);
   append_on (l);
 }
@@ -370,6 +495,9 @@
     case MESSAGE_APPEND_CANCEL:
       cancel (l, m->u.append_cancel.uid);
       break;
+    case MESSAGE_READ_NOW:
+      probe (l);
+      break;
     case MESSAGE_PLATFORM:
       act (l, &m->u.platform);
       break;
@@ -387,6 +515,7 @@
   stop_timer (&l->append_timer);
   stop_timer (&l->list_timer);
   stop_timer (&l->read_timer);
+  stop_timer (&l->probe_timer);
   platform_destroy (l->platform);
 }
 
@@ -401,6 +530,7 @@
   l->settings = settings;
   l->counters = counters;
   l->core = core;
+  l->gap_ms = least_gap_ms (l);
   l->pending = g_queue_new ();
   l->task = task_new ("log", &functions, l);
   return l;
--- a/src/message.c
+++ b/src/message.c
@@ -122,6 +122,7 @@
     case MESSAGE_TICK:
     case MESSAGE_STOP:
     case MESSAGE_REFUSE:
+    case MESSAGE_READ_NOW:
     case MESSAGE_STOPPED:
       break;
     }
--- a/src/message.h
+++ b/src/message.h
@@ -47,6 +47,7 @@
   MESSAGE_APPEND,
   MESSAGE_APPEND_CANCEL,
   MESSAGE_SEND,
+  MESSAGE_READ_NOW,
   MESSAGE_PLATFORM,
   MESSAGE_REPLY,
   MESSAGE_STOPPED
@@ -91,13 +92,15 @@
 struct message_records
 {
   GArray *entries; /* struct log_entry */
+  uint64_t first;  /* the oldest offset still kept; 0 if not known */
 };
 
 struct message_log_state
 {
   bool reachable;
-  uint64_t head;  /* offset after the last record */
-  uint64_t first; /* the oldest offset still kept */
+  uint64_t head;    /* offset after the last record */
+  uint64_t first;   /* the oldest offset still kept */
+  int64_t asked_ms; /* clock time at which the read began; 0 for just now */
 };
 
 enum vm_state
--- a/src/operators.c
+++ b/src/operators.c
@@ -203,6 +203,13 @@
 {
   const struct config *c = fleet_config (t->fleet);
 
+  if (t->behind)
+    {
+      reply_problem (t, q->query, 503,
+                     "this node's view is not yet up to date",
+                     "ask another node, or again in some seconds");
+      return;
+    }
   if (c == NULL)
     {
       reply_problem (t, q->query, 404, "no configuration is in force",
@@ -250,6 +257,9 @@
   if (t->stopping)
     reply_problem (t, q->query, 503, "this node is stopping",
                    "use another node");
+  else if (t->behind)
+    reply_problem (t, q->query, 503, "this node's view is not yet up to date",
+                   "use another node; it catches up from the log or a peer");
   else if (fleet_config (t->fleet) == NULL)
     reply_problem (t, q->query, 503, "no configuration is in force here yet",
                    "publish one, or wait until this node has read it");
--- a/src/peer_message.c
+++ b/src/peer_message.c
@@ -9,17 +9,21 @@
 #define SLOT_RETURN_TYPE "(tusux)"
 #define SLOT_HOLD_TYPE "(tuss)"
 #define SLOT_CANCEL_TYPE "(tu)"
+#define SNAPSHOT_ASK_TYPE "(tu)"
+#define SNAPSHOT_PART_TYPE "(tttuuay)"
 
 static const char *const payload_types[PEER_KIND_COUNT]
-    = { HEARTBEAT_TYPE,   SLOT_ASK_TYPE,  SLOT_GRANT_TYPE, SLOT_REFUSE_TYPE,
-        SLOT_RETURN_TYPE, SLOT_HOLD_TYPE, SLOT_CANCEL_TYPE };
+    = { HEARTBEAT_TYPE,   SLOT_ASK_TYPE,     SLOT_GRANT_TYPE,
+        SLOT_REFUSE_TYPE, SLOT_RETURN_TYPE,  SLOT_HOLD_TYPE,
+        SLOT_CANCEL_TYPE, SNAPSHOT_ASK_TYPE, SNAPSHOT_PART_TYPE };
 
 const char *
 peer_kind_name (enum peer_kind kind)
 {
   static const char *const names[PEER_KIND_COUNT]
-      = { "heartbeat",   "slot-ask",  "slot-grant", "slot-refuse",
-          "slot-return", "slot-hold", "slot-cancel" };
+      = { "heartbeat",   "slot-ask",     "slot-grant",
+          "slot-refuse", "slot-return",  "slot-hold",
+          "slot-cancel", "snapshot-ask", "snapshot-part" };
 
   return names[kind];
 }
@@ -66,8 +70,13 @@
       g_free (message->u.slot_hold.vm);
       g_free (message->u.slot_hold.pool);
       break;
+    case PEER_SNAPSHOT_PART:
+      if (message->u.snapshot_part.data != NULL)
+        g_bytes_unref (message->u.snapshot_part.data);
+      break;
     case PEER_SLOT_REFUSE:
     case PEER_SLOT_CANCEL:
+    case PEER_SNAPSHOT_ASK:
     case PEER_KIND_COUNT:
       break;
     }
@@ -86,6 +95,15 @@
       h->leaving != NULL ? (const char *const *)h->leaving : none);
 }
 
+static GVariant *
+part_to_variant (const struct peer_snapshot_part *p)
+{
+  return g_variant_new (
+      "(tttuu@ay)", (guint64)p->offset, (guint64)p->digest_high,
+      (guint64)p->digest_low, (guint32)p->index, (guint32)p->count,
+      g_variant_new_from_bytes (G_VARIANT_TYPE_BYTESTRING, p->data, TRUE));
+}
+
 static GVariant *
 payload_to_variant (const struct peer_message *m)
 {
@@ -122,6 +140,12 @@
       return g_variant_new (SLOT_CANCEL_TYPE,
                             (guint64)m->u.slot_cancel.request,
                             (guint32)m->u.slot_cancel.attempt);
+    case PEER_SNAPSHOT_ASK:
+      return g_variant_new (SNAPSHOT_ASK_TYPE,
+                            (guint64)m->u.snapshot_ask.offset,
+                            (guint32)m->u.snapshot_ask.index);
+    case PEER_SNAPSHOT_PART:
+      return part_to_variant (&m->u.snapshot_part);
     case PEER_KIND_COUNT:
       break;
     }
@@ -176,6 +200,17 @@
   return true;
 }
 
+static void
+read_part (struct peer_snapshot_part *p, GVariant *v)
+{
+  GVariant *data;
+
+  g_variant_get (v, "(tttuu@ay)", &p->offset, &p->digest_high, &p->digest_low,
+                 &p->index, &p->count, &data);
+  p->data = g_variant_get_data_as_bytes (data);
+  g_variant_unref (data);
+}
+
 /* Read the payload V, whose type has been checked, into M. */
 static bool
 read_payload (struct peer_message *m, GVariant *v)
@@ -208,6 +243,13 @@
       g_variant_get (v, SLOT_CANCEL_TYPE, &m->u.slot_cancel.request,
                      &m->u.slot_cancel.attempt);
       return true;
+    case PEER_SNAPSHOT_ASK:
+      g_variant_get (v, SNAPSHOT_ASK_TYPE, &m->u.snapshot_ask.offset,
+                     &m->u.snapshot_ask.index);
+      return true;
+    case PEER_SNAPSHOT_PART:
+      read_part (&m->u.snapshot_part, v);
+      return true;
     case PEER_KIND_COUNT:
       break;
     }
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -22,6 +22,8 @@
   PEER_SLOT_RETURN,
   PEER_SLOT_HOLD,
   PEER_SLOT_CANCEL,
+  PEER_SNAPSHOT_ASK,
+  PEER_SNAPSHOT_PART,
   PEER_KIND_COUNT
 };
 
@@ -87,6 +89,23 @@
   uint32_t attempt;
 };
 
+/* Asks for one part of the peer's snapshot. */
+struct peer_snapshot_ask
+{
+  uint64_t offset; /* of the snapshot that was begun; 0 for the latest */
+  uint32_t index;
+};
+
+struct peer_snapshot_part
+{
+  uint64_t offset;
+  uint64_t digest_high;
+  uint64_t digest_low;
+  uint32_t index;
+  uint32_t count;
+  GBytes *data;
+};
+
 struct peer_message
 {
   enum peer_kind kind;
@@ -101,6 +120,8 @@
     struct peer_slot_return slot_return;
     struct peer_slot_hold slot_hold;
     struct peer_slot_cancel slot_cancel;
+    struct peer_snapshot_ask snapshot_ask;
+    struct peer_snapshot_part snapshot_part;
   } u;
 };
 
--- a/src/platform.c
+++ b/src/platform.c
@@ -172,7 +172,9 @@
 
   if (answer != NULL && status == 200)
     result = APPEND_DONE;
-  else if (!c->connected || status == 429 || (status >= 400 && status < 500))
+  else if (status == 429)
+    result = APPEND_TOO_FAST;
+  else if (!c->connected || (status >= 400 && status < 500))
     result = APPEND_NOT_DONE;
   c->done.append (result, c->data);
 }
--- a/src/platform.h
+++ b/src/platform.h
@@ -26,6 +26,7 @@
 {
   APPEND_DONE,
   APPEND_NOT_DONE, /* certainly not written */
+  APPEND_TOO_FAST, /* not written: above the log's rate */
   APPEND_UNCLEAR   /* it may have been written, now or later */
 };
 
--- a/src/record.c
+++ b/src/record.c
@@ -6,15 +6,23 @@
 #include <string.h>
 #include <xxhash.h>
 
+#define MAX_PARTS 10000
 #define DAY_MS (24 * 3600 * 1000LL)
 
 static const char *const kind_names[]
     = { "config",   "vm-add",          "vm-step",   "claim",      "outcome",
-        "maintain", "maintain-cancel", "node-join", "node-leave", NULL };
+        "maintain", "maintain-cancel", "node-join", "node-leave", "checkpoint",
+        NULL };
 
 static const char *const phase_names[]
     = { "serving", "draining", "released", "rebooting", "down", NULL };
 
+const char *
+record_kind_name (enum record_kind kind)
+{
+  return kind_names[kind];
+}
+
 const char *
 vm_phase_name (enum vm_phase phase)
 {
@@ -92,6 +100,9 @@
     case RECORD_NODE_LEAVE:
       g_free (r->u.node_join.zone);
       break;
+    case RECORD_CHECKPOINT:
+      g_free (r->u.checkpoint.data);
+      break;
     case RECORD_CLAIM:
     case RECORD_OUTCOME:
     case RECORD_KIND_COUNT:
@@ -191,6 +202,14 @@
     case RECORD_NODE_LEAVE:
       put_string (b, "zone", r->u.node_join.zone);
       break;
+    case RECORD_CHECKPOINT:
+      put_int (b, "at", (int64_t)r->u.checkpoint.at);
+      put_hex (b, "digest_high", r->u.checkpoint.digest_high);
+      put_hex (b, "digest_low", r->u.checkpoint.digest_low);
+      put_int (b, "index", r->u.checkpoint.index);
+      put_int (b, "count", r->u.checkpoint.count);
+      put_string (b, "data", r->u.checkpoint.data);
+      break;
     case RECORD_KIND_COUNT:
       break;
     }
@@ -304,6 +323,17 @@
   c->remember_ms = fields_int (f, "remember_ms", 1, 30 * DAY_MS, 0);
 }
 
+static void
+get_checkpoint (struct fields *f, struct record_checkpoint *c)
+{
+  c->at = get_offset (f, "at");
+  c->digest_high = get_hex (f, "digest_high");
+  c->digest_low = get_hex (f, "digest_low");
+  c->count = (uint32_t)fields_int (f, "count", 1, MAX_PARTS, 0);
+  c->index = (uint32_t)fields_int (f, "index", 0, MAX_PARTS - 1, -1);
+  c->data = fields_string (f, "data", NULL);
+}
+
 static void
 get_payload (struct fields *f, struct record *r)
 {
@@ -335,6 +365,9 @@
     case RECORD_NODE_LEAVE:
       r->u.node_join.zone = fields_name (f, "zone");
       break;
+    case RECORD_CHECKPOINT:
+      get_checkpoint (f, &r->u.checkpoint);
+      break;
     case RECORD_KIND_COUNT:
       break;
     }
--- a/src/record.h
+++ b/src/record.h
@@ -22,6 +22,7 @@
   RECORD_MAINTAIN_CANCEL,
   RECORD_NODE_JOIN,
   RECORD_NODE_LEAVE,
+  RECORD_CHECKPOINT, /* a part of a snapshot; parts.h */
   RECORD_KIND_COUNT
 };
 
@@ -106,6 +107,16 @@
   char *zone;
 };
 
+struct record_checkpoint
+{
+  uint64_t at; /* offset that the snapshot has folded */
+  uint64_t digest_high;
+  uint64_t digest_low;
+  uint32_t index;
+  uint32_t count;
+  char *data; /* base64 */
+};
+
 struct record
 {
   enum record_kind kind;
@@ -123,6 +134,7 @@
     struct record_maintain_cancel maintain_cancel;
     struct record_node node_join;
     struct record_node node_leave;
+    struct record_checkpoint checkpoint;
   } u;
 };
 
@@ -150,6 +162,7 @@
                            const char *class_name, const char *key);
 bool key_id_equal (struct key_id a, struct key_id b);
 
+const char *record_kind_name (enum record_kind kind);
 const char *vm_phase_name (enum vm_phase phase);
 
 #endif
--- a/src/requests.c
+++ b/src/requests.c
@@ -7,6 +7,7 @@
 #define DEFAULT_RUN_PATIENCE_MS 60000
 #define VIEW_MAX_AGE_MS 3000
 #define LOG_RETRY_AFTER_MS 1000
+#define GIVEN_UP_MAX 10000
 #define BUSY_RETRY_AFTER_MS 500
 
 enum live_state
@@ -30,6 +31,7 @@
   int64_t start_by_ms;
   int64_t deadline_ms;
   struct key_id key;
+  uint64_t body_hash;
   uint64_t claim;  /* offset of the claim, once won */
   char *claim_uid; /* while claiming */
   uint32_t attempt;
@@ -41,11 +43,20 @@
   bool abandoned;
 };
 
+/* A request that ended before the verdict on its claim was read. */
+struct given_up
+{
+  uint64_t request;
+  struct key_id key;
+};
+
 struct requests
 {
-  GHashTable *live;    /* request number -> struct live * */
-  GHashTable *budgets; /* "service/class" -> struct retry_budget * */
-  GHashTable *leaving; /* set of VM names */
+  GHashTable *live;     /* request number -> struct live * */
+  GHashTable *budgets;  /* "service/class" -> struct retry_budget * */
+  GHashTable *leaving;  /* set of VM names */
+  GHashTable *given_up; /* request number -> struct given_up *: refused while
+                           its claim was on its way */
   uint32_t max_requests;
   uint32_t running;
 };
@@ -74,6 +85,8 @@
       = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, live_free);
   r->budgets = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   r->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  r->given_up
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, NULL, g_free);
   r->max_requests = max_requests;
   return r;
 }
@@ -86,6 +99,7 @@
   g_hash_table_unref (requests->live);
   g_hash_table_unref (requests->budgets);
   g_hash_table_unref (requests->leaving);
+  g_hash_table_unref (requests->given_up);
   g_free (requests);
 }
 
@@ -144,9 +158,16 @@
 }
 
 static void
-cancel_claim (struct turn *t, struct live *l)
+cancel_claim (struct requests *r, struct turn *t, const struct live *l)
 {
   struct message *m = message_new (MESSAGE_APPEND_CANCEL);
+  struct given_up *g = g_new0 (struct given_up, 1);
+
+  g->request = l->request;
+  g->key = l->key;
+  if (g_hash_table_size (r->given_up) >= GIVEN_UP_MAX)
+    g_hash_table_remove_all (r->given_up);
+  g_hash_table_replace (r->given_up, &g->request, g);
 
   m->u.append_cancel.uid = g_strdup (l->claim_uid);
   turn_put (t, m);
@@ -168,7 +189,7 @@
              enum reason reason, int64_t retry_after_ms)
 {
   if (l->state == LIVE_CLAIMING)
-    cancel_claim (t, l);
+    cancel_claim (r, t, l);
   if (l->state == LIVE_WAITING && l->owner != NULL)
     cancel_ask (t, l);
   if (l->claim != 0)
@@ -255,7 +276,7 @@
     return REASON_OVERLOADED;
   if (fleet_config (t->fleet) == NULL)
     return REASON_NO_CONFIGURATION;
-  if (view_is_too_old (t))
+  if (t->behind || view_is_too_old (t))
     return REASON_VIEW_TOO_OLD;
   return REASON_NONE;
 }
@@ -322,6 +343,7 @@
   r->u.claim.seen = fleet_offset (t->fleet);
   r->u.claim.remember_ms = k->remember_key_ms;
   l->state = LIVE_CLAIMING;
+  l->body_hash = m->body_hash;
   l->claim_uid = g_strdup (r->uid);
   turn_append (t, r);
   counters_add (t->counters, COUNTER_CLAIMS_APPENDED, 1);
@@ -385,14 +407,13 @@
 /* Claims. */
 
 static void
-lose_claim (struct requests *r, struct turn *t, struct live *l,
-            const struct record *record)
+lose_claim (struct requests *r, struct turn *t, struct live *l)
 {
   const struct fleet_claim *c = fleet_find_claim (t->fleet, l->key);
   enum reason reason = REASON_NONE;
 
   if (c != NULL)
-    reason = earlier_claim_reason (t, c, record->u.claim.body_hash);
+    reason = earlier_claim_reason (t, c, l->body_hash);
   /* The other claim was given up or forgotten meanwhile.  No copy of ours can
      win any more, so it may be sent again. */
   if (reason == REASON_NONE)
@@ -403,6 +424,22 @@
   end_waiting (r, t, l, reason, BUSY_RETRY_AFTER_MS);
 }
 
+static void
+win_claim (struct turn *t, struct live *l, uint64_t offset)
+{
+  counters_add (t->counters, COUNTER_CLAIMS_WON, 1);
+  l->claim = offset;
+  ask_slot (t, l);
+}
+
+/* Say that the claim of KEY at OFFSET was given up before anything was
+   dispatched, so that the key can be used again. */
+static void
+release_claim (struct turn *t, struct key_id key, uint64_t offset)
+{
+  append_outcome (t, key, offset, OUTCOME_NOT_RUN, REASON_CANCELLED, 0);
+}
+
 void
 requests_claimed (struct requests *requests, struct turn *turn,
                   const struct record *record, uint64_t offset,
@@ -412,25 +449,67 @@
 
   if (verdict == VERDICT_REPEATED)
     return;
+  g_hash_table_remove (requests->given_up, &record->u.claim.request);
   if (l != NULL && l->state != LIVE_CLAIMING)
     return;
   if (l == NULL)
     {
-      /* Given up while it was being claimed, so it never was dispatched: say
-         so, so that the key can be used again. */
       if (verdict == VERDICT_ACCEPTED)
-        append_outcome (turn, record->u.claim.key, offset, OUTCOME_NOT_RUN,
-                        REASON_CANCELLED, 0);
+        release_claim (turn, record->u.claim.key, offset);
       return;
     }
   if (verdict != VERDICT_ACCEPTED)
     {
-      lose_claim (requests, turn, l, record);
+      lose_claim (requests, turn, l);
       return;
     }
-  counters_add (turn->counters, COUNTER_CLAIMS_WON, 1);
-  l->claim = offset;
-  ask_slot (turn, l);
+  win_claim (turn, l, offset);
+}
+
+/* The unsettled claim that REQUEST of this node holds on KEY, or NULL. */
+static const struct fleet_claim *
+own_claim (const struct turn *t, struct key_id key, uint64_t request)
+{
+  const struct fleet_claim *c = fleet_find_claim (t->fleet, key);
+
+  if (c == NULL || c->settled || c->incarnation != t->incarnation
+      || c->request != request)
+    return NULL;
+  return c;
+}
+
+void
+requests_restored (struct requests *requests, struct turn *turn)
+{
+  GList *all = g_hash_table_get_values (requests->live);
+  GHashTableIter i;
+  gpointer p;
+
+  for (GList *k = all; k != NULL; k = k->next)
+    {
+      struct live *l = k->data;
+      const struct fleet_claim *c;
+
+      if (l->state != LIVE_CLAIMING)
+        continue;
+      c = own_claim (turn, l->key, l->request);
+      if (c != NULL)
+        win_claim (turn, l, c->claimed);
+      else if (fleet_find_claim (turn->fleet, l->key) != NULL)
+        lose_claim (requests, turn, l);
+    }
+  g_list_free (all);
+  g_hash_table_iter_init (&i, requests->given_up);
+  while (g_hash_table_iter_next (&i, NULL, &p))
+    {
+      const struct given_up *g = p;
+      const struct fleet_claim *c = own_claim (turn, g->key, g->request);
+
+      if (c == NULL)
+        continue;
+      release_claim (turn, g->key, c->claimed);
+      g_hash_table_iter_remove (&i);
+    }
 }
 
 /* Grants and runs. */
@@ -461,7 +540,8 @@
 may_start_on (const struct requests *r, const struct turn *t,
               const struct fleet_vm *v, const char *pool)
 {
-  return v != NULL && v->phase == VM_SERVING && strcmp (v->pool, pool) == 0
+  return v != NULL && !t->behind && v->phase == VM_SERVING
+         && strcmp (v->pool, pool) == 0
          && !g_hash_table_contains (r->leaving, v->vm) && !view_is_too_old (t);
 }
 
@@ -546,6 +626,8 @@
     case PEER_SLOT_RETURN:
     case PEER_SLOT_HOLD:
     case PEER_SLOT_CANCEL:
+    case PEER_SNAPSHOT_ASK:
+    case PEER_SNAPSHOT_PART:
     case PEER_KIND_COUNT:
       break;
     }
--- a/src/requests.h
+++ b/src/requests.h
@@ -29,6 +29,10 @@
                        const struct record *record, uint64_t offset,
                        enum verdict verdict);
 
+/* The fleet was replaced by a restored one: take the verdicts that this node
+   has not read from what it holds. */
+void requests_restored (struct requests *requests, struct turn *turn);
+
 /* Take in a grant or a refusal from a pool's owner. */
 void requests_handle (struct requests *requests, struct turn *turn,
                       const struct peer_message *message);
--- a/src/serve.c
+++ b/src/serve.c
@@ -68,6 +68,7 @@
     case MESSAGE_APPEND:
     case MESSAGE_APPEND_CANCEL:
     case MESSAGE_PLATFORM:
+    case MESSAGE_READ_NOW:
       task_post (log_task_task (n->log), m);
       break;
     case MESSAGE_SEND:
--- a/src/turn.h
+++ b/src/turn.h
@@ -24,6 +24,7 @@
   struct counters *counters;
   int64_t view_age_ms; /* since the fleet was at the log's head */
   bool log_reachable;
+  bool behind; /* the fleet is not whole, or older than a peer's */
   bool stopping;
   GQueue *out; /* struct message * */
 };
