--- a/tests/unit/claim_world.c
+++ b/tests/unit/claim_world.c
@@ -120,6 +120,11 @@
 
   if (mutation == COPY_OF_FORGOTTEN && r.kind == RECORD_CLAIM)
     r.u.claim.seen = INT64_MAX;
+  if (mutation == ANY_PRIOR && r.kind == RECORD_CLAIM)
+    {
+      c = fleet_find_claim (f, r.u.claim.key);
+      r.u.claim.prior = c != NULL ? c->changed : 0;
+    }
   if (mutation == ANY_OUTCOME && r.kind == RECORD_OUTCOME)
     {
       c = fleet_find_claim (f, r.u.outcome.key);
--- a/tests/unit/claim_world.h
+++ b/tests/unit/claim_world.h
@@ -24,6 +24,7 @@
   ANY_NODE_MAY_RUN,    /* one node's claim lets every node run the key */
   NO_CLAIM,            /* the class is run as if it were idempotent */
   ANY_OUTCOME,         /* an outcome settles whichever claim is in force */
+  ANY_PRIOR,           /* a claim need not name what it follows */
   COPY_OF_FORGOTTEN,   /* a claim need not have seen what was forgotten */
   LOST_IS_NOT_STARTED, /* a run that broke off counts as not started */
   MUTATION_COUNT
--- a/tests/unit/test_model_claim.c
+++ b/tests/unit/test_model_claim.c
@@ -187,6 +187,7 @@
   { "any node may run", 2, { 0 }, ANY_NODE_MAY_RUN },
   { "no claim", 2, { 0 }, NO_CLAIM },
   { "any outcome", 2, { .lost = 1, .time_outs = 1 }, ANY_OUTCOME },
+  { "any prior", 2, { .lost = 1, .forgets = 1, .time_outs = 1 }, ANY_PRIOR },
   { "copy of a forgotten claim",
     2,
     { .lost = 1, .forgets = 1 },
