--- a/tests/scenario/judge.c
+++ b/tests/scenario/judge.c
@@ -175,6 +175,10 @@
     { "wrong", v->wrong },
     { "two-pools", v->two_pools },
     { "after-leaving", v->after_leaving },
+    { "versions-back", r->watch.back },
+    { "versions-stale", r->watch.stale },
+    { "versions-answered", r->watch.answers },
+    { "versions-spread", watch_spread (r) },
     { "p50", v->p50_ms },
     { "p99", v->p99_ms },
   };
--- a/tests/scenario/scenario.c
+++ b/tests/scenario/scenario.c
@@ -282,6 +282,8 @@
     run_wait_ms (r, read_duration_ms (r, rest[0]));
   else if (strcmp (step, "command") == 0)
     step_command (r, rest);
+  else if (strcmp (step, "watch") == 0)
+    watch_start (r);
   else if (strcmp (step, "expect") == 0)
     step_expect (r, rest);
   else if (strcmp (step, "table") == 0)
--- a/tests/scenario/scenario.h
+++ b/tests/scenario/scenario.h
@@ -75,6 +75,17 @@
   GPtrArray *sent; /* struct sent * */
 };
 
+/* What the nodes answered to the question which version is in force. */
+struct watch
+{
+  int64_t versions[MAX_NODES]; /* last answered */
+  bool asking[MAX_NODES];
+  GArray *sightings; /* of versions */
+  int64_t answers;
+  int64_t back;  /* older than the same node's last answer */
+  int64_t stale; /* older than what was in force anywhere seconds before */
+};
+
 struct run
 {
   char *binary;
@@ -86,6 +97,7 @@
   int n_nodes;
   GPtrArray *loads; /* struct load * */
   SoupSession *session;
+  struct watch watch;
   bool failed;
   bool quiet;
   int next_node;
@@ -129,6 +141,11 @@
 void load_await_all (struct run *r, int64_t within_ms);
 struct load *load_find (struct run *r, const char *name);
 
+/* watch.c */
+void watch_start (struct run *r);
+/* Return how far apart the versions last answered by running nodes are. */
+int64_t watch_spread (const struct run *r);
+
 /* judge.c */
 struct verdicts
 {
