--- a/src/core.c
+++ b/src/core.c
@@ -2,6 +2,8 @@
 
 #include "broker.h"
 #include "fleet.h"
+#include "keys.h"
+#include "listing.h"
 #include "members.h"
 #include "operators.h"
 #include "plan.h"
@@ -14,10 +16,13 @@
 
 #define JOIN_AGAIN_MS 3000
 #define PLAN_EVERY_MS 200
-/* Messages come at least every tick; a longer gap was a pause. */
-#define PAUSE_MS 1500
 /* How long a stopping node waits for its last records to stand in the log. */
 #define FLUSH_MS 8000
+/* No message for so long, with ticks due every CORE_TICK_MS, is a pause. */
+#define PAUSE_MS 1000
+/* After a pause, what waited may be old for so long: the VM list and the
+   peers' heartbeats are read anew within it. */
+#define RESUME_MS 1200
 
 struct core
 {
@@ -30,14 +35,18 @@
   struct broker *broker;
   struct requests *requests;
   struct plan *plan;
+  struct listing *listing;
   struct operators *operators;
   struct recovery *recovery;
-  int64_t handled_ms;   /* when the last message was handled */
   GHashTable *unlogged; /* set of uids: records that a stop waits for */
   int64_t stopping_ms;
+  struct keys *keys;
   GHashTable *leaving; /* set of VMs that the platform said are leaving */
   bool log_reachable;
-  int64_t fresh_ms; /* when the fleet was last at the log's head */
+  int64_t fresh_ms;   /* when the fleet was last at the log's head */
+  int64_t handled_ms; /* when the last message came; 0 for none */
+  int64_t resumed_ms; /* when the last pause ended */
+  bool resuming;
   int64_t heartbeat_ms;
   int64_t planned_ms;
   int64_t joined_ms; /* when this node last asked to join */
@@ -60,9 +69,11 @@
   c->broker = broker_new (options->seed);
   c->requests = requests_new (options->max_requests);
   c->plan = plan_new ();
+  c->listing = listing_new ();
   c->operators = operators_new ();
   c->recovery = recovery_new ();
   c->unlogged = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  c->keys = keys_new ();
   c->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->fresh_ms = -1;
   return c;
@@ -74,8 +85,10 @@
   if (core == NULL)
     return;
   recovery_destroy (core->recovery);
+  keys_destroy (core->keys);
   operators_destroy (core->operators);
   plan_destroy (core->plan);
+  listing_destroy (core->listing);
   requests_destroy (core->requests);
   broker_destroy (core->broker);
   members_destroy (core->members);
@@ -93,6 +106,28 @@
   return core->fleet;
 }
 
+/* Notice a pause of the process.  What was in its queues meanwhile is old but
+   looks new, so it starts no work until it has surely heard news. */
+static void
+note_time (struct core *c, int64_t now_ms, GQueue *out)
+{
+  if (now_ms - c->handled_ms > PAUSE_MS)
+    {
+      if (c->handled_ms != 0)
+        {
+          recovery_resumed (c->recovery, now_ms);
+          counters_add (c->counters, COUNTER_RESUMED, 1);
+          g_queue_push_tail (out, message_new (MESSAGE_READ_NOW));
+        }
+      c->resumed_ms = now_ms;
+      c->resuming = true;
+      c->fresh_ms = -1;
+    }
+  else if (now_ms - c->resumed_ms >= RESUME_MS)
+    c->resuming = false;
+  c->handled_ms = now_ms;
+}
+
 static struct turn
 begin_turn (struct core *c, int64_t now_ms, GQueue *out)
 {
@@ -106,6 +141,7 @@
     .view_age_ms = c->fresh_ms < 0 ? INT32_MAX : now_ms - c->fresh_ms,
     .log_reachable = c->log_reachable,
     .behind = !recovery_caught_up (c->recovery),
+    .resuming = c->resuming,
     .stopping = c->stopping,
     .out = out,
   };
@@ -206,7 +242,7 @@
   t->log_reachable = m->reachable;
   recovery_log_state (c->recovery, t, m);
   /* The answer says where the head was when it was asked for, or later. */
-  if (m->reachable && fleet_offset (c->fleet) >= m->head)
+  if (!c->resuming && m->reachable && fleet_offset (c->fleet) >= m->head)
     c->fresh_ms
         = MAX (c->fresh_ms, m->asked_ms != 0 ? m->asked_ms : t->now_ms);
 }
@@ -225,10 +261,12 @@
 }
 
 static void
-handle_vm_list (struct core *c, const struct message_vm_list *m,
-                int64_t now_ms)
+handle_vm_list (struct core *c, struct turn *t,
+                const struct message_vm_list *m)
 {
-  plan_list (c->plan, m->vms, now_ms);
+  plan_list (c->plan, m->vms, t->now_ms);
+  plan_add_listed (c->plan, t);
+  listing_tell (c->listing, t, m->vms);
   for (guint i = 0; i < m->vms->len; i++)
     {
       const struct listed_vm *v = &g_array_index (m->vms, struct listed_vm, i);
@@ -237,6 +275,23 @@
     }
 }
 
+static void
+handle_vm_news (struct core *c, const struct peer_message *p, int64_t now_ms)
+{
+  const GArray *states = p->u.vm_news.states;
+
+  for (guint i = 0; i < states->len; i++)
+    {
+      const struct peer_vm_state *s
+          = &g_array_index (states, struct peer_vm_state, i);
+
+      plan_note (c->plan, s->vm, s->state, s->running, now_ms);
+      set_leaving (c, s->vm, s->state != VM_STATE_LIVE);
+    }
+  listing_hear (c->listing, &p->u.vm_news);
+  listing_note_read (c->listing, p->from, now_ms);
+}
+
 static void
 handle_heartbeat (struct core *c, const struct peer_message *p, int64_t now_ms)
 {
@@ -272,6 +327,13 @@
       recovery_handle (c->recovery, t, p);
       install (c, t);
       break;
+    case PEER_VM_NEWS:
+      handle_vm_news (c, p, t->now_ms);
+      break;
+    case PEER_KEY_CANCEL:
+    case PEER_KEY_CANCELLED:
+      keys_handle (c->keys, t, c->requests, p);
+      break;
     case PEER_KIND_COUNT:
       break;
     }
@@ -384,8 +446,11 @@
     send_heartbeat (c, t);
   join (c, t);
   recovery_step (c->recovery, t);
+  if (listing_is_due (c->listing, t))
+    turn_put (t, message_new (MESSAGE_READ_LIST));
   requests_step (c->requests, t);
   operators_step (c->operators, t);
+  keys_step (c->keys, t);
   if (!t->behind && t->now_ms - c->planned_ms >= PLAN_EVERY_MS)
     {
       plan_step (c->plan, t);
@@ -412,7 +477,10 @@
 {
   struct status_input in = { t, c->plan, c->broker, c->requests };
 
-  operators_query (c->operators, t, &in, c->requests, q);
+  if (q->kind == QUERY_KEY || q->kind == QUERY_CANCEL)
+    keys_query (c->keys, t, c->requests, q);
+  else
+    operators_query (c->operators, t, &in, q);
 }
 
 static void
@@ -436,7 +504,7 @@
       handle_log_state (c, t, &m->u.log_state);
       break;
     case MESSAGE_VM_LIST:
-      handle_vm_list (c, &m->u.vm_list, t->now_ms);
+      handle_vm_list (c, t, &m->u.vm_list);
       break;
     case MESSAGE_PEER:
       handle_peer (c, t, m->u.peer.peer);
@@ -456,6 +524,7 @@
     case MESSAGE_APPEND_CANCEL:
     case MESSAGE_SEND:
     case MESSAGE_PLATFORM:
+    case MESSAGE_READ_LIST:
     case MESSAGE_REPLY:
     case MESSAGE_READ_NOW:
     case MESSAGE_STOPPED:
@@ -463,20 +532,6 @@
     }
 }
 
-/* Notice that the process was paused: what it holds may be old, whatever the
-   messages that waited meanwhile say. */
-static void
-notice_pause (struct core *c, int64_t now_ms, GQueue *out)
-{
-  if (c->handled_ms != 0 && now_ms - c->handled_ms > PAUSE_MS)
-    {
-      recovery_resumed (c->recovery, now_ms);
-      counters_add (c->counters, COUNTER_RESUMED, 1);
-      g_queue_push_tail (out, message_new (MESSAGE_READ_NOW));
-    }
-  c->handled_ms = now_ms;
-}
-
 /* Handle at once what this node sent to itself; pass the rest on to OUT. */
 static void
 drain (struct core *c, struct turn *t, GQueue *work, GQueue *out)
@@ -506,7 +561,7 @@
   GQueue work = G_QUEUE_INIT;
   struct turn t;
 
-  notice_pause (core, now_ms, out);
+  note_time (core, now_ms, out);
   t = begin_turn (core, now_ms, &work);
   handle_one (core, &t, message);
   message_destroy (message);
--- a/src/log_task.c
+++ b/src/log_task.c
@@ -7,7 +7,6 @@
 #define READ_WAIT_MS 1000
 #define READ_RETRY_MS 200
 #define PROBE_AFTER_MS 10
-#define LIST_EVERY_MS 1000
 /* Appends a second that all nodes together make at most. */
 #define APPENDS_PER_S 130
 #define APPEND_MIN_GAP_MS 20
@@ -39,7 +38,6 @@
   int64_t gap_ms;     /* between appends */
   int64_t appended_ms;
   GSource *append_timer;
-  GSource *list_timer;
   GSource *read_timer;
   GSource *probe_timer;
   uint64_t after;   /* offset read so far */
@@ -275,15 +273,6 @@
   task_post (l->core, m);
 }
 
-static gboolean
-on_list_timer (gpointer data)
-{
-  struct log_task *l = data;
-
-  platform_list (l->platform, on_list, l);
-  return G_SOURCE_CONTINUE;
-}
-
 /* Appending. */
 
 static gboolean
@@ -477,8 +466,6 @@
 
   l->platform = platform_new (&l->settings->platform,
                               l->settings->platform_token, l->counters);
-  l->list_timer = start_timer (LIST_EVERY_MS, on_list_timer, l);
-  platform_list (l->platform, on_list, l);
   read_on (l);
 }
 
@@ -501,6 +488,9 @@
     case MESSAGE_PLATFORM:
       act (l, &m->u.platform);
       break;
+    case MESSAGE_READ_LIST:
+      platform_list (l->platform, on_list, l);
+      break;
     default:
       break;
     }
@@ -513,7 +503,6 @@
   struct log_task *l = data;
 
   stop_timer (&l->append_timer);
-  stop_timer (&l->list_timer);
   stop_timer (&l->read_timer);
   stop_timer (&l->probe_timer);
   platform_destroy (l->platform);
--- a/src/platform.c
+++ b/src/platform.c
@@ -54,7 +54,8 @@
   if (token[0] != '\0')
     p->authorization = g_strconcat ("Bearer ", token, NULL);
   p->counters = counters;
-  p->session = soup_session_new_with_options ("max-conns-per-host", 6, NULL);
+  p->session = soup_session_new_with_options ("max-conns-per-host", 6,
+                                              "proxy-resolver", NULL, NULL);
   p->cancellable = g_cancellable_new ();
   return p;
 }
@@ -341,6 +342,8 @@
   if (root != NULL)
     {
       vms = listed_vms_new ();
+      counters_add (c->platform->counters, COUNTER_VM_LIST_BYTES,
+                    g_bytes_get_size (answer));
       if (!read_vms (root, vms))
         g_clear_pointer (&vms, g_array_unref);
       json_node_unref (root);
