--- a/src/broker.c
+++ b/src/broker.c
@@ -386,6 +386,8 @@
     case PEER_HEARTBEAT:
     case PEER_SLOT_GRANT:
     case PEER_SLOT_REFUSE:
+    case PEER_SNAPSHOT_ASK:
+    case PEER_SNAPSHOT_PART:
     case PEER_VM_NEWS:
     case PEER_KEY_CANCEL:
     case PEER_KEY_CANCELLED:
--- a/src/message.h
+++ b/src/message.h
@@ -48,6 +48,7 @@
   MESSAGE_APPEND,
   MESSAGE_APPEND_CANCEL,
   MESSAGE_SEND,
+  MESSAGE_READ_NOW,
   MESSAGE_PLATFORM,
   MESSAGE_READ_LIST, /* read the VM list now */
   MESSAGE_REPLY,
@@ -93,6 +94,7 @@
 struct message_records
 {
   GArray *entries; /* struct log_entry */
+  uint64_t first;  /* the oldest offset still kept; 0 if not known */
 };
 
 struct message_log_state
@@ -100,7 +102,7 @@
   bool reachable;
   uint64_t head;    /* offset after the last record */
   uint64_t first;   /* the oldest offset still kept */
-  int64_t asked_ms; /* clock time at which the log was asked */
+  int64_t asked_ms; /* clock time at which the read began; 0 for just now */
 };
 
 enum vm_state
