--- a/src/core.c
+++ b/src/core.c
@@ -16,6 +16,7 @@
 #include <string.h>
 
 #define JOIN_AGAIN_MS 3000
+#define ANNOUNCE_MS 1000
 #define PLAN_EVERY_MS 200
 /* No message for so long, with ticks due every CORE_TICK_MS, is a pause. */
 #define PAUSE_MS 1000
@@ -47,6 +48,7 @@
   int64_t resumed_ms; /* when the last pause ended */
   bool resuming;
   int64_t heartbeat_ms;
+  int64_t announced_ms; /* when all were sent a heartbeat last */
   int64_t planned_ms;
   int64_t joined_ms; /* when this node last asked to join */
   bool stopping;
@@ -342,8 +344,8 @@
   return (char **)g_ptr_array_free (busy, FALSE);
 }
 
-static void
-send_heartbeat (struct core *c, struct turn *t)
+static struct peer_message *
+make_heartbeat (struct core *c, const struct turn *t)
 {
   struct peer_message *p = turn_peer (t, PEER_HEARTBEAT);
   struct peer_heartbeat *h = &p->u.heartbeat;
@@ -357,9 +359,35 @@
   h->list_age_ms = leaving_list_age_ms (c->leaving, t->now_ms);
   h->leaving = leaving_own (c->leaving);
   h->busy = own_busy (c);
-  h->echoes = members_echoes (c->members);
   h->loads = own_loads (c);
-  turn_send (t, "", p);
+  return p;
+}
+
+/* Each member that is alive hears the echo of its own stamp alone, so that a
+   heartbeat does not grow with the nodes.  Now and then all are told, so that
+   those not heard yet hear of this node. */
+static void
+send_heartbeat (struct core *c, struct turn *t)
+{
+  const GPtrArray *others = members_others (c->members);
+
+  for (guint i = 0; i < others->len; i++)
+    {
+      const struct member *m = g_ptr_array_index (others, i);
+      struct peer_message *p;
+
+      if (!m->alive)
+        continue;
+      p = make_heartbeat (c, t);
+      p->u.heartbeat.echoes = members_echo (m);
+      turn_send (t, m->node, p);
+    }
+  if (c->stopping || c->announced_ms == 0
+      || t->now_ms - c->announced_ms >= ANNOUNCE_MS)
+    {
+      turn_send (t, "", make_heartbeat (c, t));
+      c->announced_ms = t->now_ms;
+    }
   c->heartbeat_ms = t->now_ms;
   c->says_news = false;
 }
--- a/src/members.c
+++ b/src/members.c
@@ -64,16 +64,18 @@
   return NULL;
 }
 
-/* The stamp of this node's own that H echoes; -1 for none. */
+/* The stamp of this node's own that H, heard at NOW_MS, echoes; -1 for
+   none. */
 static int64_t
-find_echo (const struct members *members, const struct peer_heartbeat *h)
+find_echo (const struct members *members, const struct peer_heartbeat *h,
+           int64_t now_ms)
 {
   for (guint i = 0; h->echoes != NULL && i < h->echoes->len; i++)
     {
       const struct peer_echo *e
           = &g_array_index (h->echoes, struct peer_echo, i);
 
-      if (e->incarnation == members->incarnation
+      if (e->incarnation == members->incarnation && e->stamp_ms <= now_ms
           && strcmp (e->node, members->self) == 0)
         return e->stamp_ms;
     }
@@ -92,7 +94,8 @@
   m->view_age_ms = h->view_age_ms;
   m->stopping = h->stopping;
   m->stamp_ms = h->stamp_ms;
-  m->confirmed_ms = find_echo (members, h);
+  /* Without an echo the last one holds: it had read no further then. */
+  m->confirmed_ms = MAX (m->confirmed_ms, find_echo (members, h, m->heard_ms));
   m->list_age_ms = h->list_age_ms;
   g_strfreev (m->leaving);
   m->leaving = g_strdupv (h->leaving);
@@ -123,6 +126,8 @@
     return false;
   changed = !m->alive || m->incarnation != message->incarnation
             || m->stopping != h->stopping;
+  if (m->incarnation != message->incarnation)
+    m->confirmed_ms = -1;
   m->incarnation = message->incarnation;
   m->heard_ms = now_ms;
   m->alive = true;
@@ -193,6 +198,33 @@
   return owner;
 }
 
+/* Whether M reads the log, as far as is known at NOW_MS. */
+static bool
+reads_log (const struct member *m, int64_t now_ms)
+{
+  return m->view_age_ms + now_ms - m->heard_ms <= MEMBERS_PLANNER_VIEW_MS;
+}
+
+const char *
+members_planner (const struct members *members, const char *name,
+                 int64_t now_ms)
+{
+  const char *best = members->self;
+  uint64_t best_score = members->stopping ? 0 : score (members->self, name);
+
+  for (guint i = 0; i < members->others->len; i++)
+    {
+      const struct member *m = g_ptr_array_index (members->others, i);
+
+      if (!m->alive || m->stopping || !reads_log (m, now_ms)
+          || score (m->node, name) <= best_score)
+        continue;
+      best = m->node;
+      best_score = score (m->node, name);
+    }
+  return best;
+}
+
 bool
 members_alive (const struct members *members, const char *node,
                uint64_t incarnation)
@@ -219,20 +251,13 @@
 }
 
 GArray *
-members_echoes (const struct members *members)
+members_echo (const struct member *member)
 {
   GArray *echoes = peer_echoes_new ();
+  struct peer_echo e
+      = { g_strdup (member->node), member->incarnation, member->stamp_ms };
 
-  for (guint i = 0; i < members->others->len; i++)
-    {
-      const struct member *m = g_ptr_array_index (members->others, i);
-      struct peer_echo e = { NULL, m->incarnation, m->stamp_ms };
-
-      if (!m->alive)
-        continue;
-      e.node = g_strdup (m->node);
-      g_array_append_val (echoes, e);
-    }
+  g_array_append_val (echoes, e);
   return echoes;
 }
 
--- a/src/members.h
+++ b/src/members.h
@@ -51,6 +51,14 @@
 /* Return the alive node that owns POOL; never NULL, as self is alive. */
 const char *members_owner (const struct members *members, const char *pool);
 
+/* A node whose view is older than this plans nothing. */
+#define MEMBERS_PLANNER_VIEW_MS 5000
+
+/* Return the node that plans for NAME at NOW_MS: as members_owner, but among
+   those that read the log.  Self is taken to read it. */
+const char *members_planner (const struct members *members, const char *name,
+                             int64_t now_ms);
+
 /* Return whether NODE in INCARNATION is alive. */
 bool members_alive (const struct members *members, const char *node,
                     uint64_t incarnation);
@@ -62,8 +70,8 @@
 const struct member *members_find (const struct members *members,
                                    const char *node);
 
-/* Return the stamps of all members heard, as the echoes of a heartbeat. */
-GArray *members_echoes (const struct members *members);
+/* Return the stamp of MEMBER's last heartbeat as the echo in one to it. */
+GArray *members_echo (const struct member *member);
 
 /* Return the other members as struct member *. */
 const GPtrArray *members_others (const struct members *members);
--- a/src/operators.c
+++ b/src/operators.c
@@ -1,5 +1,6 @@
 #include "operators.h"
 
+#include "advice.h"
 #include "error.h"
 #include "fields.h"
 
@@ -307,11 +308,17 @@
 static void
 reply_accepted (struct turn *t, const struct pending *p, bool everywhere)
 {
+  const struct config *c = fleet_config (t->fleet);
+  bool is_config = fleet_config_version (t->fleet) == p->offset;
+  char *advice = is_config ? advice_render (t->fleet, c) : g_strdup ("[]");
+
   reply_take (t, p->query, 200,
               g_strdup_printf ("{\"version\":%" G_GUINT64_FORMAT
-                               ",\"in_force_on_all_live_nodes\":%s}",
+                               ",\"in_force_on_all_live_nodes\":%s"
+                               ",\"targets_not_met\":%s}",
                                (guint64)p->offset,
-                               everywhere ? "true" : "false"));
+                               everywhere ? "true" : "false", advice));
+  g_free (advice);
 }
 
 static void
--- a/src/plan.c
+++ b/src/plan.c
@@ -31,6 +31,7 @@
   struct sights *sights;
   struct moves *moves;
   GHashTable *peaks; /* pool -> struct peak * */
+  GHashTable *mine;  /* pool -> whether this node plans for it, in this step */
 };
 
 struct plan *
@@ -41,6 +42,7 @@
   p->sights = sights_new ();
   p->moves = moves_new ();
   p->peaks = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  p->mine = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return p;
 }
 
@@ -52,6 +54,7 @@
   sights_destroy (plan->sights);
   moves_destroy (plan->moves);
   g_hash_table_unref (plan->peaks);
+  g_hash_table_unref (plan->mine);
   g_free (plan);
 }
 
@@ -70,10 +73,18 @@
 
 /* Proposing. */
 
+/* Whether this node plans for NAME; found out once a step. */
 static bool
-is_mine (const struct turn *t, const char *name)
+is_mine (struct plan *p, const struct turn *t, const char *name)
 {
-  return strcmp (members_owner (t->members, name), t->node) == 0;
+  gpointer known;
+  bool mine;
+
+  if (g_hash_table_lookup_extended (p->mine, name, NULL, &known))
+    return GPOINTER_TO_INT (known);
+  mine = strcmp (members_planner (t->members, name, t->now_ms), t->node) == 0;
+  g_hash_table_insert (p->mine, g_strdup (name), GINT_TO_POINTER (mine));
+  return mine;
 }
 
 static void
@@ -309,7 +320,7 @@
           s->changed = v->changed;
           s->changed_ms = t->now_ms;
         }
-      if (is_mine (t, v->pool))
+      if (is_mine (p, t, v->pool))
         step_vm (t, requests, s, v);
     }
   g_list_free (all);
@@ -385,7 +396,7 @@
 {
   const GPtrArray *waves = fleet_waves (t->fleet);
 
-  if (!is_mine (t, pool))
+  if (!is_mine (p, t, pool))
     return;
   for (guint i = 0; i < waves->len; i++)
     {
@@ -521,7 +532,7 @@
   struct move_load *loads;
   struct move m;
 
-  if (!is_mine (t, MOVES_OWNER))
+  if (!is_mine (p, t, MOVES_OWNER))
     return;
   loads = g_new0 (struct move_load, c->n_pools);
   if (gather_loads (t, c, own, loads))
@@ -550,12 +561,16 @@
   /* A planner with an old view proposes nothing. */
   if (c == NULL || !sights_has_list (plan->sights) || !turn->log_reachable)
     return;
+  g_hash_table_remove_all (plan->mine);
   for (guint i = 0; i < loads->len; i++)
     note_peak (plan, &g_array_index (loads, struct peer_load, i),
                turn->now_ms);
   step_sights (plan, turn, requests);
-  /* What has begun is finished; nothing more begins. */
-  if (c->paused)
+  /* What has begun is finished; nothing more begins.  Neither does anything
+     begin where most nodes are not heard: their load is not known here. */
+  if (c->paused
+      || members_alive_count (turn->members) * 2
+             <= fleet_nodes (turn->fleet)->len)
     return;
   for (guint i = 0; i < c->n_pools; i++)
     step_waves (plan, turn, c->pools[i].name);
--- a/tests/bench/bench_capacity.c
+++ b/tests/bench/bench_capacity.c
@@ -155,7 +155,7 @@
 }
 
 static double
-heartbeat_bytes (unsigned leaving)
+heartbeat_bytes (unsigned leaving, unsigned echoes, unsigned loads)
 {
   struct peer_message *p = peer_message_new (PEER_HEARTBEAT);
   GBytes *bytes;
@@ -167,6 +167,20 @@
   p->u.heartbeat.leaving = g_new0 (char *, leaving + 1);
   for (unsigned i = 0; i < leaving; i++)
     p->u.heartbeat.leaving[i] = g_strdup_printf ("vm-%06u", i);
+  p->u.heartbeat.echoes = peer_echoes_new ();
+  for (unsigned i = 0; i < echoes; i++)
+    {
+      struct peer_echo e = { g_strdup_printf ("n%u", i % 10), 1, 1 };
+
+      g_array_append_val (p->u.heartbeat.echoes, e);
+    }
+  p->u.heartbeat.loads = peer_loads_new ();
+  for (unsigned i = 0; i < loads; i++)
+    {
+      struct peer_load l = { g_strdup_printf ("pool-%02u", i % 100), 1, 1, 1 };
+
+      g_array_append_val (p->u.heartbeat.loads, l);
+    }
   bytes = peer_message_to_bytes (p);
   n = (double)g_bytes_get_size (bytes);
   g_bytes_unref (bytes);
@@ -346,11 +360,18 @@
   if (!only_check)
     slopes_of_core ();
   printf ("a leaving VM in a heartbeat: %.1f bytes\n",
-          (heartbeat_bytes (100) - heartbeat_bytes (0)) / 100);
+          (heartbeat_bytes (100, 0, 0) - heartbeat_bytes (0, 0, 0)) / 100);
+  printf ("an echo in a heartbeat: %.1f bytes\n",
+          (heartbeat_bytes (0, 100, 0) - heartbeat_bytes (0, 0, 0)) / 100);
+  printf ("a pool's load in a heartbeat: %.1f bytes\n",
+          (heartbeat_bytes (0, 0, 100) - heartbeat_bytes (0, 0, 0)) / 100);
+  printf ("a heartbeat to one node, with the load of a pool: %.0f bytes\n",
+          heartbeat_bytes (0, 1, 1));
   failed += check ("a VM in memory", vm_bytes, BOUND_VM_BYTES);
   failed += check ("a key in memory", key_bytes, BOUND_KEY_BYTES);
   failed += check ("a node in memory", node_bytes, BOUND_NODE_BYTES);
-  failed += check ("a heartbeat", heartbeat_bytes (0), BOUND_HEARTBEAT_BYTES);
+  failed += check ("a heartbeat", heartbeat_bytes (0, 0, 0),
+                   BOUND_HEARTBEAT_BYTES);
   failed += check ("a claim in the log", record_bytes (make_claim (1)),
                    BOUND_CLAIM_RECORD_BYTES);
   failed += check ("a VM's step in the log", step_record_bytes (),
--- a/tests/unit/test_model_move.c
+++ b/tests/unit/test_model_move.c
@@ -214,7 +214,7 @@
 }
 
 static struct peer_message *
-heartbeat (struct model *m, int i)
+heartbeat (struct model *m, int i, int to)
 {
   struct model_node *n = &m->nodes[i];
   struct peer_message *p = peer_message_new (PEER_HEARTBEAT);
@@ -224,7 +224,9 @@
   p->u.heartbeat.zone = g_strdup ("z");
   p->u.heartbeat.offset = fleet_offset (n->fleet);
   p->u.heartbeat.stamp_ms = m->now_ms;
-  p->u.heartbeat.echoes = members_echoes (n->members);
+  if (members_find (n->members, m->nodes[to].name) != NULL)
+    p->u.heartbeat.echoes
+        = members_echo (members_find (n->members, m->nodes[to].name));
   return p;
 }
 
@@ -234,7 +236,7 @@
   struct peer_heartbeat *h = &p->u.heartbeat;
 
   if (m->mutation == MUTATION_OLD_ECHO)
-    for (guint k = 0; k < h->echoes->len; k++)
+    for (guint k = 0; h->echoes != NULL && k < h->echoes->len; k++)
       g_array_index (h->echoes, struct peer_echo, k).stamp_ms = m->now_ms;
   /* The mover sees the true offset; who asks for a confirmation does not. */
   if (m->mutation == MUTATION_AHEAD
@@ -383,12 +385,12 @@
     case ACT_BEAT:
       if (is_paused (m, x->a) || is_paused (m, x->b))
         return false;
-      hear (m, x->b, heartbeat (m, x->a));
+      hear (m, x->b, heartbeat (m, x->a, x->b));
       return true;
     case ACT_HOLD:
       if (is_paused (m, x->a) || *held != NULL)
         return false;
-      *held = heartbeat (m, x->a);
+      *held = heartbeat (m, x->a, x->b);
       return true;
     case ACT_ARRIVE:
       if (is_paused (m, x->b) || *held == NULL)
--- a/tests/unit/test_permission.c
+++ b/tests/unit/test_permission.c
@@ -146,14 +146,14 @@
   set_up (&w, 3);
   hear_echo (&w, 1, 3, 9500, 2, false); /* a stamp of an earlier process */
   g_assert_cmpint (permission_until (&w.turn, -1), ==, -1);
-  hear_echo (&w, 1, 3, 9500, 1, true); /* one that is stopping */
-  g_assert_cmpint (permission_until (&w.turn, -1), ==, -1);
   hear_echo (&w, 1, 3, 10001, 1, false); /* a stamp that is not ours */
   g_assert_cmpint (permission_until (&w.turn, -1), ==, -1);
   hear (&w, 7, 3, 9500); /* one that has not joined */
   g_assert_cmpint (permission_until (&w.turn, -1), ==, -1);
   hear (&w, 1, 3, 9500);
   g_assert_cmpint (permission_until (&w.turn, -1), ==, 9500 + PERMISSION_MS);
+  hear_echo (&w, 1, 3, 9500, 1, true); /* one that is stopping */
+  g_assert_cmpint (permission_until (&w.turn, -1), ==, -1);
   tear_down (&w);
 }
 
--- a/tests/unit/test_target.c
+++ b/tests/unit/test_target.c
@@ -1,6 +1,8 @@
+#include "advice.h"
 #include "target.h"
 
 #include <glib.h>
+#include <string.h>
 
 /* What a target asks of its pool, and what the fold lets out of service. */
 
@@ -248,6 +250,26 @@
   fleet_destroy (w.fleet);
 }
 
+static void
+test_who_publishes_is_told (void)
+{
+  struct world w;
+  char *text;
+
+  set_up (&w, "zone", 10);
+  text = advice_render (w.fleet, fleet_config (w.fleet));
+  g_assert_cmpstr (text, ==, "[]"); /* there are no VMs yet */
+  g_free (text);
+  add_six (&w);
+  text = advice_render (w.fleet, fleet_config (w.fleet));
+  g_assert_nonnull (strstr (text, "s/c"));
+  g_assert_nonnull (strstr (text, "no arrangement"));
+  g_assert_nonnull (strstr (text, "\\\"survive\\\": \\\"rack\\\""));
+  g_assert_nonnull (strstr (text, "max_unavailable_percent\\\": 17"));
+  g_free (text);
+  fleet_destroy (w.fleet);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -262,5 +284,6 @@
   g_test_add_func ("/target/move-off",
                    test_a_move_of_a_vm_that_went_down_is_off);
   g_test_add_func ("/target/reach", test_what_can_be_reached);
+  g_test_add_func ("/target/advice", test_who_publishes_is_told);
   return g_test_run ();
 }
