Let heartbeats grow rarer with many nodes, within 13 KB a second

Ruled out: partial views with relayed digests, for now: they carry hundreds of nodes, but permission needs stamps back from a majority within 2.5 s. Change: above 20 nodes the time between heartbeats and the time to suspicion grow in proportion; heartbeats to all, for those not heard yet, go out every fourth time. The check of 13,000 bytes at 64 nodes runs in ctest.

--- a/src/core.c
+++ b/src/core.c
@@ -17,7 +17,7 @@
 #include <string.h>
 
 #define JOIN_AGAIN_MS 3000
-#define ANNOUNCE_MS 1000
+#define ANNOUNCE_EVERY 4 /* heartbeats */
 #define PLAN_EVERY_MS 200
 /* How long a stopping node waits for its last records to stand in the log. */
 #define FLUSH_MS 8000
@@ -450,7 +450,8 @@
       turn_send (t, m->node, p);
     }
   if (c->stopping || c->announced_ms == 0
-      || t->now_ms - c->announced_ms >= ANNOUNCE_MS)
+      || t->now_ms - c->announced_ms
+             >= ANNOUNCE_EVERY * members_heartbeat_ms (c->members))
     {
       turn_send (t, "", make_heartbeat (c, t));
       c->announced_ms = t->now_ms;
@@ -522,7 +523,7 @@
     }
   weigh_leaving (c, t->now_ms);
   if (c->heartbeat_ms == 0 || c->says_news
-      || t->now_ms - c->heartbeat_ms >= MEMBERS_HEARTBEAT_MS)
+      || t->now_ms - c->heartbeat_ms >= members_heartbeat_ms (c->members))
     send_heartbeat (c, t);
   join (c, t);
   recovery_step (c->recovery, t);
--- a/src/members.c
+++ b/src/members.c
@@ -137,16 +137,38 @@
   return changed;
 }
 
+/* Stretch TIME_MS by the number of nodes above those at the full rate. */
+static int64_t
+stretch (const struct members *members, int64_t time_ms)
+{
+  int64_t n = members_alive_count (members);
+
+  return time_ms * MAX (n, MEMBERS_AT_FULL_RATE) / MEMBERS_AT_FULL_RATE;
+}
+
+int64_t
+members_heartbeat_ms (const struct members *members)
+{
+  return stretch (members, MEMBERS_HEARTBEAT_MS);
+}
+
+int64_t
+members_suspect_ms (const struct members *members)
+{
+  return stretch (members, MEMBERS_SUSPECT_MS);
+}
+
 bool
 members_expire (struct members *members, int64_t now_ms)
 {
+  int64_t suspect_ms = members_suspect_ms (members);
   bool changed = false;
 
   for (guint i = 0; i < members->others->len; i++)
     {
       struct member *m = g_ptr_array_index (members->others, i);
 
-      if (!m->alive || now_ms - m->heard_ms < MEMBERS_SUSPECT_MS)
+      if (!m->alive || now_ms - m->heard_ms < suspect_ms)
         continue;
       m->alive = false;
       changed = true;
--- a/src/members.h
+++ b/src/members.h
@@ -10,6 +10,9 @@
 /* Which nodes are alive, by their heartbeats.  Used for ownership, forwarding
    and freshness only: no promise rests on it alone. */
 
+/* Up to so many nodes; with more, both times grow in proportion, so that a
+   node's heartbeats cost no more bytes a second. */
+#define MEMBERS_AT_FULL_RATE 20
 #define MEMBERS_HEARTBEAT_MS 500
 #define MEMBERS_SUSPECT_MS 2000
 
@@ -59,6 +62,11 @@
 const char *members_planner (const struct members *members, const char *name,
                              int64_t now_ms);
 
+/* Return how far apart this node's heartbeats are, and after how much silence
+   a member is suspected, in milliseconds. */
+int64_t members_heartbeat_ms (const struct members *members);
+int64_t members_suspect_ms (const struct members *members);
+
 /* Return whether NODE in INCARNATION is alive. */
 bool members_alive (const struct members *members, const char *node,
                     uint64_t incarnation);
--- a/tests/bench/bench_capacity.c
+++ b/tests/bench/bench_capacity.c
@@ -23,7 +23,11 @@
 #define BOUND_CLAIM_RECORD_BYTES 400
 #define BOUND_STEP_RECORD_BYTES 320
 
+#define BOUND_IDLE_SENT_BYTES 13000 /* a second, 64 nodes */
+
 #define NODE "entry-vm-017"
+#define MAC_BYTES 32 /* before each message between nodes */
+#define IDLE_S 20
 
 static double
 used_bytes (void)
@@ -328,6 +332,86 @@
   fit_print ("one second of an idle core", "us a VM", second, POINTS);
 }
 
+/* Control between nodes. */
+
+static struct message *
+make_heartbeat (unsigned from, int64_t now_ms)
+{
+  struct message *m = message_new (MESSAGE_PEER);
+  struct peer_message *p = peer_message_new (PEER_HEARTBEAT);
+
+  p->from = g_strdup_printf ("entry-vm-%03u", from);
+  p->incarnation = 7;
+  p->u.heartbeat.zone = g_strdup ("zone-1");
+  p->u.heartbeat.stamp_ms = now_ms;
+  p->u.heartbeat.leaving = g_new0 (char *, 1);
+  p->u.heartbeat.busy = g_new0 (char *, 1);
+  m->u.peer.peer = p;
+  return m;
+}
+
+/* Take all messages off OUT; return the bytes that they put on the wire to
+   OTHERS other nodes. */
+static double
+sent_bytes (GQueue *out, unsigned others)
+{
+  double n = 0;
+  struct message *m;
+
+  while ((m = g_queue_pop_head (out)) != NULL)
+    {
+      if (m->kind == MESSAGE_SEND)
+        {
+          GBytes *bytes = peer_message_to_bytes (m->u.send.peer);
+          double size = (double)g_bytes_get_size (bytes) + MAC_BYTES;
+
+          n += m->u.send.to[0] == '\0' ? size * others : size;
+          g_bytes_unref (bytes);
+        }
+      message_destroy (m);
+    }
+  return n;
+}
+
+/* The bytes a second that an idle node among NODES sends to the others. */
+static double
+idle_sent_bytes (unsigned nodes)
+{
+  struct counters *counters = counters_new ();
+  struct core_options options = { .node = NODE,
+                                  .zone = "zone-1",
+                                  .incarnation = 9,
+                                  .max_requests = 1000,
+                                  .seed = 1 };
+  struct core *c = core_new (&options, counters);
+  GQueue out = G_QUEUE_INIT;
+  double n = 0;
+
+  feed_records (c, &out, 50);
+  for (int64_t t = 1000; t < 1000 + IDLE_S * 1000; t += CORE_TICK_MS)
+    {
+      for (unsigned i = 1; t % 500 == 0 && i < nodes; i++)
+        core_handle (c, make_heartbeat (i, t), t, &out);
+      core_handle (c, message_new (MESSAGE_TICK), t, &out);
+      n += sent_bytes (&out, nodes - 1);
+    }
+  core_destroy (c);
+  counters_destroy (counters);
+  return n / IDLE_S;
+}
+
+static double
+slope_of_nodes (void)
+{
+  static const unsigned nodes[POINTS] = { 8, 16, 32, 64 };
+  struct point bytes[POINTS];
+
+  for (int i = 0; i < POINTS; i++)
+    bytes[i] = (struct point){ nodes[i], idle_sent_bytes (nodes[i]) };
+  fit_print ("sent by an idle node", "bytes a second a node", bytes, POINTS);
+  return bytes[POINTS - 1].y;
+}
+
 /* Checking the bounds. */
 
 static int
@@ -372,6 +456,8 @@
   failed += check ("a node in memory", node_bytes, BOUND_NODE_BYTES);
   failed += check ("a heartbeat", heartbeat_bytes (0, 0, 0),
                    BOUND_HEARTBEAT_BYTES);
+  failed += check ("a second of an idle node of 64", slope_of_nodes (),
+                   BOUND_IDLE_SENT_BYTES);
   failed += check ("a claim in the log", record_bytes (make_claim (1)),
                    BOUND_CLAIM_RECORD_BYTES);
   failed += check ("a VM's step in the log", step_record_bytes (),
