Wait for connections in a longer queue, and bench the edges

A burst of 1,000 connections found room for few: libsoup's own listening socket has GLib's short queue, and the rest waited for TCP to try again. The edge now opens its socket itself, with a queue of 1,024, and the node raises its limit of open files, or warns that max_connections is above it.

make bench-edges compares one node with a bare libsoup pass-through and the back end itself.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README.  CMake does the building.
-.PHONY: all demo check bench bench-capacity format clean
+.PHONY: all demo check bench bench-capacity bench-edges format clean
 
 all:
 	scripts/packages
@@ -17,3 +17,6 @@
 
 clean:
 	rm -rf build build-sanitize
+
+bench-edges: all
+	build/tests/bench_edges build/burdockshed
--- a/src/connections.c
+++ b/src/connections.c
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #define SCAN_EVERY_MS 250
+#define LISTEN_BACKLOG 1024
 #define LINGER_MS 1000
 #define SHUT_MS 200
 #define BODY_MIN_BYTES_PER_S 16384
@@ -436,16 +437,36 @@
   g_signal_connect (message, "got-chunk", G_CALLBACK (on_got_chunk), NULL);
 }
 
+/* Open a listening socket; libsoup's own has room for few that connect at
+   once. */
+static GSocket *
+open_socket (GSocketAddress *address, GError **error)
+{
+  GSocket *s
+      = g_socket_new (g_socket_address_get_family (address),
+                      G_SOCKET_TYPE_STREAM, G_SOCKET_PROTOCOL_TCP, error);
+
+  if (s == NULL)
+    return NULL;
+  g_socket_set_listen_backlog (s, LISTEN_BACKLOG);
+  if (!g_socket_bind (s, address, TRUE, error) || !g_socket_listen (s, error))
+    g_clear_object (&s);
+  return s;
+}
+
 static bool
 listen_on (SoupServer *server, const char *address, uint16_t port,
            GError **error)
 {
   GSocketAddress *a = g_inet_socket_address_new_from_string (address, port);
   GError *cause = NULL;
+  GSocket *s;
   bool good;
 
   g_return_val_if_fail (a != NULL, false);
-  good = soup_server_listen (server, a, 0, &cause);
+  s = open_socket (a, &cause);
+  good = s != NULL && soup_server_listen_socket (server, s, 0, &cause);
+  g_clear_object (&s);
   g_object_unref (a);
   if (!good)
     {
--- a/src/serve.c
+++ b/src/serve.c
@@ -13,10 +13,13 @@
 #include <glib-unix.h>
 #include <signal.h>
 #include <stdbool.h>
+#include <sys/resource.h>
 
 /* How long a stopping node keeps its listener open, so that the balancer has
    seen that it is not ready. */
 #define STOP_NOTICE_MS 1500
+/* Files that a node may need for back ends, peers and the platform. */
+#define FILES_BESIDES_CALLERS 512
 
 struct node
 {
@@ -217,12 +220,32 @@
   counters_destroy (n->counters);
 }
 
+/* Allow as many open files as the machine lets this process have: each
+   caller's connection takes one. */
+static void
+raise_file_limit (const struct settings *settings)
+{
+  struct rlimit limit;
+  rlim_t wanted = settings->max_connections + FILES_BESIDES_CALLERS;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return;
+  limit.rlim_cur = limit.rlim_max;
+  setrlimit (RLIMIT_NOFILE, &limit);
+  if (limit.rlim_cur < wanted)
+    g_warning ("the limit of open files is %" G_GUINT64_FORMAT
+               ", below max_connections and %d more; raise it or lower "
+               "max_connections",
+               (guint64)limit.rlim_cur, FILES_BESIDES_CALLERS);
+}
+
 int
 serve_run (const struct settings *settings)
 {
   struct node n = { .settings = settings };
 
   signal (SIGPIPE, SIG_IGN);
+  raise_file_limit (settings);
   n.loop = g_main_loop_new (NULL, FALSE);
   node_start (&n);
   g_unix_signal_add (SIGTERM, on_signal, &n);
