--- a/src/core.c
+++ b/src/core.c
@@ -3,9 +3,11 @@
 #include "broker.h"
 #include "fleet.h"
 #include "keys.h"
+#include "leaving.h"
 #include "listing.h"
 #include "members.h"
 #include "operators.h"
+#include "permission.h"
 #include "plan.h"
 #include "requests.h"
 #include "status.h"
@@ -35,9 +37,12 @@
   struct listing *listing;
   struct operators *operators;
   struct keys *keys;
-  GHashTable *leaving; /* set of VMs that the platform said are leaving */
+  struct leaving *leaving;
   bool log_reachable;
-  int64_t fresh_ms;   /* when the fleet was last at the log's head */
+  int64_t fresh_ms; /* when the log was asked for the head that the fleet was
+                       last at */
+  int64_t permit_until_ms;
+  bool says_news;     /* send a heartbeat at once */
   int64_t handled_ms; /* when the last message came; 0 for none */
   int64_t resumed_ms; /* when the last pause ended */
   bool resuming;
@@ -66,8 +71,9 @@
   c->listing = listing_new ();
   c->operators = operators_new ();
   c->keys = keys_new ();
-  c->leaving = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  c->leaving = leaving_new ();
   c->fresh_ms = -1;
+  c->permit_until_ms = -1;
   return c;
 }
 
@@ -84,7 +90,7 @@
   broker_destroy (core->broker);
   members_destroy (core->members);
   fleet_destroy (core->fleet);
-  g_hash_table_unref (core->leaving);
+  leaving_destroy (core->leaving);
   g_free (core->node);
   g_free (core->zone);
   g_free (core);
@@ -124,6 +130,7 @@
     .counters = c->counters,
     .view_age_ms = c->fresh_ms < 0 ? INT32_MAX : now_ms - c->fresh_ms,
     .log_reachable = c->log_reachable,
+    .permit_until_ms = c->permit_until_ms,
     .resuming = c->resuming,
     .stopping = c->stopping,
     .out = out,
@@ -150,6 +157,23 @@
     operators_folded (c->operators, t, r, e->offset, verdict);
 }
 
+/* Tell who gives out slots, and who starts work on them, which VMs leave. */
+static void
+tell_leaving (struct core *c)
+{
+  GHashTable *names = leaving_names (c->leaving);
+  const GPtrArray *vms = fleet_vms (c->fleet);
+
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const struct fleet_vm *v = g_ptr_array_index (vms, i);
+      bool leaving = g_hash_table_contains (names, v->vm);
+
+      place_set_leaving (broker_place (c->broker), v->vm, leaving);
+      requests_set_leaving (c->requests, v->vm, leaving);
+    }
+}
+
 static void
 handle_records (struct core *c, struct turn *t,
                 const struct message_records *m)
@@ -175,30 +199,41 @@
       vms_changed |= e->record->kind == RECORD_VM_ADD
                      || e->record->kind == RECORD_VM_STEP;
     }
-  if (vms_changed)
-    broker_sync (c->broker, t);
+  if (!vms_changed)
+    return;
+  broker_sync (c->broker, t);
+  tell_leaving (c);
 }
 
 static void
-handle_log_state (struct core *c, const struct message_log_state *m,
-                  int64_t now_ms)
+handle_log_state (struct core *c, const struct message_log_state *m)
 {
   c->log_reachable = m->reachable;
   if (!c->resuming && m->reachable && fleet_offset (c->fleet) >= m->head)
-    c->fresh_ms = now_ms;
+    c->fresh_ms = MAX (c->fresh_ms, m->asked_ms);
 }
 
 /* The VM list and the peers' words of it. */
 
 static void
-set_leaving (struct core *c, const char *vm, bool leaving)
+weigh_leaving (struct core *c, int64_t now_ms)
 {
-  if (leaving)
-    g_hash_table_add (c->leaving, g_strdup (vm));
-  else
-    g_hash_table_remove (c->leaving, vm);
-  place_set_leaving (broker_place (c->broker), vm, leaving);
-  requests_set_leaving (c->requests, vm, leaving);
+  if (leaving_weigh (c->leaving, c->members, now_ms))
+    tell_leaving (c);
+}
+
+/* Weigh anew which VMs leave, after the planner took in their states by a
+   list asked for at ASKED_MS. */
+static void
+take_states (struct core *c, int64_t asked_ms, int64_t now_ms)
+{
+  GHashTable *names = plan_not_live (c->plan);
+  guint before = g_hash_table_size (leaving_names (c->leaving));
+
+  leaving_list (c->leaving, names, asked_ms);
+  g_hash_table_unref (names);
+  weigh_leaving (c, now_ms);
+  c->says_news |= g_hash_table_size (leaving_names (c->leaving)) > before;
 }
 
 static void
@@ -208,12 +243,7 @@
   plan_list (c->plan, m->vms, t->now_ms);
   plan_add_listed (c->plan, t);
   listing_tell (c->listing, t, m->vms);
-  for (guint i = 0; i < m->vms->len; i++)
-    {
-      const struct listed_vm *v = &g_array_index (m->vms, struct listed_vm, i);
-
-      set_leaving (c, v->vm, v->state != VM_STATE_LIVE);
-    }
+  take_states (c, m->asked_ms, t->now_ms);
 }
 
 static void
@@ -227,8 +257,8 @@
           = &g_array_index (states, struct peer_vm_state, i);
 
       plan_note (c->plan, s->vm, s->state, s->running, now_ms);
-      set_leaving (c, s->vm, s->state != VM_STATE_LIVE);
     }
+  take_states (c, now_ms, now_ms);
   listing_hear (c->listing, &p->u.vm_news);
   listing_note_read (c->listing, p->from, now_ms);
 }
@@ -236,12 +266,9 @@
 static void
 handle_heartbeat (struct core *c, const struct peer_message *p, int64_t now_ms)
 {
-  const struct peer_heartbeat *h = &p->u.heartbeat;
-
   if (members_hear (c->members, p, now_ms))
     counters_add (c->counters, COUNTER_OWNER_CHANGES, 1);
-  for (char **vm = h->leaving; vm != NULL && *vm != NULL; vm++)
-    set_leaving (c, *vm, true);
+  weigh_leaving (c, now_ms);
 }
 
 static void
@@ -276,44 +303,65 @@
 
 /* Time passing. */
 
+/* The load of the pools that this node owns, as the word of a heartbeat. */
+static GArray *
+own_loads (struct core *c)
+{
+  const struct config *config = fleet_config (c->fleet);
+  GArray *loads = peer_loads_new ();
+
+  for (guint i = 0; config != NULL && i < config->n_pools; i++)
+    {
+      const char *pool = config->pools[i].name;
+      struct peer_load l = { NULL, broker_waiting (c->broker, pool), 0, 0 };
+
+      if (strcmp (members_owner (c->members, pool), c->node) != 0)
+        continue;
+      l.pool = g_strdup (pool);
+      l.slots = place_slots (broker_place (c->broker), pool, &l.used);
+      g_array_append_val (loads, l);
+    }
+  return loads;
+}
+
+/* The VMs closed to new work on which this node still has runs. */
+static char **
+own_busy (struct core *c)
+{
+  const GPtrArray *vms = fleet_vms (c->fleet);
+  GPtrArray *busy = g_ptr_array_new ();
+
+  for (guint i = 0; i < vms->len; i++)
+    {
+      const struct fleet_vm *v = g_ptr_array_index (vms, i);
+
+      if (v->phase != VM_SERVING && requests_on_vm (c->requests, v->vm) > 0)
+        g_ptr_array_add (busy, g_strdup (v->vm));
+    }
+  g_ptr_array_add (busy, NULL);
+  return (char **)g_ptr_array_free (busy, FALSE);
+}
+
 static void
 send_heartbeat (struct core *c, struct turn *t)
 {
   struct peer_message *p = turn_peer (t, PEER_HEARTBEAT);
   struct peer_heartbeat *h = &p->u.heartbeat;
-  GPtrArray *leaving = g_ptr_array_new ();
-  GHashTableIter i;
-  gpointer vm;
-
-  g_hash_table_iter_init (&i, c->leaving);
-  while (g_hash_table_iter_next (&i, &vm, NULL))
-    if (plan_vm_state (c->plan, vm) != VM_STATE_LIVE)
-      g_ptr_array_add (leaving, g_strdup (vm));
-  g_ptr_array_add (leaving, NULL);
+
   h->zone = g_strdup (c->zone);
   h->offset = fleet_offset (c->fleet);
   h->config_version = fleet_config_version (c->fleet);
   h->view_age_ms = t->view_age_ms;
   h->stopping = c->stopping;
-  h->leaving = (char **)g_ptr_array_free (leaving, FALSE);
+  h->stamp_ms = t->now_ms;
+  h->list_age_ms = leaving_list_age_ms (c->leaving, t->now_ms);
+  h->leaving = leaving_own (c->leaving);
+  h->busy = own_busy (c);
+  h->echoes = members_echoes (c->members);
+  h->loads = own_loads (c);
   turn_send (t, "", p);
   c->heartbeat_ms = t->now_ms;
-}
-
-/* Whether the log says that this incarnation has joined. */
-static bool
-has_joined (const struct core *c)
-{
-  const GPtrArray *nodes = fleet_nodes (c->fleet);
-
-  for (guint i = 0; i < nodes->len; i++)
-    {
-      const struct fleet_node *n = g_ptr_array_index (nodes, i);
-
-      if (n->incarnation == c->incarnation && strcmp (n->node, c->node) == 0)
-        return true;
-    }
-  return false;
+  c->says_news = false;
 }
 
 static void
@@ -321,7 +369,8 @@
 {
   struct record *r;
 
-  if (c->stopping || !c->log_reachable || has_joined (c)
+  if (c->stopping || !c->log_reachable
+      || fleet_has_joined (c->fleet, c->node, c->incarnation)
       || (c->joined_ms != 0 && t->now_ms - c->joined_ms < JOIN_AGAIN_MS))
     return;
   r = record_new (RECORD_NODE_JOIN, c->node, c->incarnation);
@@ -363,7 +412,8 @@
       counters_add (c->counters, COUNTER_MEMBERS_SUSPECTED, 1);
       counters_add (c->counters, COUNTER_OWNER_CHANGES, 1);
     }
-  if (c->heartbeat_ms == 0
+  weigh_leaving (c, t->now_ms);
+  if (c->heartbeat_ms == 0 || c->says_news
       || t->now_ms - c->heartbeat_ms >= MEMBERS_HEARTBEAT_MS)
     send_heartbeat (c, t);
   join (c, t);
@@ -374,7 +424,10 @@
   keys_step (c->keys, t);
   if (t->now_ms - c->planned_ms >= PLAN_EVERY_MS)
     {
-      plan_step (c->plan, t);
+      GArray *loads = own_loads (c);
+
+      plan_step (c->plan, t, c->requests, loads);
+      g_array_unref (loads);
       c->planned_ms = t->now_ms;
     }
 }
@@ -421,7 +474,7 @@
       handle_records (c, t, &m->u.records);
       break;
     case MESSAGE_LOG_STATE:
-      handle_log_state (c, &m->u.log_state, t->now_ms);
+      handle_log_state (c, &m->u.log_state);
       break;
     case MESSAGE_VM_LIST:
       handle_vm_list (c, t, &m->u.vm_list);
@@ -469,6 +522,15 @@
     }
 }
 
+/* What this turn took in may have given or taken the permission to start
+   work; it is weighed before anything else is decided. */
+static void
+weigh_permission (struct core *c, struct turn *t)
+{
+  c->permit_until_ms = permission_until (t, c->fresh_ms);
+  t->permit_until_ms = c->permit_until_ms;
+}
+
 void
 core_handle (struct core *core, struct message *message, int64_t now_ms,
              GQueue *out)
@@ -478,7 +540,9 @@
 
   note_time (core, now_ms);
   t = begin_turn (core, now_ms, &work);
+  weigh_permission (core, &t);
   handle_one (core, &t, message);
+  weigh_permission (core, &t);
   message_destroy (message);
   drain (core, &t, &work, out);
   broker_step (core->broker, &t);
--- a/src/members.c
+++ b/src/members.c
@@ -9,7 +9,8 @@
   char *zone;
   uint64_t incarnation;
   bool stopping;
-  GPtrArray *others; /* struct member * */
+  GPtrArray *others;  /* struct member * */
+  GHashTable *owners; /* pool -> its owner, until who is alive changes */
 };
 
 static void
@@ -19,6 +20,9 @@
 
   g_free (m->node);
   g_free (m->zone);
+  g_strfreev (m->leaving);
+  g_strfreev (m->busy);
+  g_clear_pointer (&m->loads, g_array_unref);
   g_free (m);
 }
 
@@ -31,6 +35,7 @@
   m->zone = g_strdup (zone);
   m->incarnation = incarnation;
   m->others = g_ptr_array_new_with_free_func (member_free);
+  m->owners = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   return m;
 }
 
@@ -39,6 +44,7 @@
 {
   if (members == NULL)
     return;
+  g_hash_table_unref (members->owners);
   g_ptr_array_unref (members->others);
   g_free (members->self);
   g_free (members->zone);
@@ -58,6 +64,45 @@
   return NULL;
 }
 
+/* The stamp of this node's own that H echoes; -1 for none. */
+static int64_t
+find_echo (const struct members *members, const struct peer_heartbeat *h)
+{
+  for (guint i = 0; h->echoes != NULL && i < h->echoes->len; i++)
+    {
+      const struct peer_echo *e
+          = &g_array_index (h->echoes, struct peer_echo, i);
+
+      if (e->incarnation == members->incarnation
+          && strcmp (e->node, members->self) == 0)
+        return e->stamp_ms;
+    }
+  return -1;
+}
+
+/* Take over what heartbeat H says besides who sent it. */
+static void
+take_words (const struct members *members, struct member *m,
+            const struct peer_heartbeat *h)
+{
+  g_free (m->zone);
+  m->zone = g_strdup (h->zone);
+  m->offset = h->offset;
+  m->config_version = h->config_version;
+  m->view_age_ms = h->view_age_ms;
+  m->stopping = h->stopping;
+  m->stamp_ms = h->stamp_ms;
+  m->confirmed_ms = find_echo (members, h);
+  m->list_age_ms = h->list_age_ms;
+  g_strfreev (m->leaving);
+  m->leaving = g_strdupv (h->leaving);
+  g_strfreev (m->busy);
+  m->busy = g_strdupv (h->busy);
+  g_clear_pointer (&m->loads, g_array_unref);
+  if (h->loads != NULL)
+    m->loads = g_array_ref (h->loads);
+}
+
 bool
 members_hear (struct members *members, const struct peer_message *message,
               int64_t now_ms)
@@ -78,15 +123,12 @@
     return false;
   changed = !m->alive || m->incarnation != message->incarnation
             || m->stopping != h->stopping;
-  g_free (m->zone);
-  m->zone = g_strdup (h->zone);
   m->incarnation = message->incarnation;
   m->heard_ms = now_ms;
-  m->offset = h->offset;
-  m->config_version = h->config_version;
-  m->view_age_ms = h->view_age_ms;
-  m->stopping = h->stopping;
   m->alive = true;
+  take_words (members, m, h);
+  if (changed)
+    g_hash_table_remove_all (members->owners);
   return changed;
 }
 
@@ -104,6 +146,8 @@
       m->alive = false;
       changed = true;
     }
+  if (changed)
+    g_hash_table_remove_all (members->owners);
   return changed;
 }
 
@@ -114,8 +158,8 @@
                                XXH3_64bits (pool, strlen (pool)));
 }
 
-const char *
-members_owner (const struct members *members, const char *pool)
+static const char *
+find_owner (const struct members *members, const char *pool)
 {
   const char *best = members->self;
   uint64_t best_score = members->stopping ? 0 : score (members->self, pool);
@@ -137,6 +181,18 @@
   return best;
 }
 
+const char *
+members_owner (const struct members *members, const char *pool)
+{
+  const char *owner = g_hash_table_lookup (members->owners, pool);
+
+  if (owner != NULL)
+    return owner;
+  owner = find_owner (members, pool);
+  g_hash_table_insert (members->owners, g_strdup (pool), (char *)owner);
+  return owner;
+}
+
 bool
 members_alive (const struct members *members, const char *node,
                uint64_t incarnation)
@@ -153,6 +209,31 @@
 members_set_stopping (struct members *members, bool stopping)
 {
   members->stopping = stopping;
+  g_hash_table_remove_all (members->owners);
+}
+
+const struct member *
+members_find (const struct members *members, const char *node)
+{
+  return find (members, node);
+}
+
+GArray *
+members_echoes (const struct members *members)
+{
+  GArray *echoes = peer_echoes_new ();
+
+  for (guint i = 0; i < members->others->len; i++)
+    {
+      const struct member *m = g_ptr_array_index (members->others, i);
+      struct peer_echo e = { NULL, m->incarnation, m->stamp_ms };
+
+      if (!m->alive)
+        continue;
+      e.node = g_strdup (m->node);
+      g_array_append_val (echoes, e);
+    }
+  return echoes;
 }
 
 const GPtrArray *
--- a/src/message.h
+++ b/src/message.h
@@ -98,8 +98,9 @@
 struct message_log_state
 {
   bool reachable;
-  uint64_t head;  /* offset after the last record */
-  uint64_t first; /* the oldest offset still kept */
+  uint64_t head;    /* offset after the last record */
+  uint64_t first;   /* the oldest offset still kept */
+  int64_t asked_ms; /* clock time at which the log was asked */
 };
 
 enum vm_state
@@ -126,7 +127,8 @@
 
 struct message_vm_list
 {
-  GArray *vms; /* struct listed_vm */
+  GArray *vms;      /* struct listed_vm */
+  int64_t asked_ms; /* clock time at which the platform was asked */
 };
 
 struct message_peer
@@ -168,6 +170,9 @@
   char *text;      /* JSON */
 };
 
+/* A run is sent to its back end within this time, or not at all. */
+#define MESSAGE_SEND_WITHIN_MS 1000
+
 /* Run REQUEST on a back end; its edge has the body. */
 struct message_run
 {
