--- a/src/core.c
+++ b/src/core.c
@@ -9,6 +9,7 @@
 #include "operators.h"
 #include "permission.h"
 #include "plan.h"
+#include "recovery.h"
 #include "requests.h"
 #include "status.h"
 #include "turn.h"
@@ -16,7 +17,10 @@
 #include <string.h>
 
 #define JOIN_AGAIN_MS 3000
+#define ANNOUNCE_MS 1000
 #define PLAN_EVERY_MS 200
+/* How long a stopping node waits for its last records to stand in the log. */
+#define FLUSH_MS 8000
 /* No message for so long, with ticks due every CORE_TICK_MS, is a pause. */
 #define PAUSE_MS 1000
 /* After a pause, what waited may be old for so long: the VM list and the
@@ -36,6 +40,9 @@
   struct plan *plan;
   struct listing *listing;
   struct operators *operators;
+  struct recovery *recovery;
+  GHashTable *unlogged; /* set of uids: records that a stop waits for */
+  int64_t stopping_ms;
   struct keys *keys;
   struct leaving *leaving;
   bool log_reachable;
@@ -47,6 +54,7 @@
   int64_t resumed_ms; /* when the last pause ended */
   bool resuming;
   int64_t heartbeat_ms;
+  int64_t announced_ms; /* when all were sent a heartbeat last */
   int64_t planned_ms;
   int64_t joined_ms; /* when this node last asked to join */
   bool stopping;
@@ -70,6 +78,8 @@
   c->plan = plan_new ();
   c->listing = listing_new ();
   c->operators = operators_new ();
+  c->recovery = recovery_new ();
+  c->unlogged = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   c->keys = keys_new ();
   c->leaving = leaving_new ();
   c->fresh_ms = -1;
@@ -82,6 +92,7 @@
 {
   if (core == NULL)
     return;
+  recovery_destroy (core->recovery);
   keys_destroy (core->keys);
   operators_destroy (core->operators);
   plan_destroy (core->plan);
@@ -91,6 +102,7 @@
   members_destroy (core->members);
   fleet_destroy (core->fleet);
   leaving_destroy (core->leaving);
+  g_hash_table_unref (core->unlogged);
   g_free (core->node);
   g_free (core->zone);
   g_free (core);
@@ -105,10 +117,16 @@
 /* Notice a pause of the process.  What was in its queues meanwhile is old but
    looks new, so it starts no work until it has surely heard news. */
 static void
-note_time (struct core *c, int64_t now_ms)
+note_time (struct core *c, int64_t now_ms, GQueue *out)
 {
   if (now_ms - c->handled_ms > PAUSE_MS)
     {
+      if (c->handled_ms != 0)
+        {
+          recovery_resumed (c->recovery, now_ms);
+          counters_add (c->counters, COUNTER_RESUMED, 1);
+          g_queue_push_tail (out, message_new (MESSAGE_READ_NOW));
+        }
       c->resumed_ms = now_ms;
       c->resuming = true;
       c->fresh_ms = -1;
@@ -131,6 +149,7 @@
     .view_age_ms = c->fresh_ms < 0 ? INT32_MAX : now_ms - c->fresh_ms,
     .log_reachable = c->log_reachable,
     .permit_until_ms = c->permit_until_ms,
+    .behind = !recovery_caught_up (c->recovery),
     .resuming = c->resuming,
     .stopping = c->stopping,
     .out = out,
@@ -151,6 +170,7 @@
     counters_add (c->counters, COUNTER_RECORDS_REFUSED, 1);
   if (r->incarnation != c->incarnation || strcmp (r->node, c->node) != 0)
     return;
+  g_hash_table_remove (c->unlogged, r->uid);
   if (r->kind == RECORD_CLAIM)
     requests_claimed (c->requests, t, r, e->offset, verdict);
   else
@@ -174,31 +194,69 @@
     }
 }
 
+/* Fold E.  Return whether it may have changed a VM. */
+static bool
+fold_entry (struct core *c, struct turn *t, const struct log_entry *e)
+{
+  const struct record *r = e->record;
+
+  if (e->offset <= fleet_offset (c->fleet))
+    return false;
+  counters_add (c->counters, COUNTER_LOG_RECORDS_READ, 1);
+  if (r == NULL)
+    {
+      fleet_skip (c->fleet, e->offset);
+      counters_add (c->counters, COUNTER_RECORDS_MALFORMED, 1);
+      return false;
+    }
+  note_fold (c, t, e, fleet_fold (c->fleet, r, e->offset, e->at_ms));
+  if (r->kind == RECORD_CHECKPOINT)
+    recovery_note (c->recovery, t, &r->u.checkpoint);
+  return r->kind == RECORD_VM_ADD || r->kind == RECORD_VM_STEP;
+}
+
+/* Put a restored fleet in place of this node's, and fold what was read behind
+   it. */
 static void
-handle_records (struct core *c, struct turn *t,
-                const struct message_records *m)
+install (struct core *c, struct turn *t)
 {
-  bool vms_changed = false;
+  GQueue *held;
+  struct fleet *f = recovery_take (c->recovery, &held);
+  struct log_entry *e;
 
-  for (guint i = 0; i < m->entries->len; i++)
+  if (f == NULL)
+    return;
+  fleet_destroy (c->fleet);
+  c->fleet = f;
+  t->fleet = f;
+  counters_add (c->counters, COUNTER_SNAPSHOTS_RESTORED, 1);
+  /* Which of them stand in the part that was not read can't be told. */
+  g_hash_table_remove_all (c->unlogged);
+  requests_restored (c->requests, t);
+  while ((e = g_queue_pop_head (held)) != NULL)
     {
-      const struct log_entry *e
-          = &g_array_index (m->entries, struct log_entry, i);
+      fold_entry (c, t, e);
+      record_destroy (e->record);
+      g_free (e);
+    }
+  g_queue_free (held);
+  broker_sync (c->broker, t);
+  tell_leaving (c);
+}
 
-      if (e->offset <= fleet_offset (c->fleet))
-        continue;
-      counters_add (c->counters, COUNTER_LOG_RECORDS_READ, 1);
-      if (e->record == NULL)
-        {
-          fleet_skip (c->fleet, e->offset);
-          counters_add (c->counters, COUNTER_RECORDS_MALFORMED, 1);
-          continue;
-        }
-      note_fold (c, t, e,
-                 fleet_fold (c->fleet, e->record, e->offset, e->at_ms));
-      vms_changed |= e->record->kind == RECORD_VM_ADD
-                     || e->record->kind == RECORD_VM_STEP;
+static void
+handle_records (struct core *c, struct turn *t, struct message_records *m)
+{
+  bool vms_changed = false;
+
+  if (recovery_hold (c->recovery, t, m))
+    {
+      install (c, t);
+      return;
     }
+  for (guint i = 0; i < m->entries->len; i++)
+    vms_changed
+        |= fold_entry (c, t, &g_array_index (m->entries, struct log_entry, i));
   if (!vms_changed)
     return;
   broker_sync (c->broker, t);
@@ -206,11 +264,16 @@
 }
 
 static void
-handle_log_state (struct core *c, const struct message_log_state *m)
+handle_log_state (struct core *c, struct turn *t,
+                  const struct message_log_state *m)
 {
   c->log_reachable = m->reachable;
+  t->log_reachable = m->reachable;
+  recovery_log_state (c->recovery, t, m);
+  /* The answer says where the head was when it was asked for, or later. */
   if (!c->resuming && m->reachable && fleet_offset (c->fleet) >= m->head)
-    c->fresh_ms = MAX (c->fresh_ms, m->asked_ms);
+    c->fresh_ms
+        = MAX (c->fresh_ms, m->asked_ms != 0 ? m->asked_ms : t->now_ms);
 }
 
 /* The VM list and the peers' words of it. */
@@ -266,6 +329,7 @@
 static void
 handle_heartbeat (struct core *c, const struct peer_message *p, int64_t now_ms)
 {
+  recovery_hear (c->recovery, p->u.heartbeat.offset);
   if (members_hear (c->members, p, now_ms))
     counters_add (c->counters, COUNTER_OWNER_CHANGES, 1);
   weigh_leaving (c, now_ms);
@@ -289,6 +353,11 @@
     case PEER_SLOT_REFUSE:
       requests_handle (c->requests, t, p);
       break;
+    case PEER_SNAPSHOT_ASK:
+    case PEER_SNAPSHOT_PART:
+      recovery_handle (c->recovery, t, p);
+      install (c, t);
+      break;
     case PEER_VM_NEWS:
       handle_vm_news (c, p, t->now_ms);
       break;
@@ -342,8 +411,8 @@
   return (char **)g_ptr_array_free (busy, FALSE);
 }
 
-static void
-send_heartbeat (struct core *c, struct turn *t)
+static struct peer_message *
+make_heartbeat (struct core *c, const struct turn *t)
 {
   struct peer_message *p = turn_peer (t, PEER_HEARTBEAT);
   struct peer_heartbeat *h = &p->u.heartbeat;
@@ -357,9 +426,35 @@
   h->list_age_ms = leaving_list_age_ms (c->leaving, t->now_ms);
   h->leaving = leaving_own (c->leaving);
   h->busy = own_busy (c);
-  h->echoes = members_echoes (c->members);
   h->loads = own_loads (c);
-  turn_send (t, "", p);
+  return p;
+}
+
+/* Each member that is alive hears the echo of its own stamp alone, so that a
+   heartbeat does not grow with the nodes.  Now and then all are told, so that
+   those not heard yet hear of this node. */
+static void
+send_heartbeat (struct core *c, struct turn *t)
+{
+  const GPtrArray *others = members_others (c->members);
+
+  for (guint i = 0; i < others->len; i++)
+    {
+      const struct member *m = g_ptr_array_index (others, i);
+      struct peer_message *p;
+
+      if (!m->alive)
+        continue;
+      p = make_heartbeat (c, t);
+      p->u.heartbeat.echoes = members_echo (m);
+      turn_send (t, m->node, p);
+    }
+  if (c->stopping || c->announced_ms == 0
+      || t->now_ms - c->announced_ms >= ANNOUNCE_MS)
+    {
+      turn_send (t, "", make_heartbeat (c, t));
+      c->announced_ms = t->now_ms;
+    }
   c->heartbeat_ms = t->now_ms;
   c->says_news = false;
 }
@@ -394,11 +489,24 @@
   counters_set_gauge (k, GAUGE_TABLE_REQUESTS, requests_count (c->requests));
 }
 
+/* Whether a stop waits until R stands in the log: without its outcome, a key
+   stays unknown for as long as it is remembered. */
+static bool
+stop_waits_for (const struct record *r)
+{
+  return r->kind == RECORD_OUTCOME || r->kind == RECORD_NODE_LEAVE;
+}
+
 static void
 finish_stopping (struct core *c, struct turn *t)
 {
   if (!c->stopping || c->stopped || requests_count (c->requests) > 0)
     return;
+  if (g_hash_table_size (c->unlogged) > 0
+      && t->now_ms - c->stopping_ms < FLUSH_MS)
+    return;
+  counters_add (c->counters, COUNTER_OUTCOMES_UNLOGGED,
+                g_hash_table_size (c->unlogged));
   c->stopped = true;
   turn_put (t, message_new (MESSAGE_STOPPED));
 }
@@ -417,12 +525,13 @@
       || t->now_ms - c->heartbeat_ms >= MEMBERS_HEARTBEAT_MS)
     send_heartbeat (c, t);
   join (c, t);
+  recovery_step (c->recovery, t);
   if (listing_is_due (c->listing, t))
     turn_put (t, message_new (MESSAGE_READ_LIST));
   requests_step (c->requests, t);
   operators_step (c->operators, t);
   keys_step (c->keys, t);
-  if (t->now_ms - c->planned_ms >= PLAN_EVERY_MS)
+  if (!t->behind && t->now_ms - c->planned_ms >= PLAN_EVERY_MS)
     {
       GArray *loads = own_loads (c);
 
@@ -440,6 +549,7 @@
   r->u.node_leave.zone = g_strdup (c->zone);
   turn_append (t, r);
   c->stopping = true;
+  c->stopping_ms = t->now_ms;
   t->stopping = true;
   members_set_stopping (c->members, true);
   send_heartbeat (c, t);
@@ -457,7 +567,7 @@
 }
 
 static void
-handle_one (struct core *c, struct turn *t, const struct message *m)
+handle_one (struct core *c, struct turn *t, struct message *m)
 {
   switch (m->kind)
     {
@@ -474,7 +584,7 @@
       handle_records (c, t, &m->u.records);
       break;
     case MESSAGE_LOG_STATE:
-      handle_log_state (c, &m->u.log_state);
+      handle_log_state (c, t, &m->u.log_state);
       break;
     case MESSAGE_VM_LIST:
       handle_vm_list (c, t, &m->u.vm_list);
@@ -499,6 +609,7 @@
     case MESSAGE_PLATFORM:
     case MESSAGE_READ_LIST:
     case MESSAGE_REPLY:
+    case MESSAGE_READ_NOW:
     case MESSAGE_STOPPED:
       break;
     }
@@ -518,7 +629,11 @@
           message_destroy (m);
         }
       else
-        g_queue_push_tail (out, m);
+        {
+          if (m->kind == MESSAGE_APPEND && stop_waits_for (m->u.append.record))
+            g_hash_table_add (c->unlogged, g_strdup (m->u.append.record->uid));
+          g_queue_push_tail (out, m);
+        }
     }
 }
 
@@ -538,7 +653,7 @@
   GQueue work = G_QUEUE_INIT;
   struct turn t;
 
-  note_time (core, now_ms);
+  note_time (core, now_ms, out);
   t = begin_turn (core, now_ms, &work);
   weigh_permission (core, &t);
   handle_one (core, &t, message);
