--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # The commands of the README.  CMake does the building.
-.PHONY: all demo check bench bench-capacity format clean proof-pairs
+.PHONY: all demo check bench bench-capacity bench-edges format clean proof-pairs
 
 all:
 	scripts/packages
@@ -21,3 +21,6 @@
 
 clean:
 	rm -rf build build-sanitize
+
+bench-edges: all
+	build/tests/bench_edges build/burdockshed
