--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # The commands of the README.  CMake does the building.
-.PHONY: all demo check bench bench-capacity bench-decisions format clean
+.PHONY: all demo check bench bench-capacity bench-decisions format clean \
+  proof-pairs
 
 all:
 	scripts/packages
@@ -18,6 +19,10 @@
 bench-decisions: all
 	scripts/bench-decisions
 
+# Every pair of faults over SEEDS seeds; minutes.
+proof-pairs: all
+	scripts/proof-pairs
+
 format:
 	clang-format -i src/*.[ch] tests/*/*.[ch]
 
--- a/src/fleet.h
+++ b/src/fleet.h
@@ -33,7 +33,9 @@
   char *zone;
   char *rack;
   char *pool;
-  char *purpose; /* of its last step */
+  char *home_pool; /* where it was added */
+  char *next_pool; /* where it goes once released; "" if it stays */
+  char *purpose;   /* of its last step */
   uint32_t slots;
   enum vm_phase phase;
   uint64_t changed;      /* offset of its last change */
@@ -121,6 +123,14 @@
 /* Return the nodes that have joined as struct fleet_node *. */
 const GPtrArray *fleet_nodes (const struct fleet *fleet);
 
+/* Return whether NODE in INCARNATION has joined. */
+bool fleet_has_joined (const struct fleet *fleet, const char *node,
+                       uint64_t incarnation);
+
+/* Return a lower bound on how many nodes were joined at each offset from
+   SINCE on. */
+uint32_t fleet_min_nodes_since (const struct fleet *fleet, uint64_t since);
+
 /* Return how many VMs of POOL there are, and in *OUT how many of them are in
    no state to serve. */
 uint32_t fleet_pool_size (const struct fleet *fleet, const char *pool,
@@ -130,6 +140,9 @@
    class that it serves. */
 uint32_t fleet_pool_budget (const struct fleet *fleet, const char *pool);
 
+/* Return how many VMs POOL keeps if those on their way out of it go. */
+uint32_t fleet_pool_staying (const struct fleet *fleet, const char *pool);
+
 const char *verdict_name (enum verdict verdict);
 
 #endif
--- a/src/log_task.c
+++ b/src/log_task.c
@@ -32,8 +32,10 @@
   int64_t appended_ms;
   GSource *append_timer;
   GSource *read_timer;
-  uint64_t after; /* offset read so far */
+  uint64_t after;   /* offset read so far */
+  int64_t asked_ms; /* when the read in progress was sent */
   bool reachable;
+  int64_t list_asked_ms; /* when the last read of the VM list was sent */
 };
 
 static void read_on (struct log_task *l);
@@ -89,6 +91,7 @@
   m->u.log_state.reachable = reachable;
   m->u.log_state.first = first;
   m->u.log_state.head = head;
+  m->u.log_state.asked_ms = l->asked_ms;
   task_post (l->core, m);
 }
 
@@ -170,6 +173,7 @@
 static void
 read_on (struct log_task *l)
 {
+  l->asked_ms = now_ms ();
   /* The first read after a failure does not wait, so that an outage's end is
      seen at once. */
   platform_read (l->platform, l->after, l->reachable ? READ_WAIT_MS : 0,
@@ -192,6 +196,7 @@
     }
   m = message_new (MESSAGE_VM_LIST);
   m->u.vm_list.vms = vms;
+  m->u.vm_list.asked_ms = l->list_asked_ms;
   task_post (l->core, m);
 }
 
@@ -361,6 +366,7 @@
       act (l, &m->u.platform);
       break;
     case MESSAGE_READ_LIST:
+      l->list_asked_ms = now_ms ();
       platform_list (l->platform, on_list, l);
       break;
     default:
--- a/tests/bench/bench_decisions.c
+++ b/tests/bench/bench_decisions.c
@@ -130,6 +130,8 @@
 {
   struct fixture f;
   struct plan *plan = plan_new ();
+  struct requests *requests = requests_new (1);
+  GArray *loads = peer_loads_new ();
   GArray *list = list_of (vms);
   double began_us;
   double took_us;
@@ -143,12 +145,14 @@
       struct message *m;
 
       f.turn.now_ms += 200;
-      plan_step (plan, &f.turn);
+      plan_step (plan, &f.turn, requests, loads);
       while ((m = g_queue_pop_head (&f.out)) != NULL)
         message_destroy (m);
     }
   took_us = (now_us () - began_us) / PLANS;
   g_array_unref (list);
+  g_array_unref (loads);
+  requests_destroy (requests);
   plan_destroy (plan);
   fixture_close (&f);
   return took_us;
--- a/tests/replay/platform_fake.c
+++ b/tests/replay/platform_fake.c
@@ -384,11 +384,12 @@
 /* Time passing. */
 
 static struct message *
-list_message (const struct platform_fake *p)
+list_message (const struct platform_fake *p, int64_t now_ms)
 {
   struct message *m = message_new (MESSAGE_VM_LIST);
 
   m->u.vm_list.vms = listed_vms_new ();
+  m->u.vm_list.asked_ms = now_ms;
   for (guint i = 0; i < p->order->len; i++)
     {
       const struct fake_vm *v = g_ptr_array_index (p->order, i);
@@ -415,6 +416,7 @@
   m->u.log_state.reachable = now_ms >= p->down_until_ms;
   m->u.log_state.head = p->head;
   m->u.log_state.first = 1;
+  m->u.log_state.asked_ms = now_ms;
   return m;
 }
 
@@ -430,7 +432,7 @@
       if (state)
         p->deliver (p->data, n, state_message (p, now_ms), now_ms);
       if (list)
-        p->deliver (p->data, n, list_message (p), now_ms + READ_MS);
+        p->deliver (p->data, n, list_message (p, now_ms), now_ms + READ_MS);
     }
   p->listed_ms = list ? now_ms : p->listed_ms;
   p->told_ms = state ? now_ms : p->told_ms;
--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -216,6 +216,10 @@
 void log_write (struct world *w, const struct event *e);
 void log_appended (struct world *w, const struct event *e);
 void log_read (struct world *w, int node);
+
+/* Return whether a mutation keeps the nodes' permission to start work from
+   lapsing. */
+bool world_permission_is_off (const struct world *w);
 void outgoing_free (gpointer p);
 
 /* vms.c */
--- a/tests/sim/vms.c
+++ b/tests/sim/vms.c
@@ -111,6 +111,7 @@
     return;
   m = message_new (MESSAGE_VM_LIST);
   m->u.vm_list.vms = listed_vms_new ();
+  m->u.vm_list.asked_ms = w->now_ms;
   for (int i = 0; i < N_VMS; i++)
     {
       struct listed_vm l = list_one (w, i, s);
--- a/tests/unit/test_keys.c
+++ b/tests/unit/test_keys.c
@@ -89,6 +89,7 @@
   w->turn.members = w->members;
   w->turn.counters = w->counters;
   w->turn.log_reachable = true;
+  w->turn.permit_until_ms = INT64_MAX;
   w->turn.out = &w->out;
   fold_configuration (w);
   hear (w, "n2");
