--- a/src/peer_message.c
+++ b/src/peer_message.c
@@ -11,6 +11,9 @@
 #define SLOT_RETURN_TYPE "(tusux)"
 #define SLOT_HOLD_TYPE "(tuss)"
 #define SLOT_CANCEL_TYPE "(tu)"
+#define SNAPSHOT_ASK_TYPE "(tu)"
+#define SNAPSHOT_PART_TYPE "(tttuuay)"
+
 #define VM_NEWS_TYPE "a(syu)"
 #define KEY_CANCEL_TYPE "(ttt)"
 #define KEY_CANCELLED_TYPE "(tb)"
@@ -26,17 +29,26 @@
   [PEER_VM_NEWS] = VM_NEWS_TYPE,
   [PEER_KEY_CANCEL] = KEY_CANCEL_TYPE,
   [PEER_KEY_CANCELLED] = KEY_CANCELLED_TYPE,
+  [PEER_SNAPSHOT_ASK] = SNAPSHOT_ASK_TYPE,
+  [PEER_SNAPSHOT_PART] = SNAPSHOT_PART_TYPE,
 };
 
 const char *
 peer_kind_name (enum peer_kind kind)
 {
   static const char *const names[PEER_KIND_COUNT] = {
-    [PEER_HEARTBEAT] = "heartbeat",     [PEER_SLOT_ASK] = "slot-ask",
-    [PEER_SLOT_GRANT] = "slot-grant",   [PEER_SLOT_REFUSE] = "slot-refuse",
-    [PEER_SLOT_RETURN] = "slot-return", [PEER_SLOT_HOLD] = "slot-hold",
-    [PEER_SLOT_CANCEL] = "slot-cancel", [PEER_VM_NEWS] = "vm-news",
-    [PEER_KEY_CANCEL] = "key-cancel",   [PEER_KEY_CANCELLED] = "key-cancelled",
+    [PEER_HEARTBEAT] = "heartbeat",
+    [PEER_SLOT_ASK] = "slot-ask",
+    [PEER_SLOT_GRANT] = "slot-grant",
+    [PEER_SLOT_REFUSE] = "slot-refuse",
+    [PEER_SLOT_RETURN] = "slot-return",
+    [PEER_SLOT_HOLD] = "slot-hold",
+    [PEER_SLOT_CANCEL] = "slot-cancel",
+    [PEER_VM_NEWS] = "vm-news",
+    [PEER_KEY_CANCEL] = "key-cancel",
+    [PEER_KEY_CANCELLED] = "key-cancelled",
+    [PEER_SNAPSHOT_ASK] = "snapshot-ask",
+    [PEER_SNAPSHOT_PART] = "snapshot-part",
   };
 
   return names[kind];
@@ -138,11 +150,16 @@
       g_free (message->u.slot_hold.vm);
       g_free (message->u.slot_hold.pool);
       break;
+    case PEER_SNAPSHOT_PART:
+      if (message->u.snapshot_part.data != NULL)
+        g_bytes_unref (message->u.snapshot_part.data);
+      break;
     case PEER_VM_NEWS:
       g_clear_pointer (&message->u.vm_news.states, g_array_unref);
       break;
     case PEER_SLOT_REFUSE:
     case PEER_SLOT_CANCEL:
+    case PEER_SNAPSHOT_ASK:
     case PEER_KEY_CANCEL:
     case PEER_KEY_CANCELLED:
     case PEER_KIND_COUNT:
@@ -203,6 +220,15 @@
       echoes_to_variant (h->echoes), loads_to_variant (h->loads));
 }
 
+static GVariant *
+part_to_variant (const struct peer_snapshot_part *p)
+{
+  return g_variant_new (
+      "(tttuu@ay)", (guint64)p->offset, (guint64)p->digest_high,
+      (guint64)p->digest_low, (guint32)p->index, (guint32)p->count,
+      g_variant_new_from_bytes (G_VARIANT_TYPE_BYTESTRING, p->data, TRUE));
+}
+
 static GVariant *
 vm_news_to_variant (const struct peer_vm_news *n)
 {
@@ -256,6 +282,12 @@
       return g_variant_new (SLOT_CANCEL_TYPE,
                             (guint64)m->u.slot_cancel.request,
                             (guint32)m->u.slot_cancel.attempt);
+    case PEER_SNAPSHOT_ASK:
+      return g_variant_new (SNAPSHOT_ASK_TYPE,
+                            (guint64)m->u.snapshot_ask.offset,
+                            (guint32)m->u.snapshot_ask.index);
+    case PEER_SNAPSHOT_PART:
+      return part_to_variant (&m->u.snapshot_part);
     case PEER_VM_NEWS:
       return vm_news_to_variant (&m->u.vm_news);
     case PEER_KEY_CANCEL:
@@ -352,6 +384,17 @@
   return true;
 }
 
+static void
+read_part (struct peer_snapshot_part *p, GVariant *v)
+{
+  GVariant *data;
+
+  g_variant_get (v, "(tttuu@ay)", &p->offset, &p->digest_high, &p->digest_low,
+                 &p->index, &p->count, &data);
+  p->data = g_variant_get_data_as_bytes (data);
+  g_variant_unref (data);
+}
+
 static bool
 read_vm_news (struct peer_vm_news *n, GVariant *v)
 {
@@ -407,6 +450,13 @@
       g_variant_get (v, SLOT_CANCEL_TYPE, &m->u.slot_cancel.request,
                      &m->u.slot_cancel.attempt);
       return true;
+    case PEER_SNAPSHOT_ASK:
+      g_variant_get (v, SNAPSHOT_ASK_TYPE, &m->u.snapshot_ask.offset,
+                     &m->u.snapshot_ask.index);
+      return true;
+    case PEER_SNAPSHOT_PART:
+      read_part (&m->u.snapshot_part, v);
+      return true;
     case PEER_VM_NEWS:
       return read_vm_news (&m->u.vm_news, v);
     case PEER_KEY_CANCEL:
--- a/src/permission.c
+++ b/src/permission.c
@@ -28,13 +28,14 @@
          && m->confirmed_ms >= 0 && m->confirmed_ms <= t->now_ms;
 }
 
-/* The latest moment at which a majority, this node among it, had read no
-   further than this node; -1 for none. */
+/* The latest moment at which a majority of the joined nodes had read no
+   further than this node; -1 for none.  This node is one of them if it has
+   JOINED. */
 static int64_t
-majority_ms (const struct turn *t)
+majority_ms (const struct turn *t, bool joined)
 {
   const GPtrArray *nodes = fleet_nodes (t->fleet);
-  guint others_needed = nodes->len / 2;
+  guint others_needed = joined ? nodes->len / 2 : nodes->len / 2 + 1;
   GArray *moments = g_array_new (FALSE, FALSE, sizeof (int64_t));
   int64_t moment_ms = -1;
 
@@ -58,17 +59,19 @@
 int64_t
 permission_until (const struct turn *turn, int64_t fresh_ms)
 {
+  bool joined = fleet_has_joined (turn->fleet, turn->node, turn->incarnation);
   int64_t moment_ms;
 
-  if (turn->resuming
-      || !fleet_has_joined (turn->fleet, turn->node, turn->incarnation))
+  if (turn->resuming || turn->behind)
     return -1;
-  moment_ms = MAX (fresh_ms, majority_ms (turn));
+  moment_ms = majority_ms (turn, joined);
+  if (joined)
+    moment_ms = MAX (fresh_ms, moment_ms);
   return moment_ms < 0 ? -1 : moment_ms + PERMISSION_MS;
 }
 
-enum readers
-permission_readers (const struct turn *turn, uint64_t offset)
+bool
+permission_read_by_most (const struct turn *turn, uint64_t offset)
 {
   const GPtrArray *nodes = fleet_nodes (turn->fleet);
   uint32_t missing = 0;
@@ -86,43 +89,25 @@
       smallest = MIN (smallest, fleet_min_nodes_since (turn->fleet, read));
     }
   if (missing == 0)
-    return READERS_ALL;
+    return true;
   /* A missing node needs half of the nodes besides itself, as it knows
      them, and only other missing ones would confirm its view. */
-  return missing <= smallest / 2 ? READERS_MOST : READERS_MISSING;
-}
-
-/* Note in *SINCE_MS since when HOLDS has been so. */
-static void
-note (int64_t *since_ms, bool holds, int64_t now_ms)
-{
-  if (!holds)
-    *since_ms = -1;
-  else if (*since_ms < 0)
-    *since_ms = now_ms;
-}
-
-static bool
-has_lasted (int64_t since_ms, int64_t for_ms, int64_t now_ms)
-{
-  return since_ms >= 0 && now_ms - since_ms >= for_ms;
+  return missing <= smallest / 2;
 }
 
 bool
 permission_is_closed (const struct turn *turn, struct closing *closing,
                       uint64_t offset)
 {
-  enum readers readers = permission_readers (turn, offset);
-
   if (closing->offset != offset)
-    *closing = (struct closing){ offset, -1, -1 };
-  note (&closing->read_by_most_ms, readers != READERS_MISSING, turn->now_ms);
-  note (&closing->read_by_all_ms, readers == READERS_ALL, turn->now_ms);
-  return has_lasted (closing->read_by_all_ms,
-                     MESSAGE_SEND_WITHIN_MS + PERMISSION_MARGIN_MS,
-                     turn->now_ms)
-         || has_lasted (closing->read_by_most_ms,
-                        PERMISSION_MS + PERMISSION_MARGIN_MS, turn->now_ms);
+    *closing = (struct closing){ offset, -1 };
+  if (!permission_read_by_most (turn, offset))
+    closing->read_by_most_ms = -1;
+  else if (closing->read_by_most_ms < 0)
+    closing->read_by_most_ms = turn->now_ms;
+  return closing->read_by_most_ms >= 0
+         && turn->now_ms - closing->read_by_most_ms
+                >= PERMISSION_MS + PERMISSION_MARGIN_MS;
 }
 
 bool
--- a/src/permission.h
+++ b/src/permission.h
@@ -15,9 +15,12 @@
    among them, had read no further than itself.  The moment is always that of
    its own question, by its own clock, so a late answer grants nothing.
 
+   A node that has not joined, as it began while the log was out, needs a
+   majority without itself.
+
    The other half: once so many nodes have read an offset that the rest are
-   no majority, the permission of each of the rest is over PERMISSION_MS
-   later, unless it reads the offset too. */
+   no majority, the permission of each of the rest, joined or not, is over
+   PERMISSION_MS later, unless it reads the offset too. */
 
 #define PERMISSION_MS 2500
 
@@ -29,16 +32,9 @@
    of it; -1 if it may not. */
 int64_t permission_until (const struct turn *turn, int64_t fresh_ms);
 
-/* What the other nodes may still do against a change at some offset. */
-enum readers
-{
-  READERS_MISSING, /* too many have not read it */
-  READERS_MOST,    /* the rest stop within PERMISSION_MS */
-  READERS_ALL
-};
-
-/* Return which nodes have read up to OFFSET. */
-enum readers permission_readers (const struct turn *turn, uint64_t offset);
+/* Return whether so many joined nodes have read up to OFFSET that the rest
+   are no majority. */
+bool permission_read_by_most (const struct turn *turn, uint64_t offset);
 
 /* For how long a change has been read, by the clock of the node that waits
    for it.  Start with the offset 0. */
@@ -46,12 +42,11 @@
 {
   uint64_t offset;
   int64_t read_by_most_ms; /* since when; -1 for not yet */
-  int64_t read_by_all_ms;
 };
 
 /* Return whether no node can start work any more against what the log said up
-   to OFFSET: each has read that far, and what it had sent before is there, or
-   its permission has lapsed since. */
+   to OFFSET: most have read that far, and the permission of the others, and
+   what any had sent before, has lapsed since. */
 bool permission_is_closed (const struct turn *turn, struct closing *closing,
                            uint64_t offset);
 
--- a/tests/unit/test_fuzz.c
+++ b/tests/unit/test_fuzz.c
@@ -384,6 +384,9 @@
       p->u.slot_hold.vm = g_strdup ("vm-1");
       p->u.slot_hold.pool = g_strdup ("search");
       break;
+    case PEER_SNAPSHOT_PART:
+      p->u.snapshot_part.data = g_bytes_new_static ("part", 4);
+      break;
     case PEER_VM_NEWS:
       add_vm_state (p, "vm-1", VM_STATE_LEAVING);
       add_vm_state (p, "vm-2", VM_STATE_GONE);
