--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,6 @@
 # The commands of the README.  CMake does the building.
-.PHONY: all demo check bench bench-capacity bench-edges format clean proof-pairs
+.PHONY: all demo check bench bench-capacity bench-decisions bench-edges format \
+  clean proof-pairs
 
 all:
 	scripts/packages
@@ -12,6 +13,12 @@
 check: all
 	scripts/check
 
+bench: all
+	scripts/bench
+
+bench-decisions: all
+	scripts/bench-decisions
+
 # Every pair of faults over SEEDS seeds; minutes.
 proof-pairs: all
 	scripts/proof-pairs
