Let a planner with an old view order nothing

Cause: a node that owned a pool and was paused went on where it stood: it ordered again the reboot of a VM that another owner had meanwhile brought back into service, and so cut off what ran there. Ruled out: a start that came late (the VM served, by the log). Change: while a node takes up the news after a pause, and while its view is older than 2 s, its planner proposes and orders nothing. The sim gives each node's own clock for when it asked, so that views age there as they do in a node, and its VMs change pool when told to.

--- a/src/plan.c
+++ b/src/plan.c
@@ -7,6 +7,7 @@
 
 #include <string.h>
 
+#define VIEW_MAX_AGE_MS 2000
 #define PROPOSE_AGAIN_MS 3000
 #define ORDER_AGAIN_MS 5000
 #define LIST_LAG_MS 5000
@@ -548,7 +549,8 @@
   const struct config *c = fleet_config (turn->fleet);
 
   /* A planner with an old view proposes nothing. */
-  if (c == NULL || !sights_has_list (plan->sights) || !turn->log_reachable)
+  if (c == NULL || !sights_has_list (plan->sights) || !turn->log_reachable
+      || turn->resuming || turn->view_age_ms > VIEW_MAX_AGE_MS)
     return;
   for (guint i = 0; i < loads->len; i++)
     note_peak (plan, &g_array_index (loads, struct peer_load, i),
--- a/tests/sim/log.c
+++ b/tests/sim/log.c
@@ -245,7 +245,7 @@
   int64_t delay_ms = draw (w, 1, 25);
 
   state->u.log_state.reachable = reachable;
-  state->u.log_state.asked_ms = w->now_ms;
+  state->u.log_state.asked_ms = node_clock_ms (w, node);
   if (world_permission_is_off (w))
     state->u.log_state.asked_ms += HOUR_MS;
   if (reachable)
--- a/tests/sim/parts.h
+++ b/tests/sim/parts.h
@@ -111,7 +111,7 @@
   char *name;
   const char *zone;
   char *rack;
-  char *first_pool;
+  char *pool;
   uint32_t running;
   enum vm_state state;
   int64_t said_leaving_ms; /* first told to a node; -1 if not */
--- a/tests/sim/promises.c
+++ b/tests/sim/promises.c
@@ -150,12 +150,12 @@
   n->seen_version = version;
 }
 
-/* The platform is about to reboot VM by our order. */
+/* VM is about to be rebooted, or given to another pool, by our order. */
 void
 promises_reboot (struct world *w, int vm)
 {
   if (w->vms[vm].running > 0)
-    violate (w, "planned stop: %s is rebooted with %u tasks in progress",
+    violate (w, "planned stop: %s is taken with %u tasks in progress",
              w->vms[vm].name, w->vms[vm].running);
 }
 
--- a/tests/sim/vms.c
+++ b/tests/sim/vms.c
@@ -16,7 +16,7 @@
       struct sim_vm *v = &w->vms[i];
 
       v->name = g_strdup_printf ("vm-%d", i + 1);
-      v->first_pool = g_strdup (i < 6 ? "search" : "letters");
+      v->pool = g_strdup (i < 6 ? "search" : "letters");
       v->rack = g_strdup_printf ("rack-%d", i / 2 + 1);
       v->zone = i % 4 < 2 ? "zone-1" : "zone-2";
       v->state = VM_STATE_LIVE;
@@ -32,7 +32,7 @@
   for (int i = 0; i < N_VMS; i++)
     {
       g_free (w->vms[i].name);
-      g_free (w->vms[i].first_pool);
+      g_free (w->vms[i].pool);
       g_free (w->vms[i].rack);
     }
   g_queue_free_full (w->snapshots, g_free);
@@ -80,14 +80,13 @@
 list_one (struct world *w, int i, const struct snapshot *s)
 {
   struct sim_vm *v = &w->vms[i];
-  const struct fleet_vm *f = fleet_find_vm (w->truth, v->name);
   struct listed_vm l = {
     .vm = g_strdup (v->name),
     .address = g_strdup ("127.0.0.1"),
     .port = (uint16_t)(1000 + i),
     .zone = g_strdup (v->zone),
     .rack = g_strdup (v->rack),
-    .pool = g_strdup (f != NULL ? f->pool : v->first_pool),
+    .pool = g_strdup (v->pool),
     .slots = SLOTS,
     .running = s->running[i],
     .state = s->states[i],
@@ -111,7 +110,7 @@
     return;
   m = message_new (MESSAGE_VM_LIST);
   m->u.vm_list.vms = listed_vms_new ();
-  m->u.vm_list.asked_ms = w->now_ms;
+  m->u.vm_list.asked_ms = node_clock_ms (w, node);
   for (int i = 0; i < N_VMS; i++)
     {
       struct listed_vm l = list_one (w, i, s);
@@ -207,8 +206,16 @@
       promises_reboot (w, vm);
       go_dark (w, vm, VM_STATE_REBOOTING, draw (w, 200, REBOOT_MAX_MS));
       break;
-    case PLATFORM_RESUME:
     case PLATFORM_ASSIGN:
+      promises_reboot (w, vm);
+      g_free (v->pool);
+      v->pool = g_strdup (order->pool);
+      if (v->state == VM_STATE_LEAVING)
+        vms_back (w, vm, v->boot);
+      else
+        vms_note (w);
+      break;
+    case PLATFORM_RESUME:
       if (v->state == VM_STATE_LEAVING)
         vms_back (w, vm, v->boot);
       break;
