--- a/src/operators.c
+++ b/src/operators.c
@@ -1,5 +1,6 @@
 #include "operators.h"
 
+#include "advice.h"
 #include "error.h"
 #include "fields.h"
 
@@ -207,6 +208,13 @@
 {
   const struct config *c = fleet_config (t->fleet);
 
+  if (t->behind)
+    {
+      reply_problem (t, q->query, 503,
+                     "this node's view is not yet up to date",
+                     "ask another node, or again in some seconds");
+      return;
+    }
   if (c == NULL)
     {
       reply_problem (t, q->query, 404, "no configuration is in force",
@@ -227,6 +235,9 @@
   if (t->stopping)
     reply_problem (t, q->query, 503, "this node is stopping",
                    "use another node");
+  else if (t->behind)
+    reply_problem (t, q->query, 503, "this node's view is not yet up to date",
+                   "use another node; it catches up from the log or a peer");
   else if (t->resuming)
     reply_problem (t, q->query, 503,
                    "this node has just begun, or was paused, and reads the "
@@ -307,11 +318,17 @@
 static void
 reply_accepted (struct turn *t, const struct pending *p, bool everywhere)
 {
+  const struct config *c = fleet_config (t->fleet);
+  bool is_config = fleet_config_version (t->fleet) == p->offset;
+  char *advice = is_config ? advice_render (t->fleet, c) : g_strdup ("[]");
+
   reply_take (t, p->query, 200,
               g_strdup_printf ("{\"version\":%" G_GUINT64_FORMAT
-                               ",\"in_force_on_all_live_nodes\":%s}",
+                               ",\"in_force_on_all_live_nodes\":%s"
+                               ",\"targets_not_met\":%s}",
                                (guint64)p->offset,
-                               everywhere ? "true" : "false"));
+                               everywhere ? "true" : "false", advice));
+  g_free (advice);
 }
 
 static void
--- a/src/peer_message.h
+++ b/src/peer_message.h
@@ -22,6 +22,8 @@
   PEER_SLOT_RETURN,
   PEER_SLOT_HOLD,
   PEER_SLOT_CANCEL,
+  PEER_SNAPSHOT_ASK,
+  PEER_SNAPSHOT_PART,
   PEER_VM_NEWS,
   PEER_KEY_CANCEL,
   PEER_KEY_CANCELLED,
@@ -112,6 +114,23 @@
   uint32_t attempt;
 };
 
+/* Asks for one part of the peer's snapshot. */
+struct peer_snapshot_ask
+{
+  uint64_t offset; /* of the snapshot that was begun; 0 for the latest */
+  uint32_t index;
+};
+
+struct peer_snapshot_part
+{
+  uint64_t offset;
+  uint64_t digest_high;
+  uint64_t digest_low;
+  uint32_t index;
+  uint32_t count;
+  GBytes *data;
+};
+
 /* The state of one VM by the platform's list. */
 struct peer_vm_state
 {
@@ -153,6 +172,8 @@
     struct peer_slot_return slot_return;
     struct peer_slot_hold slot_hold;
     struct peer_slot_cancel slot_cancel;
+    struct peer_snapshot_ask snapshot_ask;
+    struct peer_snapshot_part snapshot_part;
     struct peer_vm_news vm_news;
     struct peer_key_cancel key_cancel;
     struct peer_key_cancelled key_cancelled;
