--- a/src/backend.c
+++ b/src/backend.c
@@ -243,8 +243,8 @@
   r->functions = functions;
   r->data = data;
   r->max_answer_bytes = order->max_answer_bytes;
-  r->send_by_ms = order->send_by_ms;
   r->started_ms = now_ms ();
+  r->send_by_ms = order->send_by_ms;
   r->cancellable = g_cancellable_new ();
   r->message = make_message (order, task, content_type, body);
   g_signal_connect (r->message, "starting", G_CALLBACK (on_starting), r);
--- a/src/fleet_state.h
+++ b/src/fleet_state.h
@@ -5,6 +5,13 @@
 
 /* What a fleet is made of, for the fold and for snapshots of it alone. */
 
+/* From OFFSET on, until the next entry's, at least N nodes were joined. */
+struct node_count
+{
+  uint64_t offset;
+  uint32_t n;
+};
+
 struct fleet
 {
   uint64_t offset;
@@ -19,6 +26,7 @@
   uint64_t forgotten;      /* highest offset of a claim that was forgotten */
   GPtrArray *waves;
   GPtrArray *nodes;
+  GArray *node_counts; /* struct node_count, both members rising */
 };
 
 /* Add CLAIM, which the fleet owns from now on, in place of any earlier one of
--- a/src/log_task.c
+++ b/src/log_task.c
@@ -44,6 +44,7 @@
   int64_t read_ms;  /* when the read that waits was begun */
   int64_t probe_ms; /* when the read that does not wait was begun, or 0 */
   bool reachable;
+  int64_t list_asked_ms; /* when the last read of the VM list was sent */
 };
 
 static void read_on (struct log_task *l);
@@ -270,6 +271,7 @@
     }
   m = message_new (MESSAGE_VM_LIST);
   m->u.vm_list.vms = vms;
+  m->u.vm_list.asked_ms = l->list_asked_ms;
   task_post (l->core, m);
 }
 
@@ -489,6 +491,7 @@
       act (l, &m->u.platform);
       break;
     case MESSAGE_READ_LIST:
+      l->list_asked_ms = now_ms ();
       platform_list (l->platform, on_list, l);
       break;
     default:
--- a/src/message.h
+++ b/src/message.h
@@ -102,7 +102,7 @@
   bool reachable;
   uint64_t head;    /* offset after the last record */
   uint64_t first;   /* the oldest offset still kept */
-  int64_t asked_ms; /* clock time at which the read began; 0 for just now */
+  int64_t asked_ms; /* clock time at which the log was asked; 0 for just now */
 };
 
 enum vm_state
@@ -129,7 +129,8 @@
 
 struct message_vm_list
 {
-  GArray *vms; /* struct listed_vm */
+  GArray *vms;      /* struct listed_vm */
+  int64_t asked_ms; /* clock time at which the platform was asked */
 };
 
 struct message_peer
--- a/src/snapshot.c
+++ b/src/snapshot.c
@@ -9,15 +9,17 @@
 #define COMPRESSION_LEVEL 1
 #define SNAPSHOT_VERSION 1
 
-#define VM_TYPE "(ssqssssuutxt)"
+#define VM_TYPE "(ssqssssssuutxt)"
 #define CLAIM_TYPE "(tttttttxxuuuu)"
 #define WAVE_TYPE "(ssxxtx)"
 #define NODE_TYPE "(sstt)"
+#define COUNT_TYPE "(tu)"
 /* Version, offset, time, configuration (version, text), highest forgotten
    offset, expiry bucket, VMs, names of claiming nodes, claims, waves, nodes.
  */
 #define STATE_TYPE                                                            \
-  "(utxtstxa" VM_TYPE "asa" CLAIM_TYPE "a" WAVE_TYPE "a" NODE_TYPE ")"
+  "(utxtstxa" VM_TYPE "asa" CLAIM_TYPE "a" WAVE_TYPE "a" NODE_TYPE            \
+  "a" COUNT_TYPE ")"
 
 /* A claim as it stands in an array of CLAIM_TYPE. */
 struct claim_row
@@ -56,9 +58,10 @@
       const struct fleet_vm *v = g_ptr_array_index (f->vms, i);
 
       g_variant_builder_add (&b, VM_TYPE, v->vm, v->address, v->port, v->zone,
-                             v->rack, v->pool, v->purpose, v->slots,
-                             (guint32)v->phase, (guint64)v->changed,
-                             (gint64)v->changed_at_ms, (guint64)v->maintained);
+                             v->rack, v->pool, v->home_pool, v->next_pool,
+                             v->purpose, v->slots, (guint32)v->phase,
+                             (guint64)v->changed, (gint64)v->changed_at_ms,
+                             (guint64)v->maintained);
     }
   return g_variant_builder_end (&b);
 }
@@ -192,6 +195,23 @@
   return g_variant_builder_end (&b);
 }
 
+static GVariant *
+write_counts (const struct fleet *f)
+{
+  GVariantBuilder b;
+
+  g_variant_builder_init (&b, G_VARIANT_TYPE ("a" COUNT_TYPE));
+  for (guint i = 0; i < f->node_counts->len; i++)
+    {
+      const struct node_count *n
+          = &g_array_index (f->node_counts, struct node_count, i);
+
+      g_variant_builder_add (&b, COUNT_TYPE, (guint64)n->offset,
+                             (guint32)n->n);
+    }
+  return g_variant_builder_end (&b);
+}
+
 /* Return the state of F, which the caller unrefs. */
 static GBytes *
 write_state (const struct fleet *f)
@@ -200,11 +220,11 @@
   GVariant *claims = write_claims (f, &names);
   GVariant *v = g_variant_new (
       "(utxtstx@a" VM_TYPE "@as@a" CLAIM_TYPE "@a" WAVE_TYPE "@a" NODE_TYPE
-      ")",
+      "@a" COUNT_TYPE ")",
       (guint32)SNAPSHOT_VERSION, (guint64)f->offset, (gint64)f->time_ms,
       (guint64)f->config_version, f->config != NULL ? f->config->text : "",
       (guint64)f->forgotten, (gint64)f->next_bucket, write_vms (f), names,
-      claims, write_waves (f), write_nodes (f));
+      claims, write_waves (f), write_nodes (f), write_counts (f));
   GBytes *bytes;
 
   g_variant_ref_sink (v);
@@ -262,8 +282,9 @@
 
   g_variant_iter_init (&i, array);
   while (g_variant_iter_next (&i, VM_TYPE, &v.vm, &v.address, &v.port, &v.zone,
-                              &v.rack, &v.pool, &v.purpose, &v.slots, &phase,
-                              &v.changed, &v.changed_at_ms, &v.maintained))
+                              &v.rack, &v.pool, &v.home_pool, &v.next_pool,
+                              &v.purpose, &v.slots, &phase, &v.changed,
+                              &v.changed_at_ms, &v.maintained))
     {
       v.phase = (enum vm_phase)phase;
       fleet_put_vm (f, g_memdup2 (&v, sizeof v));
@@ -337,20 +358,32 @@
     g_ptr_array_add (f->nodes, g_memdup2 (&n, sizeof n));
 }
 
+static void
+read_counts (struct fleet *f, GVariant *array)
+{
+  GVariantIter i;
+  struct node_count n = { 0 };
+
+  g_array_set_size (f->node_counts, 0);
+  g_variant_iter_init (&i, array);
+  while (g_variant_iter_next (&i, COUNT_TYPE, &n.offset, &n.n))
+    g_array_append_val (f->node_counts, n);
+}
+
 static bool
 read_state (struct fleet *f, GVariant *v)
 {
   guint32 version;
   const char *text;
-  GVariant *part[5];
+  GVariant *part[6];
   bool good;
 
   g_variant_get (v,
                  "(utxt&stx@a" VM_TYPE "@as@a" CLAIM_TYPE "@a" WAVE_TYPE
-                 "@a" NODE_TYPE ")",
+                 "@a" NODE_TYPE "@a" COUNT_TYPE ")",
                  &version, &f->offset, &f->time_ms, &f->config_version, &text,
                  &f->forgotten, &f->next_bucket, &part[0], &part[1], &part[2],
-                 &part[3], &part[4]);
+                 &part[3], &part[4], &part[5]);
   if (text[0] != '\0')
     f->config = config_from_text (text, -1, NULL);
   good = version == SNAPSHOT_VERSION
@@ -361,6 +394,7 @@
       read_vms (f, part[0]);
       read_waves (f, part[3]);
       read_nodes (f, part[4]);
+      read_counts (f, part[5]);
     }
   for (gsize i = 0; i < G_N_ELEMENTS (part); i++)
     g_variant_unref (part[i]);
