End a run whose caller leaves between two pieces of its answer

Change: cancelling also asks for the next piece, which then fails at once.

Test: backend-reuse/abandoned-between-pieces and timed-out-between-pieces; both failed before.

--- a/src/backend.c
+++ b/src/backend.c
@@ -27,8 +27,9 @@
   goffset length;
   int64_t started_ms;
   int64_t send_by_ms;
-  bool sent;  /* the back end may have got it */
-  bool begun; /* the answer's head has been passed on */
+  bool sent;    /* the back end may have got it */
+  bool reading; /* the next piece is on its way */
+  bool begun;   /* the answer's head has been passed on */
   bool timed_out;
   bool too_late; /* it was not sent in time, so it is not sent at all */
 };
@@ -106,6 +107,7 @@
                                                     result, &error);
   gsize size;
 
+  r->reading = false;
   if (piece == NULL)
     {
       g_error_free (error);
@@ -132,6 +134,9 @@
 void
 backend_more (struct backend_run *run)
 {
+  if (run->reading)
+    return;
+  run->reading = true;
   g_input_stream_read_bytes_async (run->stream, PIECE_BYTES,
                                    G_PRIORITY_DEFAULT, run->cancellable,
                                    on_piece, run);
@@ -200,13 +205,23 @@
     g_cancellable_cancel (r->cancellable);
 }
 
+/* Break R off, also while it waits to be asked for the next piece: the read
+   then fails at once and ends it. */
+static void
+cancel (struct backend_run *r)
+{
+  g_cancellable_cancel (r->cancellable);
+  if (r->begun)
+    backend_more (r);
+}
+
 static gboolean
 on_timeout (gpointer data)
 {
   struct backend_run *r = data;
 
   r->timed_out = true;
-  g_cancellable_cancel (r->cancellable);
+  cancel (r);
   return G_SOURCE_REMOVE;
 }
 
@@ -262,5 +277,5 @@
 void
 backend_abandon (struct backend_run *run)
 {
-  g_cancellable_cancel (run->cancellable);
+  cancel (run);
 }
--- a/tests/unit/test_backend_reuse.c
+++ b/tests/unit/test_backend_reuse.c
@@ -14,6 +14,8 @@
   GHashTable *callers; /* ports that requests came from */
   uint16_t port;
   bool ended;
+  bool holds; /* ask for no further piece */
+  int pieces;
   enum run_result result;
 };
 
@@ -43,7 +45,11 @@
 static void
 on_piece (void *data, GBytes *piece)
 {
-  backend_more (run);
+  struct world *w = data;
+
+  w->pieces++;
+  if (!w->holds)
+    backend_more (run);
 }
 
 static void
@@ -120,11 +126,72 @@
   g_assert_cmpuint (connections_of (false), ==, RUNS);
 }
 
+/* A run whose caller leaves, or whose time ends, while no further piece has
+   been asked for ends all the same, so that its slot is given back. */
+static void
+end_between_pieces (int64_t timeout_ms, bool abandon, enum run_result wanted)
+{
+  struct settings settings = { .connections_per_worker = 8 };
+  struct world w = { .server = soup_server_new (NULL, NULL), .holds = true };
+  struct message_run order = { .address = (char *)"127.0.0.1",
+                               .pool = (char *)"p",
+                               .service = (char *)"s",
+                               .class_name = (char *)"c",
+                               .idempotent = true,
+                               .timeout_ms = timeout_ms,
+                               .send_by_ms = INT64_MAX,
+                               .max_answer_bytes = 1000 };
+  GBytes *body = g_bytes_new_static ("x", 1);
+  GSList *uris;
+
+  w.callers = g_hash_table_new (NULL, NULL);
+  w.backend = backend_new (&settings);
+  soup_server_add_handler (w.server, NULL, on_request, &w, NULL);
+  g_assert_true (soup_server_listen_local (
+      w.server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL));
+  uris = soup_server_get_uris (w.server);
+  order.port = (uint16_t)g_uri_get_port (uris->data);
+  run = backend_start (w.backend, &order, "task", "text/plain", body,
+                       &functions, &w);
+  while (w.pieces == 0)
+    g_main_context_iteration (NULL, TRUE);
+  if (abandon)
+    backend_abandon (run);
+  for (int i = 0; i < 5000 && !w.ended; i++)
+    {
+      g_main_context_iteration (NULL, FALSE);
+      g_usleep (1000);
+    }
+  g_assert_true (w.ended);
+  g_assert_cmpint (w.result, ==, wanted);
+  backend_destroy (w.backend);
+  g_object_unref (w.server);
+  g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
+  g_hash_table_unref (w.callers);
+  g_bytes_unref (body);
+}
+
+static void
+test_abandoned_between_pieces (void)
+{
+  end_between_pieces (60000, true, RUN_ABANDONED);
+}
+
+static void
+test_timed_out_between_pieces (void)
+{
+  end_between_pieces (500, false, RUN_TIMED_OUT);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/backend-reuse/idempotent", test_idempotent);
   g_test_add_func ("/backend-reuse/not-idempotent", test_not_idempotent);
+  g_test_add_func ("/backend-reuse/abandoned-between-pieces",
+                   test_abandoned_between_pieces);
+  g_test_add_func ("/backend-reuse/timed-out-between-pieces",
+                   test_timed_out_between_pieces);
   return g_test_run ();
 }
