--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 # The commands of the README.  CMake does the building.
-.PHONY: all demo check bench bench-capacity bench-decisions format clean \
-  proof-pairs
+.PHONY: all demo check bench bench-capacity bench-decisions bench-edges \
+  format clean proof-pairs
 
 all:
 	scripts/packages
@@ -28,3 +28,6 @@
 
 clean:
 	rm -rf build build-sanitize
+
+bench-edges: all
+	build/tests/bench_edges build/burdockshed
