--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,6 @@
 
 bench-edges: all
 	build/tests/bench_edges build/burdockshed
+
+bench-capacity: all
+	scripts/bench-capacity
