--- a/src/core.c
+++ b/src/core.c
@@ -17,6 +17,7 @@
 #include <string.h>
 
 #define JOIN_AGAIN_MS 3000
+#define ANNOUNCE_EVERY 4 /* heartbeats */
 #define PLAN_EVERY_MS 200
 /* How long a stopping node waits for its last records to stand in the log. */
 #define FLUSH_MS 8000
@@ -53,6 +54,7 @@
   int64_t resumed_ms; /* when the last pause ended */
   bool resuming;
   int64_t heartbeat_ms;
+  int64_t announced_ms; /* when all were sent a heartbeat last */
   int64_t planned_ms;
   int64_t joined_ms; /* when this node last asked to join */
   bool stopping;
@@ -99,8 +101,8 @@
   broker_destroy (core->broker);
   members_destroy (core->members);
   fleet_destroy (core->fleet);
-  g_hash_table_unref (core->unlogged);
   leaving_destroy (core->leaving);
+  g_hash_table_unref (core->unlogged);
   g_free (core->node);
   g_free (core->zone);
   g_free (core);
@@ -146,8 +148,8 @@
     .counters = c->counters,
     .view_age_ms = c->fresh_ms < 0 ? INT32_MAX : now_ms - c->fresh_ms,
     .log_reachable = c->log_reachable,
-    .behind = !recovery_caught_up (c->recovery),
     .permit_until_ms = c->permit_until_ms,
+    .behind = !recovery_caught_up (c->recovery),
     .resuming = c->resuming,
     .stopping = c->stopping,
     .out = out,
@@ -327,9 +329,7 @@
 static void
 handle_heartbeat (struct core *c, const struct peer_message *p, int64_t now_ms)
 {
-  const struct peer_heartbeat *h = &p->u.heartbeat;
-
-  recovery_hear (c->recovery, h->offset);
+  recovery_hear (c->recovery, p->u.heartbeat.offset);
   if (members_hear (c->members, p, now_ms))
     counters_add (c->counters, COUNTER_OWNER_CHANGES, 1);
   weigh_leaving (c, now_ms);
@@ -411,8 +411,8 @@
   return (char **)g_ptr_array_free (busy, FALSE);
 }
 
-static void
-send_heartbeat (struct core *c, struct turn *t)
+static struct peer_message *
+make_heartbeat (struct core *c, const struct turn *t)
 {
   struct peer_message *p = turn_peer (t, PEER_HEARTBEAT);
   struct peer_heartbeat *h = &p->u.heartbeat;
@@ -426,9 +426,36 @@
   h->list_age_ms = leaving_list_age_ms (c->leaving, t->now_ms);
   h->leaving = leaving_own (c->leaving);
   h->busy = own_busy (c);
-  h->echoes = members_echoes (c->members);
   h->loads = own_loads (c);
-  turn_send (t, "", p);
+  return p;
+}
+
+/* Each member that is alive hears the echo of its own stamp alone, so that a
+   heartbeat does not grow with the nodes.  Now and then all are told, so that
+   those not heard yet hear of this node. */
+static void
+send_heartbeat (struct core *c, struct turn *t)
+{
+  const GPtrArray *others = members_others (c->members);
+
+  for (guint i = 0; i < others->len; i++)
+    {
+      const struct member *m = g_ptr_array_index (others, i);
+      struct peer_message *p;
+
+      if (!m->alive)
+        continue;
+      p = make_heartbeat (c, t);
+      p->u.heartbeat.echoes = members_echo (m);
+      turn_send (t, m->node, p);
+    }
+  if (c->stopping || c->announced_ms == 0
+      || t->now_ms - c->announced_ms
+             >= ANNOUNCE_EVERY * members_heartbeat_ms (c->members))
+    {
+      turn_send (t, "", make_heartbeat (c, t));
+      c->announced_ms = t->now_ms;
+    }
   c->heartbeat_ms = t->now_ms;
   c->says_news = false;
 }
@@ -496,7 +523,7 @@
     }
   weigh_leaving (c, t->now_ms);
   if (c->heartbeat_ms == 0 || c->says_news
-      || t->now_ms - c->heartbeat_ms >= MEMBERS_HEARTBEAT_MS)
+      || t->now_ms - c->heartbeat_ms >= members_heartbeat_ms (c->members))
     send_heartbeat (c, t);
   join (c, t);
   recovery_step (c->recovery, t);
--- a/src/members.h
+++ b/src/members.h
@@ -10,6 +10,9 @@
 /* Which nodes are alive, by their heartbeats.  Used for ownership, forwarding
    and freshness only: no promise rests on it alone. */
 
+/* Up to so many nodes; with more, both times grow in proportion, so that a
+   node's heartbeats cost no more bytes a second. */
+#define MEMBERS_AT_FULL_RATE 20
 #define MEMBERS_HEARTBEAT_MS 500
 #define MEMBERS_SUSPECT_MS 2000
 
@@ -51,6 +54,19 @@
 /* Return the alive node that owns POOL; never NULL, as self is alive. */
 const char *members_owner (const struct members *members, const char *pool);
 
+/* A node whose view is older than this plans nothing. */
+#define MEMBERS_PLANNER_VIEW_MS 5000
+
+/* Return the node that plans for NAME at NOW_MS: as members_owner, but among
+   those that read the log.  Self is taken to read it. */
+const char *members_planner (const struct members *members, const char *name,
+                             int64_t now_ms);
+
+/* Return how far apart this node's heartbeats are, and after how much silence
+   a member is suspected, in milliseconds. */
+int64_t members_heartbeat_ms (const struct members *members);
+int64_t members_suspect_ms (const struct members *members);
+
 /* Return whether NODE in INCARNATION is alive. */
 bool members_alive (const struct members *members, const char *node,
                     uint64_t incarnation);
@@ -62,8 +78,8 @@
 const struct member *members_find (const struct members *members,
                                    const char *node);
 
-/* Return the stamps of all members heard, as the echoes of a heartbeat. */
-GArray *members_echoes (const struct members *members);
+/* Return the stamp of MEMBER's last heartbeat as the echo in one to it. */
+GArray *members_echo (const struct member *member);
 
 /* Return the other members as struct member *. */
 const GPtrArray *members_others (const struct members *members);
--- a/src/message.h
+++ b/src/message.h
@@ -102,7 +102,7 @@
   bool reachable;
   uint64_t head;    /* offset after the last record */
   uint64_t first;   /* the oldest offset still kept */
-  int64_t asked_ms; /* clock time at which the log was asked; 0 for just now */
+  int64_t asked_ms; /* clock time at which the read began; 0 for just now */
 };
 
 enum vm_state
--- a/src/snapshot.c
+++ b/src/snapshot.c
@@ -15,8 +15,8 @@
 #define NODE_TYPE "(sstt)"
 #define COUNT_TYPE "(tu)"
 /* Version, offset, time, configuration (version, text), highest forgotten
-   offset, expiry bucket, VMs, names of claiming nodes, claims, waves, nodes.
- */
+   offset, expiry bucket, VMs, names of claiming nodes, claims, waves, nodes,
+   numbers of nodes.*/
 #define STATE_TYPE                                                            \
   "(utxtstxa" VM_TYPE "asa" CLAIM_TYPE "a" WAVE_TYPE "a" NODE_TYPE            \
   "a" COUNT_TYPE ")"
@@ -203,11 +203,11 @@
   g_variant_builder_init (&b, G_VARIANT_TYPE ("a" COUNT_TYPE));
   for (guint i = 0; i < f->node_counts->len; i++)
     {
-      const struct node_count *n
+      const struct node_count *c
           = &g_array_index (f->node_counts, struct node_count, i);
 
-      g_variant_builder_add (&b, COUNT_TYPE, (guint64)n->offset,
-                             (guint32)n->n);
+      g_variant_builder_add (&b, COUNT_TYPE, (guint64)c->offset,
+                             (guint32)c->n);
     }
   return g_variant_builder_end (&b);
 }
@@ -362,12 +362,11 @@
 read_counts (struct fleet *f, GVariant *array)
 {
   GVariantIter i;
-  struct node_count n = { 0 };
+  struct node_count c = { 0, 0 };
 
-  g_array_set_size (f->node_counts, 0);
   g_variant_iter_init (&i, array);
-  while (g_variant_iter_next (&i, COUNT_TYPE, &n.offset, &n.n))
-    g_array_append_val (f->node_counts, n);
+  while (g_variant_iter_next (&i, COUNT_TYPE, &c.offset, &c.n))
+    g_array_append_val (f->node_counts, c);
 }
 
 static bool
