Split the fold into configuration and VMs, keys, and nodes

Change: fleet_keys.c remembers idempotency keys, fleet_nodes.c knows which nodes joined; fleet.c keeps the rest and calls them. No behaviour changed. Unit tests, the claim model check and the capacity check pass.

--- a/src/fleet.c
+++ b/src/fleet.c
@@ -5,8 +5,6 @@
 
 #include <string.h>
 
-#define EXPIRY_BUCKET_MS 60000
-
 static const char *const verdict_names[VERDICT_COUNT]
     = { "accepted", "repeated", "conflict", "illegal", "budget", "unknown" };
 
@@ -317,158 +315,6 @@
   return VERDICT_ACCEPTED;
 }
 
-/* Keys. */
-
-static void
-expire_later (struct fleet *f, struct key_id key, int64_t expires_ms)
-{
-  int64_t bucket = expires_ms / EXPIRY_BUCKET_MS;
-  GArray *keys = g_hash_table_lookup (f->expiries, &bucket);
-
-  if (keys == NULL)
-    {
-      keys = g_array_new (FALSE, FALSE, sizeof (struct key_id));
-      g_hash_table_insert (f->expiries, g_memdup2 (&bucket, sizeof bucket),
-                           keys);
-    }
-  g_array_append_val (keys, key);
-}
-
-/* Forget the keys of BUCKET whose time is over. */
-static void
-sweep_bucket (struct fleet *f, int64_t bucket)
-{
-  GArray *keys = g_hash_table_lookup (f->expiries, &bucket);
-
-  if (keys == NULL)
-    return;
-  for (guint i = 0; i < keys->len; i++)
-    {
-      struct key_id *key = &g_array_index (keys, struct key_id, i);
-      struct fleet_claim *c = g_hash_table_lookup (f->claims, key);
-
-      /* The key's time may have changed since it was listed here. */
-      if (c == NULL || c->expires_ms / EXPIRY_BUCKET_MS != bucket)
-        continue;
-      f->forgotten = MAX (f->forgotten, c->claimed);
-      g_hash_table_remove (f->claims, key);
-    }
-  g_hash_table_remove (f->expiries, &bucket);
-}
-
-static void
-sweep_expired (struct fleet *f)
-{
-  int64_t last = f->time_ms / EXPIRY_BUCKET_MS;
-
-  if (f->next_bucket == 0)
-    f->next_bucket = last;
-  for (; f->next_bucket < last; f->next_bucket++)
-    sweep_bucket (f, f->next_bucket);
-}
-
-const struct fleet_claim *
-fleet_find_claim (const struct fleet *fleet, struct key_id key)
-{
-  const struct fleet_claim *c = g_hash_table_lookup (fleet->claims, &key);
-
-  if (c == NULL || c->expires_ms <= fleet->time_ms)
-    return NULL;
-  return c;
-}
-
-void
-fleet_put_claim (struct fleet *fleet, struct fleet_claim *claim)
-{
-  g_hash_table_replace (fleet->claims, &claim->key, claim);
-  expire_later (fleet, claim->key, claim->expires_ms);
-}
-
-/* Whether claim N was made before its node knew of a claim that has been
-   forgotten since: N may be a late copy of that very claim, so it must not be
-   taken for a new one. */
-static bool
-may_be_forgotten_copy (const struct fleet *f, const struct record_claim *n)
-{
-  const struct fleet_claim *old = g_hash_table_lookup (f->claims, &n->key);
-  uint64_t forgotten = f->forgotten;
-
-  if (old != NULL && old->expires_ms <= f->time_ms)
-    forgotten = MAX (forgotten, old->claimed);
-  return n->seen < forgotten;
-}
-
-/* The verdict on claim R, when OLD is what is remembered of its key. */
-static enum verdict
-judge_claim (const struct fleet *f, const struct record *r,
-             const struct fleet_claim *old)
-{
-  const struct record_claim *n = &r->u.claim;
-
-  if (old == NULL)
-    return n->prior != 0 || may_be_forgotten_copy (f, n) ? VERDICT_CONFLICT
-                                                         : VERDICT_ACCEPTED;
-  if (old->incarnation == r->incarnation && old->request == n->request)
-    return VERDICT_REPEATED;
-  if (old->settled && old->outcome == OUTCOME_NOT_RUN
-      && old->changed == n->prior)
-    return VERDICT_ACCEPTED;
-  return VERDICT_CONFLICT;
-}
-
-static enum verdict
-fold_claim (struct fleet *f, const struct record *r, uint64_t offset)
-{
-  const struct record_claim *n = &r->u.claim;
-  enum verdict verdict = judge_claim (f, r, fleet_find_claim (f, n->key));
-  struct fleet_claim *c;
-
-  if (verdict != VERDICT_ACCEPTED)
-    return verdict;
-  c = g_new0 (struct fleet_claim, 1);
-  c->key = n->key;
-  c->body_hash = n->body_hash;
-  c->incarnation = r->incarnation;
-  c->request = n->request;
-  c->claimed = offset;
-  c->changed = offset;
-  c->remember_ms = n->remember_ms;
-  c->expires_ms = f->time_ms + n->remember_ms;
-  c->node = g_intern_string (r->node);
-  fleet_put_claim (f, c);
-  return VERDICT_ACCEPTED;
-}
-
-/* A key is remembered from its last change, so a long run does not use up
-   its time. */
-static enum verdict
-fold_outcome (struct fleet *f, const struct record *r, uint64_t offset)
-{
-  const struct record_outcome *o = &r->u.outcome;
-  struct fleet_claim *c = g_hash_table_lookup (f->claims, &o->key);
-
-  if (c == NULL || c->expires_ms <= f->time_ms)
-    return VERDICT_UNKNOWN;
-  if (c->claimed != o->claim || c->incarnation != r->incarnation)
-    return VERDICT_CONFLICT;
-  if (c->settled)
-    return VERDICT_REPEATED;
-  c->settled = o->outcome != OUTCOME_UNKNOWN;
-  c->outcome = o->outcome;
-  c->reason = o->reason;
-  c->status = o->status;
-  c->changed = offset;
-  c->expires_ms = f->time_ms + c->remember_ms;
-  expire_later (f, c->key, c->expires_ms);
-  return VERDICT_ACCEPTED;
-}
-
-uint32_t
-fleet_claim_count (const struct fleet *fleet)
-{
-  return g_hash_table_size (fleet->claims);
-}
-
 /* Maintenance intentions. */
 
 static int
@@ -518,110 +364,6 @@
   return VERDICT_ACCEPTED;
 }
 
-/* Nodes. */
-
-static int
-find_node (const struct fleet *f, const char *node)
-{
-  for (guint i = 0; i < f->nodes->len; i++)
-    {
-      const struct fleet_node *n = g_ptr_array_index (f->nodes, i);
-
-      if (strcmp (n->node, node) == 0)
-        return (int)i;
-    }
-  return -1;
-}
-
-/* Note that the number of nodes changed at OFFSET.  Entries that can't be a
-   minimum any more are dropped, so there are never more than nodes. */
-static void
-note_node_count (struct fleet *f, uint64_t offset)
-{
-  struct node_count now = { offset, f->nodes->len };
-  GArray *counts = f->node_counts;
-
-  while (counts->len > 0
-         && g_array_index (counts, struct node_count, counts->len - 1).n
-                >= now.n)
-    {
-      now.offset
-          = g_array_index (counts, struct node_count, counts->len - 1).offset;
-      g_array_set_size (counts, counts->len - 1);
-    }
-  g_array_append_val (counts, now);
-}
-
-uint32_t
-fleet_min_nodes_since (const struct fleet *fleet, uint64_t since)
-{
-  const GArray *counts = fleet->node_counts;
-  uint32_t n = 0;
-
-  for (guint i = 0; i < counts->len; i++)
-    {
-      const struct node_count *c
-          = &g_array_index (counts, struct node_count, i);
-
-      if (c->offset > since)
-        break;
-      n = c->n;
-    }
-  return n;
-}
-
-bool
-fleet_has_joined (const struct fleet *fleet, const char *node,
-                  uint64_t incarnation)
-{
-  int i = find_node (fleet, node);
-  const struct fleet_node *n;
-
-  if (i < 0)
-    return false;
-  n = g_ptr_array_index (fleet->nodes, (guint)i);
-  return n->incarnation == incarnation;
-}
-
-static enum verdict
-fold_node_join (struct fleet *f, const struct record *r, uint64_t offset)
-{
-  int i = find_node (f, r->node);
-  struct fleet_node *n;
-
-  if (i >= 0)
-    {
-      n = g_ptr_array_index (f->nodes, (guint)i);
-      if (n->incarnation == r->incarnation)
-        return VERDICT_REPEATED;
-      g_ptr_array_remove_index (f->nodes, (guint)i);
-    }
-  n = g_new0 (struct fleet_node, 1);
-  n->node = g_strdup (r->node);
-  n->zone = g_strdup (r->u.node_join.zone);
-  n->incarnation = r->incarnation;
-  n->joined = offset;
-  g_ptr_array_add (f->nodes, n);
-  note_node_count (f, offset);
-  return VERDICT_ACCEPTED;
-}
-
-static enum verdict
-fold_node_leave (struct fleet *f, const struct record *r, uint64_t offset)
-{
-  int i = find_node (f, r->node);
-  const struct fleet_node *n;
-
-  if (i < 0)
-    return VERDICT_UNKNOWN;
-  n = g_ptr_array_index (f->nodes, (guint)i);
-  if (n->incarnation != r->incarnation)
-    return VERDICT_CONFLICT;
-  g_ptr_array_remove_index (f->nodes, (guint)i);
-  note_node_count (f, offset);
-  return VERDICT_ACCEPTED;
-}
-
 enum verdict
 fleet_fold (struct fleet *fleet, const struct record *record, uint64_t offset,
             int64_t at_ms)
@@ -629,7 +371,7 @@
   g_return_val_if_fail (offset > fleet->offset, VERDICT_ILLEGAL);
   fleet->offset = offset;
   fleet->time_ms = MAX (fleet->time_ms, at_ms);
-  sweep_expired (fleet);
+  fleet_sweep_keys (fleet);
   switch (record->kind)
     {
     case RECORD_CONFIG:
@@ -639,17 +381,17 @@
     case RECORD_VM_STEP:
       return fold_vm_step (fleet, record, offset, at_ms);
     case RECORD_CLAIM:
-      return fold_claim (fleet, record, offset);
+      return fleet_fold_claim (fleet, record, offset);
     case RECORD_OUTCOME:
-      return fold_outcome (fleet, record, offset);
+      return fleet_fold_outcome (fleet, record, offset);
     case RECORD_MAINTAIN:
       return fold_maintain (fleet, record, offset, at_ms);
     case RECORD_MAINTAIN_CANCEL:
       return fold_maintain_cancel (fleet, record);
     case RECORD_NODE_JOIN:
-      return fold_node_join (fleet, record, offset);
+      return fleet_fold_join (fleet, record, offset);
     case RECORD_NODE_LEAVE:
-      return fold_node_leave (fleet, record, offset);
+      return fleet_fold_leave (fleet, record, offset);
     case RECORD_CHECKPOINT:
       return VERDICT_ACCEPTED; /* changes nothing */
     case RECORD_KIND_COUNT:
--- a/src/fleet_state.h
+++ b/src/fleet_state.h
@@ -3,7 +3,8 @@
 
 #include "fleet.h"
 
-/* What a fleet is made of, for the fold and for snapshots of it alone. */
+/* What a fleet is made of, for the parts of the fold and for snapshots of it
+   alone. */
 
 /* From OFFSET on, until the next entry's, at least N nodes were joined. */
 struct node_count
@@ -36,4 +37,17 @@
 /* Add VM, which the fleet owns from now on. */
 void fleet_put_vm (struct fleet *fleet, struct fleet_vm *vm);
 
+/* Parts of the fold.  Each takes a record of its kind at OFFSET. */
+enum verdict fleet_fold_claim (struct fleet *fleet,
+                               const struct record *record, uint64_t offset);
+enum verdict fleet_fold_outcome (struct fleet *fleet,
+                                 const struct record *record, uint64_t offset);
+enum verdict fleet_fold_join (struct fleet *fleet, const struct record *record,
+                              uint64_t offset);
+enum verdict fleet_fold_leave (struct fleet *fleet,
+                               const struct record *record, uint64_t offset);
+
+/* Forget the keys whose time is over. */
+void fleet_sweep_keys (struct fleet *fleet);
+
 #endif
