Count no silence from before a pause against the members

Cause: a node that was paused for longer than the time to suspicion suspected every other node when it went on, and so changed the owner of every pool. Ruled out: moving the time a member was last heard: leaving hints take the age of a member's VM list from it.

--- a/src/core.c
+++ b/src/core.c
@@ -124,6 +124,7 @@
       if (c->handled_ms != 0)
         {
           recovery_resumed (c->recovery, now_ms);
+          members_resumed (c->members, now_ms);
           counters_add (c->counters, COUNTER_RESUMED, 1);
           g_queue_push_tail (out, message_new (MESSAGE_READ_NOW));
         }
--- a/src/members.c
+++ b/src/members.c
@@ -130,6 +130,7 @@
     m->confirmed_ms = -1;
   m->incarnation = message->incarnation;
   m->heard_ms = now_ms;
+  m->quiet_ms = now_ms;
   m->alive = true;
   take_words (members, m, h);
   if (changed)
@@ -168,7 +169,7 @@
     {
       struct member *m = g_ptr_array_index (members->others, i);
 
-      if (!m->alive || now_ms - m->heard_ms < suspect_ms)
+      if (!m->alive || now_ms - m->quiet_ms < suspect_ms)
         continue;
       m->alive = false;
       changed = true;
@@ -178,6 +179,17 @@
   return changed;
 }
 
+void
+members_resumed (struct members *members, int64_t now_ms)
+{
+  for (guint i = 0; i < members->others->len; i++)
+    {
+      struct member *m = g_ptr_array_index (members->others, i);
+
+      m->quiet_ms = now_ms;
+    }
+}
+
 static uint64_t
 score (const char *node, const char *pool)
 {
--- a/src/members.h
+++ b/src/members.h
@@ -22,6 +22,7 @@
   char *zone;
   uint64_t incarnation;
   int64_t heard_ms; /* clock time of the last heartbeat */
+  int64_t quiet_ms; /* clock time from which its silence counts */
   uint64_t offset;
   uint64_t config_version;
   int64_t view_age_ms;
@@ -51,6 +52,10 @@
 /* Suspect the members not heard for long.  Return true if any was alive. */
 bool members_expire (struct members *members, int64_t now_ms);
 
+/* Note that this node was paused until NOW_MS: what it did not hear meanwhile
+   says nothing of the members, so their silence begins anew. */
+void members_resumed (struct members *members, int64_t now_ms);
+
 /* Return the alive node that owns POOL; never NULL, as self is alive. */
 const char *members_owner (const struct members *members, const char *pool);
 
