Name the node and the event in the logs; end plainly when a port is taken

Cause: log lines had no key fields of their own, and a node whose port was taken ended by a trap (a core dump) in place of an exit status. Ruled out: a wider log: counters come first, and lines stand only for changes of state. Change: logging_state puts NODE and EVENT out as fields; logging_fatal says what to do and ends with status 3. Before and after: test_command_line port-taken, new, saw no exit status of 3 before (the process trapped); after it passes, with the other six.

--- a/src/admin.c
+++ b/src/admin.c
@@ -4,6 +4,7 @@
 #include "config.h"
 #include "connections.h"
 #include "http.h"
+#include "logging.h"
 
 #include <libsoup/soup.h>
 #include <string.h>
@@ -299,7 +300,7 @@
                                     a->settings->admin.port, &limits, NULL,
                                     NULL, a->counters, &error);
   if (a->connections == NULL)
-    g_error ("%s", error->message);
+    logging_fatal (error->message);
 }
 
 static void
--- a/src/callers.c
+++ b/src/callers.c
@@ -3,6 +3,7 @@
 #include "backend.h"
 #include "connections.h"
 #include "http.h"
+#include "logging.h"
 
 #include <libsoup/soup.h>
 #include <string.h>
@@ -496,7 +497,7 @@
       c->server, c->settings->callers.address, c->settings->callers.port,
       &limits, &connections_functions, c, c->counters, &error);
   if (c->connections == NULL)
-    g_error ("%s", error->message);
+    logging_fatal (error->message);
 }
 
 static void
--- a/src/log_task.c
+++ b/src/log_task.c
@@ -1,5 +1,6 @@
 #include "log_task.h"
 
+#include "logging.h"
 #include "platform.h"
 
 #include <string.h>
@@ -95,8 +96,9 @@
   struct message *m = message_new (MESSAGE_LOG_STATE);
 
   if (reachable != l->reachable)
-    g_message ("the platform's log %s",
-               reachable ? "answers" : "does not answer");
+    logging_state (l->settings->node, reachable ? "log-answers" : "log-silent",
+                   "the platform's log %s",
+                   reachable ? "answers" : "does not answer");
   l->reachable = reachable;
   m->u.log_state.reachable = reachable;
   m->u.log_state.first = first;
--- a/src/logging.c
+++ b/src/logging.c
@@ -1,9 +1,12 @@
 #include "logging.h"
 
+#include "exit_status.h"
+
 #include <glib.h>
 #include <json-glib/json-glib.h>
 #include <stdio.h>
 #include <string.h>
+#include <unistd.h>
 
 struct logging_options
 {
@@ -122,3 +125,25 @@
   logging_options.debug = debug;
   g_log_set_writer_func (write_log, NULL, NULL);
 }
+
+void
+logging_state (const char *node, const char *event, const char *format, ...)
+{
+  va_list args;
+  char *text;
+
+  va_start (args, format);
+  text = g_strdup_vprintf (format, args);
+  va_end (args);
+  g_log_structured (G_LOG_DOMAIN, G_LOG_LEVEL_MESSAGE, "NODE", node, "EVENT",
+                    event, "MESSAGE", "%s", text);
+  g_free (text);
+}
+
+void
+logging_fatal (const char *message)
+{
+  g_log_structured (G_LOG_DOMAIN, G_LOG_LEVEL_CRITICAL, "MESSAGE", "%s",
+                    message);
+  _exit (EXIT_STATUS_UNREACHABLE);
+}
--- a/src/peers.c
+++ b/src/peers.c
@@ -1,5 +1,6 @@
 #include "peers.h"
 
+#include "logging.h"
 #include "peer_message.h"
 
 #include <errno.h>
@@ -237,8 +238,13 @@
   zmq_setsockopt (p->in, ZMQ_MAXMSGSIZE, &(int64_t){ PEER_MESSAGE_MAX_BYTES },
                   sizeof (int64_t));
   if (zmq_bind (p->in, uri) != 0)
-    g_error ("can't listen on %s: %s; choose a free port", uri,
-             zmq_strerror (errno));
+    {
+      char *text
+          = g_strdup_printf ("can't listen on %s: %s; choose a free port", uri,
+                             zmq_strerror (errno));
+
+      logging_fatal (text);
+    }
   g_free (uri);
 }
 
--- a/src/serve.c
+++ b/src/serve.c
@@ -7,6 +7,7 @@
 #include "counters.h"
 #include "exit_status.h"
 #include "log_task.h"
+#include "logging.h"
 #include "peers.h"
 #include "task.h"
 
@@ -170,7 +171,8 @@
   if (n->stopping)
     return G_SOURCE_CONTINUE;
   n->stopping = true;
-  g_message ("node %s is stopping", n->settings->node);
+  logging_state (n->settings->node, "stopping", "node %s is stopping",
+                 n->settings->node);
   task_post (n->core_task, message_new (MESSAGE_STOP));
   g_timeout_add ((guint)n->settings->stop_patience_ms + STOP_NOTICE_MS,
                  on_patience_over, n);
@@ -277,11 +279,13 @@
   node_start (&n);
   g_unix_signal_add (SIGTERM, on_signal, &n);
   g_unix_signal_add (SIGINT, on_signal, &n);
-  g_message ("node %s serves callers on %s port %u", settings->node,
-             settings->callers.address, settings->callers.port);
+  logging_state (settings->node, "serving",
+                 "node %s serves callers on %s port %u", settings->node,
+                 settings->callers.address, settings->callers.port);
   g_main_loop_run (n.loop);
   node_finish (&n);
   g_main_loop_unref (n.loop);
-  g_message ("node %s has stopped", settings->node);
+  logging_state (settings->node, "stopped", "node %s has stopped",
+                 settings->node);
   return EXIT_STATUS_DONE;
 }
--- a/tests/unit/test_command_line.c
+++ b/tests/unit/test_command_line.c
@@ -1,4 +1,5 @@
 #include <gio/gio.h>
+#include <glib/gstdio.h>
 #include <libsoup/soup.h>
 #include <string.h>
 
@@ -210,6 +211,33 @@
   g_free (line);
 }
 
+/* A node whose port is taken says so and ends as unreachable. */
+static void
+test_port_taken (void)
+{
+  char *path = g_build_filename (g_get_tmp_dir (), "shed-port-XXXXXX", NULL);
+  int fd = g_mkstemp (path);
+  char *text = g_strdup_printf (
+      "{\"node\":\"n1\",\"zone\":\"z\",\"log_format\":\"json\","
+      "\"callers\":{\"address\":\"127.0.0.1\",\"port\":%s},"
+      "\"admin\":{\"address\":\"127.0.0.1\",\"port\":%s},"
+      "\"peer\":{\"address\":\"127.0.0.1\",\"port\":%s},"
+      "\"platform\":{\"address\":\"127.0.0.1\",\"port\":1},"
+      "\"admin_token\":\"0123456789abcdef\","
+      "\"peer_key\":\"0123456789abcdef\"}",
+      strchr (node, ':') + 1, strchr (node, ':') + 1, strchr (node, ':') + 1);
+  char *line = g_strdup_printf ("serve --settings %s", path);
+
+  g_assert_cmpint (fd, >=, 0);
+  g_close (fd, NULL);
+  g_assert_true (g_file_set_contents (path, text, -1, NULL));
+  expect (line, 3, "choose a free port");
+  g_unlink (path);
+  g_free (line);
+  g_free (text);
+  g_free (path);
+}
+
 static void
 set_up (void)
 {
@@ -245,6 +273,7 @@
   g_test_add_func ("/command-line/list-is-short", test_list_is_short);
   g_test_add_func ("/command-line/wrong-token-and-no-node",
                    test_wrong_token_and_no_node);
+  g_test_add_func ("/command-line/port-taken", test_port_taken);
   status = g_test_run ();
   g_object_unref (server);
   g_free (node);
