--- a/src/advice.c
+++ b/src/advice.c
@@ -1,16 +1,10 @@
 #include "advice.h"
 
+#include "json_put.h"
 #include "target.h"
 
 #include <json-glib/json-glib.h>
 
-static void
-put_string (JsonBuilder *b, const char *name, const char *value)
-{
-  json_builder_set_member_name (b, name);
-  json_builder_add_string_value (b, value);
-}
-
 static void
 put (JsonBuilder *b, const struct config_class *k, const char *problem,
      char *nearest)
@@ -18,9 +12,9 @@
   char *name = g_strconcat (k->service_name, "/", k->name, NULL);
 
   json_builder_begin_object (b);
-  put_string (b, "target", name);
-  put_string (b, "problem", problem);
-  put_string (b, "nearest", nearest);
+  json_put_string (b, "target", name);
+  json_put_string (b, "problem", problem);
+  json_put_string (b, "nearest", nearest);
   json_builder_end_object (b);
   g_free (name);
   g_free (nearest);
--- a/src/record.c
+++ b/src/record.c
@@ -1,5 +1,6 @@
 #include "record.h"
 
+#include "json_put.h"
 #include "error.h"
 #include "fields.h"
 
@@ -124,20 +125,6 @@
 
 /* Rendering. */
 
-static void
-put_string (JsonBuilder *b, const char *name, const char *value)
-{
-  json_builder_set_member_name (b, name);
-  json_builder_add_string_value (b, value);
-}
-
-static void
-put_int (JsonBuilder *b, const char *name, int64_t value)
-{
-  json_builder_set_member_name (b, name);
-  json_builder_add_int_value (b, value);
-}
-
 /* Whole 64-bit numbers go as hexadecimal text, as JSON has none. */
 static void
 put_hex (JsonBuilder *b, const char *name, uint64_t value)
@@ -145,7 +132,7 @@
   char text[17];
 
   g_snprintf (text, sizeof text, "%016" G_GINT64_MODIFIER "x", (guint64)value);
-  put_string (b, name, text);
+  json_put_string (b, name, text);
 }
 
 static void
@@ -154,64 +141,64 @@
   switch (r->kind)
     {
     case RECORD_CONFIG:
-      put_int (b, "base", (int64_t)r->u.config.base);
-      put_string (b, "text", r->u.config.text);
+      json_put_int (b, "base", (int64_t)r->u.config.base);
+      json_put_string (b, "text", r->u.config.text);
       break;
     case RECORD_VM_ADD:
-      put_string (b, "vm", r->u.vm_add.vm);
-      put_string (b, "address", r->u.vm_add.address);
-      put_int (b, "port", r->u.vm_add.port);
-      put_string (b, "zone", r->u.vm_add.zone);
-      put_string (b, "rack", r->u.vm_add.rack);
-      put_string (b, "pool", r->u.vm_add.pool);
-      put_int (b, "slots", r->u.vm_add.slots);
+      json_put_string (b, "vm", r->u.vm_add.vm);
+      json_put_string (b, "address", r->u.vm_add.address);
+      json_put_int (b, "port", r->u.vm_add.port);
+      json_put_string (b, "zone", r->u.vm_add.zone);
+      json_put_string (b, "rack", r->u.vm_add.rack);
+      json_put_string (b, "pool", r->u.vm_add.pool);
+      json_put_int (b, "slots", r->u.vm_add.slots);
       break;
     case RECORD_VM_STEP:
-      put_string (b, "vm", r->u.vm_step.vm);
-      put_int (b, "since", (int64_t)r->u.vm_step.since);
-      put_string (b, "phase", phase_names[r->u.vm_step.phase]);
-      put_string (b, "pool", r->u.vm_step.pool);
+      json_put_string (b, "vm", r->u.vm_step.vm);
+      json_put_int (b, "since", (int64_t)r->u.vm_step.since);
+      json_put_string (b, "phase", phase_names[r->u.vm_step.phase]);
+      json_put_string (b, "pool", r->u.vm_step.pool);
       if (r->u.vm_step.next_pool != NULL)
-        put_string (b, "next_pool", r->u.vm_step.next_pool);
-      put_string (b, "purpose", r->u.vm_step.purpose);
+        json_put_string (b, "next_pool", r->u.vm_step.next_pool);
+      json_put_string (b, "purpose", r->u.vm_step.purpose);
       break;
     case RECORD_CLAIM:
       put_hex (b, "key_high", r->u.claim.key.high);
       put_hex (b, "key_low", r->u.claim.key.low);
       put_hex (b, "body", r->u.claim.body_hash);
-      put_int (b, "request", (int64_t)r->u.claim.request);
-      put_int (b, "prior", (int64_t)r->u.claim.prior);
-      put_int (b, "seen", (int64_t)r->u.claim.seen);
-      put_int (b, "remember_ms", r->u.claim.remember_ms);
+      json_put_int (b, "request", (int64_t)r->u.claim.request);
+      json_put_int (b, "prior", (int64_t)r->u.claim.prior);
+      json_put_int (b, "seen", (int64_t)r->u.claim.seen);
+      json_put_int (b, "remember_ms", r->u.claim.remember_ms);
       break;
     case RECORD_OUTCOME:
       put_hex (b, "key_high", r->u.outcome.key.high);
       put_hex (b, "key_low", r->u.outcome.key.low);
-      put_int (b, "claim", (int64_t)r->u.outcome.claim);
-      put_int (b, "outcome", r->u.outcome.outcome);
-      put_int (b, "reason", r->u.outcome.reason);
-      put_int (b, "status", r->u.outcome.status);
+      json_put_int (b, "claim", (int64_t)r->u.outcome.claim);
+      json_put_int (b, "outcome", r->u.outcome.outcome);
+      json_put_int (b, "reason", r->u.outcome.reason);
+      json_put_int (b, "status", r->u.outcome.status);
       break;
     case RECORD_MAINTAIN:
-      put_string (b, "name", r->u.maintain.name);
-      put_string (b, "pool", r->u.maintain.pool);
-      put_int (b, "finish_within_ms", r->u.maintain.finish_within_ms);
-      put_int (b, "patience_ms", r->u.maintain.patience_ms);
+      json_put_string (b, "name", r->u.maintain.name);
+      json_put_string (b, "pool", r->u.maintain.pool);
+      json_put_int (b, "finish_within_ms", r->u.maintain.finish_within_ms);
+      json_put_int (b, "patience_ms", r->u.maintain.patience_ms);
       break;
     case RECORD_MAINTAIN_CANCEL:
-      put_string (b, "name", r->u.maintain_cancel.name);
+      json_put_string (b, "name", r->u.maintain_cancel.name);
       break;
     case RECORD_NODE_JOIN:
     case RECORD_NODE_LEAVE:
-      put_string (b, "zone", r->u.node_join.zone);
+      json_put_string (b, "zone", r->u.node_join.zone);
       break;
     case RECORD_CHECKPOINT:
-      put_int (b, "at", (int64_t)r->u.checkpoint.at);
+      json_put_int (b, "at", (int64_t)r->u.checkpoint.at);
       put_hex (b, "digest_high", r->u.checkpoint.digest_high);
       put_hex (b, "digest_low", r->u.checkpoint.digest_low);
-      put_int (b, "index", r->u.checkpoint.index);
-      put_int (b, "count", r->u.checkpoint.count);
-      put_string (b, "data", r->u.checkpoint.data);
+      json_put_int (b, "index", r->u.checkpoint.index);
+      json_put_int (b, "count", r->u.checkpoint.count);
+      json_put_string (b, "data", r->u.checkpoint.data);
       break;
     case RECORD_KIND_COUNT:
       break;
@@ -226,9 +213,9 @@
   char *text;
 
   json_builder_begin_object (b);
-  put_string (b, "kind", kind_names[record->kind]);
-  put_string (b, "uid", record->uid);
-  put_string (b, "node", record->node);
+  json_put_string (b, "kind", kind_names[record->kind]);
+  json_put_string (b, "uid", record->uid);
+  json_put_string (b, "node", record->node);
   put_hex (b, "incarnation", record->incarnation);
   put_payload (b, record);
   json_builder_end_object (b);
--- a/src/status.c
+++ b/src/status.c
@@ -1,5 +1,6 @@
 #include "status.h"
 
+#include "json_put.h"
 #include "target.h"
 
 #include <json-glib/json-glib.h>
@@ -27,27 +28,6 @@
 static const char *const target_names[]
     = { "holds", "at risk", "does not hold", "unknown" };
 
-static void
-put_string (JsonBuilder *b, const char *name, const char *value)
-{
-  json_builder_set_member_name (b, name);
-  json_builder_add_string_value (b, value);
-}
-
-static void
-put_int (JsonBuilder *b, const char *name, int64_t value)
-{
-  json_builder_set_member_name (b, name);
-  json_builder_add_int_value (b, value);
-}
-
-static void
-put_bool (JsonBuilder *b, const char *name, bool value)
-{
-  json_builder_set_member_name (b, name);
-  json_builder_add_boolean_value (b, value);
-}
-
 static void
 begin_array (JsonBuilder *b, const char *name)
 {
@@ -124,20 +104,20 @@
   uint32_t left = target_slots_after_failure (&g.room);
 
   json_builder_begin_object (b);
-  put_string (b, "target", name);
-  put_string (b, "state", target_names[g.state]);
-  put_string (b, "cause", g.cause);
-  put_string (b, "remedy", g.remedy);
-  put_int (b, "start_within_ms", k->start_within_ms);
-  put_string (b, "survive", survive_name (k->survive));
-  put_int (b, "vms", g.room.vms);
-  put_int (b, "vms_out", g.room.vms_out);
-  put_int (b, "vms_out_allowed", g.room.vms_out_most);
-  put_int (b, "slots", g.room.slots);
-  put_string (b, "worst_failure", g.room.domain);
-  put_int (b, "slots_after_failure", left);
-  put_int (b, "slots_needed_now", g.needed_slots);
-  put_int (b, "slots_margin", (int64_t)left - (int64_t)g.needed_slots);
+  json_put_string (b, "target", name);
+  json_put_string (b, "state", target_names[g.state]);
+  json_put_string (b, "cause", g.cause);
+  json_put_string (b, "remedy", g.remedy);
+  json_put_int (b, "start_within_ms", k->start_within_ms);
+  json_put_string (b, "survive", survive_name (k->survive));
+  json_put_int (b, "vms", g.room.vms);
+  json_put_int (b, "vms_out", g.room.vms_out);
+  json_put_int (b, "vms_out_allowed", g.room.vms_out_most);
+  json_put_int (b, "slots", g.room.slots);
+  json_put_string (b, "worst_failure", g.room.domain);
+  json_put_int (b, "slots_after_failure", left);
+  json_put_int (b, "slots_needed_now", g.needed_slots);
+  json_put_int (b, "slots_margin", (int64_t)left - (int64_t)g.needed_slots);
   json_builder_end_object (b);
   g_free (name);
 }
@@ -153,12 +133,12 @@
       = plan_wave_stragglers (in->plan, in->turn->fleet, w, in->turn->now_ms);
 
   json_builder_begin_object (b);
-  put_string (b, "name", w->name);
-  put_string (b, "pool", w->pool);
-  put_int (b, "vms", all);
-  put_int (b, "done", done);
-  put_string (b, "state", done >= all ? "done" : "going");
-  put_string (b, "paused_because", pause);
+  json_put_string (b, "name", w->name);
+  json_put_string (b, "pool", w->pool);
+  json_put_int (b, "vms", all);
+  json_put_int (b, "done", done);
+  json_put_string (b, "state", done >= all ? "done" : "going");
+  json_put_string (b, "paused_because", pause);
   begin_array (b, "stragglers");
   for (char **vm = stragglers; *vm != NULL; vm++)
     json_builder_add_string_value (b, *vm);
@@ -175,11 +155,12 @@
   uint32_t vms = fleet_pool_size (in->turn->fleet, pool, &away);
 
   json_builder_begin_object (b);
-  put_string (b, "pool", pool);
-  put_int (b, "vms", vms);
-  put_int (b, "vms_out", away);
-  put_int (b, "vms_out_allowed", fleet_pool_budget (in->turn->fleet, pool));
-  put_string (b, "owner", members_owner (in->turn->members, pool));
+  json_put_string (b, "pool", pool);
+  json_put_int (b, "vms", vms);
+  json_put_int (b, "vms_out", away);
+  json_put_int (b, "vms_out_allowed",
+                fleet_pool_budget (in->turn->fleet, pool));
+  json_put_string (b, "owner", members_owner (in->turn->members, pool));
   json_builder_end_object (b);
 }
 
@@ -187,11 +168,11 @@
 put_member (JsonBuilder *b, const struct member *m)
 {
   json_builder_begin_object (b);
-  put_string (b, "node", m->node);
-  put_string (b, "zone", m->zone);
-  put_bool (b, "alive", m->alive);
-  put_int (b, "offset", (int64_t)m->offset);
-  put_int (b, "configuration", (int64_t)m->config_version);
+  json_put_string (b, "node", m->node);
+  json_put_string (b, "zone", m->zone);
+  json_put_bool (b, "alive", m->alive);
+  json_put_int (b, "offset", (int64_t)m->offset);
+  json_put_int (b, "configuration", (int64_t)m->config_version);
   json_builder_end_object (b);
 }
 
@@ -201,15 +182,16 @@
   const struct turn *t = in->turn;
   const struct config *c = fleet_config (t->fleet);
 
-  put_string (b, "node", t->node);
-  put_int (b, "offset", (int64_t)fleet_offset (t->fleet));
-  put_int (b, "configuration", (int64_t)fleet_config_version (t->fleet));
-  put_int (b, "view_age_ms", t->view_age_ms);
-  put_bool (b, "log_reachable", t->log_reachable);
-  put_bool (b, "may_start_work", t->now_ms <= t->permit_until_ms);
-  put_string (b, "automation", c == NULL || !c->paused ? "running" : "paused");
-  put_int (b, "requests", requests_count (in->requests));
-  put_int (b, "requests_running", requests_running (in->requests));
+  json_put_string (b, "node", t->node);
+  json_put_int (b, "offset", (int64_t)fleet_offset (t->fleet));
+  json_put_int (b, "configuration", (int64_t)fleet_config_version (t->fleet));
+  json_put_int (b, "view_age_ms", t->view_age_ms);
+  json_put_bool (b, "log_reachable", t->log_reachable);
+  json_put_bool (b, "may_start_work", t->now_ms <= t->permit_until_ms);
+  json_put_string (b, "automation",
+                   c == NULL || !c->paused ? "running" : "paused");
+  json_put_int (b, "requests", requests_count (in->requests));
+  json_put_int (b, "requests_running", requests_running (in->requests));
 }
 
 static void
@@ -230,9 +212,9 @@
   JsonBuilder *b = json_builder_new ();
 
   json_builder_begin_object (b);
-  put_int (b, "offset", (int64_t)fleet_offset (fleet));
-  put_int (b, "configuration", (int64_t)fleet_config_version (fleet));
-  put_string (b, "node", input->turn->node);
+  json_put_int (b, "offset", (int64_t)fleet_offset (fleet));
+  json_put_int (b, "configuration", (int64_t)fleet_config_version (fleet));
+  json_put_string (b, "node", input->turn->node);
   put_waves (b, input);
   json_builder_end_object (b);
   return take_text (b);
@@ -293,16 +275,16 @@
   bool alive = members_alive (t->members, claim->node, claim->incarnation);
 
   json_builder_begin_object (b);
-  put_string (b, "key", key);
-  put_string (b, "outcome",
-              claim->settled ? outcome_name (claim->outcome) : "unknown");
-  put_bool (b, "in_progress", !claim->settled && alive);
-  put_string (b, "reason", reason_name (claim->reason));
-  put_int (b, "status", claim->status);
-  put_string (b, "node", claim->node);
-  put_int (b, "claimed_at_offset", (int64_t)claim->claimed);
-  put_int (b, "changed_at_offset", (int64_t)claim->changed);
-  put_int (b, "offset", (int64_t)fleet_offset (t->fleet));
+  json_put_string (b, "key", key);
+  json_put_string (b, "outcome",
+                   claim->settled ? outcome_name (claim->outcome) : "unknown");
+  json_put_bool (b, "in_progress", !claim->settled && alive);
+  json_put_string (b, "reason", reason_name (claim->reason));
+  json_put_int (b, "status", claim->status);
+  json_put_string (b, "node", claim->node);
+  json_put_int (b, "claimed_at_offset", (int64_t)claim->claimed);
+  json_put_int (b, "changed_at_offset", (int64_t)claim->changed);
+  json_put_int (b, "offset", (int64_t)fleet_offset (t->fleet));
   json_builder_end_object (b);
   return take_text (b);
 }
@@ -334,23 +316,24 @@
   JsonBuilder *b = json_builder_new ();
 
   json_builder_begin_object (b);
-  put_string (b, "vm", v->vm);
-  put_string (b, "pool", v->pool);
-  put_string (b, "home_pool", v->home_pool);
-  put_string (b, "next_pool", v->next_pool);
-  put_string (b, "phase", vm_phase_name (v->phase));
-  put_string (b, "because", v->purpose);
-  put_int (b, "since_offset", (int64_t)v->changed);
-  put_int (b, "since_ms", v->changed_at_ms);
-  put_int (b, "maintained_at_offset", (int64_t)v->maintained);
-  put_string (b, "platform_says", states[plan_vm_state (in->plan, v->vm)]);
-  put_string (b, "zone", v->zone);
-  put_string (b, "rack", v->rack);
-  put_int (b, "slots", v->slots);
-  put_int (b, "slots_used_by_this_owner", place_used (place, v->vm));
-  put_bool (b, "set_aside_for_failing",
-            place_is_ejected (place, v->vm, in->turn->now_ms));
-  put_int (b, "offset", (int64_t)fleet_offset (in->turn->fleet));
+  json_put_string (b, "vm", v->vm);
+  json_put_string (b, "pool", v->pool);
+  json_put_string (b, "home_pool", v->home_pool);
+  json_put_string (b, "next_pool", v->next_pool);
+  json_put_string (b, "phase", vm_phase_name (v->phase));
+  json_put_string (b, "because", v->purpose);
+  json_put_int (b, "since_offset", (int64_t)v->changed);
+  json_put_int (b, "since_ms", v->changed_at_ms);
+  json_put_int (b, "maintained_at_offset", (int64_t)v->maintained);
+  json_put_string (b, "platform_says",
+                   states[plan_vm_state (in->plan, v->vm)]);
+  json_put_string (b, "zone", v->zone);
+  json_put_string (b, "rack", v->rack);
+  json_put_int (b, "slots", v->slots);
+  json_put_int (b, "slots_used_by_this_owner", place_used (place, v->vm));
+  json_put_bool (b, "set_aside_for_failing",
+                 place_is_ejected (place, v->vm, in->turn->now_ms));
+  json_put_int (b, "offset", (int64_t)fleet_offset (in->turn->fleet));
   json_builder_end_object (b);
   return take_text (b);
 }
