--- a/src/record.c
+++ b/src/record.c
@@ -1,8 +1,8 @@
 #include "record.h"
 
-#include "json_put.h"
 #include "error.h"
 #include "fields.h"
+#include "json_put.h"
 
 #include <string.h>
 #include <xxhash.h>
