--- /dev/null
+++ b/src/cell.c
@@ -0,0 +1,268 @@
+#include "cell.h"
+
+#include "cell_state.h"
+
+#include <string.h>
+
+/* Placing is done at most this often, so that a burst of ends costs one. */
+#define PLACE_GAP_MS 10
+/* How often ended jobs are looked through for those to be forgotten. */
+#define SWEEP_GAP_MS 5000
+
+static void
+clear_run_order (struct run_order *o)
+{
+  g_free (o->worker);
+  g_free (o->address);
+  g_free (o->task);
+  g_free (o->payload);
+  g_free (o->checkpoint);
+  g_free (o->ticket);
+}
+
+void
+cell_order_destroy (struct cell_order *order)
+{
+  if (order == NULL)
+    return;
+  switch (order->kind)
+    {
+    case ORDER_START:
+    case ORDER_STOP:
+    case ORDER_PACE:
+      clear_run_order (&order->u.run);
+      break;
+    case ORDER_HOLD:
+      g_free (order->u.hold.worker);
+      g_free (order->u.hold.address);
+      break;
+    case ORDER_ADVISE:
+      g_free (order->u.advise.step);
+      g_ptr_array_unref (order->u.advise.workers);
+      break;
+    case ORDER_APPEND:
+      g_ptr_array_unref (order->u.append.entries);
+      break;
+    case ORDER_ANSWER:
+      break;
+    case ORDER_NOTE:
+      g_free (order->u.note.subject);
+      g_free (order->u.note.detail);
+      break;
+    }
+  g_free (order);
+}
+
+static void
+destroy_order (gpointer p)
+{
+  cell_order_destroy (p);
+}
+
+struct cell *
+cell_new (const struct cell_options *options, int64_t now_ms)
+{
+  struct cell *c = g_new0 (struct cell, 1);
+
+  c->options = *options;
+  c->service = g_strdup (options->service);
+  c->options.service = c->service;
+  c->taken_over_ms = now_ms;
+  c->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                   cell_job_destroy);
+  c->open = g_ptr_array_new ();
+  c->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
+                                      cell_worker_destroy);
+  c->worker_list = g_ptr_array_new ();
+  c->changed_jobs = g_ptr_array_new ();
+  c->changed_workers = g_ptr_array_new ();
+  c->dropped_keys = g_ptr_array_new_with_free_func (g_free);
+  c->sequence = 1;
+  g_queue_init (&c->orders);
+  return c;
+}
+
+void
+cell_destroy (struct cell *cell)
+{
+  if (cell == NULL)
+    return;
+  g_queue_clear_full (&cell->orders, destroy_order);
+  cell_journal_clear (cell);
+  g_ptr_array_unref (cell->changed_jobs);
+  g_ptr_array_unref (cell->changed_workers);
+  g_ptr_array_unref (cell->dropped_keys);
+  g_ptr_array_unref (cell->open);
+  g_ptr_array_unref (cell->worker_list);
+  g_hash_table_unref (cell->jobs);
+  g_hash_table_unref (cell->workers);
+  g_free (cell->service);
+  g_free (cell);
+}
+
+struct cell_order *
+cell_add_order (struct cell *c, enum cell_order_kind kind)
+{
+  struct cell_order *o = g_new0 (struct cell_order, 1);
+
+  o->kind = kind;
+  g_queue_push_tail (&c->orders, o);
+  return o;
+}
+
+void
+cell_note (struct cell *c, const char *event, const char *subject,
+           const char *format, ...)
+{
+  struct cell_order *o = cell_add_order (c, ORDER_NOTE);
+  va_list args;
+
+  va_start (args, format);
+  o->u.note.event = event;
+  o->u.note.subject = g_strdup (subject);
+  o->u.note.detail = g_strdup_vprintf (format, args);
+  va_end (args);
+}
+
+void
+cell_answer (struct cell *c, GArray *tokens, enum cell_answer answer)
+{
+  for (guint i = 0; i < tokens->len; i++)
+    {
+      struct cell_order *o = cell_add_order (c, ORDER_ANSWER);
+
+      o->u.answer.token = g_array_index (tokens, uint64_t, i);
+      o->u.answer.answer = answer;
+    }
+  g_array_set_size (tokens, 0);
+}
+
+void
+cell_activate (struct cell *cell, int64_t now_ms)
+{
+  cell->active = true;
+  cell->taken_over_ms = now_ms;
+  cell->place_needed = true;
+  for (guint i = 0; i < cell->worker_list->len; i++)
+    {
+      struct cell_worker *w = g_ptr_array_index (cell->worker_list, i);
+
+      w->lease_over_ms = now_ms + cell->options.foreign_lease_ms;
+    }
+  cell_note (cell, "cell-taken", cell->service,
+             "epoch=%" G_GUINT64_FORMAT " jobs=%u workers=%u",
+             cell->options.epoch, g_hash_table_size (cell->jobs),
+             cell->worker_list->len);
+}
+
+void
+cell_tick (struct cell *cell, int64_t wall_ms, bool may_start, int64_t now_ms)
+{
+  cell->may_start = may_start && !cell->fenced;
+  cell->wall_ms = wall_ms;
+  if (!cell->active)
+    return;
+  if (cell->may_start)
+    cell_workers_tick (cell, now_ms);
+  if (cell->may_start && now_ms >= cell->placed_ms + PLACE_GAP_MS)
+    cell_place (cell, now_ms);
+  if (now_ms >= cell->swept_ms + SWEEP_GAP_MS)
+    {
+      cell->swept_ms = now_ms;
+      cell_jobs_sweep (cell, now_ms);
+    }
+  cell_journal_tick (cell, now_ms);
+}
+
+struct cell_order *
+cell_next_order (struct cell *cell)
+{
+  return g_queue_pop_head (&cell->orders);
+}
+
+bool
+cell_is_fenced (const struct cell *cell)
+{
+  return cell->fenced;
+}
+
+const char *
+cell_service (const struct cell *cell)
+{
+  return cell->service;
+}
+
+uint64_t
+cell_epoch (const struct cell *cell)
+{
+  return cell->options.epoch;
+}
+
+bool
+cell_state (const struct cell *cell, const char *id, enum job_state *state)
+{
+  const struct cell_job *job = g_hash_table_lookup (cell->jobs, id);
+
+  if (job == NULL || !job->stored)
+    return false;
+  *state = job->shown;
+  if (job->shown == JOB_PENDING && job->started)
+    *state = JOB_RUNNING;
+  return true;
+}
+
+uint32_t
+cell_waiting (const struct cell *cell, const char *queue)
+{
+  uint32_t n = 0;
+
+  for (guint i = 0; i < cell->open->len; i++)
+    {
+      const struct cell_job *job = g_ptr_array_index (cell->open, i);
+
+      if (job->stored && !job->started && strcmp (job->spec->queue, queue) == 0)
+        n++;
+    }
+  return n;
+}
+
+static void
+count_tasks (const struct cell_job *job, struct cell_figures *f)
+{
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      const struct cell_occurrence *o
+          = g_ptr_array_index (job->occurrences, i);
+
+      for (uint32_t k = 0; k < o->n_tasks; k++)
+        {
+          const struct cell_task *t = &o->tasks[k];
+
+          if (t->phase == TASK_WAITING)
+            {
+              f->tasks_waiting++;
+              f->cpu_wanted_milli += cell_task_step (t)->cpu_milli;
+            }
+          else if (t->phase != TASK_DONE)
+            f->tasks_running++;
+        }
+    }
+}
+
+void
+cell_get_figures (const struct cell *cell, struct cell_figures *figures)
+{
+  *figures = (struct cell_figures){ .jobs_open = cell->open->len };
+  for (guint i = 0; i < cell->open->len; i++)
+    count_tasks (g_ptr_array_index (cell->open, i), figures);
+  for (guint i = 0; i < cell->worker_list->len; i++)
+    {
+      const struct cell_worker *w = g_ptr_array_index (cell->worker_list, i);
+
+      if (!w->confirmed || !w->listed || w->entry->draining)
+        continue;
+      figures->workers++;
+      figures->cpu_total_milli += w->entry->room.cpu_milli;
+      figures->cpu_used_milli += w->used.cpu_milli;
+    }
+}
--- /dev/null
+++ b/src/cell_jobs.c
@@ -0,0 +1,538 @@
+#include "cell_state.h"
+
+#include <string.h>
+
+/* Occurrences of one job that may be open at once; a schedule whose interval
+   is shorter than its run waits beyond that. */
+#define MAX_OPEN_OCCURRENCES 64
+/* Before a task that lasts and has ended is started again. */
+#define RESTART_PAUSE_MS 100
+/* Before a task that failed is started again. */
+#define FAILED_PAUSE_MS 20
+
+#define PROGRESS_TYPE "(yuua(uayay))"
+
+static void
+occurrence_destroy (gpointer p)
+{
+  struct cell_occurrence *o = p;
+
+  for (uint32_t i = 0; i < o->n_tasks; i++)
+    {
+      if (o->tasks[i].worker != NULL)
+        cell_worker_take_task (o->tasks[i].worker, &o->tasks[i]);
+      g_free (o->tasks[i].checkpoint);
+      g_free (o->tasks[i].avoid_worker);
+    }
+  for (guint i = 0; i < o->job->spec->steps->len; i++)
+    if (o->tickets[i] != NULL)
+      g_hash_table_unref (o->tickets[i]);
+  g_free (o->tickets);
+  g_free (o->advice_ms);
+  g_free (o->tasks);
+  g_free (o->first);
+  g_free (o->undone);
+  g_free (o->waiting);
+  g_free (o);
+}
+
+void
+cell_job_destroy (gpointer p)
+{
+  struct cell_job *job = p;
+
+  g_ptr_array_unref (job->occurrences);
+  g_array_unref (job->submit_tokens);
+  g_array_unref (job->cancel_tokens);
+  job_spec_destroy (job->spec);
+  g_free (job);
+}
+
+static struct cell_occurrence *
+add_occurrence (struct cell *c, struct cell_job *job, uint32_t number,
+                int64_t now_ms)
+{
+  struct cell_occurrence *o = g_new0 (struct cell_occurrence, 1);
+  guint n = job->spec->steps->len;
+  uint32_t at = 0;
+
+  o->job = job;
+  o->number = number;
+  o->first = g_new0 (uint32_t, n);
+  o->undone = g_new0 (uint32_t, n);
+  o->waiting = g_new0 (uint32_t, n);
+  o->tickets = g_new0 (GHashTable *, n);
+  o->advice_ms = g_new0 (int64_t, n);
+  o->steps_undone = n;
+  for (guint i = 0; i < n; i++)
+    {
+      const struct job_step *s = g_ptr_array_index (job->spec->steps, i);
+
+      o->first[i] = o->n_tasks;
+      o->undone[i] = s->count;
+      o->waiting[i] = s->count;
+      o->n_tasks += s->count;
+    }
+  o->tasks = g_new0 (struct cell_task, o->n_tasks);
+  for (guint i = 0; i < n; i++)
+    for (uint32_t k = 0; k < o->undone[i]; k++, at++)
+      {
+        o->tasks[at].occurrence = o;
+        o->tasks[at].step = i;
+        o->tasks[at].index = k;
+        o->tasks[at].pace = 100;
+        o->tasks[at].phase_ms = now_ms;
+      }
+  g_ptr_array_add (job->occurrences, o);
+  c->place_needed = true;
+  return o;
+}
+
+static bool
+is_due (const struct cell *c, const struct cell_job *job)
+{
+  int64_t due_ms = job->spec->first_ms
+                   + (int64_t)job->next_occurrence * job->spec->interval_ms;
+
+  return c->wall_ms + c->options.early_ms / 2 >= due_ms;
+}
+
+void
+cell_job_open_due (struct cell *c, struct cell_job *job, int64_t now_ms)
+{
+  while (job->next_occurrence < job->spec->occurrences && is_due (c, job)
+         && job->occurrences->len < MAX_OPEN_OCCURRENCES)
+    add_occurrence (c, job, job->next_occurrence++, now_ms);
+}
+
+struct cell_job *
+cell_job_add (struct cell *c, struct job_spec *spec, int64_t now_ms)
+{
+  struct cell_job *job = g_new0 (struct cell_job, 1);
+
+  job->spec = spec;
+  job->lasts = job_spec_lasts (spec);
+  job->taken_ms = now_ms;
+  job->due_ms = now_ms + spec->target_ms
+                + (int64_t)(spec->stretch * (double)job_spec_chain_ms (spec));
+  job->occurrences = g_ptr_array_new_with_free_func (occurrence_destroy);
+  job->submit_tokens = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  job->cancel_tokens = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  if (spec->occurrences == 0)
+    add_occurrence (c, job, 0, now_ms);
+  g_hash_table_insert (c->jobs, spec->id, job);
+  g_ptr_array_add (c->open, job);
+  c->open_unsorted = true;
+  return job;
+}
+
+const struct job_step *
+cell_task_step (const struct cell_task *t)
+{
+  return g_ptr_array_index (t->occurrence->job->spec->steps, t->step);
+}
+
+char *
+cell_task_name (const struct cell_task *t)
+{
+  return g_strdup_printf ("%s.%u.%u.%u", t->occurrence->job->spec->id,
+                          t->occurrence->number, t->step, t->index);
+}
+
+static struct cell_occurrence *
+find_occurrence (struct cell_job *job, uint32_t number)
+{
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      struct cell_occurrence *o = g_ptr_array_index (job->occurrences, i);
+
+      if (o->number == number)
+        return o;
+    }
+  return NULL;
+}
+
+struct cell_task *
+cell_find_task (struct cell *c, const char *name)
+{
+  struct task_name n;
+  struct cell_job *job;
+  struct cell_occurrence *o;
+  const struct job_step *s;
+
+  if (!task_name_parse (name, &n))
+    return NULL;
+  job = g_hash_table_lookup (c->jobs, n.job);
+  if (job == NULL || n.step >= job->spec->steps->len)
+    return NULL;
+  o = find_occurrence (job, n.occurrence);
+  s = g_ptr_array_index (job->spec->steps, n.step);
+  if (o == NULL || n.index >= s->count)
+    return NULL;
+  return &o->tasks[o->first[n.step] + n.index];
+}
+
+void
+cell_task_set_phase (struct cell_task *t, enum task_phase phase,
+                     int64_t now_ms)
+{
+  struct cell_occurrence *o = t->occurrence;
+
+  if (t->phase == TASK_WAITING && phase != TASK_WAITING)
+    o->waiting[t->step]--;
+  if (t->phase != TASK_WAITING && phase == TASK_WAITING)
+    o->waiting[t->step]++;
+  t->phase = phase;
+  t->phase_ms = now_ms;
+}
+
+void
+cell_task_free (struct cell *c, struct cell_task *t, int64_t now_ms)
+{
+  if (t->worker != NULL)
+    cell_worker_take_task (t->worker, t);
+  t->call_out = false;
+  t->stop_heard = false;
+  t->start_tries = 0;
+  t->percent = 0;
+  t->pace = 100;
+  if (t->phase != TASK_DONE)
+    cell_task_set_phase (t, TASK_WAITING, now_ms);
+  c->place_needed = true;
+}
+
+/* Stop what still runs of JOB; what waits will not start. */
+static void
+stop_tasks (struct cell *c, struct cell_job *job, int64_t now_ms)
+{
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      struct cell_occurrence *o = g_ptr_array_index (job->occurrences, i);
+
+      for (uint32_t k = 0; k < o->n_tasks; k++)
+        if (o->tasks[k].phase == TASK_STARTING
+            || o->tasks[k].phase == TASK_RUNNING)
+          cell_stop_task (c, &o->tasks[k], now_ms);
+    }
+}
+
+void
+cell_job_end (struct cell *c, struct cell_job *job, enum job_state state,
+              int64_t now_ms)
+{
+  if (job->state >= JOB_COMPLETED)
+    return;
+  job->state = state;
+  job->ended_ms = now_ms;
+  g_ptr_array_remove (c->open, job);
+  stop_tasks (c, job, now_ms);
+  cell_journal_job (c, job, true);
+}
+
+static void
+finish_occurrence (struct cell *c, struct cell_occurrence *o, int64_t now_ms)
+{
+  struct cell_job *job = o->job;
+  uint32_t all = MAX (job->spec->occurrences, 1);
+
+  job->done_occurrences++;
+  cell_journal_job (c, job, false);
+  if (job->done_occurrences == all)
+    {
+      cell_job_end (c, job, JOB_COMPLETED, now_ms);
+      return;
+    }
+  g_ptr_array_remove (job->occurrences, o);
+}
+
+static void
+note_done (struct cell *c, struct cell_task *t, int64_t now_ms)
+{
+  struct cell_occurrence *o = t->occurrence;
+
+  if (t->phase == TASK_DONE)
+    return;
+  if (t->worker != NULL)
+    cell_worker_take_task (t->worker, t);
+  cell_task_set_phase (t, TASK_DONE, now_ms);
+  c->place_needed = true;
+  cell_journal_job (c, o->job, false);
+  if (--o->undone[t->step] > 0 || --o->steps_undone > 0)
+    return;
+  finish_occurrence (c, o, now_ms);
+}
+
+static void
+note_gang_done (struct cell *c, struct cell_task *t, int64_t now_ms)
+{
+  struct cell_occurrence *o = t->occurrence;
+  uint32_t first = o->first[t->step];
+  uint32_t count = cell_task_step (t)->count;
+  uint32_t last = o->steps_undone;
+
+  /* The last one done may end the occurrence and free it. */
+  for (uint32_t i = 0; i < count; i++)
+    {
+      bool is_last = last == 1 && o->undone[t->step] == 1;
+
+      note_done (c, &o->tasks[first + i], now_ms);
+      if (is_last)
+        return;
+    }
+}
+
+static void
+note_failed (struct cell *c, struct cell_task *t, const char *worker,
+             int64_t now_ms)
+{
+  const struct job_step *s = cell_task_step (t);
+  struct cell_job *job = t->occurrence->job;
+  struct cell_task *counted
+      = s->is_gang
+            ? &t->occurrence->tasks[t->occurrence->first[t->step]]
+            : t;
+
+  g_free (t->avoid_worker);
+  t->avoid_worker = g_strdup (worker);
+  t->retry_ms = now_ms + (s->lasts ? RESTART_PAUSE_MS : FAILED_PAUSE_MS);
+  if (s->lasts)
+    return;
+  counted->failures++;
+  cell_journal_job (c, job, false);
+  if (counted->failures >= job->spec->max_attempts
+      && job->state < JOB_COMPLETED)
+    {
+      cell_note (c, "job-failed", job->spec->id,
+                 "task=%u.%u failures=%u worker=%s", t->step, t->index,
+                 counted->failures, worker);
+      cell_job_end (c, job, JOB_FAILED, now_ms);
+    }
+}
+
+static void
+keep_checkpoint (struct cell_task *t, const char *checkpoint)
+{
+  if (checkpoint == NULL || checkpoint[0] == '\0')
+    return;
+  g_free (t->checkpoint);
+  t->checkpoint = g_strdup (checkpoint);
+}
+
+void
+cell_task_ended (struct cell *c, struct cell_task *t, struct cell_worker *w,
+                 const struct worker_end *end, int64_t now_ms)
+{
+  const struct job_step *s = cell_task_step (t);
+  bool is_current = t->worker == w && t->run == end->run;
+
+  if (t->phase == TASK_DONE)
+    return;
+  if (end->how == END_DONE && !s->lasts)
+    {
+      /* Whichever run it was, the task is done; another that may run yet is
+         stopped as unknown when its worker reports it. */
+      if (s->is_gang)
+        note_gang_done (c, t, now_ms);
+      else
+        note_done (c, t, now_ms);
+      return;
+    }
+  if (s->checkpoints && (is_current || t->worker == NULL))
+    keep_checkpoint (t, end->checkpoint);
+  if (is_current || t->worker == NULL)
+    cell_task_free (c, t, now_ms);
+  if (end->how == END_FAILED)
+    note_failed (c, t, w->entry->id, now_ms);
+  else if (s->lasts)
+    t->retry_ms = now_ms + RESTART_PAUSE_MS;
+}
+
+void
+cell_submit (struct cell *cell, struct job_spec *spec, uint64_t token,
+             int64_t now_ms)
+{
+  struct cell_job *job = g_hash_table_lookup (cell->jobs, spec->id);
+  GArray *one;
+
+  if (job == NULL)
+    {
+      job = cell_job_add (cell, spec, now_ms);
+      cell_journal_job (cell, job, true);
+    }
+  else
+    job_spec_destroy (spec);
+  if (!job->stored)
+    {
+      g_array_append_val (job->submit_tokens, token);
+      return;
+    }
+  one = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+  g_array_append_val (one, token);
+  cell_answer (cell, one, CELL_STORED);
+  g_array_unref (one);
+}
+
+void
+cell_cancel (struct cell *cell, const char *id, uint64_t token, int64_t now_ms)
+{
+  struct cell_job *job = g_hash_table_lookup (cell->jobs, id);
+  GArray *one = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+
+  g_array_append_val (one, token);
+  if (job == NULL)
+    cell_answer (cell, one, CELL_NO_JOB);
+  else if (job->shown >= JOB_COMPLETED)
+    cell_answer (cell, one, CELL_STORED);
+  else
+    {
+      g_array_append_val (job->cancel_tokens, token);
+      cell_note (cell, "job-cancelled", id, "state=%s",
+                 job_state_name (job->state));
+      cell_job_end (cell, job, JOB_CANCELLED, now_ms);
+      cell_journal_job (cell, job, true);
+    }
+  g_array_unref (one);
+}
+
+/* Progress in the journal. */
+
+static GVariant *
+occurrence_progress (const struct cell_occurrence *o)
+{
+  gsize size = (o->n_tasks + 7) / 8;
+  uint8_t *done = g_malloc0 (size);
+  uint8_t *failures = g_malloc0 (o->n_tasks);
+  bool any_failed = false;
+  GVariant *v;
+
+  for (uint32_t i = 0; i < o->n_tasks; i++)
+    {
+      if (o->tasks[i].phase == TASK_DONE)
+        done[i / 8] |= (uint8_t)(1U << (i % 8));
+      failures[i] = (uint8_t)MIN (o->tasks[i].failures, 255);
+      any_failed = any_failed || failures[i] != 0;
+    }
+  v = g_variant_new (
+      "(u@ay@ay)", o->number,
+      g_variant_new_fixed_array (G_VARIANT_TYPE_BYTE, done, size, 1),
+      g_variant_new_fixed_array (G_VARIANT_TYPE_BYTE, failures,
+                                 any_failed ? o->n_tasks : 0, 1));
+  g_free (done);
+  g_free (failures);
+  return v;
+}
+
+GBytes *
+cell_job_progress (const struct cell_job *job)
+{
+  GVariantBuilder open;
+  GVariant *v;
+  GBytes *bytes;
+
+  g_variant_builder_init (&open, G_VARIANT_TYPE ("a(uayay)"));
+  if (job->state < JOB_COMPLETED)
+    for (guint i = 0; i < job->occurrences->len; i++)
+      g_variant_builder_add_value (
+          &open,
+          occurrence_progress (g_ptr_array_index (job->occurrences, i)));
+  v = g_variant_ref_sink (g_variant_new (PROGRESS_TYPE, (guchar)job->state,
+                                         job->next_occurrence,
+                                         job->done_occurrences, &open));
+  bytes = g_variant_get_data_as_bytes (v);
+  g_variant_unref (v);
+  return bytes;
+}
+
+static void
+load_occurrence (struct cell *c, struct cell_job *job, GVariant *v)
+{
+  struct cell_occurrence *o;
+  GVariant *done_bits, *failure_counts;
+  uint32_t number;
+  gsize n_done, n_failures;
+  const uint8_t *done, *failures;
+
+  g_variant_get (v, "(u@ay@ay)", &number, &done_bits, &failure_counts);
+  done = g_variant_get_fixed_array (done_bits, &n_done, 1);
+  failures = g_variant_get_fixed_array (failure_counts, &n_failures, 1);
+  o = find_occurrence (job, number);
+  if (o == NULL)
+    o = add_occurrence (c, job, number, c->taken_over_ms);
+  for (uint32_t i = 0; i < o->n_tasks; i++)
+    {
+      if (i < n_failures)
+        o->tasks[i].failures = failures[i];
+      if (i / 8 >= n_done || !(done[i / 8] & (1U << (i % 8)))
+          || o->tasks[i].phase == TASK_DONE)
+        continue;
+      cell_task_set_phase (&o->tasks[i], TASK_DONE, c->taken_over_ms);
+      if (--o->undone[o->tasks[i].step] == 0)
+        o->steps_undone--;
+      job->started = true;
+    }
+  g_variant_unref (done_bits);
+  g_variant_unref (failure_counts);
+}
+
+void
+cell_job_load_progress (struct cell *c, struct cell_job *job, GBytes *bytes)
+{
+  GVariant *v = g_variant_ref_sink (g_variant_new_from_bytes (
+      G_VARIANT_TYPE (PROGRESS_TYPE), bytes, FALSE));
+  guchar state;
+  GVariantIter *open;
+  GVariant *one;
+
+  g_variant_get (v, PROGRESS_TYPE, &state, &job->next_occurrence,
+                 &job->done_occurrences, &open);
+  while ((one = g_variant_iter_next_value (open)) != NULL)
+    {
+      load_occurrence (c, job, one);
+      g_variant_unref (one);
+    }
+  g_variant_iter_free (open);
+  g_variant_unref (v);
+  job->state = state < JOB_STATE_COUNT ? (enum job_state)state : JOB_PENDING;
+  job->shown = job->state;
+  if (job->state >= JOB_COMPLETED)
+    {
+      g_ptr_array_remove (c->open, job);
+      job->ended_ms = c->taken_over_ms;
+    }
+}
+
+static bool
+has_runs (const struct cell_job *job)
+{
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      const struct cell_occurrence *o
+          = g_ptr_array_index (job->occurrences, i);
+
+      for (uint32_t k = 0; k < o->n_tasks; k++)
+        if (o->tasks[k].worker != NULL)
+          return true;
+    }
+  return false;
+}
+
+void
+cell_jobs_sweep (struct cell *c, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, c->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct cell_job *job = value;
+
+      if (job->shown < JOB_COMPLETED || job->queued
+          || now_ms < job->ended_ms + c->options.keep_state_ms
+          || c->flight.entries != NULL || has_runs (job))
+        continue;
+      cell_journal_drop (c, g_strconcat ("j:", job->spec->id, NULL));
+      cell_journal_drop (c, g_strconcat ("p:", job->spec->id, NULL));
+      g_hash_table_iter_remove (&iter);
+    }
+}
--- /dev/null
+++ b/src/cell_journal.c
@@ -0,0 +1,349 @@
+#include "cell_state.h"
+
+/* The journal holds, by key: "j:JOB" the job as it was accepted, "p:JOB" how
+   far it is, "w:WORKER" which ends of a worker have been taken in.  One append
+   is on its way at a time; what changes meanwhile goes into the next.  */
+
+/* Between two appends somebody waits for; a store answers in some 4 ms. */
+#define URGENT_GAP_MS 15
+/* Between two appends that nobody waits for. */
+#define CALM_GAP_MS 80
+/* Before an append that was refused or not answered is tried again. */
+#define RETRY_MS 150
+/* A job that the store has not taken by then is refused. */
+#define REFUSE_AFTER_MS 1200
+/* A caller whose append is unclear is told so by then. */
+#define UNCLEAR_AFTER_MS 2000
+/* Of one append, below the platform's limit of a call. */
+#define APPEND_MAX_BYTES 1000000
+
+struct journal_entry *
+journal_entry_new (const char *key, GBytes *value)
+{
+  struct journal_entry *e = g_new0 (struct journal_entry, 1);
+
+  e->key = g_strdup (key);
+  e->value = value != NULL ? g_bytes_ref (value) : NULL;
+  return e;
+}
+
+void
+journal_entry_free (gpointer entry)
+{
+  struct journal_entry *e = entry;
+
+  g_free (e->key);
+  if (e->value != NULL)
+    g_bytes_unref (e->value);
+  g_free (e);
+}
+
+void
+cell_journal_job (struct cell *c, struct cell_job *job, bool urgent)
+{
+  c->urgent = c->urgent || urgent;
+  if (job->queued)
+    return;
+  job->queued = true;
+  g_ptr_array_add (c->changed_jobs, job);
+}
+
+void
+cell_journal_worker (struct cell *c, struct cell_worker *w)
+{
+  if (w->queued)
+    return;
+  w->queued = true;
+  g_ptr_array_add (c->changed_workers, w);
+}
+
+void
+cell_journal_drop (struct cell *c, char *key)
+{
+  g_ptr_array_add (c->dropped_keys, key);
+}
+
+static void
+clear_flight (struct cell *c)
+{
+  if (c->flight.entries == NULL)
+    return;
+  g_ptr_array_unref (c->flight.entries);
+  g_array_unref (c->flight.jobs);
+  g_array_unref (c->flight.workers);
+  c->flight = (struct cell_flight){ 0 };
+}
+
+void
+cell_journal_clear (struct cell *c)
+{
+  clear_flight (c);
+}
+
+static gsize
+add_entry (struct cell *c, const char *prefix, const char *id, GBytes *value)
+{
+  struct journal_entry *e = g_new0 (struct journal_entry, 1);
+
+  e->key = g_strconcat (prefix, id, NULL);
+  e->value = value;
+  g_ptr_array_add (c->flight.entries, e);
+  return value != NULL ? g_bytes_get_size (value) : 0;
+}
+
+static gsize
+put_job (struct cell *c, struct cell_job *job)
+{
+  struct flight_job f = { job, job->state, !job->stored };
+  gsize size = 0;
+
+  job->queued = false;
+  if (!job->stored)
+    size += add_entry (c, "j:", job->spec->id, job_spec_to_bytes (job->spec));
+  if (job->stored || job->state != JOB_PENDING)
+    size += add_entry (c, "p:", job->spec->id, cell_job_progress (job));
+  g_array_append_val (c->flight.jobs, f);
+  return size;
+}
+
+static void
+put_worker (struct cell *c, struct cell_worker *w)
+{
+  struct flight_worker f = { w, w->ends_taken };
+  GVariant *v = g_variant_ref_sink (g_variant_new (
+      "(sxt)", w->entry->address, w->born_ms, w->ends_taken));
+
+  w->queued = false;
+  add_entry (c, "w:", w->entry->id, g_variant_get_data_as_bytes (v));
+  g_variant_unref (v);
+  g_array_append_val (c->flight.workers, f);
+}
+
+static void
+order_append (struct cell *c)
+{
+  struct cell_order *o = cell_add_order (c, ORDER_APPEND);
+
+  o->u.append.sequence = c->sequence;
+  o->u.append.entries = g_ptr_array_ref (c->flight.entries);
+  c->flight.call_out = true;
+}
+
+static void
+begin_append (struct cell *c, int64_t now_ms)
+{
+  gsize size = 0;
+  guint taken = 0;
+
+  c->flight.entries = g_ptr_array_new_with_free_func (journal_entry_free);
+  c->flight.jobs = g_array_new (FALSE, FALSE, sizeof (struct flight_job));
+  c->flight.workers
+      = g_array_new (FALSE, FALSE, sizeof (struct flight_worker));
+  c->flight.begun_ms = now_ms;
+  while (taken < c->changed_jobs->len && size < APPEND_MAX_BYTES)
+    size += put_job (c, g_ptr_array_index (c->changed_jobs, taken++));
+  g_ptr_array_remove_range (c->changed_jobs, 0, taken);
+  for (guint i = 0; i < c->changed_workers->len && c->changed_jobs->len == 0;
+       i++)
+    put_worker (c, g_ptr_array_index (c->changed_workers, i));
+  if (c->changed_jobs->len == 0)
+    g_ptr_array_set_size (c->changed_workers, 0);
+  for (guint i = 0; i < c->dropped_keys->len; i++)
+    add_entry (c, "", g_ptr_array_index (c->dropped_keys, i), NULL);
+  g_ptr_array_set_size (c->dropped_keys, 0);
+  c->urgent = c->changed_jobs->len > 0;
+  c->flushed_ms = now_ms;
+  order_append (c);
+}
+
+/* Refuse jobs that the store has not taken for too long; none of them has
+   been sent in an append whose outcome is open. */
+static void
+refuse_late (struct cell *c, int64_t now_ms)
+{
+  for (guint i = c->changed_jobs->len; i > 0; i--)
+    {
+      struct cell_job *job = g_ptr_array_index (c->changed_jobs, i - 1);
+
+      if (job->stored || now_ms < job->taken_ms + REFUSE_AFTER_MS)
+        continue;
+      cell_note (c, "job-refused", job->spec->id,
+                 "reason=store-away waited_ms=%" G_GINT64_FORMAT,
+                 now_ms - job->taken_ms);
+      cell_answer (c, job->submit_tokens, CELL_NOT_TAKEN);
+      cell_answer (c, job->cancel_tokens, CELL_NO_JOB);
+      g_ptr_array_remove_index (c->changed_jobs, i - 1);
+      g_ptr_array_remove (c->open, job);
+      g_hash_table_remove (c->jobs, job->spec->id);
+    }
+}
+
+/* Tell callers whose append is unclear for too long that it is. */
+static void
+answer_unclear (struct cell *c, int64_t now_ms)
+{
+  if (now_ms < c->flight.begun_ms + UNCLEAR_AFTER_MS)
+    return;
+  for (guint i = 0; i < c->flight.jobs->len; i++)
+    {
+      struct flight_job *f
+          = &g_array_index (c->flight.jobs, struct flight_job, i);
+
+      cell_answer (c, f->job->submit_tokens, CELL_UNCLEAR);
+      cell_answer (c, f->job->cancel_tokens, CELL_UNCLEAR);
+    }
+}
+
+void
+cell_journal_tick (struct cell *c, int64_t now_ms)
+{
+  int64_t gap = c->urgent ? URGENT_GAP_MS : CALM_GAP_MS;
+
+  if (c->flight.entries != NULL)
+    {
+      answer_unclear (c, now_ms);
+      if (!c->flight.call_out && now_ms >= c->flight.retry_ms && !c->fenced)
+        order_append (c);
+      return;
+    }
+  refuse_late (c, now_ms);
+  if (c->fenced || c->changed_jobs->len + c->changed_workers->len == 0
+      || now_ms < c->flushed_ms + gap || now_ms < c->flight.retry_ms)
+    return;
+  begin_append (c, now_ms);
+}
+
+static void
+commit_job (struct cell *c, const struct flight_job *f)
+{
+  struct cell_job *job = f->job;
+
+  if (f->with_spec)
+    {
+      job->stored = true;
+      c->place_needed = true;
+      cell_answer (c, job->submit_tokens, CELL_STORED);
+    }
+  if (job->shown != f->state && f->state >= JOB_COMPLETED)
+    cell_note (c, "job-ended", job->spec->id, "state=%s",
+               job_state_name (f->state));
+  job->shown = f->state;
+  if (f->state >= JOB_COMPLETED)
+    cell_answer (c, job->cancel_tokens, CELL_STORED);
+}
+
+static void
+commit (struct cell *c, int64_t now_ms)
+{
+  for (guint i = 0; i < c->flight.jobs->len; i++)
+    commit_job (c, &g_array_index (c->flight.jobs, struct flight_job, i));
+  for (guint i = 0; i < c->flight.workers->len; i++)
+    {
+      struct flight_worker *f
+          = &g_array_index (c->flight.workers, struct flight_worker, i);
+
+      f->worker->known_to_journal = true;
+      if (f->ends_taken > f->worker->last_seen)
+        f->worker->next_hold_ms = MIN (f->worker->next_hold_ms, now_ms);
+      f->worker->last_seen = f->ends_taken;
+    }
+  c->sequence++;
+  clear_flight (c);
+}
+
+/* The store certainly has none of the append: all of it is pending again. */
+static void
+give_back (struct cell *c, int64_t now_ms)
+{
+  GArray *jobs = g_array_ref (c->flight.jobs);
+  GArray *workers = g_array_ref (c->flight.workers);
+
+  clear_flight (c);
+  for (guint i = 0; i < jobs->len; i++)
+    cell_journal_job (c, g_array_index (jobs, struct flight_job, i).job, true);
+  for (guint i = 0; i < workers->len; i++)
+    cell_journal_worker (
+        c, g_array_index (workers, struct flight_worker, i).worker);
+  g_array_unref (jobs);
+  g_array_unref (workers);
+  c->flight.retry_ms = now_ms + RETRY_MS;
+}
+
+void
+cell_append_answered (struct cell *cell, enum append_result result,
+                      int64_t now_ms)
+{
+  cell->flight.call_out = false;
+  if (cell->flight.entries == NULL)
+    return;
+  switch (result)
+    {
+    case APPEND_DONE:
+      commit (cell, now_ms);
+      return;
+    case APPEND_REFUSED:
+      if (!cell->flight.unclear)
+        {
+          give_back (cell, now_ms);
+          return;
+        }
+      break;
+    case APPEND_UNCLEAR:
+      cell->flight.unclear = true;
+      break;
+    case APPEND_FENCED:
+      cell->fenced = true;
+      return;
+    }
+  cell->flight.retry_ms = now_ms + RETRY_MS;
+}
+
+static void
+load_worker (struct cell *c, const char *id, GBytes *value)
+{
+  GVariant *v = g_variant_ref_sink (
+      g_variant_new_from_bytes (G_VARIANT_TYPE ("(sxt)"), value, FALSE));
+  struct cell_worker *w = g_hash_table_lookup (c->workers, id);
+
+  if (w == NULL)
+    w = cell_worker_add (c, id);
+  if (w->entry->address[0] == '\0')
+    {
+      g_free (w->entry->address);
+      g_variant_get_child (v, 0, "s", &w->entry->address);
+    }
+  g_variant_get_child (v, 1, "x", &w->born_ms);
+  g_variant_get_child (v, 2, "t", &w->ends_taken);
+  w->last_seen = w->ends_taken;
+  w->inherited = true;
+  w->known_to_journal = true;
+  g_variant_unref (v);
+}
+
+void
+cell_load (struct cell *cell, const char *key, GBytes *value)
+{
+  struct job_spec *spec;
+  struct cell_job *job;
+
+  if (g_str_has_prefix (key, "w:"))
+    load_worker (cell, key + 2, value);
+  else if (g_str_has_prefix (key, "j:"))
+    {
+      spec = job_spec_from_bytes (value);
+      if (spec == NULL)
+        {
+          cell_note (cell, "journal-malformed", key, "record passed over");
+          return;
+        }
+      job = cell_job_add (cell, spec, cell->taken_over_ms);
+      job->loaded = true;
+      job->stored = true;
+    }
+  else if (g_str_has_prefix (key, "p:"))
+    {
+      job = g_hash_table_lookup (cell->jobs, key + 2);
+      if (job != NULL)
+        cell_job_load_progress (cell, job, value);
+    }
+}
--- /dev/null
+++ b/src/cell_workers.c
@@ -0,0 +1,802 @@
+#include "cell_state.h"
+
+#include <string.h>
+
+/* A hold waits so long for an end, and so renews the lease every second. */
+#define HOLD_WAIT_MS 1000
+/* Between two holds of a worker with work, so that ends come in batches. */
+#define HOLD_GAP_MS 60
+/* Between two holds of a worker without work. */
+#define IDLE_HOLD_GAP_MS 1500
+/* While reported ends are not in the journal, a hold returns at once. */
+#define UNSAVED_HOLD_GAP_MS 150
+/* After a hold that was not answered. */
+#define RETRY_HOLD_MS 250
+/* Between two stops of the same run, and after an unanswered start. */
+#define STOP_RETRY_MS 400
+/* Starts of one run without an answer before it is stopped instead. */
+#define START_TRIES 2
+/* A start that no room was left for blocks the worker so long. */
+#define NO_ROOM_PAUSE_MS 100
+/* Failed ends in a row that make a worker suspect, and for how long. */
+#define FAILED_STREAK 3
+#define SHUN_MS 2500
+/* A task without progress for so long on a sound lease is started anew. */
+#define STALLED_MS 2200
+/* Work on a worker that is to be emptied is left to end so long. */
+#define RELEASE_PATIENCE_MS 3500
+/* A clock of a worker may be so slow, in thousandths. */
+#define SLOW_CLOCK_PERMILLE 25
+/* Added to the end of a lease for the way of a call. */
+#define LEASE_SLACK_MS 150
+/* A worker that is not listed any more is forgotten after this. */
+#define FORGET_WORKER_MS 20000
+
+void
+cell_worker_destroy (gpointer p)
+{
+  struct cell_worker *w = p;
+
+  for (guint i = 0; i < w->tasks->len; i++)
+    ((struct cell_task *)g_ptr_array_index (w->tasks, i))->worker = NULL;
+  worker_entry_destroy (w->entry);
+  g_ptr_array_unref (w->tasks);
+  g_free (w);
+}
+
+struct cell_worker *
+cell_worker_add (struct cell *c, const char *id)
+{
+  struct cell_worker *w = g_new0 (struct cell_worker, 1);
+
+  w->entry = worker_entry_new (id);
+  w->tasks = g_ptr_array_new ();
+  w->lease_over_ms = c->taken_over_ms + c->options.foreign_lease_ms;
+  g_hash_table_insert (c->workers, w->entry->id, w);
+  g_ptr_array_add (c->worker_list, w);
+  return w;
+}
+
+void
+cell_worker_put_task (struct cell_worker *w, struct cell_task *t)
+{
+  const struct job_step *s = cell_task_step (t);
+
+  t->worker = w;
+  g_ptr_array_add (w->tasks, t);
+  if (!s->fills)
+    w->used.cpu_milli += s->cpu_milli;
+  w->used.memory_mb += s->memory_mb;
+  w->used.gpus += s->gpus;
+}
+
+void
+cell_worker_take_task (struct cell_worker *w, struct cell_task *t)
+{
+  const struct job_step *s = cell_task_step (t);
+
+  if (!g_ptr_array_remove_fast (w->tasks, t))
+    return;
+  t->worker = NULL;
+  if (!s->fills)
+    w->used.cpu_milli -= s->cpu_milli;
+  w->used.memory_mb -= s->memory_mb;
+  w->used.gpus -= s->gpus;
+}
+
+/* All runs on W are over. */
+static void
+lose_tasks (struct cell *c, struct cell_worker *w, const char *why,
+            int64_t now_ms)
+{
+  if (w->tasks->len > 0)
+    cell_note (c, "runs-lost", w->entry->id, "cause=%s tasks=%u", why,
+               w->tasks->len);
+  while (w->tasks->len > 0)
+    cell_task_free (c, g_ptr_array_index (w->tasks, 0), now_ms);
+  w->inherited = false;
+  c->place_needed = true;
+}
+
+static void
+begin_life (struct cell_worker *w, int64_t born_ms)
+{
+  w->born_ms = born_ms;
+  w->last_seen = 0;
+  w->ends_taken = 0;
+  w->failed_streak = 0;
+  w->clock_heard_ms = 0;
+}
+
+void
+cell_worker_listed (struct cell *cell, const struct worker_entry *entry,
+                    int64_t now_ms)
+{
+  struct cell_worker *w = g_hash_table_lookup (cell->workers, entry->id);
+  struct worker_entry *copy = worker_entry_copy (entry);
+
+  if (w == NULL)
+    w = cell_worker_add (cell, entry->id);
+  if (!w->listed)
+    cell->place_needed = true;
+  if (w->listed && entry->draining && !w->entry->draining)
+    cell_note (cell, "worker-draining", entry->id, "tasks=%u", w->tasks->len);
+  g_hash_table_steal (cell->workers, w->entry->id);
+  worker_entry_destroy (w->entry);
+  w->entry = copy;
+  g_hash_table_insert (cell->workers, copy->id, w);
+  w->listed = true;
+  if (entry->born_ms != 0 && w->born_ms != 0 && entry->born_ms > w->born_ms)
+    {
+      lose_tasks (cell, w, "born-again", now_ms);
+      begin_life (w, entry->born_ms);
+      w->confirmed = false;
+      w->next_hold_ms = now_ms;
+    }
+}
+
+void
+cell_worker_unlisted (struct cell *cell, const char *worker, int64_t now_ms)
+{
+  struct cell_worker *w = g_hash_table_lookup (cell->workers, worker);
+
+  if (w == NULL || !w->listed)
+    return;
+  w->listed = false;
+  w->unlisted_ms = now_ms;
+  cell_note (cell, "worker-unlisted", worker, "tasks=%u", w->tasks->len);
+}
+
+void
+cell_worker_ended (struct cell *cell, const char *worker, int64_t now_ms)
+{
+  struct cell_worker *w = g_hash_table_lookup (cell->workers, worker);
+
+  if (w == NULL)
+    return;
+  lose_tasks (cell, w, "worker-ended", now_ms);
+  w->confirmed = false;
+  w->lease_over_ms = now_ms;
+}
+
+/* Return the worker's own clock as it should be now. */
+static int64_t
+worker_clock (const struct cell_worker *w, int64_t now_ms)
+{
+  return w->clock_ms + (now_ms - w->clock_heard_ms);
+}
+
+/* Return the deadline of a lease given now, and note when it is surely over. */
+static int64_t
+lease_deadline (struct cell_worker *w, int64_t now_ms)
+{
+  int64_t unheard_ms = now_ms - w->clock_heard_ms;
+  int64_t longest_ms = CELL_LEASE_MS + unheard_ms;
+  int64_t over_ms = now_ms + CELL_LEASE_MS
+                    + longest_ms * SLOW_CLOCK_PERMILLE / 1000 + LEASE_SLACK_MS;
+
+  w->lease_over_ms = MAX (w->lease_over_ms, over_ms);
+  return worker_clock (w, now_ms) + CELL_LEASE_MS;
+}
+
+static void
+fill_run (struct cell_order *o, const struct cell_worker *w, char *task,
+          uint64_t run)
+{
+  o->u.run.worker = g_strdup (w->entry->id);
+  o->u.run.address = g_strdup (w->entry->address);
+  o->u.run.task = task;
+  o->u.run.run = run;
+}
+
+void
+cell_order_stop (struct cell *c, const struct cell_worker *w, const char *task,
+                 uint64_t run)
+{
+  fill_run (cell_add_order (c, ORDER_STOP), w, g_strdup (task), run);
+}
+
+static const char *
+ticket_for (const struct cell_task *t, const struct cell_worker *w)
+{
+  GHashTable *tickets = t->occurrence->tickets[t->step];
+  struct step_ticket *ticket;
+
+  if (tickets == NULL)
+    return "";
+  ticket = g_hash_table_lookup (tickets, w->entry->id);
+  return ticket != NULL ? ticket->ticket : "";
+}
+
+void
+cell_order_start (struct cell *c, struct cell_task *t, int64_t now_ms)
+{
+  struct cell_order *o = cell_add_order (c, ORDER_START);
+  struct cell_worker *w = t->worker;
+
+  fill_run (o, w, cell_task_name (t), t->run);
+  o->u.run.deadline_ms = lease_deadline (w, now_ms);
+  o->u.run.payload = g_strdup (t->occurrence->job->spec->payload);
+  o->u.run.checkpoint = g_strdup (t->checkpoint != NULL ? t->checkpoint : "");
+  o->u.run.ticket = g_strdup (ticket_for (t, w));
+  t->call_out = true;
+  t->start_tries++;
+}
+
+static void
+send_stop (struct cell *c, struct cell_task *t, int64_t now_ms)
+{
+  char *name = cell_task_name (t);
+
+  cell_order_stop (c, t->worker, name, t->run);
+  g_free (name);
+  t->call_out = true;
+  t->retry_ms = now_ms + STOP_RETRY_MS;
+}
+
+void
+cell_stop_task (struct cell *c, struct cell_task *t, int64_t now_ms)
+{
+  if (t->worker == NULL || t->phase == TASK_STOPPING)
+    return;
+  cell_task_set_phase (t, TASK_STOPPING, now_ms);
+  t->stop_heard = false;
+  send_stop (c, t, now_ms);
+}
+
+static bool
+is_at_work (const struct cell_task *t)
+{
+  return t->phase == TASK_RUNNING && t->percent == 100 && t->worker != NULL
+         && t->worker->confirmed;
+}
+
+uint32_t
+cell_step_missing (const struct cell_task *t)
+{
+  const struct cell_occurrence *o = t->occurrence;
+  uint32_t missing = 0;
+
+  for (uint32_t i = 0; i < cell_task_step (t)->count; i++)
+    {
+      const struct cell_task *other = &o->tasks[o->first[t->step] + i];
+
+      if (other != t && !is_at_work (other))
+        missing++;
+    }
+  return missing;
+}
+
+/* Holds. */
+
+static void
+send_hold (struct cell *c, struct cell_worker *w, int64_t now_ms)
+{
+  struct cell_order *o = cell_add_order (c, ORDER_HOLD);
+  bool has_work = w->tasks->len > 0;
+
+  o->u.hold.worker = g_strdup (w->entry->id);
+  o->u.hold.address = g_strdup (w->entry->address);
+  if (w->clock_heard_ms != 0 && w->confirmed && has_work)
+    o->u.hold.deadline_ms = lease_deadline (w, now_ms);
+  /* A life that has not been confirmed may count its ends anew. */
+  o->u.hold.last_seen = w->confirmed ? w->last_seen : 0;
+  if (w->confirmed && has_work && w->ends_taken == w->last_seen)
+    o->u.hold.wait_ms = HOLD_WAIT_MS;
+  w->hold_out = true;
+}
+
+static bool
+has_stalled (const struct cell_task *t, int64_t now_ms)
+{
+  const struct job_step *s = cell_task_step (t);
+
+  return t->phase == TASK_RUNNING && !s->lasts && !s->is_gang && !s->fills
+         && t->worker->confirmed
+         && now_ms > MAX (t->moved_ms, t->phase_ms) + STALLED_MS;
+}
+
+static void
+run_task_timers (struct cell *c, struct cell_worker *w, int64_t now_ms)
+{
+  for (guint i = 0; i < w->tasks->len; i++)
+    {
+      struct cell_task *t = g_ptr_array_index (w->tasks, i);
+
+      if (t->phase == TASK_STOPPING && !t->call_out && !t->stop_heard
+          && now_ms >= t->retry_ms)
+        send_stop (c, t, now_ms);
+      else if (has_stalled (t, now_ms))
+        {
+          char *name = cell_task_name (t);
+
+          cell_note (c, "task-stalled", name,
+                     "worker=%s percent=%u unmoved_ms=%" G_GINT64_FORMAT,
+                     w->entry->id, t->percent, now_ms - t->moved_ms);
+          g_free (name);
+          g_free (t->avoid_worker);
+          t->avoid_worker = g_strdup (w->entry->id);
+          w->shunned_ms = now_ms + SHUN_MS;
+          cell_stop_task (c, t, now_ms);
+        }
+    }
+}
+
+static void
+forget_worker (struct cell *c, struct cell_worker *w)
+{
+  if (w->queued || c->flight.entries != NULL || w->known_to_journal)
+    return;
+  g_ptr_array_remove (c->worker_list, w);
+  g_hash_table_remove (c->workers, w->entry->id);
+}
+
+/* Nothing of ours can run on W any more: the next owner need not ask it. */
+static void
+leave_journal (struct cell *c, struct cell_worker *w)
+{
+  if (w->queued || c->flight.entries != NULL)
+    return;
+  cell_journal_drop (c, g_strconcat ("w:", w->entry->id, NULL));
+  w->known_to_journal = false;
+}
+
+static void
+worker_tick (struct cell *c, struct cell_worker *w, int64_t now_ms)
+{
+  if (!w->confirmed && now_ms > w->lease_over_ms
+      && (w->tasks->len > 0 || w->inherited))
+    lose_tasks (c, w, "lease-over", now_ms);
+  if (!w->confirmed && !w->listed && now_ms > w->lease_over_ms
+      && w->known_to_journal && w->tasks->len == 0)
+    leave_journal (c, w);
+  run_task_timers (c, w, now_ms);
+  if (!w->hold_out && now_ms >= w->next_hold_ms
+      && w->entry->address[0] != '\0')
+    send_hold (c, w, now_ms);
+}
+
+void
+cell_workers_tick (struct cell *c, int64_t now_ms)
+{
+  for (guint i = c->worker_list->len; i > 0; i--)
+    {
+      struct cell_worker *w = g_ptr_array_index (c->worker_list, i - 1);
+
+      worker_tick (c, w, now_ms);
+      if (!w->listed && !w->inherited && w->tasks->len == 0 && !w->hold_out
+          && now_ms > w->unlisted_ms + FORGET_WORKER_MS
+          && now_ms > w->lease_over_ms)
+        forget_worker (c, w);
+    }
+}
+
+bool
+cell_workers_settled (const struct cell *c, int64_t now_ms)
+{
+  for (guint i = 0; i < c->worker_list->len; i++)
+    {
+      const struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
+
+      if (w->inherited && now_ms <= w->lease_over_ms)
+        return false;
+    }
+  return true;
+}
+
+/* Reports. */
+
+/* Take over a run that an earlier owner has started. */
+static bool
+adopt (struct cell *c, struct cell_worker *w, const struct worker_run *r,
+       struct cell_task *t, int64_t now_ms)
+{
+  struct cell_job *job = t->occurrence->job;
+
+  if (t->phase != TASK_WAITING || job->state >= JOB_COMPLETED
+      || t->runs > 0)
+    return false;
+  t->run = r->run;
+  cell_worker_put_task (w, t);
+  cell_task_set_phase (t, TASK_RUNNING, now_ms);
+  t->moved_ms = now_ms;
+  job->started = true;
+  return true;
+}
+
+static void
+note_run (struct cell *c, struct cell_worker *w, const struct worker_run *r,
+          int64_t now_ms)
+{
+  struct cell_task *t = cell_find_task (c, r->task);
+
+  if (t == NULL
+      || ((t->worker != w || t->run != r->run)
+          && !adopt (c, w, r, t, now_ms)))
+    {
+      cell_note (c, "run-unknown", r->task,
+                 "worker=%s run=%" G_GUINT64_FORMAT " outcome=stop",
+                 w->entry->id, r->run);
+      cell_order_stop (c, w, r->task, r->run);
+      return;
+    }
+  if (t->phase == TASK_STARTING && !t->call_out)
+    cell_task_set_phase (t, TASK_RUNNING, now_ms);
+  if (r->percent != t->percent)
+    t->moved_ms = now_ms;
+  t->percent = r->percent;
+  t->figure = r->figure;
+  if (r->checkpoint[0] != '\0' && g_strcmp0 (t->checkpoint, r->checkpoint) != 0)
+    {
+      g_free (t->checkpoint);
+      t->checkpoint = g_strdup (r->checkpoint);
+      t->moved_ms = now_ms;
+    }
+}
+
+static void
+note_end (struct cell *c, struct cell_worker *w, const struct worker_end *e,
+          int64_t now_ms)
+{
+  struct cell_task *t = cell_find_task (c, e->task);
+
+  w->ends_taken = e->number;
+  if (e->how == END_FAILED && ++w->failed_streak >= FAILED_STREAK)
+    {
+      if (now_ms >= w->shunned_ms)
+        cell_note (c, "worker-shunned", w->entry->id,
+                   "failed_in_a_row=%u for_ms=%d", w->failed_streak, SHUN_MS);
+      w->shunned_ms = now_ms + SHUN_MS;
+    }
+  if (e->how == END_DONE)
+    w->failed_streak = 0;
+  if (t != NULL)
+    cell_task_ended (c, t, w, e, now_ms);
+}
+
+static bool
+is_reported (const struct worker_report *report, const char *task,
+             uint64_t run)
+{
+  for (guint i = 0; i < report->runs->len; i++)
+    {
+      const struct worker_run *r
+          = &g_array_index (report->runs, struct worker_run, i);
+
+      if (r->run == run && strcmp (r->task, task) == 0)
+        return true;
+    }
+  return false;
+}
+
+/* Free the tasks whose run the worker would have reported, and did not. */
+static void
+free_unreported (struct cell *c, struct cell_worker *w,
+                 const struct worker_report *report, int64_t sent_ms,
+                 int64_t now_ms)
+{
+  for (guint i = w->tasks->len; i > 0; i--)
+    {
+      struct cell_task *t;
+      char *name;
+
+      if (i > w->tasks->len)
+        continue;
+      t = g_ptr_array_index (w->tasks, i - 1);
+      if (t->phase_ms >= sent_ms || t->call_out
+          || (t->phase == TASK_STOPPING && !t->stop_heard)
+          || t->phase == TASK_STARTING)
+        continue;
+      name = cell_task_name (t);
+      if (!is_reported (report, name, t->run))
+        {
+          if (t->phase == TASK_RUNNING)
+            cell_note (c, "run-missing", name, "worker=%s run=%" G_GUINT64_FORMAT,
+                       w->entry->id, t->run);
+          cell_task_free (c, t, now_ms);
+        }
+      g_free (name);
+    }
+}
+
+static void
+order_pace (struct cell *c, struct cell_task *t, uint32_t percent,
+            int64_t now_ms)
+{
+  struct cell_order *o = cell_add_order (c, ORDER_PACE);
+
+  fill_run (o, t->worker, cell_task_name (t), t->run);
+  o->u.run.percent = percent;
+  t->pace = percent;
+  t->paced_ms = now_ms;
+}
+
+/* The worst tail of the serving tasks on W, in percent of its target. */
+static int64_t
+worst_tail_percent (const struct cell_worker *w)
+{
+  int64_t worst = 0;
+
+  for (guint i = 0; i < w->tasks->len; i++)
+    {
+      const struct cell_task *t = g_ptr_array_index (w->tasks, i);
+      const struct job_step *s = cell_task_step (t);
+
+      if (s->tail_target_ms > 0 && t->phase == TASK_RUNNING)
+        worst = MAX (worst, t->figure * 100 / s->tail_target_ms);
+    }
+  return worst;
+}
+
+/* Hysteresis: fillers are slowed above one share of the target and sped up
+   only below a lower one. */
+#define TAIL_SLOW_PERCENT 85
+#define TAIL_FAST_PERCENT 60
+#define PACE_STEP_PERCENT 25
+#define PACE_GAP_MS 700
+#define PACE_RAISE_GAP_MS 1500
+
+static void
+pace_fillers (struct cell *c, struct cell_worker *w, int64_t now_ms)
+{
+  int64_t tail = worst_tail_percent (w);
+
+  for (guint i = 0; i < w->tasks->len; i++)
+    {
+      struct cell_task *t = g_ptr_array_index (w->tasks, i);
+
+      if (!cell_task_step (t)->fills || t->phase != TASK_RUNNING)
+        continue;
+      if (tail > TAIL_SLOW_PERCENT && t->pace > 0
+          && now_ms >= t->paced_ms + PACE_GAP_MS)
+        order_pace (c, t, tail > 100 || t->pace <= PACE_STEP_PERCENT
+                              ? 0
+                              : t->pace - PACE_STEP_PERCENT,
+                    now_ms);
+      else if (tail < TAIL_FAST_PERCENT && t->pace < 100
+               && now_ms >= t->paced_ms + PACE_RAISE_GAP_MS)
+        order_pace (c, t, MIN (t->pace + PACE_STEP_PERCENT, 100), now_ms);
+    }
+}
+
+static void
+take_report (struct cell *c, struct cell_worker *w,
+             const struct worker_report *report, int64_t sent_ms,
+             int64_t now_ms)
+{
+  uint64_t before = w->ends_taken;
+
+  if (w->born_ms != 0 && report->born_ms != 0 && report->born_ms != w->born_ms)
+    {
+      lose_tasks (c, w, "born-again", now_ms);
+      begin_life (w, report->born_ms);
+      before = 0;
+    }
+  if (!w->confirmed)
+    c->place_needed = true;
+  w->born_ms = report->born_ms;
+  w->confirmed = true;
+  w->clock_ms = report->clock_ms;
+  w->clock_heard_ms = now_ms;
+  for (guint i = 0; i < report->ends->len; i++)
+    {
+      const struct worker_end *e
+          = &g_array_index (report->ends, struct worker_end, i);
+
+      if (e->number > w->ends_taken)
+        note_end (c, w, e, now_ms);
+    }
+  for (guint i = 0; i < report->runs->len; i++)
+    note_run (c, w, &g_array_index (report->runs, struct worker_run, i),
+              now_ms);
+  free_unreported (c, w, report, sent_ms, now_ms);
+  w->inherited = false;
+  pace_fillers (c, w, now_ms);
+  if (w->ends_taken != before || (!w->known_to_journal && w->listed))
+    cell_journal_worker (c, w);
+}
+
+void
+cell_hold_answered (struct cell *cell, const char *worker,
+                    const struct worker_report *reply, bool fenced, bool gone,
+                    int64_t sent_ms, int64_t now_ms)
+{
+  struct cell_worker *w = g_hash_table_lookup (cell->workers, worker);
+  bool was_confirmed;
+
+  if (w == NULL)
+    return;
+  w->hold_out = false;
+  if (fenced)
+    {
+      cell->fenced = true;
+      return;
+    }
+  if (gone)
+    {
+      cell_worker_ended (cell, worker, now_ms);
+      w->next_hold_ms = now_ms + IDLE_HOLD_GAP_MS;
+      return;
+    }
+  if (reply == NULL)
+    {
+      if (w->confirmed)
+        cell_note (cell, "worker-silent", worker, "tasks=%u", w->tasks->len);
+      w->confirmed = false;
+      w->next_hold_ms = now_ms + RETRY_HOLD_MS;
+      return;
+    }
+  was_confirmed = w->confirmed;
+  take_report (cell, w, reply, sent_ms, now_ms);
+  if (!was_confirmed && w->tasks->len > 0)
+    w->next_hold_ms = now_ms; /* extend the leases */
+  else if (w->ends_taken != w->last_seen)
+    w->next_hold_ms = now_ms + UNSAVED_HOLD_GAP_MS;
+  else if (w->tasks->len > 0)
+    w->next_hold_ms = MAX (sent_ms + HOLD_GAP_MS, now_ms);
+  else
+    w->next_hold_ms = now_ms + IDLE_HOLD_GAP_MS;
+}
+
+/* Answers to starts and stops. */
+
+static struct cell_task *
+answered_task (struct cell *c, const char *worker, const char *task,
+               uint64_t run)
+{
+  struct cell_task *t = cell_find_task (c, task);
+
+  if (t == NULL || t->worker == NULL || t->run != run
+      || strcmp (t->worker->entry->id, worker) != 0)
+    return NULL;
+  t->call_out = false;
+  return t;
+}
+
+/* T has certainly not started, unless an earlier try of the same start was
+   only slow. */
+static void
+not_started (struct cell *c, struct cell_task *t, int64_t pause_ms,
+             int64_t now_ms)
+{
+  if (t->start_tries > 1)
+    {
+      cell_stop_task (c, t, now_ms);
+      return;
+    }
+  cell_task_free (c, t, now_ms);
+  t->retry_ms = now_ms + pause_ms;
+}
+
+static void
+start_unanswered (struct cell *c, struct cell_task *t, int64_t now_ms)
+{
+  if (t->phase != TASK_STARTING)
+    return;
+  if (t->start_tries < START_TRIES)
+    {
+      cell_order_start (c, t, now_ms);
+      return;
+    }
+  t->start_tries++;
+  cell_stop_task (c, t, now_ms);
+}
+
+static void
+hold_soon (struct cell_worker *w, int64_t now_ms)
+{
+  w->next_hold_ms = MIN (w->next_hold_ms, now_ms);
+}
+
+void
+cell_start_answered (struct cell *cell, const char *worker, const char *task,
+                     uint64_t run, enum run_answer answer, int64_t now_ms)
+{
+  struct cell_task *t = answered_task (cell, worker, task, run);
+  struct cell_worker *w;
+
+  if (answer == RUN_FENCED)
+    cell->fenced = true;
+  if (t == NULL)
+    return;
+  w = t->worker;
+  if (t->phase == TASK_STOPPING)
+    {
+      /* The stop went out while the start was on its way. */
+      t->retry_ms = t->stop_heard ? t->retry_ms : now_ms;
+      return;
+    }
+  switch (answer)
+    {
+    case RUN_ACCEPTED:
+    case RUN_OLD:
+      cell_task_set_phase (t, TASK_RUNNING, now_ms);
+      t->moved_ms = now_ms;
+      t->occurrence->job->started = true;
+      hold_soon (w, now_ms);
+      break;
+    case RUN_NO_ANSWER:
+    case RUN_FENCED:
+      start_unanswered (cell, t, now_ms);
+      break;
+    case RUN_LATE:
+      w->confirmed = false;
+      not_started (cell, t, 0, now_ms);
+      hold_soon (w, now_ms);
+      break;
+    case RUN_NO_ROOM:
+      w->blocked_ms = now_ms + NO_ROOM_PAUSE_MS;
+      not_started (cell, t, 0, now_ms);
+      break;
+    case RUN_NO_TICKET:
+      if (t->occurrence->tickets[t->step] != NULL)
+        g_hash_table_remove (t->occurrence->tickets[t->step], worker);
+      not_started (cell, t, 0, now_ms);
+      break;
+    case RUN_UNHEALTHY:
+      w->blocked_ms = now_ms + STOP_RETRY_MS;
+      not_started (cell, t, 0, now_ms);
+      break;
+    case RUN_GONE:
+      w->confirmed = false;
+      hold_soon (w, now_ms);
+      not_started (cell, t, 0, now_ms);
+      break;
+    }
+}
+
+void
+cell_stop_answered (struct cell *cell, const char *worker, const char *task,
+                    uint64_t run, enum run_answer answer, int64_t now_ms)
+{
+  struct cell_task *t;
+
+  if (answer == RUN_FENCED)
+    cell->fenced = true;
+  t = answered_task (cell, worker, task, run);
+  if (t == NULL || t->phase != TASK_STOPPING)
+    return;
+  if (answer == RUN_NO_ANSWER || answer == RUN_FENCED
+      || answer == RUN_UNHEALTHY)
+    {
+      t->retry_ms = now_ms + STOP_RETRY_MS;
+      return;
+    }
+  t->stop_heard = true;
+  t->phase_ms = now_ms;
+  hold_soon (t->worker, now_ms);
+}
+
+/* Emptying a worker. */
+
+static void
+release_task (struct cell *c, struct cell_worker *w, struct cell_task *t,
+              int64_t now_ms)
+{
+  const struct job_step *s = cell_task_step (t);
+  bool patient = now_ms < w->leaving_since_ms + RELEASE_PATIENCE_MS;
+
+  if (t->phase != TASK_RUNNING)
+    return;
+  if (s->lasts
+      && (!is_at_work (t) || s->may_miss == 0
+          || cell_step_missing (t) < s->may_miss))
+    cell_stop_task (c, t, now_ms);
+  else if (!s->lasts && (!patient || (s->checkpoints && t->checkpoint)))
+    cell_stop_task (c, t, now_ms);
+}
+
+bool
+cell_release_worker (struct cell *cell, const char *worker, int64_t now_ms)
+{
+  struct cell_worker *w = g_hash_table_lookup (cell->workers, worker);
+
+  if (w == NULL)
+    return true;
+  if (now_ms > w->leaving_ms)
+    w->leaving_since_ms = now_ms;
+  w->leaving_ms = now_ms + CELL_RELEASE_MS;
+  for (guint i = 0; i < w->tasks->len; i++)
+    release_task (cell, w, g_ptr_array_index (w->tasks, i), now_ms);
+  return w->tasks->len == 0 && cell_workers_settled (cell, now_ms);
+}
--- a/src/fields.c
+++ b/src/fields.c
@@ -176,6 +176,31 @@
   return value;
 }
 
+double
+fields_double (struct fields *fields, const char *name, double min, double max,
+               double fallback)
+{
+  JsonNode *node = ask (fields, name);
+  double value;
+  char *remedy;
+  GType type;
+
+  if (node == NULL && fallback >= min)
+    return fallback;
+  type = node != NULL && JSON_NODE_HOLDS_VALUE (node)
+             ? json_node_get_value_type (node)
+             : G_TYPE_INVALID;
+  value = type == G_TYPE_INT64 || type == G_TYPE_DOUBLE
+              ? json_node_get_double (node)
+              : min - 1;
+  if (value >= min && value <= max)
+    return value;
+  remedy = g_strdup_printf ("write a number from %g to %g", min, max);
+  fields_wrong (fields, name, remedy);
+  g_free (remedy);
+  return min;
+}
+
 bool
 fields_bool (struct fields *fields, const char *name, bool fallback)
 {
--- a/src/fields.h
+++ b/src/fields.h
@@ -35,6 +35,11 @@
 int64_t fields_int (struct fields *fields, const char *name, int64_t min,
                     int64_t max, int64_t fallback);
 
+/* Return number member NAME, which lies within MIN and MAX.  If FALLBACK is
+   below MIN, the member has to be there. */
+double fields_double (struct fields *fields, const char *name, double min,
+                      double max, double fallback);
+
 /* Return truth member NAME, or FALLBACK. */
 bool fields_bool (struct fields *fields, const char *name, bool fallback);
 
--- /dev/null
+++ b/src/job.c
@@ -0,0 +1,317 @@
+#include "job.h"
+
+#include "error.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#define STEP_TYPE "(uuuuxaubbbbbbsssuxu)"
+#define SPEC_TYPE "(ssssxxxuuudxbxa" STEP_TYPE ")"
+
+struct job_step *
+job_step_new (void)
+{
+  struct job_step *s = g_new0 (struct job_step, 1);
+
+  s->after = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  s->label = g_strdup ("");
+  s->near_rack = g_strdup ("");
+  s->image = g_strdup ("");
+  return s;
+}
+
+void
+job_step_destroy (gpointer step)
+{
+  struct job_step *s = step;
+
+  if (s == NULL)
+    return;
+  g_array_unref (s->after);
+  g_free (s->label);
+  g_free (s->near_rack);
+  g_free (s->image);
+  g_free (s);
+}
+
+struct job_spec *
+job_spec_new (const char *id)
+{
+  struct job_spec *s = g_new0 (struct job_spec, 1);
+
+  g_strlcpy (s->id, id, sizeof s->id);
+  s->queue = g_strdup ("");
+  s->service = g_strdup ("");
+  s->payload = g_strdup ("");
+  s->max_attempts = 1;
+  s->stretch = 1;
+  s->steps = g_ptr_array_new_with_free_func (job_step_destroy);
+  return s;
+}
+
+void
+job_spec_destroy (struct job_spec *spec)
+{
+  if (spec == NULL)
+    return;
+  g_free (spec->queue);
+  g_free (spec->service);
+  g_free (spec->payload);
+  g_ptr_array_unref (spec->steps);
+  g_free (spec);
+}
+
+bool
+job_id_is_valid (const char *id)
+{
+  if (strlen (id) != JOB_ID_LENGTH)
+    return false;
+  for (const char *c = id; *c != '\0'; c++)
+    if (!g_ascii_isxdigit (*c))
+      return false;
+  return true;
+}
+
+static bool
+step_is_valid (const struct job_spec *spec, guint place, GError **error)
+{
+  const struct job_step *s = g_ptr_array_index (spec->steps, place);
+
+  if (s->count == 0 || s->count > JOB_MAX_TASKS)
+    {
+      g_set_error (error, SHED_ERROR, ERROR_INVALID,
+                   "step %u has %u tasks; write 1 to %u", place, s->count,
+                   JOB_MAX_TASKS);
+      return false;
+    }
+  for (guint i = 0; i < s->after->len; i++)
+    if (g_array_index (s->after, uint32_t, i) >= spec->steps->len)
+      {
+        g_set_error (error, SHED_ERROR, ERROR_INVALID,
+                     "step %u waits for a step that is not there", place);
+        return false;
+      }
+  return true;
+}
+
+/* Return the longest chain that ends with step PLACE, or -1 if it waits for
+   itself.  LENGTHS holds -1 for "not known" and -2 for "being worked out". */
+static int64_t
+chain_to (const struct job_spec *spec, guint place, int64_t *lengths)
+{
+  const struct job_step *s = g_ptr_array_index (spec->steps, place);
+  int64_t before = 0;
+
+  if (lengths[place] >= 0)
+    return lengths[place];
+  if (lengths[place] == -2)
+    return -1;
+  lengths[place] = -2;
+  for (guint i = 0; i < s->after->len; i++)
+    {
+      uint32_t first = g_array_index (s->after, uint32_t, i);
+      int64_t length = chain_to (spec, first, lengths);
+
+      if (length < 0)
+        return -1;
+      before = MAX (before, length);
+    }
+  lengths[place] = before + MAX (s->estimate_ms, 0);
+  return lengths[place];
+}
+
+static int64_t
+longest_chain (const struct job_spec *spec)
+{
+  int64_t lengths[JOB_MAX_STEPS];
+  int64_t longest = 0;
+
+  for (guint i = 0; i < spec->steps->len; i++)
+    lengths[i] = -1;
+  for (guint i = 0; i < spec->steps->len; i++)
+    {
+      int64_t length = chain_to (spec, i, lengths);
+
+      if (length < 0)
+        return -1;
+      longest = MAX (longest, length);
+    }
+  return longest;
+}
+
+bool
+job_spec_check (const struct job_spec *spec, GError **error)
+{
+  uint64_t tasks = 0;
+
+  if (spec->steps->len == 0 || spec->steps->len > JOB_MAX_STEPS)
+    {
+      g_set_error (error, SHED_ERROR, ERROR_INVALID,
+                   "the job has %u steps; write 1 to %u", spec->steps->len,
+                   JOB_MAX_STEPS);
+      return false;
+    }
+  for (guint i = 0; i < spec->steps->len; i++)
+    {
+      if (!step_is_valid (spec, i, error))
+        return false;
+      tasks += ((struct job_step *)g_ptr_array_index (spec->steps, i))->count;
+    }
+  if (tasks > JOB_MAX_TASKS || spec->occurrences > JOB_MAX_OCCURRENCES)
+    {
+      g_set_error (error, SHED_ERROR, ERROR_INVALID,
+                   "the job is too large; send at most %u tasks",
+                   JOB_MAX_TASKS);
+      return false;
+    }
+  if (longest_chain (spec) < 0)
+    {
+      g_set_error (error, SHED_ERROR, ERROR_INVALID,
+                   "the steps wait for each other in a circle; break it");
+      return false;
+    }
+  return true;
+}
+
+int64_t
+job_spec_chain_ms (const struct job_spec *spec)
+{
+  return MAX (longest_chain (spec), 0);
+}
+
+bool
+job_spec_lasts (const struct job_spec *spec)
+{
+  for (guint i = 0; i < spec->steps->len; i++)
+    if (((struct job_step *)g_ptr_array_index (spec->steps, i))->lasts)
+      return true;
+  return false;
+}
+
+static GVariant *
+step_to_variant (const struct job_step *s)
+{
+  GVariantBuilder after;
+
+  g_variant_builder_init (&after, G_VARIANT_TYPE ("au"));
+  for (guint i = 0; i < s->after->len; i++)
+    g_variant_builder_add (&after, "u", g_array_index (s->after, uint32_t, i));
+  return g_variant_new (STEP_TYPE, s->count, s->cpu_milli, s->memory_mb,
+                        s->gpus, s->estimate_ms, &after, s->is_gang,
+                        s->one_rack, s->checkpoints, s->duplicates, s->lasts,
+                        s->fills, s->label, s->near_rack, s->image,
+                        s->per_worker, s->tail_target_ms, s->may_miss);
+}
+
+static struct job_step *
+step_from_variant (GVariant *v)
+{
+  struct job_step *s = g_new0 (struct job_step, 1);
+  GVariantIter *after;
+  gboolean gang, rack, saves, copies, lasts, fills;
+  uint32_t place;
+
+  s->after = g_array_new (FALSE, FALSE, sizeof (uint32_t));
+  g_variant_get (v, STEP_TYPE, &s->count, &s->cpu_milli, &s->memory_mb,
+                 &s->gpus, &s->estimate_ms, &after, &gang, &rack, &saves,
+                 &copies, &lasts, &fills, &s->label, &s->near_rack, &s->image,
+                 &s->per_worker, &s->tail_target_ms, &s->may_miss);
+  s->is_gang = gang;
+  s->one_rack = rack;
+  s->checkpoints = saves;
+  s->duplicates = copies;
+  s->lasts = lasts;
+  s->fills = fills;
+  while (g_variant_iter_next (after, "u", &place))
+    g_array_append_val (s->after, place);
+  g_variant_iter_free (after);
+  return s;
+}
+
+GBytes *
+job_spec_to_bytes (const struct job_spec *spec)
+{
+  GVariantBuilder steps;
+  GVariant *v;
+  GBytes *bytes;
+
+  g_variant_builder_init (&steps, G_VARIANT_TYPE ("a" STEP_TYPE));
+  for (guint i = 0; i < spec->steps->len; i++)
+    g_variant_builder_add_value (
+        &steps, step_to_variant (g_ptr_array_index (spec->steps, i)));
+  v = g_variant_ref_sink (g_variant_new (
+      SPEC_TYPE, spec->id, spec->queue, spec->service, spec->payload,
+      spec->accepted_ms, spec->first_ms, spec->interval_ms, spec->occurrences,
+      spec->priority, spec->max_attempts, spec->stretch, spec->target_ms,
+      spec->advice.needed, spec->advice.valid_ms, &steps));
+  bytes = g_variant_get_data_as_bytes (v);
+  g_variant_unref (v);
+  return bytes;
+}
+
+struct job_spec *
+job_spec_from_bytes (GBytes *bytes)
+{
+  GVariant *v = g_variant_ref_sink (
+      g_variant_new_from_bytes (G_VARIANT_TYPE (SPEC_TYPE), bytes, FALSE));
+  struct job_spec *s = g_new0 (struct job_spec, 1);
+  const char *id;
+  GVariantIter *steps;
+  GVariant *step;
+  gboolean advised;
+
+  g_variant_get (v, "(&ssssxxxuuudxbxa" STEP_TYPE ")", &id, &s->queue,
+                 &s->service, &s->payload, &s->accepted_ms, &s->first_ms,
+                 &s->interval_ms, &s->occurrences, &s->priority,
+                 &s->max_attempts, &s->stretch, &s->target_ms, &advised,
+                 &s->advice.valid_ms, &steps);
+  g_strlcpy (s->id, id, sizeof s->id);
+  s->advice.needed = advised;
+  s->steps = g_ptr_array_new_with_free_func (job_step_destroy);
+  while ((step = g_variant_iter_next_value (steps)) != NULL)
+    {
+      g_ptr_array_add (s->steps, step_from_variant (step));
+      g_variant_unref (step);
+    }
+  g_variant_iter_free (steps);
+  g_variant_unref (v);
+  if (job_id_is_valid (s->id) && job_spec_check (s, NULL))
+    return s;
+  job_spec_destroy (s);
+  return NULL;
+}
+
+const char *
+job_state_name (enum job_state state)
+{
+  switch (state)
+    {
+    case JOB_PENDING:
+      return "pending";
+    case JOB_RUNNING:
+      return "running";
+    case JOB_COMPLETED:
+      return "completed";
+    case JOB_FAILED:
+      return "failed";
+    case JOB_CANCELLED:
+      return "cancelled";
+    case JOB_STATE_COUNT:
+      break;
+    }
+  return "unknown";
+}
+
+bool
+task_name_parse (const char *text, struct task_name *name)
+{
+  char rest = '\0';
+
+  if (strlen (text) <= JOB_ID_LENGTH || text[JOB_ID_LENGTH] != '.')
+    return false;
+  memcpy (name->job, text, JOB_ID_LENGTH);
+  name->job[JOB_ID_LENGTH] = '\0';
+  return sscanf (text + JOB_ID_LENGTH, ".%u.%u.%u%c", &name->occurrence,
+                 &name->step, &name->index, &rest)
+         == 3;
+}
--- a/src/main.c
+++ b/src/main.c
@@ -2,6 +2,7 @@
 #include "error.h"
 #include "exit_status.h"
 #include "logging.h"
+#include "node.h"
 #include "serve.h"
 #include "settings.h"
 
@@ -21,6 +22,8 @@
     = "Fleet capacity and maintenance manager\v"
       "Commands:\n"
       "  serve --settings FILE   run a node\n"
+      "  node [--settings FILE]  run a node that schedules jobs; FILE also "
+      "comes from BURDOCKSHED_NODE_FILE\n"
       "  check FILE              check settings, a configuration or an "
       "intention\n"
       "  publish FILE            publish a configuration\n"
@@ -175,6 +178,17 @@
   return status;
 }
 
+static int
+run_node (const struct arguments *a)
+{
+  const char *file
+      = a->settings != NULL ? a->settings : getenv ("BURDOCKSHED_NODE_FILE");
+
+  if (file == NULL)
+    return usage ("node needs --settings FILE or BURDOCKSHED_NODE_FILE");
+  return node_run (file);
+}
+
 /* A command that talks to a node. */
 struct node_command
 {
@@ -233,6 +247,8 @@
     return usage ("no command given");
   if (strcmp (a->command, "serve") == 0)
     return serve (a);
+  if (strcmp (a->command, "node") == 0)
+    return run_node (a);
   if (strcmp (a->command, "check") == 0)
     return a->command_options.subject != NULL
                ? command_check (a->command_options.subject)
--- /dev/null
+++ b/src/node.c
@@ -0,0 +1,330 @@
+#include "node.h"
+
+#include "clock.h"
+#include "error.h"
+#include "event_log.h"
+#include "exit_status.h"
+#include "ingress.h"
+#include "node_state.h"
+
+#include <event2/buffer.h>
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+#include <time.h>
+
+/* How often what is due by time is looked for. */
+#define TICK_MS 10
+/* A stopping node answers so long, so that the balancer has seen twice, a
+   second apart, that it is not ready. */
+#define STOP_NOTICE_MS 2600
+/* Kept free at the end of the time that a stop may take. */
+#define STOP_SPARE_MS 900
+/* Unix time less the steady clock changes by less than this, unless the time
+   of day has jumped. */
+#define WALL_JUMP_MS 300
+/* A new time of day is believed after so long. */
+#define WALL_BELIEF_MS 15000
+/* The loop was kept from running for so long: a pause worth a line. */
+#define PAUSE_MS 700
+
+int64_t
+node_now_ms (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_BOOTTIME, &t);
+  return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
+}
+
+int64_t
+node_wall_ms (const struct node *n)
+{
+  return node_now_ms () + n->wall_offset_ms;
+}
+
+/* Follow the time of day, but not at once where it jumps: schedules would
+   start early, and it may jump back. */
+static void
+watch_wall (struct node *n, int64_t now_ms)
+{
+  int64_t offset_ms = clock_wall_ms () - now_ms;
+
+  if (n->wall_offset_ms == 0)
+    n->wall_offset_ms = offset_ms;
+  if (ABS (offset_ms - n->wall_offset_ms) < WALL_JUMP_MS)
+    {
+      n->wall_offset_ms = offset_ms;
+      n->wall_other_since_ms = now_ms;
+      return;
+    }
+  if (ABS (offset_ms - n->wall_other_ms) >= WALL_JUMP_MS)
+    {
+      n->wall_other_ms = offset_ms;
+      n->wall_other_since_ms = now_ms;
+      event_log ("clock-jump", "", "by_ms=%" G_GINT64_FORMAT,
+                 offset_ms - n->wall_offset_ms);
+    }
+  if (now_ms > n->wall_other_since_ms + WALL_BELIEF_MS)
+    n->wall_offset_ms = offset_ms;
+}
+
+static void
+run_dirty (evutil_socket_t fd, short events, void *data)
+{
+  struct node *n = data;
+  GHashTableIter iter;
+  gpointer value;
+  int64_t now_ms = node_now_ms ();
+
+  g_hash_table_iter_init (&iter, n->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((struct host *)value)->dirty)
+      host_run (value, now_ms);
+}
+
+void
+node_run_soon (struct node *n, struct host *host)
+{
+  host->dirty = true;
+  event_active (n->soon, EV_TIMEOUT, 0);
+}
+
+static void
+begin_stop (struct node *n)
+{
+  n->stopping = true;
+  n->stop_begun_ms = node_now_ms ();
+  event_log ("stopping", n->address, "cells=%u requests=%u",
+             g_hash_table_size (n->hosts), ingress_open_requests (n->ingress));
+  owner_leave (n);
+}
+
+static void
+tick_stop (struct node *n, int64_t now_ms)
+{
+  int64_t since_ms = now_ms - n->stop_begun_ms;
+
+  if ((since_ms > STOP_NOTICE_MS && ingress_open_requests (n->ingress) == 0)
+      || since_ms > n->settings->stop_ms - STOP_SPARE_MS)
+    event_base_loopbreak (n->base);
+}
+
+static void
+on_tick (evutil_socket_t fd, short events, void *data)
+{
+  struct node *n = data;
+  int64_t now_ms = node_now_ms ();
+  GHashTableIter iter;
+  gpointer value;
+
+  if (n->ticked_ms != 0 && now_ms > n->ticked_ms + PAUSE_MS)
+    event_log ("paused", n->address, "for_ms=%" G_GINT64_FORMAT,
+               now_ms - n->ticked_ms);
+  n->ticked_ms = now_ms;
+  watch_wall (n, now_ms);
+  directory_tick (n, now_ms);
+  owner_tick (n, now_ms);
+  g_hash_table_iter_init (&iter, n->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    host_tick (value, now_ms);
+  fleet_tick (n, now_ms);
+  front_tick (n->front, now_ms);
+  if (n->routes != NULL && n->routes->version != n->limits_version)
+    {
+      n->limits_version = n->routes->version;
+      ingress_apply_limits (n->ingress);
+    }
+  if (n->stopping)
+    tick_stop (n, now_ms);
+  event_log_flush ();
+}
+
+static void
+on_stop_signal (evutil_socket_t fd, short events, void *data)
+{
+  struct node *n = data;
+
+  if (!n->stopping)
+    begin_stop (n);
+}
+
+/* The settings that can change while a node runs are its figures; its
+   addresses stay until it starts anew. */
+static void
+on_reload_signal (evutil_socket_t fd, short events, void *data)
+{
+  struct node *n = data;
+  GError *error = NULL;
+  struct node_settings *s = node_settings_read (n->settings_file, &error);
+
+  if (s == NULL)
+    {
+      event_log ("reload", n->settings_file, "outcome=kept-old cause=%s",
+                 error->message);
+      g_error_free (error);
+      return;
+    }
+  n->settings->stop_ms = s->stop_ms;
+  n->settings->keep_state_ms = s->keep_state_ms;
+  n->settings->upkeep_ms = s->upkeep_ms;
+  n->settings->move_ms = s->move_ms;
+  node_settings_destroy (s);
+  event_log ("reload", n->settings_file, "outcome=taken");
+}
+
+static void
+on_metrics (struct evhttp_request *request, void *data)
+{
+  struct node *n = data;
+  GString *text = g_string_new (NULL);
+  struct evbuffer *body = evbuffer_new ();
+  GHashTableIter iter;
+  gpointer value;
+
+  meters_render (n->meters, text);
+  g_string_append_printf (text, "log_lines_dropped %" G_GUINT64_FORMAT "\n",
+                          event_log_dropped ());
+  g_hash_table_iter_init (&iter, n->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct host *h = value;
+      struct cell_figures f;
+
+      if (h->cell == NULL)
+        continue;
+      cell_get_figures (h->cell, &f);
+      g_string_append_printf (
+          text,
+          "cell_jobs_open{service=\"%s\"} %u\n"
+          "cell_tasks_running{service=\"%s\"} %u\n"
+          "cell_tasks_waiting{service=\"%s\"} %u\n"
+          "cell_workers{service=\"%s\"} %u\n",
+          h->service, f.jobs_open, h->service, f.tasks_running, h->service,
+          f.tasks_waiting, h->service, f.workers);
+    }
+  evbuffer_add (body, text->str, text->len);
+  evhttp_add_header (evhttp_request_get_output_headers (request),
+                     "Content-Type", "text/plain");
+  evhttp_send_reply (request, 200, "OK", body);
+  evbuffer_free (body);
+  g_string_free (text, TRUE);
+}
+
+static void
+listen_metrics (struct node *n)
+{
+  n->metrics_server = evhttp_new (n->base);
+  evhttp_set_gencb (n->metrics_server, on_metrics, n);
+  if (evhttp_bind_socket (n->metrics_server, n->settings->ip,
+                          n->settings->metrics_port)
+      != 0)
+    event_log ("metrics-off", n->address, "port=%u cause=taken",
+               n->settings->metrics_port);
+}
+
+static bool
+node_start (struct node *n, GError **error)
+{
+  struct timeval tick = { 0, TICK_MS * 1000 };
+
+  n->base = event_base_new ();
+  n->client = http_client_new (n->base);
+  n->store = store_new (n->client, n->settings->store);
+  n->meters = meters_new ();
+  n->address = g_strdup_printf ("%s:%u", n->settings->ip,
+                                n->settings->peer_port);
+  g_queue_init (&n->fleet.writes);
+  directory_start (n);
+  owner_start (n);
+  n->front = front_new (n);
+  n->peer_server = peers_listen (n);
+  if (n->peer_server == NULL)
+    {
+      g_set_error (error, SHED_ERROR, ERROR_UNREACHABLE,
+                   "can't listen at %s; free the port or change peer_port",
+                   n->address);
+      return false;
+    }
+  n->ingress = ingress_new (n->base, n->front, n->meters, n->settings->callers,
+                            n->settings->readiness, error);
+  if (n->ingress == NULL)
+    return false;
+  listen_metrics (n);
+  n->soon = event_new (n->base, -1, 0, run_dirty, n);
+  n->tick = event_new (n->base, -1, EV_PERSIST, on_tick, n);
+  event_add (n->tick, &tick);
+  event_active (n->tick, EV_TIMEOUT, 0);
+  return true;
+}
+
+static void
+node_finish (struct node *n)
+{
+  g_hash_table_remove_all (n->hosts);
+  fleet_clear (n);
+  if (n->tick != NULL)
+    event_free (n->tick);
+  if (n->soon != NULL)
+    event_free (n->soon);
+  ingress_destroy (n->ingress);
+  if (n->peer_server != NULL)
+    evhttp_free (n->peer_server);
+  if (n->metrics_server != NULL)
+    evhttp_free (n->metrics_server);
+  http_client_destroy (n->client);
+  front_destroy (n->front);
+  store_destroy (n->store);
+  g_hash_table_unref (n->hosts);
+  g_array_unref (n->owner.parts);
+  g_ptr_array_unref (n->owner.owners);
+  directory_clear (n);
+  routes_destroy (n->routes);
+  meters_destroy (n->meters);
+  node_settings_destroy (n->settings);
+  event_base_free (n->base);
+  g_free (n->address);
+}
+
+int
+node_run (const char *settings_file)
+{
+  struct node n = { .settings_file = settings_file };
+  GError *error = NULL;
+  struct event *stop, *interrupt, *reload;
+
+  signal (SIGPIPE, SIG_IGN);
+  n.settings = node_settings_read (settings_file, &error);
+  if (n.settings == NULL)
+    {
+      fprintf (stderr, "burdockshed: %s\n", error->message);
+      g_error_free (error);
+      return EXIT_STATUS_USAGE;
+    }
+  event_log_set_up (n.settings->node);
+  if (!node_start (&n, &error))
+    {
+      event_log ("start-failed", n.address, "cause=%s", error->message);
+      event_log_flush ();
+      g_error_free (error);
+      node_finish (&n);
+      return EXIT_STATUS_UNREACHABLE;
+    }
+  stop = evsignal_new (n.base, SIGTERM, on_stop_signal, &n);
+  interrupt = evsignal_new (n.base, SIGINT, on_stop_signal, &n);
+  reload = evsignal_new (n.base, SIGHUP, on_reload_signal, &n);
+  event_add (stop, NULL);
+  event_add (interrupt, NULL);
+  event_add (reload, NULL);
+  event_log ("serving", n.address, "callers=%s store=%s version=%s",
+             n.settings->callers, n.settings->store, BURDOCKSHED_VERSION);
+  event_base_dispatch (n.base);
+  event_log ("stopped", n.address, "requests_open=%u",
+             ingress_open_requests (n.ingress));
+  event_log_flush ();
+  event_free (stop);
+  event_free (interrupt);
+  event_free (reload);
+  node_finish (&n);
+  return EXIT_STATUS_DONE;
+}
--- /dev/null
+++ b/src/node.h
@@ -0,0 +1,10 @@
+#ifndef NODE_H
+#define NODE_H
+
+/* A node that schedules jobs on the users' platform. */
+
+/* Run a node with the settings in SETTINGS_FILE until it is told to stop.
+   Return the process exit status. */
+int node_run (const char *settings_file);
+
+#endif
--- /dev/null
+++ b/src/node_fleet.c
@@ -0,0 +1,478 @@
+#include "node_state.h"
+
+#include "event_log.h"
+#include "wire.h"
+#include "workers.h"
+
+#include <string.h>
+
+/* One node, the owner of the fleet's part, carries out maintenance waves.  Its
+   epoch is the fencing token of its orders for machines. */
+
+#define EPOCH_STREAM "epochs"
+#define UPKEEP_STREAM "keyed.upkeep"
+#define WRITER "fleet"
+#define RETRY_MS 300
+/* Between two looks at the list of machines while a wave goes on. */
+#define ROUND_GAP_MS 250
+/* Added to the time between orders of two holders. */
+#define HOLDER_SPARE_MS 400
+/* A holder that has not been confirmed for so long orders nothing. */
+#define HOLDER_SURE_MS 2400
+/* The list shows an upkeep late by so much. */
+#define LIST_LAG_MS 300
+#define RELEASE_PATIENCE_MS 1000
+
+enum fleet_stream
+{
+  FLEET_STATUS,
+  FLEET_UPKEEP
+};
+
+static struct fleet_write *
+write_new (enum fleet_stream stream, char *key, char *value)
+{
+  struct fleet_write *w = g_new0 (struct fleet_write, 1);
+
+  w->stream = g_strdup (stream == FLEET_STATUS ? STREAM_STATUS
+                                               : UPKEEP_STREAM);
+  w->key = key;
+  w->value = value;
+  return w;
+}
+
+static void
+write_destroy (gpointer p)
+{
+  struct fleet_write *w = p;
+
+  g_free (w->stream);
+  g_free (w->key);
+  g_free (w->value);
+  g_free (w);
+}
+
+static void
+let_go (struct node *n)
+{
+  struct fleet_state *f = &n->fleet;
+
+  if (f->epoch != 0)
+    event_log ("fleet-left", "", "epoch=%" G_GUINT64_FORMAT, f->epoch);
+  f->epoch = 0;
+  f->loaded = false;
+  g_queue_clear_full (&f->writes, write_destroy);
+  g_clear_pointer (&f->upkeep, upkeep_destroy);
+  g_clear_pointer (&f->machines, g_ptr_array_unref);
+  g_clear_pointer (&f->announced, g_hash_table_unref);
+}
+
+void
+fleet_set_owned (struct node *n, bool owned, int64_t confirmed_ms)
+{
+  struct fleet_state *f = &n->fleet;
+
+  if (owned)
+    f->confirmed_ms = MAX (f->confirmed_ms, confirmed_ms);
+  if (!owned && f->owned)
+    let_go (n);
+  f->owned = owned;
+}
+
+void
+fleet_clear (struct node *n)
+{
+  let_go (n);
+}
+
+static bool
+is_current (const struct fleet_state *f, uint64_t epoch)
+{
+  return f->owned && epoch != 0 && f->epoch == epoch;
+}
+
+/* What an answer goes with: by then another epoch may have begun. */
+struct fleet_call
+{
+  struct node *node;
+  uint64_t epoch;
+  int64_t wave;
+  char *machine;
+  char *service;
+  char *worker;
+};
+
+static struct fleet_call *
+call_new (struct node *n, int64_t wave, const struct machine *m)
+{
+  struct fleet_call *call = g_new0 (struct fleet_call, 1);
+
+  call->node = n;
+  call->epoch = n->fleet.epoch;
+  call->wave = wave;
+  if (m != NULL)
+    {
+      call->machine = g_strdup (m->name);
+      call->service = g_strdup (m->service);
+      call->worker = g_strdup (m->worker);
+    }
+  return call;
+}
+
+static void
+call_destroy (struct fleet_call *call)
+{
+  g_free (call->machine);
+  g_free (call->service);
+  g_free (call->worker);
+  g_free (call);
+}
+
+/* Taking the duty. */
+
+static void
+on_epoch (void *data, const struct store_appended *a)
+{
+  struct node *n = data;
+  struct fleet_state *f = &n->fleet;
+  int64_t now_ms = node_now_ms ();
+
+  f->call_out = false;
+  f->retry_ms = now_ms + RETRY_MS;
+  if (a->result != STORE_DONE || !f->owned || f->epoch != 0)
+    return;
+  f->epoch = a->offset + 1;
+  f->since_ms = now_ms;
+  f->retry_ms = now_ms;
+  f->upkeep = upkeep_new ();
+  f->announced = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  f->sequences[FLEET_STATUS] = 1;
+  f->sequences[FLEET_UPKEEP] = 1;
+  event_log ("fleet-taken", "", "epoch=%" G_GUINT64_FORMAT, f->epoch);
+}
+
+static void
+load_begun (struct fleet_state *f, const struct store_record *r,
+            int64_t now_ms)
+{
+  gsize size;
+  const char *text = g_bytes_get_data (r->value, &size);
+  char *copy = g_strndup (text, size);
+  char **names = g_strsplit (copy, ",", -1);
+  int64_t wave = g_ascii_strtoll (r->key, NULL, 10);
+
+  for (char **name = names; *name != NULL; name++)
+    if (**name != '\0')
+      upkeep_machine_begun (f->upkeep, wave, *name, now_ms);
+  g_strfreev (names);
+  g_free (copy);
+}
+
+static void
+on_upkeep_page (void *data, const struct store_page *page)
+{
+  struct fleet_call *call = data;
+  struct fleet_state *f = &call->node->fleet;
+  int64_t now_ms = node_now_ms ();
+
+  f->call_out = false;
+  f->retry_ms = now_ms + RETRY_MS;
+  if (is_current (f, call->epoch) && page->result == STORE_DONE)
+    {
+      for (guint i = 0; i < page->records->len; i++)
+        {
+          const struct store_record *r = g_ptr_array_index (page->records, i);
+
+          if (r->value != NULL)
+            load_begun (f, r, now_ms);
+        }
+      f->loaded = true;
+    }
+  call_destroy (call);
+}
+
+/* Writing: one at a time, in order, each until it is done. */
+
+static void
+on_written (void *data, const struct store_appended *a)
+{
+  struct fleet_call *call = data;
+  struct fleet_state *f = &call->node->fleet;
+
+  f->write_out = false;
+  f->retry_ms = node_now_ms () + RETRY_MS;
+  if (is_current (f, call->epoch))
+    {
+      struct fleet_write *w = g_queue_peek_head (&f->writes);
+      uint64_t *sequence
+          = &f->sequences[strcmp (w->stream, STREAM_STATUS) == 0
+                              ? FLEET_STATUS
+                              : FLEET_UPKEEP];
+
+      if (a->result == STORE_DONE)
+        {
+          ++*sequence;
+          f->retry_ms = node_now_ms ();
+          write_destroy (g_queue_pop_head (&f->writes));
+        }
+      else if (a->result == STORE_SEQUENCE)
+        *sequence = a->next_sequence;
+      else if (a->result == STORE_FENCED)
+        let_go (call->node);
+    }
+  call_destroy (call);
+}
+
+static void
+write_next (struct node *n)
+{
+  struct fleet_state *f = &n->fleet;
+  const struct fleet_write *w = g_queue_peek_head (&f->writes);
+  struct store_writer writer = { WRITER, f->epoch, 0 };
+  GPtrArray *entries;
+  GBytes *value;
+
+  if (w == NULL || f->write_out || node_now_ms () < f->retry_ms)
+    return;
+  writer.sequence
+      = f->sequences[strcmp (w->stream, STREAM_STATUS) == 0 ? FLEET_STATUS
+                                                            : FLEET_UPKEEP];
+  value = g_bytes_new (w->value, strlen (w->value));
+  entries = g_ptr_array_new_with_free_func (journal_entry_free);
+  g_ptr_array_add (entries, journal_entry_new (w->key, value));
+  f->write_out = true;
+  store_append (n->store, w->stream, &writer, entries, on_written,
+                call_new (n, 0, NULL));
+  g_ptr_array_unref (entries);
+  g_bytes_unref (value);
+}
+
+static void
+announce (struct node *n, int64_t wave, bool is_completed)
+{
+  struct fleet_state *f = &n->fleet;
+  char *mark = g_strdup_printf ("%" G_GINT64_FORMAT "%s", wave,
+                                is_completed ? " completed" : "");
+
+  if (!g_hash_table_add (f->announced, mark))
+    return;
+  event_log ("wave", "", "wave=%" G_GINT64_FORMAT " state=%s", wave,
+             is_completed ? "completed" : "running");
+  g_queue_push_tail (&f->writes,
+                     write_new (FLEET_STATUS, wire_wave_key (wave),
+                                wire_wave_status (wave, is_completed)));
+}
+
+/* Orders. */
+
+static void
+on_told (void *data, const struct front_answer *answer)
+{
+}
+
+static void
+note_begun (struct node *n, const struct fleet_call *call)
+{
+  struct fleet_state *f = &n->fleet;
+  struct front_ask ask = { .verb = FRONT_ENDED,
+                           .service = call->service,
+                           .subject = call->worker,
+                           .patience_ms = RELEASE_PATIENCE_MS };
+
+  meters_add (n->meters, METER_UPKEEPS, 1);
+  upkeep_machine_begun (f->upkeep, call->wave, call->machine, node_now_ms ());
+  g_queue_push_tail (
+      &f->writes,
+      write_new (FLEET_UPKEEP, g_strdup_printf ("%" G_GINT64_FORMAT, call->wave),
+                 upkeep_begun_text (f->upkeep, call->wave)));
+  if (call->worker[0] != '\0')
+    front_ask (n->front, &ask, on_told, NULL);
+}
+
+static void
+on_upkeep_ordered (void *data, enum machine_answer answer)
+{
+  struct fleet_call *call = data;
+  struct node *n = call->node;
+
+  n->fleet.orders_out--;
+  event_log ("machine-upkeep", call->machine,
+             "wave=%" G_GINT64_FORMAT " service=%s worker=%s outcome=%d",
+             call->wave, call->service, call->worker, (int)answer);
+  if (is_current (&n->fleet, call->epoch))
+    switch (answer)
+      {
+      case MACHINE_ORDER_DONE:
+      case MACHINE_ORDER_REFUSED:
+        note_begun (n, call);
+        break;
+      case MACHINE_ORDER_FENCED:
+        let_go (n);
+        n->fleet.retry_ms = node_now_ms () + n->settings->holder_lease_ms;
+        break;
+      case MACHINE_ORDER_BUSY:
+      case MACHINE_ORDER_UNCLEAR:
+        meters_add (n->meters, METER_MACHINE_ORDERS_RETRIED, 1);
+        break;
+      }
+  call_destroy (call);
+}
+
+static void
+order_upkeep (struct fleet_call *call)
+{
+  struct node *n = call->node;
+  struct machine_order order = { .holder = n->settings->node,
+                                 .fencing_token = n->fleet.epoch,
+                                 .machine = call->machine,
+                                 .wave = call->wave };
+
+  machine_order_send (n->client, n->settings->machines, &order,
+                      on_upkeep_ordered, call);
+}
+
+static void
+on_released (void *data, const struct front_answer *answer)
+{
+  struct fleet_call *call = data;
+  struct fleet_state *f = &call->node->fleet;
+
+  if (is_current (f, call->epoch) && answer->result == FRONT_DONE
+      && answer->number == 1
+      && node_now_ms () < f->confirmed_ms + HOLDER_SURE_MS)
+    {
+      order_upkeep (call);
+      return;
+    }
+  f->orders_out--;
+  call_destroy (call);
+}
+
+static void
+empty_machine (struct node *n, const struct upkeep_step *step)
+{
+  struct fleet_call *call = call_new (n, step->wave, step->machine);
+  struct front_ask ask = { .verb = FRONT_RELEASE,
+                           .service = call->service,
+                           .subject = call->worker,
+                           .patience_ms = RELEASE_PATIENCE_MS };
+
+  n->fleet.orders_out++;
+  if (call->worker[0] == '\0')
+    order_upkeep (call);
+  else
+    front_ask (n->front, &ask, on_released, call);
+}
+
+/* Take in the waves that operators have asked for. */
+static void
+take_waves (struct node *n, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer key, value;
+
+  g_hash_table_iter_init (&iter, n->waves);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    {
+      gsize size;
+      const void *text = g_bytes_get_data (value, &size);
+      struct wave_request *r;
+
+      if (g_hash_table_contains (n->waves_done, key))
+        {
+          if (wire_wave_number (key) >= 0)
+            upkeep_wave_completed (n->fleet.upkeep, wire_wave_number (key));
+          continue;
+        }
+      r = wire_read_wave (text, size);
+      if (r == NULL)
+        continue;
+      announce (n, r->number, false);
+      upkeep_add_wave (n->fleet.upkeep, r, now_ms);
+    }
+}
+
+static void
+carry_out (struct node *n, int64_t now_ms)
+{
+  struct fleet_state *f = &n->fleet;
+  GArray *steps = g_array_new (FALSE, FALSE, sizeof (struct upkeep_step));
+
+  upkeep_plan (f->upkeep, f->machines, n->settings->upkeep_ms + LIST_LAG_MS,
+               now_ms, steps);
+  for (guint i = 0; i < steps->len; i++)
+    {
+      const struct upkeep_step *step
+          = &g_array_index (steps, struct upkeep_step, i);
+
+      switch (step->kind)
+        {
+        case UPKEEP_EMPTY:
+          empty_machine (n, step);
+          break;
+        case UPKEEP_COMPLETE:
+          announce (n, step->wave, true);
+          upkeep_wave_completed (f->upkeep, step->wave);
+          break;
+        case UPKEEP_NOTHING:
+          break;
+        }
+    }
+  g_array_unref (steps);
+}
+
+static void
+on_machines (void *data, GPtrArray *machines)
+{
+  struct fleet_call *call = data;
+  struct node *n = call->node;
+  struct fleet_state *f = &n->fleet;
+  int64_t now_ms = node_now_ms ();
+
+  f->round_out = false;
+  f->round_ms = now_ms + ROUND_GAP_MS;
+  if (is_current (f, call->epoch) && machines != NULL)
+    {
+      g_clear_pointer (&f->machines, g_ptr_array_unref);
+      f->machines = g_ptr_array_ref (machines);
+      carry_out (n, now_ms);
+    }
+  call_destroy (call);
+}
+
+void
+fleet_tick (struct node *n, int64_t now_ms)
+{
+  struct fleet_state *f = &n->fleet;
+
+  if (!f->owned || n->stopping || n->settings->machines[0] == '\0')
+    return;
+  if (f->epoch != 0 && f->loaded)
+    write_next (n);
+  if (f->call_out || now_ms < f->retry_ms)
+    return;
+  if (f->epoch == 0)
+    {
+      f->call_out = true;
+      store_append_text (n->store, EPOCH_STREAM, WRITER, on_epoch, n);
+      return;
+    }
+  if (!n->config.has_list || !n->status.has_list)
+    return;
+  take_waves (n, now_ms);
+  if (!f->loaded)
+    {
+      f->call_out = true;
+      store_newest (n->store, UPKEEP_STREAM, NULL, on_upkeep_page,
+                    call_new (n, 0, NULL));
+      return;
+    }
+  if (f->round_out || f->orders_out > 0 || now_ms < f->round_ms
+      || !upkeep_has_work (f->upkeep)
+      || now_ms < f->since_ms + n->settings->holder_lease_ms + HOLDER_SPARE_MS
+      || now_ms > f->confirmed_ms + HOLDER_SURE_MS)
+    return;
+  f->round_out = true;
+  machines_read (n->client, n->settings->machines, on_machines,
+                 call_new (n, 0, NULL));
+}
--- /dev/null
+++ b/src/node_host.c
@@ -0,0 +1,693 @@
+#include "node_state.h"
+
+#include "event_log.h"
+#include "workers.h"
+
+#include <string.h>
+
+/* The stream whose offsets are epochs: each is given once, and they rise. */
+#define EPOCH_STREAM "epochs"
+#define JOURNAL_PREFIX "keyed.jobs."
+#define WRITER "cell"
+/* An owner that the store has not confirmed for so long starts and holds
+   nothing more.  Longer than a usual outage of the store. */
+#define OWNER_SURE_MS 8000
+/* By then what an earlier owner has started has ended, wherever the new one
+   does not reach: it was sure for so long, and then its leases ran out on
+   clocks that may be slow. */
+#define FOREIGN_LEASE_MS 12500
+/* An answer "no such job" needs an ownership as fresh as this. */
+#define KNOWS_ALL_MS 1800
+/* After a call of the takeover that failed. */
+#define RETRY_MS 200
+/* After the cell was lost to a higher epoch, before it is taken again. */
+#define FENCED_PAUSE_MS 1000
+
+struct local_ask
+{
+  enum front_verb verb;
+  front_done done;
+  void *data;
+  int64_t begun_ms;
+};
+
+/* What an answer from outside goes with: the host may be gone by then. */
+struct host_call
+{
+  struct node *node;
+  uint32_t serial;
+  char *service;
+  char *worker;
+  char *task;
+  uint64_t run;
+  int64_t sent_ms;
+};
+
+static struct host_call *
+call_new (struct host *h, const char *worker, const char *task, uint64_t run,
+          int64_t now_ms)
+{
+  struct host_call *call = g_new0 (struct host_call, 1);
+
+  call->node = h->node;
+  call->serial = h->serial;
+  call->service = g_strdup (h->service);
+  call->worker = g_strdup (worker);
+  call->task = g_strdup (task);
+  call->run = run;
+  call->sent_ms = now_ms;
+  return call;
+}
+
+static void
+call_destroy (struct host_call *call)
+{
+  g_free (call->service);
+  g_free (call->worker);
+  g_free (call->task);
+  g_free (call);
+}
+
+static struct host *
+call_host (const struct host_call *call)
+{
+  struct host *h = g_hash_table_lookup (call->node->hosts, call->service);
+
+  return h != NULL && h->serial == call->serial ? h : NULL;
+}
+
+static char *
+journal_stream (const struct host *h)
+{
+  return g_strconcat (JOURNAL_PREFIX, h->service, NULL);
+}
+
+struct host *
+host_new (struct node *n, const char *service, int64_t now_ms)
+{
+  struct host *h = g_new0 (struct host, 1);
+
+  h->node = n;
+  h->service = g_strdup (service);
+  h->serial = ++n->serial;
+  h->phase = HOST_CLAIMING;
+  h->asks = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  h->confirmed_ms = n->owner.joined_ms;
+  return h;
+}
+
+static void
+finish_ask (struct local_ask *ask, enum front_result result)
+{
+  struct front_answer answer = { .result = result };
+
+  ask->done (ask->data, &answer);
+}
+
+/* Whoever waits for this owner's journal can't be told how it went. */
+static void
+abandon_asks (struct host *h)
+{
+  GHashTableIter iter;
+  gpointer value;
+  GPtrArray *all = g_ptr_array_new ();
+
+  g_hash_table_iter_init (&iter, h->asks);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    g_ptr_array_add (all, g_memdup2 (value, sizeof (struct local_ask)));
+  g_hash_table_remove_all (h->asks);
+  for (guint i = 0; i < all->len; i++)
+    {
+      finish_ask (g_ptr_array_index (all, i), FRONT_UNCLEAR);
+      g_free (g_ptr_array_index (all, i));
+    }
+  g_ptr_array_unref (all);
+}
+
+void
+host_destroy (gpointer host)
+{
+  struct host *h = host;
+
+  abandon_asks (h);
+  g_hash_table_unref (h->asks);
+  cell_destroy (h->cell);
+  if (h->loaded != NULL)
+    g_ptr_array_unref (h->loaded);
+  g_free (h->service);
+  g_free (h);
+}
+
+bool
+host_is_sure (const struct host *host, int64_t now_ms)
+{
+  return now_ms < host->confirmed_ms + OWNER_SURE_MS;
+}
+
+/* Takeover. */
+
+static void
+restart_takeover (struct host *h, int64_t pause_ms, int64_t now_ms)
+{
+  abandon_asks (h);
+  g_clear_pointer (&h->cell, cell_destroy);
+  g_clear_pointer (&h->loaded, g_ptr_array_unref);
+  h->phase = HOST_CLAIMING;
+  h->epoch = 0;
+  h->serial = ++h->node->serial; /* answers on their way are void */
+  h->call_out = false;
+  h->retry_ms = now_ms + pause_ms;
+}
+
+static void
+on_epoch (void *data, const struct store_appended *a)
+{
+  struct host_call *call = data;
+  struct host *h = call_host (call);
+  int64_t now_ms = node_now_ms ();
+
+  if (h != NULL)
+    {
+      h->call_out = false;
+      h->retry_ms = now_ms + RETRY_MS;
+      if (a->result == STORE_DONE)
+        {
+          h->epoch = a->offset + 1;
+          h->phase = HOST_FENCING;
+          h->retry_ms = now_ms;
+        }
+    }
+  call_destroy (call);
+}
+
+static void
+on_fenced (void *data, const struct store_appended *a)
+{
+  struct host_call *call = data;
+  struct host *h = call_host (call);
+  int64_t now_ms = node_now_ms ();
+
+  if (h != NULL)
+    {
+      h->call_out = false;
+      h->retry_ms = now_ms + RETRY_MS;
+      if (a->result == STORE_DONE || a->result == STORE_SEQUENCE)
+        {
+          h->phase = HOST_LOADING;
+          h->retry_ms = now_ms;
+          h->loaded = g_ptr_array_new_with_free_func (
+              (GDestroyNotify)journal_entry_free);
+        }
+      else if (a->result == STORE_FENCED)
+        restart_takeover (h, FENCED_PAUSE_MS, now_ms);
+    }
+  call_destroy (call);
+}
+
+static void
+load_kind (struct host *h, char kind)
+{
+  for (guint i = 0; i < h->loaded->len; i++)
+    {
+      const struct journal_entry *e = g_ptr_array_index (h->loaded, i);
+
+      if (e->key[0] == kind && e->value != NULL)
+        cell_load (h->cell, e->key, e->value);
+    }
+}
+
+static void
+list_workers (struct host *h, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, h->node->workers);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct worker_entry *e = value;
+
+      if (strcmp (e->service, h->service) == 0)
+        cell_worker_listed (h->cell, e, now_ms);
+    }
+}
+
+static bool
+workers_admit (const struct node *n, const char *service)
+{
+  int place = routes_find_service (n->routes, service);
+
+  return place >= 0
+         && ((const struct service_entry *)g_ptr_array_index (
+                 n->routes->services, place))
+                ->admits;
+}
+
+static void
+activate (struct host *h, int64_t now_ms)
+{
+  const struct node_settings *s = h->node->settings;
+  struct cell_options options = {
+    .service = h->service,
+    .epoch = h->epoch,
+    .workers_admit = workers_admit (h->node, h->service),
+    .hold_max_ms = s->worker_lease_max_ms,
+    .stop_grace_ms = s->stop_grace_ms,
+    .early_ms = s->early_ms,
+    .keep_state_ms = s->keep_state_ms,
+    .foreign_lease_ms = FOREIGN_LEASE_MS,
+  };
+
+  h->cell = cell_new (&options, now_ms);
+  load_kind (h, 'j');
+  load_kind (h, 'p');
+  load_kind (h, 'w');
+  g_clear_pointer (&h->loaded, g_ptr_array_unref);
+  list_workers (h, now_ms);
+  cell_activate (h->cell, now_ms);
+  h->phase = HOST_ACTIVE;
+  meters_add (h->node->meters, METER_TAKEOVERS, 1);
+  node_run_soon (h->node, h);
+}
+
+static void
+on_journal_page (void *data, const struct store_page *page)
+{
+  struct host_call *call = data;
+  struct host *h = call_host (call);
+  int64_t now_ms = node_now_ms ();
+
+  if (h != NULL)
+    {
+      h->call_out = false;
+      h->retry_ms = now_ms + RETRY_MS;
+      if (page->result == STORE_DONE)
+        {
+          for (guint i = 0; i < page->records->len; i++)
+            {
+              const struct store_record *r
+                  = g_ptr_array_index (page->records, i);
+
+              g_ptr_array_add (h->loaded,
+                               journal_entry_new (r->key, r->value));
+            }
+          h->retry_ms = now_ms;
+          if (!page->more || page->records->len == 0)
+            activate (h, now_ms);
+        }
+    }
+  call_destroy (call);
+}
+
+static void
+take_over (struct host *h, int64_t now_ms)
+{
+  struct store_writer writer = { WRITER, h->epoch, 0 };
+  struct host_call *call;
+  const struct journal_entry *last;
+  char *stream;
+
+  if (h->call_out || now_ms < h->retry_ms || h->phase == HOST_ACTIVE)
+    return;
+  call = call_new (h, NULL, NULL, 0, now_ms);
+  stream = journal_stream (h);
+  h->call_out = true;
+  switch (h->phase)
+    {
+    case HOST_CLAIMING:
+      store_append_text (h->node->store, EPOCH_STREAM, h->service, on_epoch,
+                         call);
+      break;
+    case HOST_FENCING:
+      store_append (h->node->store, stream, &writer, NULL, on_fenced, call);
+      break;
+    case HOST_LOADING:
+      last = h->loaded->len > 0
+                 ? g_ptr_array_index (h->loaded, h->loaded->len - 1)
+                 : NULL;
+      store_newest (h->node->store, stream, last != NULL ? last->key : NULL,
+                    on_journal_page, call);
+      break;
+    case HOST_ACTIVE:
+      break;
+    }
+  g_free (stream);
+}
+
+/* Orders of the cell. */
+
+static void
+count_start (struct node *n, enum run_answer answer)
+{
+  switch (answer)
+    {
+    case RUN_ACCEPTED:
+      break;
+    case RUN_NO_ANSWER:
+      meters_add (n->meters, METER_STARTS_NO_ANSWER, 1);
+      break;
+    case RUN_NO_ROOM:
+      meters_add (n->meters, METER_STARTS_NO_ROOM, 1);
+      break;
+    default:
+      meters_add (n->meters, METER_STARTS_REFUSED, 1);
+      break;
+    }
+}
+
+static const char *
+run_answer_name (enum run_answer answer)
+{
+  static const char *const names[]
+      = { "accepted", "no-answer", "fenced",    "old", "late",
+          "no-room",  "no-ticket", "unhealthy", "gone" };
+
+  return names[answer];
+}
+
+static void
+on_started (void *data, enum run_answer answer)
+{
+  struct host_call *call = data;
+  struct host *h = call_host (call);
+  int64_t now_ms = node_now_ms ();
+
+  count_start (call->node, answer);
+  meters_time (call->node->meters, HISTOGRAM_START, now_ms - call->sent_ms);
+  event_log ("task-start", call->task,
+             "run=%" G_GUINT64_FORMAT " worker=%s outcome=%s ms=%" G_GINT64_FORMAT,
+             call->run, call->worker, run_answer_name (answer),
+             now_ms - call->sent_ms);
+  if (h != NULL && h->cell != NULL)
+    {
+      cell_start_answered (h->cell, call->worker, call->task, call->run,
+                           answer, now_ms);
+      node_run_soon (h->node, h);
+    }
+  call_destroy (call);
+}
+
+static void
+on_stopped (void *data, enum run_answer answer)
+{
+  struct host_call *call = data;
+  struct host *h = call_host (call);
+
+  event_log ("task-stop", call->task,
+             "run=%" G_GUINT64_FORMAT " worker=%s outcome=%s", call->run,
+             call->worker, run_answer_name (answer));
+  if (h != NULL && h->cell != NULL)
+    {
+      cell_stop_answered (h->cell, call->worker, call->task, call->run, answer,
+                          node_now_ms ());
+      node_run_soon (h->node, h);
+    }
+  call_destroy (call);
+}
+
+static void
+on_paced (void *data, enum run_answer answer)
+{
+  struct host_call *call = data;
+
+  event_log ("task-pace", call->task, "worker=%s outcome=%s", call->worker,
+             run_answer_name (answer));
+  call_destroy (call);
+}
+
+static void
+on_held (void *data, const struct worker_held *held)
+{
+  struct host_call *call = data;
+  struct host *h = call_host (call);
+
+  if (held->report == NULL)
+    meters_add (call->node->meters, METER_HOLDS_NO_ANSWER, 1);
+  if (h != NULL && h->cell != NULL)
+    {
+      cell_hold_answered (h->cell, call->worker, held->report, held->fenced,
+                          held->gone, call->sent_ms, node_now_ms ());
+      node_run_soon (h->node, h);
+    }
+  call_destroy (call);
+}
+
+static void
+on_advice (void *data, const GArray *tickets, int64_t valid_ms)
+{
+  struct host_call *call = data;
+  struct host *h = call_host (call);
+
+  event_log ("advice", call->task, "workers=%d", tickets != NULL
+                                                     ? (int)tickets->len
+                                                     : -1);
+  if (h != NULL && h->cell != NULL)
+    {
+      cell_advised (h->cell, call->task, tickets, valid_ms, node_now_ms ());
+      node_run_soon (h->node, h);
+    }
+  call_destroy (call);
+}
+
+static enum append_result
+append_result_of (struct node *n, enum store_result result)
+{
+  switch (result)
+    {
+    case STORE_DONE:
+      return APPEND_DONE;
+    case STORE_FENCED:
+    case STORE_SEQUENCE:
+      meters_add (n->meters, METER_APPENDS_FENCED, 1);
+      return APPEND_FENCED;
+    case STORE_REFUSED:
+    case STORE_TRIMMED:
+      meters_add (n->meters, METER_APPENDS_REFUSED, 1);
+      return APPEND_REFUSED;
+    case STORE_UNCLEAR:
+      meters_add (n->meters, METER_APPENDS_UNCLEAR, 1);
+      return APPEND_UNCLEAR;
+    }
+  return APPEND_UNCLEAR;
+}
+
+static void
+on_appended (void *data, const struct store_appended *a)
+{
+  struct host_call *call = data;
+  struct host *h = call_host (call);
+  int64_t now_ms = node_now_ms ();
+  enum append_result result = append_result_of (call->node, a->result);
+
+  meters_time (call->node->meters, HISTOGRAM_APPEND, now_ms - call->sent_ms);
+  if (result == APPEND_DONE)
+    call->node->store_heard_ms = now_ms;
+  else
+    event_log ("append-failed", call->service,
+               "sequence=%" G_GUINT64_FORMAT " result=%d ms=%" G_GINT64_FORMAT,
+               call->run, (int)result, now_ms - call->sent_ms);
+  if (h != NULL && h->cell != NULL)
+    {
+      if (result == APPEND_DONE)
+        h->confirmed_ms = MAX (h->confirmed_ms, call->sent_ms);
+      cell_append_answered (h->cell, result, now_ms);
+      node_run_soon (h->node, h);
+    }
+  call_destroy (call);
+}
+
+/* Whether a job that the cell does not have is nowhere: another owner may have
+   accepted it, if this one has not been confirmed for long. */
+static bool
+knows_all (const struct host *h, int64_t now_ms)
+{
+  return now_ms < h->confirmed_ms + KNOWS_ALL_MS;
+}
+
+static void
+answer_ask (struct host *h, const struct answer_order *order)
+{
+  struct local_ask *ask = g_hash_table_lookup (h->asks, &order->token);
+  struct local_ask copy;
+  gint64 token = (gint64)order->token;
+
+  if (ask == NULL)
+    return;
+  copy = *ask;
+  g_hash_table_remove (h->asks, &token);
+  switch (order->answer)
+    {
+    case CELL_STORED:
+      meters_add (h->node->meters,
+                  copy.verb == FRONT_SUBMIT ? METER_JOBS_ACCEPTED
+                                            : METER_JOBS_CANCELLED,
+                  1);
+      finish_ask (&copy, FRONT_DONE);
+      break;
+    case CELL_NO_JOB:
+      finish_ask (&copy, knows_all (h, node_now_ms ()) ? FRONT_UNKNOWN
+                                                       : FRONT_LATER);
+      break;
+    case CELL_NOT_TAKEN:
+      meters_add (h->node->meters, METER_JOBS_REFUSED_STORE, 1);
+      finish_ask (&copy, FRONT_LATER);
+      break;
+    case CELL_UNCLEAR:
+      meters_add (h->node->meters, METER_JOBS_UNCLEAR, 1);
+      finish_ask (&copy, FRONT_UNCLEAR);
+      break;
+    }
+}
+
+static void
+send_append (struct host *h, const struct append_order *o, int64_t now_ms)
+{
+  struct store_writer writer = { WRITER, h->epoch, o->sequence };
+  char *stream = journal_stream (h);
+
+  meters_add (h->node->meters, METER_APPENDS, 1);
+  store_append (h->node->store, stream, &writer, o->entries, on_appended,
+                call_new (h, NULL, NULL, o->sequence, now_ms));
+  g_free (stream);
+}
+
+static void
+carry_out (struct host *h, const struct cell_order *o, int64_t now_ms)
+{
+  struct node *n = h->node;
+  const struct run_order *r = &o->u.run;
+
+  switch (o->kind)
+    {
+    case ORDER_START:
+      meters_add (n->meters, METER_STARTS, 1);
+      worker_start (n->client, r, h->epoch, on_started,
+                    call_new (h, r->worker, r->task, r->run, now_ms));
+      break;
+    case ORDER_STOP:
+      meters_add (n->meters, METER_STOPS, 1);
+      worker_stop (n->client, r, h->epoch, on_stopped,
+                   call_new (h, r->worker, r->task, r->run, now_ms));
+      break;
+    case ORDER_PACE:
+      meters_add (n->meters, METER_PACES, 1);
+      worker_pace (n->client, r, h->epoch, on_paced,
+                   call_new (h, r->worker, r->task, r->run, now_ms));
+      break;
+    case ORDER_HOLD:
+      meters_add (n->meters, METER_HOLDS, 1);
+      worker_hold (n->client, &o->u.hold, h->epoch, on_held,
+                   call_new (h, o->u.hold.worker, NULL, 0, now_ms));
+      break;
+    case ORDER_ADVISE:
+      meters_add (n->meters, METER_ADVICE_CALLS, 1);
+      advice_ask (n->client, n->settings->advice, &o->u.advise, on_advice,
+                  call_new (h, NULL, o->u.advise.step, 0, now_ms));
+      break;
+    case ORDER_APPEND:
+      send_append (h, &o->u.append, now_ms);
+      break;
+    case ORDER_ANSWER:
+      answer_ask (h, &o->u.answer);
+      break;
+    case ORDER_NOTE:
+      event_log (o->u.note.event, o->u.note.subject, "%s", o->u.note.detail);
+      break;
+    }
+}
+
+void
+host_run (struct host *host, int64_t now_ms)
+{
+  struct cell_order *o;
+
+  host->dirty = false;
+  if (host->phase != HOST_ACTIVE)
+    {
+      take_over (host, now_ms);
+      return;
+    }
+  cell_tick (host->cell, node_wall_ms (host->node),
+             host_is_sure (host, now_ms) && !host->node->stopping, now_ms);
+  while ((o = cell_next_order (host->cell)) != NULL)
+    {
+      carry_out (host, o, now_ms);
+      cell_order_destroy (o);
+    }
+  if (cell_is_fenced (host->cell))
+    {
+      meters_add (host->node->meters, METER_CELLS_LOST, 1);
+      event_log ("cell-fenced", host->service,
+                 "epoch=%" G_GUINT64_FORMAT " outcome=claim-again-later",
+                 host->epoch);
+      restart_takeover (host, FENCED_PAUSE_MS, now_ms);
+    }
+}
+
+void
+host_tick (struct host *host, int64_t now_ms)
+{
+  host_run (host, now_ms);
+}
+
+/* Asks. */
+
+static void
+keep_ask (struct host *h, uint64_t token, const struct front_ask *ask,
+          front_done done, void *data, int64_t now_ms)
+{
+  struct local_ask *kept = g_new0 (struct local_ask, 1);
+
+  kept->verb = ask->verb;
+  kept->done = done;
+  kept->data = data;
+  kept->begun_ms = now_ms;
+  g_hash_table_insert (h->asks, g_memdup2 (&token, sizeof token), kept);
+}
+
+static void
+ask_state (struct host *h, const struct front_ask *ask, front_done done,
+           void *data, int64_t now_ms)
+{
+  struct front_answer answer = { .result = FRONT_DONE };
+
+  if (!cell_state (h->cell, ask->subject, &answer.state))
+    answer.result = knows_all (h, now_ms) ? FRONT_UNKNOWN : FRONT_LATER;
+  done (data, &answer);
+}
+
+void
+host_ask (struct host *host, const struct front_ask *ask, front_done done,
+          void *data, int64_t now_ms)
+{
+  uint64_t token = ++host->node->token;
+  struct front_answer answer = { .result = FRONT_DONE };
+
+  switch (ask->verb)
+    {
+    case FRONT_SUBMIT:
+      keep_ask (host, token, ask, done, data, now_ms);
+      cell_submit (host->cell, ask->spec, token, now_ms);
+      break;
+    case FRONT_CANCEL:
+      keep_ask (host, token, ask, done, data, now_ms);
+      cell_cancel (host->cell, ask->subject, token, now_ms);
+      break;
+    case FRONT_STATE:
+      ask_state (host, ask, done, data, now_ms);
+      break;
+    case FRONT_WAITING:
+      answer.number = cell_waiting (host->cell, ask->subject);
+      done (data, &answer);
+      break;
+    case FRONT_RELEASE:
+      answer.number = cell_release_worker (host->cell, ask->subject, now_ms);
+      done (data, &answer);
+      break;
+    case FRONT_ENDED:
+      cell_worker_ended (host->cell, ask->subject, now_ms);
+      done (data, &answer);
+      break;
+    }
+  node_run_soon (host->node, host);
+}
--- /dev/null
+++ b/src/node_peers.c
@@ -0,0 +1,260 @@
+#include "node_state.h"
+
+#include "event_log.h"
+
+#include <event2/buffer.h>
+#include <event2/keyvalq_struct.h>
+#include <string.h>
+
+/* Nodes ask each other by HTTP: the subject in the path, the service in the
+   query.  421 says that the asked node does not own the service's cell. */
+
+#define JOBS_PATH "/v1/jobs/"
+#define QUEUES_PATH "/v1/queues/"
+#define WORKERS_PATH "/v1/workers/"
+#define STATUS_NOT_OWNER 421
+/* Some 1000 tasks of a job are 100 KB. */
+#define BODY_MAX_BYTES (4 * 1024 * 1024)
+
+struct peer_ask
+{
+  struct evhttp_request *request;
+  enum front_verb verb;
+};
+
+static int
+status_of (enum front_result result)
+{
+  switch (result)
+    {
+    case FRONT_DONE:
+      return 200;
+    case FRONT_UNKNOWN:
+      return 410;
+    case FRONT_LATER:
+      return 503;
+    case FRONT_UNCLEAR:
+      return 504;
+    }
+  return 503;
+}
+
+/* The answer's body is one number: the state, the count, or 1 for "empty". */
+static void
+send_answer (void *data, const struct front_answer *answer)
+{
+  struct peer_ask *ask = data;
+  struct evbuffer *body = evbuffer_new ();
+  uint32_t number = ask->verb == FRONT_STATE ? (uint32_t)answer->state
+                                             : answer->number;
+
+  evbuffer_add_printf (body, "%u", number);
+  evhttp_send_reply (ask->request, status_of (answer->result), "answered",
+                     body);
+  evbuffer_free (body);
+  g_free (ask);
+}
+
+bool
+peer_read_answer (enum front_verb verb, const struct http_reply *reply,
+                  struct front_answer *answer)
+{
+  char *text = g_strndup ((const char *)reply->body, reply->body_bytes);
+  uint32_t number = (uint32_t)g_ascii_strtoull (text, NULL, 10);
+
+  g_free (text);
+  *answer = (struct front_answer){ .number = number };
+  if (verb == FRONT_STATE)
+    answer->state = MIN (number, JOB_STATE_COUNT - 1);
+  switch (reply->status)
+    {
+    case 200:
+      answer->result = FRONT_DONE;
+      return true;
+    case 410:
+      answer->result = FRONT_UNKNOWN;
+      return true;
+    case 503:
+      answer->result = FRONT_LATER;
+      return true;
+    case 504:
+      answer->result = FRONT_UNCLEAR;
+      return true;
+    default:
+      return false;
+    }
+}
+
+static const char *
+path_of (enum front_verb verb)
+{
+  switch (verb)
+    {
+    case FRONT_SUBMIT:
+    case FRONT_STATE:
+    case FRONT_CANCEL:
+      return JOBS_PATH;
+    case FRONT_WAITING:
+      return QUEUES_PATH;
+    case FRONT_RELEASE:
+    case FRONT_ENDED:
+      return WORKERS_PATH;
+    }
+  return JOBS_PATH;
+}
+
+static const char *
+method_of (enum front_verb verb)
+{
+  switch (verb)
+    {
+    case FRONT_SUBMIT:
+    case FRONT_RELEASE:
+      return "POST";
+    case FRONT_CANCEL:
+    case FRONT_ENDED:
+      return "DELETE";
+    case FRONT_STATE:
+    case FRONT_WAITING:
+      return "GET";
+    }
+  return "GET";
+}
+
+void
+peer_send (struct node *n, const char *address, const struct front_ask *ask,
+           int64_t timeout_ms, http_done done, void *data)
+{
+  char *subject = g_uri_escape_string (ask->subject, NULL, FALSE);
+  char *service = g_uri_escape_string (ask->service, NULL, FALSE);
+  char *path = g_strdup_printf ("%s%s?service=%s", path_of (ask->verb),
+                                subject, service);
+  struct http_call call = { .method = method_of (ask->verb),
+                            .path = path,
+                            .timeout_ms = timeout_ms,
+                            .lane = LANE_ORDERS };
+
+  if (ask->verb == FRONT_SUBMIT)
+    {
+      call.content_type = "application/octet-stream";
+      call.body = g_bytes_get_data (ask->encoded, &call.body_bytes);
+    }
+  else if (ask->verb == FRONT_RELEASE)
+    {
+      call.body = "-";
+      call.body_bytes = 1;
+    }
+  http_client_send (n->client, address, &call, done, data);
+  g_free (path);
+  g_free (service);
+  g_free (subject);
+}
+
+static bool
+read_verb (const char *path, enum evhttp_cmd_type method,
+           enum front_verb *verb, const char **subject)
+{
+  static const enum front_verb all[]
+      = { FRONT_SUBMIT,  FRONT_STATE,   FRONT_CANCEL,
+          FRONT_WAITING, FRONT_RELEASE, FRONT_ENDED };
+  const char *name = method == EVHTTP_REQ_POST     ? "POST"
+                     : method == EVHTTP_REQ_DELETE ? "DELETE"
+                                                   : "GET";
+
+  for (gsize i = 0; i < G_N_ELEMENTS (all); i++)
+    if (g_str_has_prefix (path, path_of (all[i]))
+        && strcmp (name, method_of (all[i])) == 0)
+      {
+        *verb = all[i];
+        *subject = path + strlen (path_of (all[i]));
+        return true;
+      }
+  return false;
+}
+
+static struct job_spec *
+read_spec (struct evhttp_request *request)
+{
+  struct evbuffer *in = evhttp_request_get_input_buffer (request);
+  gsize size = evbuffer_get_length (in);
+  GBytes *bytes;
+  struct job_spec *spec;
+
+  if (size == 0 || size > BODY_MAX_BYTES)
+    return NULL;
+  bytes = g_bytes_new (evbuffer_pullup (in, -1), size);
+  spec = job_spec_from_bytes (bytes);
+  g_bytes_unref (bytes);
+  return spec;
+}
+
+static void
+serve_ask (struct node *n, struct evhttp_request *request, const char *path,
+           const char *service)
+{
+  struct front_ask ask = { .service = service };
+  struct host *h = g_hash_table_lookup (n->hosts, service);
+  struct peer_ask *kept;
+
+  if (!read_verb (path, evhttp_request_get_command (request), &ask.verb,
+                  &ask.subject))
+    {
+      evhttp_send_reply (request, 400, "unknown call", NULL);
+      return;
+    }
+  if (h == NULL || h->phase != HOST_ACTIVE || n->stopping)
+    {
+      evhttp_send_reply (request, STATUS_NOT_OWNER, "not the owner", NULL);
+      return;
+    }
+  if (ask.verb == FRONT_SUBMIT)
+    {
+      ask.spec = read_spec (request);
+      if (ask.spec == NULL || strcmp (ask.spec->id, ask.subject) != 0)
+        {
+          job_spec_destroy (ask.spec);
+          evhttp_send_reply (request, 400, "malformed job", NULL);
+          return;
+        }
+    }
+  kept = g_new0 (struct peer_ask, 1);
+  kept->request = request;
+  kept->verb = ask.verb;
+  host_ask (h, &ask, send_answer, kept, node_now_ms ());
+}
+
+static void
+on_request (struct evhttp_request *request, void *data)
+{
+  struct node *n = data;
+  const struct evhttp_uri *uri = evhttp_request_get_evhttp_uri (request);
+  char *path = g_uri_unescape_string (evhttp_uri_get_path (uri), NULL);
+  struct evkeyvalq query;
+  const char *service;
+
+  memset (&query, 0, sizeof query);
+  if (evhttp_uri_get_query (uri) != NULL)
+    evhttp_parse_query_str (evhttp_uri_get_query (uri), &query);
+  service = evhttp_find_header (&query, "service");
+  if (path == NULL || service == NULL)
+    evhttp_send_reply (request, 400, "no service", NULL);
+  else
+    serve_ask (n, request, path, service);
+  evhttp_clear_headers (&query);
+  g_free (path);
+}
+
+struct evhttp *
+peers_listen (struct node *n)
+{
+  struct evhttp *server = evhttp_new (n->base);
+
+  evhttp_set_allowed_methods (server, EVHTTP_REQ_GET | EVHTTP_REQ_POST
+                                          | EVHTTP_REQ_DELETE);
+  evhttp_set_max_body_size (server, BODY_MAX_BYTES);
+  evhttp_set_gencb (server, on_request, n);
+  if (evhttp_bind_socket (server, n->settings->ip, n->settings->peer_port) == 0)
+    return server;
+  evhttp_free (server);
+  return NULL;
+}
--- /dev/null
+++ b/src/node_state.h
@@ -0,0 +1,198 @@
+#ifndef NODE_STATE_H
+#define NODE_STATE_H
+
+#include "cell.h"
+#include "front.h"
+#include "http_client.h"
+#include "meters.h"
+#include "node_settings.h"
+#include "store.h"
+#include "upkeep.h"
+
+#include <event2/event.h>
+#include <event2/http.h>
+#include <glib.h>
+
+/* The state of a node that schedules jobs, shared by the files that make it
+   up.  All of it belongs to one task, which runs one event loop:
+   node.c            start, stop, time
+   node_directory.c  configuration, workers and waves, followed in the store
+   node_owner.c      which cells this node owns
+   node_host.c       takeover of a cell, and its orders carried out
+   node_front.c      callers' asks, here or at the owner's node
+   node_peers.c      the other nodes' asks
+   node_fleet.c      maintenance waves. */
+
+/* One stream of the store that is followed. */
+struct follower
+{
+  struct node *node;
+  const char *stream;
+  bool has_list;       /* the newest of all keys has been read */
+  char *after;         /* page of the list being read, or NULL */
+  GHashTable *listed;  /* keys of the list being read */
+  uint64_t next;       /* offset */
+  int64_t confirmed_ms;
+  int64_t gap_ms; /* between two reads */
+  int64_t wait_ms;
+  bool call_out;
+  int64_t due_ms;
+  void (*on_record) (struct node *node, const char *key, GBytes *value);
+  void (*on_list_end) (struct node *node, GHashTable *keys);
+};
+
+enum host_phase
+{
+  HOST_CLAIMING, /* takes an epoch */
+  HOST_FENCING,  /* makes the journal refuse the earlier owner */
+  HOST_LOADING,
+  HOST_ACTIVE
+};
+
+/* A cell that this node owns, or is about to. */
+struct host
+{
+  struct node *node;
+  char *service;
+  uint32_t serial; /* unlike that of every other host of this process */
+  enum host_phase phase;
+  uint64_t epoch;
+  struct cell *cell;    /* NULL before the epoch is known */
+  GPtrArray *loaded;    /* struct store_record *, of the journal */
+  bool call_out;
+  int64_t retry_ms;
+  int64_t confirmed_ms; /* when it was last sure to be the owner */
+  GHashTable *asks;     /* token to struct local_ask */
+  bool dirty;           /* to be run before the loop waits */
+};
+
+struct owner_state
+{
+  int64_t generation;
+  int64_t joined_ms;
+  int64_t due_ms;
+  bool call_out;
+  bool left;
+  GArray *parts;       /* uint32_t, this node's */
+  GPtrArray *owners;   /* char *, "IP:PORT" by part, or NULL */
+  bool owners_known;
+  bool owners_out;
+  int64_t owners_due_ms;
+};
+
+struct fleet_write
+{
+  char *stream;
+  char *key;
+  char *value;
+};
+
+struct fleet_state
+{
+  bool owned;
+  uint64_t epoch; /* 0 until it is taken */
+  bool call_out;
+  int64_t retry_ms;
+  int64_t since_ms;     /* holder since */
+  int64_t confirmed_ms;
+  bool loaded;
+  struct upkeep *upkeep;
+  GQueue writes;        /* struct fleet_write * */
+  bool write_out;
+  uint64_t sequences[2]; /* of the status and the upkeep stream */
+  bool round_out;
+  int64_t round_ms;
+  uint32_t orders_out;
+  GPtrArray *machines;
+  GHashTable *announced; /* waves whose status has been written */
+};
+
+struct node
+{
+  struct node_settings *settings;
+  const char *settings_file;
+  struct event_base *base;
+  struct http_client *client;
+  struct store *store;
+  struct meters *meters;
+  struct routes *routes;
+  GHashTable *workers; /* ID to struct worker_entry * */
+  GHashTable *waves;   /* number as text to GBytes * */
+  GHashTable *waves_done;
+  struct follower config;
+  struct follower worker_list;
+  struct follower status;
+  struct owner_state owner;
+  GHashTable *hosts; /* service to struct host * */
+  uint32_t serial;
+  uint64_t token;
+  struct fleet_state fleet;
+  struct front *front;
+  struct ingress *ingress;
+  struct evhttp *peer_server;
+  struct evhttp *metrics_server;
+  char *address; /* for the other nodes */
+  struct event *tick;
+  struct event *soon; /* run the dirty hosts */
+  bool stopping;
+  int64_t stop_begun_ms;
+  int64_t store_heard_ms; /* last answer of the store */
+  int64_t wall_offset_ms; /* Unix time less the steady clock */
+  int64_t wall_other_ms;  /* another offset that may be the right one */
+  int64_t wall_other_since_ms;
+  int64_t ticked_ms;
+  int64_t limits_version;
+};
+
+/* node.c */
+int64_t node_now_ms (void);
+int64_t node_wall_ms (const struct node *n);
+void node_run_soon (struct node *n, struct host *host);
+
+/* node_directory.c */
+void directory_start (struct node *n);
+void directory_tick (struct node *n, int64_t now_ms);
+void directory_clear (struct node *n);
+
+/* node_owner.c */
+#define FLEET_SERVICE ""
+void owner_start (struct node *n);
+void owner_tick (struct node *n, int64_t now_ms);
+void owner_leave (struct node *n);
+void owner_refresh (struct node *n, int64_t now_ms);
+/* Apply the parts that this node has. */
+void owner_apply (struct node *n, int64_t now_ms);
+/* Return the address of the service's owner, or NULL if it is not known. */
+const char *owner_address (const struct node *n, const char *service);
+bool owner_is_self (const struct node *n, const char *service);
+
+/* node_host.c */
+struct host *host_new (struct node *n, const char *service, int64_t now_ms);
+void host_destroy (gpointer host);
+void host_tick (struct host *host, int64_t now_ms);
+void host_run (struct host *host, int64_t now_ms);
+/* Ask a cell that is active here; DONE is called once. */
+void host_ask (struct host *host, const struct front_ask *ask, front_done done,
+               void *data, int64_t now_ms);
+bool host_is_sure (const struct host *host, int64_t now_ms);
+
+/* node_front.c */
+struct front *front_new (struct node *n);
+void front_destroy (struct front *front);
+void front_tick (struct front *front, int64_t now_ms);
+
+/* node_peers.c */
+struct evhttp *peers_listen (struct node *n);
+void peer_send (struct node *n, const char *address,
+                const struct front_ask *ask, int64_t timeout_ms,
+                http_done done, void *data);
+/* Read the answer of another node.  Return false if it is not the owner. */
+bool peer_read_answer (enum front_verb verb, const struct http_reply *reply,
+                       struct front_answer *answer);
+
+/* node_fleet.c */
+void fleet_tick (struct node *n, int64_t now_ms);
+void fleet_set_owned (struct node *n, bool owned, int64_t confirmed_ms);
+void fleet_clear (struct node *n);
+
+#endif
--- /dev/null
+++ b/src/upkeep.c
@@ -0,0 +1,254 @@
+#include "upkeep.h"
+
+#include <string.h>
+
+
+struct wave
+{
+  struct wave_request *request;
+  int64_t asked_ms;
+  bool is_completed;
+  GHashTable *begun; /* machine to when, int64_t * */
+};
+
+struct upkeep
+{
+  GPtrArray *waves; /* struct wave *, by number */
+};
+
+static void
+destroy_machine (gpointer p)
+{
+  struct machine *m = p;
+
+  g_free (m->name);
+  g_free (m->service);
+  g_free (m->worker);
+  g_free (m);
+}
+
+GPtrArray *
+machines_new (void)
+{
+  return g_ptr_array_new_with_free_func (destroy_machine);
+}
+
+struct machine *
+machines_add (GPtrArray *machines)
+{
+  struct machine *m = g_new0 (struct machine, 1);
+
+  g_ptr_array_add (machines, m);
+  return m;
+}
+
+const struct machine *
+machines_find (const GPtrArray *machines, const char *name)
+{
+  for (guint i = 0; i < machines->len; i++)
+    {
+      const struct machine *m = g_ptr_array_index (machines, i);
+
+      if (strcmp (m->name, name) == 0)
+        return m;
+    }
+  return NULL;
+}
+
+struct wave_request *
+wave_request_new (int64_t number)
+{
+  struct wave_request *r = g_new0 (struct wave_request, 1);
+
+  r->number = number;
+  r->machines = g_ptr_array_new_with_free_func (g_free);
+  r->cap = 1;
+  return r;
+}
+
+void
+wave_request_destroy (gpointer request)
+{
+  struct wave_request *r = request;
+
+  if (r == NULL)
+    return;
+  g_ptr_array_unref (r->machines);
+  g_free (r);
+}
+
+static void
+wave_destroy (gpointer p)
+{
+  struct wave *w = p;
+
+  wave_request_destroy (w->request);
+  g_hash_table_unref (w->begun);
+  g_free (w);
+}
+
+struct upkeep *
+upkeep_new (void)
+{
+  struct upkeep *u = g_new0 (struct upkeep, 1);
+
+  u->waves = g_ptr_array_new_with_free_func (wave_destroy);
+  return u;
+}
+
+void
+upkeep_destroy (struct upkeep *upkeep)
+{
+  if (upkeep == NULL)
+    return;
+  g_ptr_array_unref (upkeep->waves);
+  g_free (upkeep);
+}
+
+static struct wave *
+find_wave (const struct upkeep *u, int64_t number)
+{
+  for (guint i = 0; i < u->waves->len; i++)
+    {
+      struct wave *w = g_ptr_array_index (u->waves, i);
+
+      if (w->request->number == number)
+        return w;
+    }
+  return NULL;
+}
+
+void
+upkeep_add_wave (struct upkeep *upkeep, struct wave_request *request,
+                 int64_t now_ms)
+{
+  struct wave *w = find_wave (upkeep, request->number);
+
+  if (w != NULL)
+    {
+      wave_request_destroy (w->request);
+      w->request = request;
+      return;
+    }
+  w = g_new0 (struct wave, 1);
+  w->request = request;
+  w->asked_ms = now_ms;
+  w->begun = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  g_ptr_array_add (upkeep->waves, w);
+}
+
+void
+upkeep_wave_completed (struct upkeep *upkeep, int64_t number)
+{
+  struct wave *w = find_wave (upkeep, number);
+
+  if (w != NULL)
+    w->is_completed = true;
+}
+
+void
+upkeep_machine_begun (struct upkeep *upkeep, int64_t wave, const char *machine,
+                      int64_t now_ms)
+{
+  struct wave *w = find_wave (upkeep, wave);
+
+  if (w != NULL && !g_hash_table_contains (w->begun, machine))
+    g_hash_table_insert (w->begun, g_strdup (machine),
+                         g_memdup2 (&now_ms, sizeof now_ms));
+}
+
+static void
+add_step (GArray *steps, enum upkeep_step_kind kind, int64_t wave,
+          const struct machine *machine)
+{
+  struct upkeep_step step = { kind, wave, machine };
+
+  g_array_append_val (steps, step);
+}
+
+/* Return whether a machine whose upkeep was begun may still be down: the list
+   says so, or is older than the order. */
+static bool
+may_be_down (const struct wave *w, const struct machine *m, int64_t down_ms,
+             int64_t now_ms)
+{
+  const int64_t *begun_ms = g_hash_table_lookup (w->begun, m->name);
+
+  return m->state == MACHINE_IN_UPKEEP
+         || (begun_ms != NULL && now_ms < *begun_ms + down_ms);
+}
+
+static void
+plan_wave (const struct wave *w, const GPtrArray *machines, int64_t down_ms,
+           int64_t now_ms, GArray *steps)
+{
+  uint32_t down = 0;
+  uint32_t left = 0;
+
+  for (guint i = 0; i < w->request->machines->len; i++)
+    {
+      const struct machine *m = machines_find (
+          machines, g_ptr_array_index (w->request->machines, i));
+
+      if (m == NULL)
+        continue;
+      if (may_be_down (w, m, down_ms, now_ms))
+        down++;
+      if (!g_hash_table_contains (w->begun, m->name))
+        left++;
+    }
+  if (left == 0 && down == 0)
+    add_step (steps, UPKEEP_COMPLETE, w->request->number, NULL);
+  for (guint i = 0;
+       i < w->request->machines->len && down < w->request->cap; i++)
+    {
+      const struct machine *m = machines_find (
+          machines, g_ptr_array_index (w->request->machines, i));
+
+      if (m == NULL || m->state != MACHINE_UP
+          || g_hash_table_contains (w->begun, m->name))
+        continue;
+      add_step (steps, UPKEEP_EMPTY, w->request->number, m);
+      down++;
+    }
+}
+
+void
+upkeep_plan (struct upkeep *upkeep, const GPtrArray *machines, int64_t down_ms,
+             int64_t now_ms, GArray *steps)
+{
+  for (guint i = 0; i < upkeep->waves->len; i++)
+    {
+      const struct wave *w = g_ptr_array_index (upkeep->waves, i);
+
+      if (!w->is_completed)
+        plan_wave (w, machines, down_ms, now_ms, steps);
+    }
+}
+
+bool
+upkeep_has_work (const struct upkeep *upkeep)
+{
+  for (guint i = 0; i < upkeep->waves->len; i++)
+    if (!((const struct wave *)g_ptr_array_index (upkeep->waves, i))
+             ->is_completed)
+      return true;
+  return false;
+}
+
+char *
+upkeep_begun_text (const struct upkeep *upkeep, int64_t wave)
+{
+  const struct wave *w = find_wave (upkeep, wave);
+  GString *s = g_string_new (NULL);
+  GHashTableIter iter;
+  gpointer key;
+
+  if (w == NULL)
+    return g_string_free (s, FALSE);
+  g_hash_table_iter_init (&iter, w->begun);
+  while (g_hash_table_iter_next (&iter, &key, NULL))
+    g_string_append_printf (s, "%s%s", s->len > 0 ? "," : "",
+                            (const char *)key);
+  return g_string_free (s, FALSE);
+}
