--- a/src/node_peers.c
+++ b/src/node_peers.c
@@ -59,7 +59,10 @@
 peer_read_answer (enum front_verb verb, const struct http_reply *reply,
                   struct front_answer *answer)
 {
-  char *text = g_strndup ((const char *)reply->body, reply->body_bytes);
+  /* There is no body where there is no answer. */
+  char *text = reply->body_bytes > 0 ? g_strndup ((const char *)reply->body,
+                                                  reply->body_bytes)
+                                     : g_strdup ("0");
   uint32_t number = (uint32_t)g_ascii_strtoull (text, NULL, 10);
 
   g_free (text);
