--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -2,7 +2,14 @@
 
 /* The journal holds, by key: "j:JOB" the job as it was accepted, "p:JOB" how
    far it is, "w:WORKER" which ends of a worker have been taken in.  One append
-   is on its way at a time; what changes meanwhile goes into the next.  */
+   is on its way at a time; what changes meanwhile goes into the next.
+
+   A worker has a record before the first start there, so that the next owner
+   knows whom to ask for runs.  When it falls silent, the record names the runs
+   that it may have: nothing else is started there until it answers and the
+   record says so, and the next owner has to wait for these runs only. */
+
+#define WORKER_TYPE "(sxtba(st))"
 
 /* Between two appends somebody waits for; a store answers in some 4 ms. */
 #define URGENT_GAP_MS 15
@@ -106,12 +113,29 @@
   return size;
 }
 
+static GVariant *
+worker_record (const struct cell_worker *w)
+{
+  GVariantBuilder runs;
+
+  g_variant_builder_init (&runs, G_VARIANT_TYPE ("a(st)"));
+  for (guint i = 0; i < w->tasks->len && !w->confirmed; i++)
+    {
+      const struct cell_task *t = g_ptr_array_index (w->tasks, i);
+      char *name = cell_task_name (t);
+
+      g_variant_builder_add (&runs, "(st)", name, t->run);
+      g_free (name);
+    }
+  return g_variant_new (WORKER_TYPE, w->entry->address, w->born_ms,
+                        w->ends_taken, !w->confirmed, &runs);
+}
+
 static void
 put_worker (struct cell *c, struct cell_worker *w)
 {
-  struct flight_worker f = { w, w->ends_taken };
-  GVariant *v = g_variant_ref_sink (g_variant_new (
-      "(sxt)", w->entry->address, w->born_ms, w->ends_taken));
+  struct flight_worker f = { w, w->ends_taken, !w->confirmed };
+  GVariant *v = g_variant_ref_sink (worker_record (w));
 
   w->queued = false;
   add_entry (c, "w:", w->entry->id, g_variant_get_data_as_bytes (v));
@@ -242,7 +266,9 @@
       struct flight_worker *f
           = &g_array_index (c->flight.workers, struct flight_worker, i);
 
-      f->worker->known_to_journal = true;
+      f->worker->in_journal = true;
+      f->worker->may_start = !f->silent && f->worker->confirmed;
+      c->place_needed = true;
       if (f->ends_taken > f->worker->last_seen)
         f->worker->next_hold_ms = MIN (f->worker->next_hold_ms, now_ms);
       f->worker->last_seen = f->ends_taken;
@@ -298,25 +324,42 @@
   cell->flight.retry_ms = now_ms + RETRY_MS;
 }
 
+/* A run that may still be on W, which its owner could not reach. */
+static void
+load_silent_run (struct cell *c, struct cell_worker *w, const char *name,
+                 uint64_t run)
+{
+  struct cell_task *t = cell_find_task (c, name);
+
+  if (t == NULL || t->phase != TASK_WAITING)
+    return;
+  t->run = run;
+  cell_worker_put_task (w, t);
+  cell_task_set_phase (t, TASK_RUNNING, c->taken_over_ms);
+  t->moved_ms = c->taken_over_ms;
+  t->occurrence->job->started = true;
+}
+
 static void
 load_worker (struct cell *c, const char *id, GBytes *value)
 {
   GVariant *v = g_variant_ref_sink (
-      g_variant_new_from_bytes (G_VARIANT_TYPE ("(sxt)"), value, FALSE));
-  struct cell_worker *w = g_hash_table_lookup (c->workers, id);
-
-  if (w == NULL)
-    w = cell_worker_add (c, id);
-  if (w->entry->address[0] == '\0')
-    {
-      g_free (w->entry->address);
-      g_variant_get_child (v, 0, "s", &w->entry->address);
-    }
-  g_variant_get_child (v, 1, "x", &w->born_ms);
-  g_variant_get_child (v, 2, "t", &w->ends_taken);
+      g_variant_new_from_bytes (G_VARIANT_TYPE (WORKER_TYPE), value, FALSE));
+  struct cell_worker *w = cell_worker_add (c, id);
+  gboolean is_silent;
+  GVariantIter *runs;
+  const char *name;
+  uint64_t run;
+
+  g_free (w->entry->address);
+  g_variant_get (v, WORKER_TYPE, &w->entry->address, &w->born_ms,
+                 &w->ends_taken, &is_silent, &runs);
   w->last_seen = w->ends_taken;
-  w->inherited = true;
-  w->known_to_journal = true;
+  w->inherited = !is_silent;
+  w->in_journal = true;
+  while (g_variant_iter_next (runs, "(&st)", &name, &run))
+    load_silent_run (c, w, name, run);
+  g_variant_iter_free (runs);
   g_variant_unref (v);
 }
 
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -40,7 +40,7 @@
 static bool
 takes_work (const struct cell_worker *w, int64_t now_ms)
 {
-  return w->confirmed && w->known_to_journal && !w->entry->draining
+  return w->confirmed && w->may_start && !w->entry->draining
          && (w->listed || now_ms < w->unlisted_ms + UNLISTED_GRACE_MS)
          && now_ms >= w->blocked_ms && now_ms > w->leaving_ms
          && w->clock_heard_ms != 0;
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -101,7 +101,8 @@
   uint64_t last_seen; /* ends that the journal has */
   uint64_t ends_taken;
   bool queued; /* in the journal's list of changes */
-  bool known_to_journal;
+  bool in_journal;  /* the journal has a record of it */
+  bool may_start;   /* that record says that runs may be there unseen */
   int64_t clock_ms; /* the worker's clock, as last heard */
   int64_t clock_heard_ms;
   int64_t lease_over_ms; /* by then every run has ended, if not extended */
@@ -139,6 +140,7 @@
 {
   struct cell_worker *worker;
   uint64_t ends_taken;
+  bool silent;
 };
 
 struct cell
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -325,7 +325,7 @@
 static void
 forget_worker (struct cell *c, struct cell_worker *w)
 {
-  if (w->queued || c->flight.entries != NULL || w->known_to_journal)
+  if (w->queued || c->flight.entries != NULL || w->in_journal)
     return;
   g_ptr_array_remove (c->worker_list, w);
   g_hash_table_remove (c->workers, w->entry->id);
@@ -338,7 +338,8 @@
   if (w->queued || c->flight.entries != NULL)
     return;
   cell_journal_drop (c, g_strconcat ("w:", w->entry->id, NULL));
-  w->known_to_journal = false;
+  w->in_journal = false;
+  w->may_start = false;
 }
 
 static void
@@ -347,8 +348,8 @@
   if (!w->confirmed && now_ms > w->lease_over_ms
       && (w->tasks->len > 0 || w->inherited))
     lose_tasks (c, w, "lease-over", now_ms);
-  if (!w->confirmed && !w->listed && now_ms > w->lease_over_ms
-      && w->known_to_journal && w->tasks->len == 0)
+  if (!w->confirmed && now_ms > w->lease_over_ms && w->in_journal
+      && w->tasks->len == 0)
     leave_journal (c, w);
   run_task_timers (c, w, now_ms);
   if (!w->hold_out && now_ms >= w->next_hold_ms
@@ -393,8 +394,12 @@
 {
   struct cell_job *job = t->occurrence->job;
 
-  if (t->phase != TASK_WAITING || job->state >= JOB_COMPLETED
-      || t->runs > 0)
+  if (job->state >= JOB_COMPLETED || t->runs > 0)
+    return false;
+  /* A higher run was started when the lower one was known to be over. */
+  if (t->phase == TASK_RUNNING && !t->worker->confirmed && r->run > t->run)
+    cell_task_free (c, t, now_ms);
+  if (t->phase != TASK_WAITING)
     return false;
   t->run = r->run;
   cell_worker_put_task (w, t);
@@ -573,7 +578,7 @@
       before = 0;
     }
   if (!w->confirmed)
-    c->place_needed = true;
+    w->may_start = false; /* until the journal says that it is in use */
   w->born_ms = report->born_ms;
   w->confirmed = true;
   w->clock_ms = report->clock_ms;
@@ -592,7 +597,7 @@
   free_unreported (c, w, report, sent_ms, now_ms);
   w->inherited = false;
   pace_fillers (c, w, now_ms);
-  if (w->ends_taken != before || (!w->known_to_journal && w->listed))
+  if (w->ends_taken != before || (!w->may_start && w->listed))
     cell_journal_worker (c, w);
 }
 
@@ -621,8 +626,12 @@
   if (reply == NULL)
     {
       if (w->confirmed)
-        cell_note (cell, "worker-silent", worker, "tasks=%u", w->tasks->len);
-      w->confirmed = false;
+        {
+          cell_note (cell, "worker-silent", worker, "tasks=%u", w->tasks->len);
+          w->confirmed = false;
+          w->may_start = false;
+          cell_journal_worker (cell, w);
+        }
       w->next_hold_ms = now_ms + RETRY_HOLD_MS;
       return;
     }
--- a/src/node.c
+++ b/src/node.c
@@ -128,7 +128,6 @@
   g_hash_table_iter_init (&iter, n->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     host_tick (value, now_ms);
-  fleet_tick (n, now_ms);
   front_tick (n->front, now_ms);
   if (n->routes != NULL && n->routes->version != n->limits_version)
     {
@@ -262,7 +261,6 @@
 node_finish (struct node *n)
 {
   g_hash_table_remove_all (n->hosts);
-  fleet_clear (n);
   if (n->tick != NULL)
     event_free (n->tick);
   if (n->soon != NULL)
@@ -275,9 +273,7 @@
   http_client_destroy (n->client);
   front_destroy (n->front);
   store_destroy (n->store);
-  g_hash_table_unref (n->hosts);
-  g_array_unref (n->owner.parts);
-  g_ptr_array_unref (n->owner.owners);
+  owner_clear (n);
   directory_clear (n);
   routes_destroy (n->routes);
   meters_destroy (n->meters);
--- a/src/node_directory.c
+++ b/src/node_directory.c
@@ -12,6 +12,8 @@
 #define WORKERS_WAIT_MS 1500
 #define WORKERS_GAP_MS 400
 #define STATUS_WAIT_MS 5000
+/* A change of owner wakes the call at once. */
+#define OWNERS_WAIT_MS 4000
 #define RETRY_MS 250
 
 static void follow (struct follower *f);
@@ -69,7 +71,7 @@
       f->has_list = false;
       f->due_ms = now_ms;
     }
-  if (page->result != STORE_DONE)
+  if (page->result != STORE_DONE || f->list_again)
     return;
   if (!f->has_list)
     {
@@ -93,6 +95,12 @@
 follow (struct follower *f)
 {
   f->call_out = true;
+  if (f->list_again)
+    {
+      f->list_again = false;
+      g_clear_pointer (&f->after, g_free);
+      g_hash_table_remove_all (f->listed);
+    }
   if (f->has_list)
     store_read (f->node->store, f->stream, f->next, f->wait_ms, on_page, f);
   else
@@ -228,6 +236,23 @@
   g_ptr_array_unref (gone);
 }
 
+static void
+on_owner_record (struct node *n, const char *key, GBytes *value)
+{
+  gsize size;
+  const char *text = value != NULL ? g_bytes_get_data (value, &size) : NULL;
+  char *copy = text != NULL ? g_strndup (text, size) : g_strdup ("-");
+
+  owner_note (n, key, copy);
+  g_free (copy);
+}
+
+static void
+on_owner_list_end (struct node *n, GHashTable *keys)
+{
+  owner_apply (n, node_now_ms ());
+}
+
 static void
 follower_start (struct follower *f, struct node *n, const char *stream,
                 int64_t wait_ms, int64_t gap_ms)
@@ -256,6 +281,9 @@
   n->worker_list.on_list_end = on_worker_list_end;
   follower_start (&n->status, n, STREAM_STATUS, STATUS_WAIT_MS, 0);
   n->status.on_record = on_status_record;
+  follower_start (&n->owners, n, OWNERS_STREAM, OWNERS_WAIT_MS, 0);
+  n->owners.on_record = on_owner_record;
+  n->owners.on_list_end = on_owner_list_end;
 }
 
 static void
@@ -270,15 +298,17 @@
 {
   follower_tick (&n->config, now_ms);
   follower_tick (&n->worker_list, now_ms);
+  follower_tick (&n->owners, now_ms);
   /* Only whoever carries out waves needs to know which are completed. */
-  if (n->fleet.owned)
+  if (n->fleet.epoch != 0)
     follower_tick (&n->status, now_ms);
 }
 
 void
 directory_clear (struct node *n)
 {
-  struct follower *all[] = { &n->config, &n->worker_list, &n->status };
+  struct follower *all[]
+      = { &n->config, &n->worker_list, &n->status, &n->owners };
 
   for (gsize i = 0; i < G_N_ELEMENTS (all); i++)
     {
--- a/src/node_fleet.c
+++ b/src/node_fleet.c
@@ -6,11 +6,9 @@
 
 #include <string.h>
 
-/* One node, the owner of the fleet's part, carries out maintenance waves.  Its
+/* One node, the owner of the fleet, carries out maintenance waves.  Its
    epoch is the fencing token of its orders for machines. */
 
-#define EPOCH_STREAM "epochs"
-#define UPKEEP_STREAM "keyed.upkeep"
 #define WRITER "fleet"
 #define RETRY_MS 300
 /* Between two looks at the list of machines while a wave goes on. */
@@ -52,43 +50,35 @@
   g_free (w);
 }
 
-static void
-let_go (struct node *n)
+void
+fleet_end (struct node *n)
 {
   struct fleet_state *f = &n->fleet;
 
-  if (f->epoch != 0)
-    event_log ("fleet-left", "", "epoch=%" G_GUINT64_FORMAT, f->epoch);
+  if (f->epoch == 0)
+    return;
+  event_log ("fleet-left", "", "epoch=%" G_GUINT64_FORMAT, f->epoch);
   f->epoch = 0;
-  f->loaded = false;
   g_queue_clear_full (&f->writes, write_destroy);
   g_clear_pointer (&f->upkeep, upkeep_destroy);
   g_clear_pointer (&f->machines, g_ptr_array_unref);
   g_clear_pointer (&f->announced, g_hash_table_unref);
 }
 
-void
-fleet_set_owned (struct node *n, bool owned, int64_t confirmed_ms)
-{
-  struct fleet_state *f = &n->fleet;
-
-  if (owned)
-    f->confirmed_ms = MAX (f->confirmed_ms, confirmed_ms);
-  if (!owned && f->owned)
-    let_go (n);
-  f->owned = owned;
-}
-
-void
-fleet_clear (struct node *n)
+static bool
+is_current (const struct fleet_state *f, uint64_t epoch)
 {
-  let_go (n);
+  return epoch != 0 && f->epoch == epoch;
 }
 
+/* Whether this node has been confirmed to have the duty lately. */
 static bool
-is_current (const struct fleet_state *f, uint64_t epoch)
+is_sure (const struct node *n, int64_t now_ms)
 {
-  return f->owned && epoch != 0 && f->epoch == epoch;
+  const struct host *h = g_hash_table_lookup (n->hosts, FLEET_SERVICE);
+
+  return h != NULL && h->epoch == n->fleet.epoch
+         && now_ms < h->confirmed_ms + HOLDER_SURE_MS;
 }
 
 /* What an answer goes with: by then another epoch may have begun. */
@@ -131,28 +121,7 @@
 /* Taking the duty. */
 
 static void
-on_epoch (void *data, const struct store_appended *a)
-{
-  struct node *n = data;
-  struct fleet_state *f = &n->fleet;
-  int64_t now_ms = node_now_ms ();
-
-  f->call_out = false;
-  f->retry_ms = now_ms + RETRY_MS;
-  if (a->result != STORE_DONE || !f->owned || f->epoch != 0)
-    return;
-  f->epoch = a->offset + 1;
-  f->since_ms = now_ms;
-  f->retry_ms = now_ms;
-  f->upkeep = upkeep_new ();
-  f->announced = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
-  f->sequences[FLEET_STATUS] = 1;
-  f->sequences[FLEET_UPKEEP] = 1;
-  event_log ("fleet-taken", "", "epoch=%" G_GUINT64_FORMAT, f->epoch);
-}
-
-static void
-load_begun (struct fleet_state *f, const struct store_record *r,
+load_begun (struct fleet_state *f, const struct journal_entry *r,
             int64_t now_ms)
 {
   gsize size;
@@ -168,27 +137,32 @@
   g_free (copy);
 }
 
-static void
-on_upkeep_page (void *data, const struct store_page *page)
+void
+fleet_begin (struct node *n, uint64_t epoch, const GPtrArray *records,
+             int64_t now_ms)
 {
-  struct fleet_call *call = data;
-  struct fleet_state *f = &call->node->fleet;
-  int64_t now_ms = node_now_ms ();
+  struct fleet_state *f = &n->fleet;
 
-  f->call_out = false;
-  f->retry_ms = now_ms + RETRY_MS;
-  if (is_current (f, call->epoch) && page->result == STORE_DONE)
+  f->epoch = epoch;
+  f->since_ms = now_ms;
+  f->retry_ms = now_ms;
+  f->write_out = false;
+  f->round_out = false;
+  f->orders_out = 0;
+  f->upkeep = upkeep_new ();
+  f->announced = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  f->sequences[FLEET_STATUS] = 1;
+  f->sequences[FLEET_UPKEEP] = 1;
+  n->status.has_list = false;
+  n->status.list_again = true;
+  for (guint i = 0; i < records->len; i++)
     {
-      for (guint i = 0; i < page->records->len; i++)
-        {
-          const struct store_record *r = g_ptr_array_index (page->records, i);
+      const struct journal_entry *e = g_ptr_array_index (records, i);
 
-          if (r->value != NULL)
-            load_begun (f, r, now_ms);
-        }
-      f->loaded = true;
+      if (e->value != NULL)
+        load_begun (f, e, now_ms);
     }
-  call_destroy (call);
+  event_log ("fleet-taken", "", "epoch=%" G_GUINT64_FORMAT, f->epoch);
 }
 
 /* Writing: one at a time, in order, each until it is done. */
@@ -199,8 +173,6 @@
   struct fleet_call *call = data;
   struct fleet_state *f = &call->node->fleet;
 
-  f->write_out = false;
-  f->retry_ms = node_now_ms () + RETRY_MS;
   if (is_current (f, call->epoch))
     {
       struct fleet_write *w = g_queue_peek_head (&f->writes);
@@ -209,6 +181,8 @@
                               ? FLEET_STATUS
                               : FLEET_UPKEEP];
 
+      f->write_out = false;
+      f->retry_ms = node_now_ms () + RETRY_MS;
       if (a->result == STORE_DONE)
         {
           ++*sequence;
@@ -218,7 +192,7 @@
       else if (a->result == STORE_SEQUENCE)
         *sequence = a->next_sequence;
       else if (a->result == STORE_FENCED)
-        let_go (call->node);
+        fleet_end (call->node);
     }
   call_destroy (call);
 }
@@ -295,26 +269,29 @@
   struct fleet_call *call = data;
   struct node *n = call->node;
 
-  n->fleet.orders_out--;
   event_log ("machine-upkeep", call->machine,
              "wave=%" G_GINT64_FORMAT " service=%s worker=%s outcome=%d",
              call->wave, call->service, call->worker, (int)answer);
-  if (is_current (&n->fleet, call->epoch))
-    switch (answer)
-      {
-      case MACHINE_ORDER_DONE:
-      case MACHINE_ORDER_REFUSED:
-        note_begun (n, call);
-        break;
-      case MACHINE_ORDER_FENCED:
-        let_go (n);
-        n->fleet.retry_ms = node_now_ms () + n->settings->holder_lease_ms;
-        break;
-      case MACHINE_ORDER_BUSY:
-      case MACHINE_ORDER_UNCLEAR:
-        meters_add (n->meters, METER_MACHINE_ORDERS_RETRIED, 1);
-        break;
-      }
+  if (!is_current (&n->fleet, call->epoch))
+    {
+      call_destroy (call);
+      return;
+    }
+  n->fleet.orders_out--;
+  switch (answer)
+    {
+    case MACHINE_ORDER_DONE:
+    case MACHINE_ORDER_REFUSED:
+      note_begun (n, call);
+      break;
+    case MACHINE_ORDER_FENCED:
+      fleet_end (n);
+      break;
+    case MACHINE_ORDER_BUSY:
+    case MACHINE_ORDER_UNCLEAR:
+      meters_add (n->meters, METER_MACHINE_ORDERS_RETRIED, 1);
+      break;
+    }
   call_destroy (call);
 }
 
@@ -337,14 +314,16 @@
   struct fleet_call *call = data;
   struct fleet_state *f = &call->node->fleet;
 
-  if (is_current (f, call->epoch) && answer->result == FRONT_DONE
-      && answer->number == 1
-      && node_now_ms () < f->confirmed_ms + HOLDER_SURE_MS)
+  bool is_ours = is_current (f, call->epoch);
+
+  if (is_ours && answer->result == FRONT_DONE && answer->number == 1
+      && is_sure (call->node, node_now_ms ()))
     {
       order_upkeep (call);
       return;
     }
-  f->orders_out--;
+  if (is_ours)
+    f->orders_out--;
   call_destroy (call);
 }
 
@@ -429,8 +408,11 @@
   struct fleet_state *f = &n->fleet;
   int64_t now_ms = node_now_ms ();
 
-  f->round_out = false;
-  f->round_ms = now_ms + ROUND_GAP_MS;
+  if (is_current (f, call->epoch))
+    {
+      f->round_out = false;
+      f->round_ms = now_ms + ROUND_GAP_MS;
+    }
   if (is_current (f, call->epoch) && machines != NULL)
     {
       g_clear_pointer (&f->machines, g_ptr_array_unref);
@@ -445,32 +427,16 @@
 {
   struct fleet_state *f = &n->fleet;
 
-  if (!f->owned || n->stopping || n->settings->machines[0] == '\0')
+  if (f->epoch == 0 || n->stopping || n->settings->machines[0] == '\0')
     return;
-  if (f->epoch != 0 && f->loaded)
-    write_next (n);
-  if (f->call_out || now_ms < f->retry_ms)
-    return;
-  if (f->epoch == 0)
-    {
-      f->call_out = true;
-      store_append_text (n->store, EPOCH_STREAM, WRITER, on_epoch, n);
-      return;
-    }
+  write_next (n);
   if (!n->config.has_list || !n->status.has_list)
     return;
   take_waves (n, now_ms);
-  if (!f->loaded)
-    {
-      f->call_out = true;
-      store_newest (n->store, UPKEEP_STREAM, NULL, on_upkeep_page,
-                    call_new (n, 0, NULL));
-      return;
-    }
   if (f->round_out || f->orders_out > 0 || now_ms < f->round_ms
       || !upkeep_has_work (f->upkeep)
       || now_ms < f->since_ms + n->settings->holder_lease_ms + HOLDER_SPARE_MS
-      || now_ms > f->confirmed_ms + HOLDER_SURE_MS)
+      || !is_sure (n, now_ms))
     return;
   f->round_out = true;
   machines_read (n->client, n->settings->machines, on_machines,
--- a/src/node_front.c
+++ b/src/node_front.c
@@ -90,7 +90,7 @@
 {
   const struct node *n = front->node;
 
-  return !n->stopping && n->routes != NULL && n->owner.owners_known
+  return !n->stopping && n->routes != NULL && n->owners.has_list
          && node_now_ms () < n->store_heard_ms + STORE_LOST_MS;
 }
 
@@ -148,7 +148,6 @@
 {
   p->out = false;
   p->retry_ms = now_ms + RETRY_MS;
-  owner_refresh (p->front->node, now_ms);
   meters_add (p->front->node->meters, METER_FORWARDS_RETRIED, 1);
 }
 
@@ -210,7 +209,8 @@
       host_ask (h, &ask, on_local, p, now_ms);
       return;
     }
-  if (h != NULL || owner == NULL || strcmp (owner, n->address) == 0)
+  if (owner == NULL || strchr (owner, ':') == NULL
+      || strcmp (owner, n->address) == 0)
     {
       try_later (p, now_ms);
       return;
--- a/src/node_host.c
+++ b/src/node_host.c
@@ -20,8 +20,16 @@
 #define KNOWS_ALL_MS 1800
 /* After a call of the takeover that failed. */
 #define RETRY_MS 200
-/* After the cell was lost to a higher epoch, before it is taken again. */
-#define FENCED_PAUSE_MS 1000
+/* An owner without other appends makes sure of its epoch so often. */
+#define CONFIRM_GAP_MS 1000
+/* Between two questions to the owner that is watched. */
+#define WATCH_GAP_MS 350
+/* An owner that has not been confirmed for so long is followed. */
+#define DOUBT_MS 2500
+/* Questions in a row without a good answer before the owner is followed. */
+#define UNHEARD_MAX 3
+/* Whoever fenced this node has written by then that it is the owner. */
+#define SUCCESSOR_MS 2000
 
 struct local_ask
 {
@@ -76,9 +84,17 @@
   return h != NULL && h->serial == call->serial ? h : NULL;
 }
 
+static bool
+is_fleet (const struct host *h)
+{
+  return strcmp (h->service, FLEET_SERVICE) == 0;
+}
+
 static char *
 journal_stream (const struct host *h)
 {
+  if (is_fleet (h))
+    return g_strdup (UPKEEP_STREAM);
   return g_strconcat (JOURNAL_PREFIX, h->service, NULL);
 }
 
@@ -90,9 +106,9 @@
   h->node = n;
   h->service = g_strdup (service);
   h->serial = ++n->serial;
-  h->phase = HOST_CLAIMING;
+  h->phase = HOST_WATCHING;
+  h->heard_ms = now_ms;
   h->asks = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
-  h->confirmed_ms = n->owner.joined_ms;
   return h;
 }
 
@@ -130,6 +146,8 @@
   struct host *h = host;
 
   abandon_asks (h);
+  if (is_fleet (h) && h->phase == HOST_ACTIVE)
+    fleet_end (h->node);
   g_hash_table_unref (h->asks);
   cell_destroy (h->cell);
   if (h->loaded != NULL)
@@ -146,17 +164,172 @@
 
 /* Takeover. */
 
+/* Another node has a higher epoch: watch it, whoever it is. */
 static void
-restart_takeover (struct host *h, int64_t pause_ms, int64_t now_ms)
+lose (struct host *h, int64_t now_ms)
 {
+  meters_add (h->node->meters, METER_CELLS_LOST, 1);
+  event_log ("cell-lost", h->service, "epoch=%" G_GUINT64_FORMAT, h->epoch);
   abandon_asks (h);
+  if (is_fleet (h) && h->phase == HOST_ACTIVE)
+    fleet_end (h->node);
   g_clear_pointer (&h->cell, cell_destroy);
   g_clear_pointer (&h->loaded, g_ptr_array_unref);
-  h->phase = HOST_CLAIMING;
+  h->phase = HOST_WATCHING;
   h->epoch = 0;
   h->serial = ++h->node->serial; /* answers on their way are void */
   h->call_out = false;
-  h->retry_ms = now_ms + pause_ms;
+  h->confirm_out = false;
+  h->unheard = 0;
+  h->heard_ms = now_ms;
+  h->retry_ms = now_ms + WATCH_GAP_MS;
+  owner_note (h->node, h->service, "-lost");
+}
+
+static void
+claim (struct host *h, const char *cause, int64_t now_ms)
+{
+  event_log ("cell-claim", h->service,
+             "cause=%s owner=%s unheard_ms=%" G_GINT64_FORMAT, cause,
+             owner_address (h->node, h->service) != NULL
+                 ? owner_address (h->node, h->service)
+                 : "none",
+             now_ms - h->heard_ms);
+  h->phase = HOST_CLAIMING;
+  h->retry_ms = now_ms;
+}
+
+/* The owner's answer is how long ago it was confirmed, in ms. */
+static void
+on_probed (void *data, const struct http_reply *reply)
+{
+  struct host_call *call = data;
+  struct host *h = call_host (call);
+  int64_t now_ms = node_now_ms ();
+
+  if (h != NULL && h->phase == HOST_WATCHING)
+    {
+      char *text = reply->body_bytes > 0
+                       ? g_strndup ((const char *)reply->body,
+                                    reply->body_bytes)
+                       : g_strdup ("0");
+      int64_t doubt_ms = g_ascii_strtoll (text, NULL, 10);
+
+      g_free (text);
+      h->call_out = false;
+      h->retry_ms = now_ms + WATCH_GAP_MS;
+      if (reply->status == 200 && doubt_ms < DOUBT_MS)
+        {
+          h->unheard = 0;
+          h->heard_ms = now_ms;
+        }
+      else if (++h->unheard >= UNHEARD_MAX)
+        claim (h, reply->status == 0     ? "owner-silent"
+                  : reply->status == 200 ? "owner-in-doubt"
+                                         : "not-the-owner",
+               now_ms);
+    }
+  call_destroy (call);
+}
+
+static void
+watch (struct host *h, int64_t now_ms)
+{
+  const char *owner = owner_address (h->node, h->service);
+
+  if (owner == NULL || strcmp (owner, "-") == 0)
+    claim (h, "no-owner", now_ms);
+  else if (strcmp (owner, "-lost") == 0 && now_ms > h->heard_ms + SUCCESSOR_MS)
+    claim (h, "no-successor", now_ms);
+  else if (strcmp (owner, h->node->address) == 0)
+    claim (h, "own-before-restart", now_ms);
+  else if (strchr (owner, ':') != NULL)
+    {
+      h->call_out = true;
+      peer_probe (h->node, owner, h->service, on_probed,
+                  call_new (h, NULL, NULL, 0, now_ms));
+    }
+}
+
+/* Tell all nodes who owns the cell now. */
+static void
+on_announced (void *data, const struct store_appended *a)
+{
+  struct host_call *call = data;
+  struct host *h = call_host (call);
+
+  if (a->result != STORE_DONE)
+    event_log ("owner-unwritten", call->service, "result=%d", (int)a->result);
+  if (h != NULL)
+    {
+      h->announce_out = false;
+      h->announced = a->result == STORE_DONE || a->result == STORE_SEQUENCE;
+      if (a->result == STORE_FENCED)
+        lose (h, node_now_ms ());
+    }
+  call_destroy (call);
+}
+
+static void
+announce (struct host *h, const char *value, uint64_t sequence, int64_t now_ms)
+{
+  struct store_writer writer = { h->service, h->epoch, sequence };
+  GPtrArray *entries = g_ptr_array_new_with_free_func (journal_entry_free);
+  GBytes *bytes = g_bytes_new (value, strlen (value));
+
+  h->announce_out = true;
+  g_ptr_array_add (entries, journal_entry_new (h->service, bytes));
+  store_append (h->node->store, OWNERS_STREAM, &writer, entries, on_announced,
+                call_new (h, NULL, NULL, 0, now_ms));
+  owner_note (h->node, h->service, value);
+  g_bytes_unref (bytes);
+  g_ptr_array_unref (entries);
+}
+
+void
+host_release (struct host *host)
+{
+  if (host->phase == HOST_ACTIVE)
+    announce (host, "-", 2, node_now_ms ());
+}
+
+/* Make sure that no other has fenced this epoch. */
+static void
+on_confirmed (void *data, const struct store_appended *a)
+{
+  struct host_call *call = data;
+  struct host *h = call_host (call);
+  int64_t now_ms = node_now_ms ();
+
+  if (h != NULL)
+    {
+      h->confirm_out = false;
+      h->confirm_due_ms = now_ms + RETRY_MS;
+      if (a->result == STORE_FENCED)
+        lose (h, now_ms);
+      else if (a->result == STORE_DONE || a->result == STORE_SEQUENCE)
+        {
+          h->node->store_heard_ms = now_ms;
+          h->confirmed_ms = MAX (h->confirmed_ms, call->sent_ms);
+        }
+    }
+  call_destroy (call);
+}
+
+static void
+confirm (struct host *h, int64_t now_ms)
+{
+  struct store_writer writer = { WRITER, h->epoch, h->sequence };
+  char *stream;
+
+  if (h->confirm_out || now_ms < h->confirmed_ms + CONFIRM_GAP_MS
+      || now_ms < h->confirm_due_ms)
+    return;
+  stream = journal_stream (h);
+  h->confirm_out = true;
+  store_append (h->node->store, stream, &writer, NULL, on_confirmed,
+                call_new (h, NULL, NULL, 0, now_ms));
+  g_free (stream);
 }
 
 static void
@@ -195,11 +368,13 @@
         {
           h->phase = HOST_LOADING;
           h->retry_ms = now_ms;
+          h->confirmed_ms = call->sent_ms;
+          h->sequence = 0;
           h->loaded = g_ptr_array_new_with_free_func (
               (GDestroyNotify)journal_entry_free);
         }
       else if (a->result == STORE_FENCED)
-        restart_takeover (h, FENCED_PAUSE_MS, now_ms);
+        lose (h, now_ms);
     }
   call_destroy (call);
 }
@@ -244,7 +419,7 @@
 }
 
 static void
-activate (struct host *h, int64_t now_ms)
+activate_cell (struct host *h, int64_t now_ms)
 {
   const struct node_settings *s = h->node->settings;
   struct cell_options options = {
@@ -262,10 +437,21 @@
   load_kind (h, 'j');
   load_kind (h, 'p');
   load_kind (h, 'w');
-  g_clear_pointer (&h->loaded, g_ptr_array_unref);
   list_workers (h, now_ms);
   cell_activate (h->cell, now_ms);
+}
+
+static void
+activate (struct host *h, int64_t now_ms)
+{
+  if (is_fleet (h))
+    fleet_begin (h->node, h->epoch, h->loaded, now_ms);
+  else
+    activate_cell (h, now_ms);
+  g_clear_pointer (&h->loaded, g_ptr_array_unref);
   h->phase = HOST_ACTIVE;
+  h->announced = false;
+  h->announce_out = false;
   meters_add (h->node->meters, METER_TAKEOVERS, 1);
   node_run_soon (h->node, h);
 }
@@ -309,6 +495,11 @@
 
   if (h->call_out || now_ms < h->retry_ms || h->phase == HOST_ACTIVE)
     return;
+  if (h->phase == HOST_WATCHING)
+    {
+      watch (h, now_ms);
+      return;
+    }
   call = call_new (h, NULL, NULL, 0, now_ms);
   stream = journal_stream (h);
   h->call_out = true;
@@ -328,6 +519,7 @@
       store_newest (h->node->store, stream, last != NULL ? last->key : NULL,
                     on_journal_page, call);
       break;
+    case HOST_WATCHING:
     case HOST_ACTIVE:
       break;
     }
@@ -489,7 +681,10 @@
   if (h != NULL && h->cell != NULL)
     {
       if (result == APPEND_DONE)
-        h->confirmed_ms = MAX (h->confirmed_ms, call->sent_ms);
+        {
+          h->confirmed_ms = MAX (h->confirmed_ms, call->sent_ms);
+          h->sequence = call->run;
+        }
       cell_append_answered (h->cell, result, now_ms);
       node_run_soon (h->node, h);
     }
@@ -607,6 +802,14 @@
       take_over (host, now_ms);
       return;
     }
+  confirm (host, now_ms);
+  if (!host->announced && !host->announce_out)
+    announce (host, host->node->address, 1, now_ms);
+  if (is_fleet (host))
+    {
+      fleet_tick (host->node, now_ms);
+      return;
+    }
   cell_tick (host->cell, node_wall_ms (host->node),
              host_is_sure (host, now_ms) && !host->node->stopping, now_ms);
   while ((o = cell_next_order (host->cell)) != NULL)
@@ -615,13 +818,7 @@
       cell_order_destroy (o);
     }
   if (cell_is_fenced (host->cell))
-    {
-      meters_add (host->node->meters, METER_CELLS_LOST, 1);
-      event_log ("cell-fenced", host->service,
-                 "epoch=%" G_GUINT64_FORMAT " outcome=claim-again-later",
-                 host->epoch);
-      restart_takeover (host, FENCED_PAUSE_MS, now_ms);
-    }
+    lose (host, now_ms);
 }
 
 void
--- a/src/node_peers.c
+++ b/src/node_peers.c
@@ -12,7 +12,10 @@
 #define JOBS_PATH "/v1/jobs/"
 #define QUEUES_PATH "/v1/queues/"
 #define WORKERS_PATH "/v1/workers/"
+#define CELLS_PATH "/v1/cells/"
 #define STATUS_NOT_OWNER 421
+/* Whoever asks would follow the owner if it does not answer. */
+#define PROBE_TIMEOUT_MS 500
 /* Some 1000 tasks of a job are 100 KB. */
 #define BODY_MAX_BYTES (4 * 1024 * 1024)
 
@@ -153,6 +156,34 @@
   g_free (subject);
 }
 
+void
+peer_probe (struct node *n, const char *address, const char *service,
+            http_done done, void *data)
+{
+  char *name = g_uri_escape_string (service, NULL, FALSE);
+  char *path = g_strconcat (CELLS_PATH, name, "?service=", name, NULL);
+  struct http_call call = { .method = "GET",
+                            .path = path,
+                            .timeout_ms = PROBE_TIMEOUT_MS,
+                            .lane = LANE_WAITS };
+
+  http_client_send (n->client, address, &call, done, data);
+  g_free (path);
+  g_free (name);
+}
+
+/* Tell how long ago the owner was confirmed to be it. */
+static void
+serve_probe (const struct host *h, struct evhttp_request *request)
+{
+  struct evbuffer *body = evbuffer_new ();
+
+  evbuffer_add_printf (body, "%" G_GINT64_FORMAT,
+                       node_now_ms () - h->confirmed_ms);
+  evhttp_send_reply (request, 200, "owner", body);
+  evbuffer_free (body);
+}
+
 static bool
 read_verb (const char *path, enum evhttp_cmd_type method,
            enum front_verb *verb, const char **subject)
@@ -197,15 +228,21 @@
 {
   struct front_ask ask = { .service = service };
   struct host *h = g_hash_table_lookup (n->hosts, service);
+  bool is_owner = h != NULL && h->phase == HOST_ACTIVE && !n->stopping;
   struct peer_ask *kept;
 
-  if (!read_verb (path, evhttp_request_get_command (request), &ask.verb,
+  if (is_owner && g_str_has_prefix (path, CELLS_PATH))
+    {
+      serve_probe (h, request);
+      return;
+    }
+  if (is_owner && !read_verb (path, evhttp_request_get_command (request), &ask.verb,
                   &ask.subject))
     {
       evhttp_send_reply (request, 400, "unknown call", NULL);
       return;
     }
-  if (h == NULL || h->phase != HOST_ACTIVE || n->stopping)
+  if (!is_owner || h->cell == NULL)
     {
       evhttp_send_reply (request, STATUS_NOT_OWNER, "not the owner", NULL);
       return;
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -29,6 +29,7 @@
   struct node *node;
   const char *stream;
   bool has_list;       /* the newest of all keys has been read */
+  bool list_again;
   char *after;         /* page of the list being read, or NULL */
   GHashTable *listed;  /* keys of the list being read */
   uint64_t next;       /* offset */
@@ -43,13 +44,14 @@
 
 enum host_phase
 {
+  HOST_WATCHING, /* another node owns it as long as it answers */
   HOST_CLAIMING, /* takes an epoch */
   HOST_FENCING,  /* makes the journal refuse the earlier owner */
   HOST_LOADING,
   HOST_ACTIVE
 };
 
-/* A cell that this node owns, or is about to. */
+/* What this node owns, or would own next: a service's cell, or the fleet. */
 struct host
 {
   struct node *node;
@@ -62,6 +64,13 @@
   bool call_out;
   int64_t retry_ms;
   int64_t confirmed_ms; /* when it was last sure to be the owner */
+  bool announced;       /* all nodes can read who the owner is */
+  bool announce_out;
+  bool confirm_out;
+  int64_t confirm_due_ms;
+  uint64_t sequence;    /* of the last append that was done */
+  int64_t heard_ms;     /* when the owner that is watched last answered */
+  uint32_t unheard;     /* calls to it in a row without a good answer */
   GHashTable *asks;     /* token to struct local_ask */
   bool dirty;           /* to be run before the loop waits */
 };
@@ -69,15 +78,11 @@
 struct owner_state
 {
   int64_t generation;
-  int64_t joined_ms;
   int64_t due_ms;
   bool call_out;
   bool left;
-  GArray *parts;       /* uint32_t, this node's */
-  GPtrArray *owners;   /* char *, "IP:PORT" by part, or NULL */
-  bool owners_known;
-  bool owners_out;
-  int64_t owners_due_ms;
+  GArray *parts;      /* uint32_t, this node's */
+  GHashTable *owners; /* service to "IP:PORT" */
 };
 
 struct fleet_write
@@ -89,15 +94,11 @@
 
 struct fleet_state
 {
-  bool owned;
-  uint64_t epoch; /* 0 until it is taken */
-  bool call_out;
+  uint64_t epoch;   /* 0 while another node has the duty */
+  int64_t since_ms; /* holder since */
   int64_t retry_ms;
-  int64_t since_ms;     /* holder since */
-  int64_t confirmed_ms;
-  bool loaded;
   struct upkeep *upkeep;
-  GQueue writes;        /* struct fleet_write * */
+  GQueue writes; /* struct fleet_write * */
   bool write_out;
   uint64_t sequences[2]; /* of the status and the upkeep stream */
   bool round_out;
@@ -122,6 +123,7 @@
   struct follower config;
   struct follower worker_list;
   struct follower status;
+  struct follower owners;
   struct owner_state owner;
   GHashTable *hosts; /* service to struct host * */
   uint32_t serial;
@@ -155,16 +157,18 @@
 void directory_clear (struct node *n);
 
 /* node_owner.c */
-#define FLEET_SERVICE ""
+#define FLEET_SERVICE "fleet" /* no service: the machines of all of them */
+#define OWNERS_STREAM "keyed.cells"
 void owner_start (struct node *n);
 void owner_tick (struct node *n, int64_t now_ms);
 void owner_leave (struct node *n);
-void owner_refresh (struct node *n, int64_t now_ms);
-/* Apply the parts that this node has. */
+void owner_clear (struct node *n);
+/* Watch or own what this node's parts stand for. */
 void owner_apply (struct node *n, int64_t now_ms);
 /* Return the address of the service's owner, or NULL if it is not known. */
 const char *owner_address (const struct node *n, const char *service);
-bool owner_is_self (const struct node *n, const char *service);
+/* Note who owns SERVICE: VALUE is "IP:PORT", or "-" for nobody. */
+void owner_note (struct node *n, const char *service, const char *value);
 
 /* node_host.c */
 struct host *host_new (struct node *n, const char *service, int64_t now_ms);
@@ -175,6 +179,8 @@
 void host_ask (struct host *host, const struct front_ask *ask, front_done done,
                void *data, int64_t now_ms);
 bool host_is_sure (const struct host *host, int64_t now_ms);
+/* Give the cell up in favour of whoever is next. */
+void host_release (struct host *host);
 
 /* node_front.c */
 struct front *front_new (struct node *n);
@@ -186,13 +192,20 @@
 void peer_send (struct node *n, const char *address,
                 const struct front_ask *ask, int64_t timeout_ms,
                 http_done done, void *data);
+/* Ask ADDRESS whether it owns SERVICE; 200 with its doubt in ms, see below. */
+void peer_probe (struct node *n, const char *address, const char *service,
+                 http_done done, void *data);
 /* Read the answer of another node.  Return false if it is not the owner. */
 bool peer_read_answer (enum front_verb verb, const struct http_reply *reply,
                        struct front_answer *answer);
 
 /* node_fleet.c */
+#define UPKEEP_STREAM "keyed.upkeep"
+/* Take the duty under EPOCH; RECORDS (struct journal_entry *) tell which
+   machines' upkeep has been begun. */
+void fleet_begin (struct node *n, uint64_t epoch, const GPtrArray *records,
+                  int64_t now_ms);
+void fleet_end (struct node *n);
 void fleet_tick (struct node *n, int64_t now_ms);
-void fleet_set_owned (struct node *n, bool owned, int64_t confirmed_ms);
-void fleet_clear (struct node *n);
 
 #endif
