Have an owner in doubt yield with what it knows of its workers

Ruled out: yielding the ends taken in so far.

Change: the watcher asks the owner in doubt to stop and for the runs of silent workers; a claim is begun again when it was slow or another owner was written meanwhile; a worker that does not answer is not emptied.

--- a/src/cell.h
+++ b/src/cell.h
@@ -214,6 +214,11 @@
 void cell_append_answered (struct cell *cell, enum append_result result,
                            int64_t now_ms);
 
+/* Stop being the owner, and return what the next one has to know of the
+   workers, as journal records (struct journal_entry *) that are newer than
+   those of the journal. */
+GPtrArray *cell_yield (struct cell *cell);
+
 /* Do what is due.  WALL_MS is Unix time as far as it can be trusted, and
    MAY_START tells whether the owner is still sure enough to be it. */
 void cell_tick (struct cell *cell, int64_t wall_ms, bool may_start,
--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -114,7 +114,7 @@
 }
 
 static GVariant *
-worker_record (const struct cell_worker *w)
+worker_record (const struct cell_worker *w, uint64_t ends)
 {
   GVariantBuilder runs;
 
@@ -128,18 +128,28 @@
       g_free (name);
     }
   return g_variant_new (WORKER_TYPE, w->entry->address, w->born_ms,
-                        w->ends_taken, !w->confirmed, &runs);
+                        ends, !w->confirmed, &runs);
+}
+
+struct journal_entry *
+cell_worker_entry (const struct cell_worker *w, uint64_t ends)
+{
+  struct journal_entry *e = g_new0 (struct journal_entry, 1);
+  GVariant *v = g_variant_ref_sink (worker_record (w, ends));
+
+  e->key = g_strconcat ("w:", w->entry->id, NULL);
+  e->value = g_variant_get_data_as_bytes (v);
+  g_variant_unref (v);
+  return e;
 }
 
 static void
 put_worker (struct cell *c, struct cell_worker *w)
 {
   struct flight_worker f = { w, w->ends_taken, !w->confirmed };
-  GVariant *v = g_variant_ref_sink (worker_record (w));
 
   w->queued = false;
-  add_entry (c, "w:", w->entry->id, g_variant_get_data_as_bytes (v));
-  g_variant_unref (v);
+  g_ptr_array_add (c->flight.entries, cell_worker_entry (w, w->ends_taken));
   g_array_append_val (c->flight.workers, f);
 }
 
@@ -345,12 +355,17 @@
 {
   GVariant *v = g_variant_ref_sink (
       g_variant_new_from_bytes (G_VARIANT_TYPE (WORKER_TYPE), value, FALSE));
-  struct cell_worker *w = cell_worker_add (c, id);
+  struct cell_worker *w = g_hash_table_lookup (c->workers, id);
   gboolean is_silent;
   GVariantIter *runs;
   const char *name;
   uint64_t run;
 
+  /* A later record of the same worker counts. */
+  if (w == NULL)
+    w = cell_worker_add (c, id);
+  while (w->tasks->len > 0)
+    cell_task_free (c, g_ptr_array_index (w->tasks, 0), c->taken_over_ms);
   g_free (w->entry->address);
   g_variant_get (v, WORKER_TYPE, &w->entry->address, &w->born_ms,
                  &w->ends_taken, &is_silent, &runs);
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -219,6 +219,9 @@
 /* cell_journal.c */
 void cell_journal_job (struct cell *c, struct cell_job *job, bool urgent);
 void cell_journal_worker (struct cell *c, struct cell_worker *w);
+/* Return the journal's record of W as it is now, with its ends up to ENDS. */
+struct journal_entry *cell_worker_entry (const struct cell_worker *w,
+                                         uint64_t ends);
 /* Have KEY, which the journal owns from now on, dropped. */
 void cell_journal_drop (struct cell *c, char *key);
 void cell_journal_tick (struct cell *c, int64_t now_ms);
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -785,9 +785,10 @@
   const struct job_step *s = cell_task_step (t);
   bool patient = now_ms < w->leaving_since_ms + RELEASE_PATIENCE_MS;
 
-  if (t->phase != TASK_RUNNING)
+  if (t->phase != TASK_RUNNING || !w->confirmed)
     return;
-  if (s->lasts
+  /* A task that lasts goes only where it can be started anew at once. */
+  if (s->lasts && cell_workers_settled (c, now_ms)
       && (!is_at_work (t) || s->may_miss == 0
           || cell_step_missing (t) < s->may_miss))
     cell_stop_task (c, t, now_ms);
@@ -795,6 +796,23 @@
     cell_stop_task (c, t, now_ms);
 }
 
+GPtrArray *
+cell_yield (struct cell *cell)
+{
+  GPtrArray *records = g_ptr_array_new_with_free_func (journal_entry_free);
+
+  /* The journal does not have the ends after last_seen: the next owner has
+     to take them in itself. */
+  for (guint i = 0; i < cell->worker_list->len; i++)
+    {
+      const struct cell_worker *w = g_ptr_array_index (cell->worker_list, i);
+
+      g_ptr_array_add (records, cell_worker_entry (w, w->last_seen));
+    }
+  cell->fenced = true;
+  return records;
+}
+
 bool
 cell_release_worker (struct cell *cell, const char *worker, int64_t now_ms)
 {
--- a/src/node.c
+++ b/src/node.c
@@ -25,6 +25,8 @@
 #define WALL_JUMP_MS 300
 /* A new time of day is believed after so long. */
 #define WALL_BELIEF_MS 15000
+/* The store answers several calls a second; a longer silence is an outage. */
+#define STORE_SILENCE_MS 1500
 /* The loop was kept from running for so long: a pause worth a line. */
 #define PAUSE_MS 700
 
@@ -83,6 +85,18 @@
       host_run (value, now_ms);
 }
 
+void
+node_note_store (struct node *n, int64_t now_ms)
+{
+  if (now_ms > n->store_heard_ms + STORE_SILENCE_MS)
+    {
+      event_log ("store-back", n->settings->store,
+                 "silent_ms=%" G_GINT64_FORMAT, now_ms - n->store_heard_ms);
+      n->store_back_ms = now_ms;
+    }
+  n->store_heard_ms = now_ms;
+}
+
 void
 node_run_soon (struct node *n, struct host *host)
 {
--- a/src/node_directory.c
+++ b/src/node_directory.c
@@ -13,18 +13,11 @@
 #define WORKERS_GAP_MS 400
 #define STATUS_WAIT_MS 5000
 /* A change of owner wakes the call at once. */
-#define OWNERS_WAIT_MS 4000
+#define OWNERS_WAIT_MS 1500
 #define RETRY_MS 250
 
 static void follow (struct follower *f);
 
-static void
-note_store (struct node *n, bool heard, int64_t now_ms)
-{
-  if (heard)
-    n->store_heard_ms = now_ms;
-}
-
 static void
 end_list (struct follower *f)
 {
@@ -63,7 +56,8 @@
 
   f->call_out = false;
   f->due_ms = now_ms + RETRY_MS;
-  note_store (f->node, page->result == STORE_DONE, now_ms);
+  if (page->result == STORE_DONE)
+    node_note_store (f->node, now_ms);
   if (page->result == STORE_TRIMMED)
     {
       event_log ("stream-trimmed", f->stream,
--- a/src/node_host.c
+++ b/src/node_host.c
@@ -30,6 +30,11 @@
 #define UNHEARD_MAX 3
 /* Whoever fenced this node has written by then that it is the owner. */
 #define SUCCESSOR_MS 2000
+/* The watcher's own view of the store has to be sound for so long before it
+   counts the owner's doubt against it. */
+#define STORE_STEADY_MS 1500
+/* A claim that took longer is begun again: much may have changed. */
+#define CLAIM_MAX_MS 2000
 
 struct local_ask
 {
@@ -150,8 +155,9 @@
     fleet_end (h->node);
   g_hash_table_unref (h->asks);
   cell_destroy (h->cell);
-  if (h->loaded != NULL)
-    g_ptr_array_unref (h->loaded);
+  g_clear_pointer (&h->loaded, g_ptr_array_unref);
+  g_clear_pointer (&h->yielded, g_ptr_array_unref);
+  g_free (h->claimed_from);
   g_free (h->service);
   g_free (h);
 }
@@ -164,6 +170,16 @@
 
 /* Takeover. */
 
+static void
+watch_again (struct host *h, int64_t now_ms)
+{
+  h->phase = HOST_WATCHING;
+  h->call_out = false;
+  h->unheard = 0;
+  h->heard_ms = now_ms;
+  h->retry_ms = now_ms + WATCH_GAP_MS;
+}
+
 /* Another node has a higher epoch: watch it, whoever it is. */
 static void
 lose (struct host *h, int64_t now_ms)
@@ -175,30 +191,81 @@
     fleet_end (h->node);
   g_clear_pointer (&h->cell, cell_destroy);
   g_clear_pointer (&h->loaded, g_ptr_array_unref);
-  h->phase = HOST_WATCHING;
   h->epoch = 0;
   h->serial = ++h->node->serial; /* answers on their way are void */
-  h->call_out = false;
   h->confirm_out = false;
-  h->unheard = 0;
-  h->heard_ms = now_ms;
-  h->retry_ms = now_ms + WATCH_GAP_MS;
+  watch_again (h, now_ms);
   owner_note (h->node, h->service, "-lost");
 }
 
+static const char *
+known_owner (const struct host *h)
+{
+  const char *owner = owner_address (h->node, h->service);
+
+  return owner != NULL ? owner : "none";
+}
+
 static void
 claim (struct host *h, const char *cause, int64_t now_ms)
 {
   event_log ("cell-claim", h->service,
              "cause=%s owner=%s unheard_ms=%" G_GINT64_FORMAT, cause,
-             owner_address (h->node, h->service) != NULL
-                 ? owner_address (h->node, h->service)
-                 : "none",
-             now_ms - h->heard_ms);
+             known_owner (h), now_ms - h->heard_ms);
+  g_free (h->claimed_from);
+  h->claimed_from = g_strdup (known_owner (h));
+  g_clear_pointer (&h->yielded, g_ptr_array_unref);
   h->phase = HOST_CLAIMING;
   h->retry_ms = now_ms;
 }
 
+static void
+on_yielded (void *data, const struct http_reply *reply)
+{
+  struct host_call *call = data;
+  struct host *h = call_host (call);
+  int64_t now_ms = node_now_ms ();
+
+  if (h != NULL && h->phase == HOST_YIELDING)
+    {
+      h->call_out = false;
+      claim (h, "owner-in-doubt", now_ms);
+      if (reply->status == 200)
+        h->yielded = peer_read_records (reply);
+      event_log ("cell-yielded", h->service, "records=%d",
+                 h->yielded != NULL ? (int)h->yielded->len : -1);
+    }
+  call_destroy (call);
+}
+
+static void
+ask_yield (struct host *h, int64_t now_ms)
+{
+  const char *owner = known_owner (h);
+
+  if (strchr (owner, ':') == NULL)
+    {
+      claim (h, "owner-in-doubt", now_ms);
+      return;
+    }
+  h->phase = HOST_YIELDING;
+  h->call_out = true;
+  peer_ask_yield (h->node, owner, h->service, on_yielded,
+                  call_new (h, NULL, NULL, 0, now_ms));
+}
+
+GPtrArray *
+host_yield (struct host *host, int64_t now_ms)
+{
+  GPtrArray *records
+      = host->cell != NULL
+            ? cell_yield (host->cell)
+            : g_ptr_array_new_with_free_func (journal_entry_free);
+
+  lose (host, now_ms);
+  return records;
+}
+
 /* The owner's answer is how long ago it was confirmed, in ms. */
 static void
 on_probed (void *data, const struct http_reply *reply)
@@ -223,10 +290,13 @@
           h->unheard = 0;
           h->heard_ms = now_ms;
         }
-      else if (++h->unheard >= UNHEARD_MAX)
-        claim (h, reply->status == 0     ? "owner-silent"
-                  : reply->status == 200 ? "owner-in-doubt"
-                                         : "not-the-owner",
+      else if (++h->unheard < UNHEARD_MAX
+               || now_ms < h->node->store_back_ms + STORE_STEADY_MS)
+        ;
+      else if (reply->status == 200)
+        ask_yield (h, now_ms);
+      else
+        claim (h, reply->status == 0 ? "owner-silent" : "not-the-owner",
                now_ms);
     }
   call_destroy (call);
@@ -239,7 +309,8 @@
 
   if (owner == NULL || strcmp (owner, "-") == 0)
     claim (h, "no-owner", now_ms);
-  else if (strcmp (owner, "-lost") == 0 && now_ms > h->heard_ms + SUCCESSOR_MS)
+  else if (strcmp (owner, "-lost") == 0
+           && h->node->owners.confirmed_ms > h->heard_ms + SUCCESSOR_MS)
     claim (h, "no-successor", now_ms);
   else if (strcmp (owner, h->node->address) == 0)
     claim (h, "own-before-restart", now_ms);
@@ -309,7 +380,7 @@
         lose (h, now_ms);
       else if (a->result == STORE_DONE || a->result == STORE_SEQUENCE)
         {
-          h->node->store_heard_ms = now_ms;
+          node_note_store (h->node, now_ms);
           h->confirmed_ms = MAX (h->confirmed_ms, call->sent_ms);
         }
     }
@@ -343,7 +414,10 @@
     {
       h->call_out = false;
       h->retry_ms = now_ms + RETRY_MS;
-      if (a->result == STORE_DONE)
+      if (now_ms > call->sent_ms + CLAIM_MAX_MS
+          || strcmp (h->claimed_from, known_owner (h)) != 0)
+        watch_again (h, now_ms);
+      else if (a->result == STORE_DONE)
         {
           h->epoch = a->offset + 1;
           h->phase = HOST_FENCING;
@@ -437,6 +511,12 @@
   load_kind (h, 'j');
   load_kind (h, 'p');
   load_kind (h, 'w');
+  for (guint i = 0; h->yielded != NULL && i < h->yielded->len; i++)
+    {
+      const struct journal_entry *e = g_ptr_array_index (h->yielded, i);
+
+      cell_load (h->cell, e->key, e->value);
+    }
   list_workers (h, now_ms);
   cell_activate (h->cell, now_ms);
 }
@@ -449,6 +529,7 @@
   else
     activate_cell (h, now_ms);
   g_clear_pointer (&h->loaded, g_ptr_array_unref);
+  g_clear_pointer (&h->yielded, g_ptr_array_unref);
   h->phase = HOST_ACTIVE;
   h->announced = false;
   h->announce_out = false;
@@ -520,6 +601,7 @@
                     on_journal_page, call);
       break;
     case HOST_WATCHING:
+    case HOST_YIELDING:
     case HOST_ACTIVE:
       break;
     }
@@ -673,7 +755,7 @@
 
   meters_time (call->node->meters, HISTOGRAM_APPEND, now_ms - call->sent_ms);
   if (result == APPEND_DONE)
-    call->node->store_heard_ms = now_ms;
+    node_note_store (call->node, now_ms);
   else
     event_log ("append-failed", call->service,
                "sequence=%" G_GUINT64_FORMAT " result=%d ms=%" G_GINT64_FORMAT,
--- a/src/node_owner.c
+++ b/src/node_owner.c
@@ -100,7 +100,7 @@
   o->due_ms = now_ms + RETRY_MS;
   if (m->result != STORE_DONE || o->left)
     return;
-  n->store_heard_ms = now_ms;
+  node_note_store (n, now_ms);
   o->due_ms = now_ms + JOIN_GAP_MS;
   g_array_set_size (o->parts, 0);
   g_array_append_vals (o->parts, m->parts->data, m->parts->len);
--- a/src/node_peers.c
+++ b/src/node_peers.c
@@ -156,22 +156,93 @@
   g_free (subject);
 }
 
-void
-peer_probe (struct node *n, const char *address, const char *service,
-            http_done done, void *data)
+static void
+call_owner (struct node *n, const char *address, const char *method,
+            const char *service, http_done done, void *data)
 {
   char *name = g_uri_escape_string (service, NULL, FALSE);
   char *path = g_strconcat (CELLS_PATH, name, "?service=", name, NULL);
-  struct http_call call = { .method = "GET",
+  struct http_call call = { .method = method,
                             .path = path,
                             .timeout_ms = PROBE_TIMEOUT_MS,
                             .lane = LANE_WAITS };
 
+  if (strcmp (method, "POST") == 0)
+    {
+      call.body = "-";
+      call.body_bytes = 1;
+    }
   http_client_send (n->client, address, &call, done, data);
   g_free (path);
   g_free (name);
 }
 
+void
+peer_probe (struct node *n, const char *address, const char *service,
+            http_done done, void *data)
+{
+  call_owner (n, address, "GET", service, done, data);
+}
+
+void
+peer_ask_yield (struct node *n, const char *address, const char *service,
+                http_done done, void *data)
+{
+  call_owner (n, address, "POST", service, done, data);
+}
+
+#define RECORDS_TYPE "a(say)"
+
+GPtrArray *
+peer_read_records (const struct http_reply *reply)
+{
+  GPtrArray *records = g_ptr_array_new_with_free_func (journal_entry_free);
+  GBytes *bytes = g_bytes_new (reply->body, reply->body_bytes);
+  GVariant *v = g_variant_ref_sink (
+      g_variant_new_from_bytes (G_VARIANT_TYPE (RECORDS_TYPE), bytes, FALSE));
+  GVariantIter iter;
+  const char *key;
+  GVariant *value;
+
+  g_variant_iter_init (&iter, v);
+  while (g_variant_iter_next (&iter, "(&s@ay)", &key, &value))
+    {
+      GBytes *data = g_variant_get_data_as_bytes (value);
+
+      g_ptr_array_add (records, journal_entry_new (key, data));
+      g_bytes_unref (data);
+      g_variant_unref (value);
+    }
+  g_variant_unref (v);
+  g_bytes_unref (bytes);
+  return records;
+}
+
+static void
+serve_yield (struct host *h, struct evhttp_request *request)
+{
+  GPtrArray *records = host_yield (h, node_now_ms ());
+  struct evbuffer *body = evbuffer_new ();
+  GVariantBuilder b;
+  GVariant *v;
+
+  g_variant_builder_init (&b, G_VARIANT_TYPE (RECORDS_TYPE));
+  for (guint i = 0; i < records->len; i++)
+    {
+      const struct journal_entry *e = g_ptr_array_index (records, i);
+
+      g_variant_builder_add (
+          &b, "(s@ay)", e->key,
+          g_variant_new_from_bytes (G_VARIANT_TYPE ("ay"), e->value, TRUE));
+    }
+  v = g_variant_ref_sink (g_variant_builder_end (&b));
+  evbuffer_add (body, g_variant_get_data (v), g_variant_get_size (v));
+  evhttp_send_reply (request, 200, "yielded", body);
+  evbuffer_free (body);
+  g_variant_unref (v);
+  g_ptr_array_unref (records);
+}
+
 /* Tell how long ago the owner was confirmed to be it. */
 static void
 serve_probe (const struct host *h, struct evhttp_request *request)
@@ -233,7 +304,10 @@
 
   if (is_owner && g_str_has_prefix (path, CELLS_PATH))
     {
-      serve_probe (h, request);
+      if (evhttp_request_get_command (request) == EVHTTP_REQ_POST)
+        serve_yield (h, request);
+      else
+        serve_probe (h, request);
       return;
     }
   if (is_owner && !read_verb (path, evhttp_request_get_command (request), &ask.verb,
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -45,6 +45,7 @@
 enum host_phase
 {
   HOST_WATCHING, /* another node owns it as long as it answers */
+  HOST_YIELDING, /* asks the owner, which is in doubt, to give it up */
   HOST_CLAIMING, /* takes an epoch */
   HOST_FENCING,  /* makes the journal refuse the earlier owner */
   HOST_LOADING,
@@ -71,6 +72,8 @@
   uint64_t sequence;    /* of the last append that was done */
   int64_t heard_ms;     /* when the owner that is watched last answered */
   uint32_t unheard;     /* calls to it in a row without a good answer */
+  GPtrArray *yielded;   /* struct journal_entry *, from the owner before */
+  char *claimed_from;   /* the owner's address when the claim began */
   GHashTable *asks;     /* token to struct local_ask */
   bool dirty;           /* to be run before the loop waits */
 };
@@ -139,6 +142,7 @@
   bool stopping;
   int64_t stop_begun_ms;
   int64_t store_heard_ms; /* last answer of the store */
+  int64_t store_back_ms;  /* when it answered again after a silence */
   int64_t wall_offset_ms; /* Unix time less the steady clock */
   int64_t wall_other_ms;  /* another offset that may be the right one */
   int64_t wall_other_since_ms;
@@ -149,6 +153,8 @@
 /* node.c */
 int64_t node_now_ms (void);
 int64_t node_wall_ms (const struct node *n);
+/* The store has answered. */
+void node_note_store (struct node *n, int64_t now_ms);
 void node_run_soon (struct node *n, struct host *host);
 
 /* node_directory.c */
@@ -179,6 +185,8 @@
 void host_ask (struct host *host, const struct front_ask *ask, front_done done,
                void *data, int64_t now_ms);
 bool host_is_sure (const struct host *host, int64_t now_ms);
+/* Stop being the owner; return what the next one has to know. */
+GPtrArray *host_yield (struct host *host, int64_t now_ms);
 /* Give the cell up in favour of whoever is next. */
 void host_release (struct host *host);
 
@@ -195,6 +203,10 @@
 /* Ask ADDRESS whether it owns SERVICE; 200 with its doubt in ms, see below. */
 void peer_probe (struct node *n, const char *address, const char *service,
                  http_done done, void *data);
+/* Ask ADDRESS to give SERVICE up; 200 with records for peer_read_records. */
+void peer_ask_yield (struct node *n, const char *address, const char *service,
+                     http_done done, void *data);
+GPtrArray *peer_read_records (const struct http_reply *reply);
 /* Read the answer of another node.  Return false if it is not the owner. */
 bool peer_read_answer (enum front_verb verb, const struct http_reply *reply,
                        struct front_answer *answer);
