--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -14,6 +14,8 @@
 #define RETRY_HOLD_MS 250
 /* Between two stops of the same run, and after an unanswered start. */
 #define STOP_RETRY_MS 400
+/* Added to the longest that a stop takes, for its way. */
+#define STOP_SPARE_MS 600
 /* Starts of one run without an answer before it is stopped instead. */
 #define START_TRIES 2
 /* A start that no room was left for blocks the worker so long. */
@@ -787,8 +789,10 @@
 
   if (t->phase != TASK_RUNNING || !w->confirmed)
     return;
-  /* A task that lasts goes only where it can be started anew at once. */
+  /* A task that lasts goes only where it can be started anew at once, and
+     when what the owner before has stopped is no longer reported. */
   if (s->lasts && cell_workers_settled (c, now_ms)
+      && now_ms > c->taken_over_ms + c->options.stop_grace_ms + STOP_SPARE_MS
       && (!is_at_work (t) || s->may_miss == 0
           || cell_step_missing (t) < s->may_miss))
     cell_stop_task (c, t, now_ms);
