--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -78,6 +78,7 @@
     for (uint32_t k = 0; k < o->undone[i]; k++, at++)
       {
         o->tasks[at].occurrence = o;
+        o->tasks[at].is_known = !job->loaded;
         o->tasks[at].step = i;
         o->tasks[at].index = k;
         o->tasks[at].pace = 100;
@@ -105,11 +106,13 @@
     add_occurrence (c, job, job->next_occurrence++, now_ms);
 }
 
-struct cell_job *
-cell_job_add (struct cell *c, struct job_spec *spec, int64_t now_ms)
+static struct cell_job *
+add_job (struct cell *c, struct job_spec *spec, bool is_loaded, int64_t now_ms)
 {
   struct cell_job *job = g_new0 (struct cell_job, 1);
 
+  job->loaded = is_loaded;
+  job->stored = is_loaded;
   job->spec = spec;
   job->lasts = job_spec_lasts (spec);
   job->taken_ms = now_ms;
@@ -126,6 +129,12 @@
   return job;
 }
 
+struct cell_job *
+cell_job_load (struct cell *c, struct job_spec *spec)
+{
+  return add_job (c, spec, true, c->taken_over_ms);
+}
+
 const struct job_step *
 cell_task_step (const struct cell_task *t)
 {
@@ -327,6 +336,7 @@
 
   if (t->phase == TASK_DONE)
     return;
+  t->is_known = t->is_known || is_current;
   if (end->how == END_DONE && !s->lasts)
     {
       /* Whichever run it was, the task is done; another that may run yet is
@@ -356,7 +366,7 @@
 
   if (job == NULL)
     {
-      job = cell_job_add (cell, spec, now_ms);
+      job = add_job (cell, spec, false, now_ms);
       cell_journal_job (cell, job, true);
     }
   else
--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -241,7 +241,9 @@
       return;
     }
   refuse_late (c, now_ms);
-  if (c->fenced || c->changed_jobs->len + c->changed_workers->len == 0
+  if (c->fenced
+      || c->changed_jobs->len + c->changed_workers->len + c->dropped_keys->len
+             == 0
       || now_ms < c->flushed_ms + gap || now_ms < c->flight.retry_ms)
     return;
   begin_append (c, now_ms);
@@ -294,6 +296,13 @@
   GArray *jobs = g_array_ref (c->flight.jobs);
   GArray *workers = g_array_ref (c->flight.workers);
 
+  for (guint i = 0; i < c->flight.entries->len; i++)
+    {
+      const struct journal_entry *e = g_ptr_array_index (c->flight.entries, i);
+
+      if (e->value == NULL)
+        cell_journal_drop (c, g_strdup (e->key));
+    }
   clear_flight (c);
   for (guint i = 0; i < jobs->len; i++)
     cell_journal_job (c, g_array_index (jobs, struct flight_job, i).job, true);
@@ -347,6 +356,7 @@
   cell_worker_put_task (w, t);
   cell_task_set_phase (t, TASK_RUNNING, c->taken_over_ms);
   t->moved_ms = c->taken_over_ms;
+  t->is_known = true;
   t->occurrence->job->started = true;
 }
 
@@ -394,9 +404,7 @@
           cell_note (cell, "journal-malformed", key, "record passed over");
           return;
         }
-      job = cell_job_add (cell, spec, cell->taken_over_ms);
-      job->loaded = true;
-      job->stored = true;
+      job = cell_job_load (cell, spec);
     }
   else if (g_str_has_prefix (key, "p:"))
     {
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -12,6 +12,7 @@
 #define ADVICE_WORKERS 30
 /* A ticket is used no later than this before its end. */
 #define TICKET_SPARE_MS 300
+#define UNSETTLED_NOTE_GAP_MS 1000
 /* An entry may be missing so long while the store comes back. */
 #define UNLISTED_GRACE_MS 2500
 
@@ -323,7 +324,8 @@
   const struct job_step *s = g_ptr_array_index (o->job->spec->steps, step);
   struct cell_task *first = &o->tasks[o->first[step]];
 
-  if (o->waiting[step] < s->count || now_ms < first->retry_ms)
+  if (o->waiting[step] < s->count || now_ms < first->retry_ms
+      || !(c->is_settled || o->tasks[o->first[step]].is_known))
     return;
   if (!s->one_rack)
     {
@@ -357,7 +359,8 @@
       struct cell_task *t = &o->tasks[o->first[step] + i];
       struct cell_worker *w;
 
-      if (t->phase != TASK_WAITING || now_ms < t->retry_ms)
+      if (t->phase != TASK_WAITING || now_ms < t->retry_ms
+          || !(c->is_settled || t->is_known))
         continue;
       w = choose (c, t, NULL, now_ms);
       if (w != NULL)
@@ -401,17 +404,31 @@
     }
 }
 
+/* A task of an earlier owner's job may run on a worker that has not answered
+   this one yet. */
+static void
+note_settled (struct cell *c, int64_t now_ms)
+{
+  const struct cell_worker *w = cell_unsettled_worker (c, now_ms);
+
+  c->is_settled = w == NULL;
+  if (w == NULL || now_ms < c->unsettled_noted_ms + UNSETTLED_NOTE_GAP_MS)
+    return;
+  c->unsettled_noted_ms = now_ms;
+  cell_note (c, "cell-unsettled", c->service,
+             "worker=%s for_ms=%" G_GINT64_FORMAT, w->entry->id,
+             now_ms - c->taken_over_ms);
+}
+
 void
 cell_place (struct cell *c, int64_t now_ms)
 {
-  bool settled;
-
   /* Even without news, pauses end. */
   if (!c->place_needed && now_ms < c->placed_ms + 50)
     return;
   c->place_needed = false;
   c->placed_ms = now_ms;
-  settled = cell_workers_settled (c, now_ms);
+  note_settled (c, now_ms);
   if (c->open_unsorted)
     g_ptr_array_sort (c->open, compare_jobs);
   c->open_unsorted = false;
@@ -419,9 +436,7 @@
     {
       struct cell_job *job = g_ptr_array_index (c->open, i);
 
-      /* A task of an earlier owner's job may run on a worker that has not
-         answered yet. */
-      if (job->stored && (settled || !job->loaded))
+      if (job->stored)
         place_job (c, job, now_ms);
     }
 }
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -39,6 +39,7 @@
   uint32_t start_tries;       /* without an answer */
   bool call_out;              /* a start or stop is on its way */
   bool stop_heard;            /* the worker acknowledged the stop */
+  bool is_known;              /* no earlier owner's run can be unseen */
   int64_t retry_ms;           /* not started or called again before */
   uint32_t percent;
   int64_t moved_ms; /* when percent last changed */
@@ -158,6 +159,8 @@
   GQueue orders;          /* struct cell_order * */
   bool place_needed;
   int64_t placed_ms;
+  bool is_settled; /* every worker of an earlier owner has answered */
+  int64_t unsettled_noted_ms;
   bool may_start;
   int64_t wall_ms;
   GPtrArray *changed_jobs;    /* for the next append */
@@ -178,8 +181,7 @@
 
 /* cell_jobs.c */
 void cell_job_destroy (gpointer p);
-struct cell_job *cell_job_add (struct cell *c, struct job_spec *spec,
-                               int64_t now_ms);
+struct cell_job *cell_job_load (struct cell *c, struct job_spec *spec);
 const struct job_step *cell_task_step (const struct cell_task *t);
 char *cell_task_name (const struct cell_task *t);
 struct cell_task *cell_find_task (struct cell *c, const char *name);
@@ -205,7 +207,10 @@
 void cell_workers_tick (struct cell *c, int64_t now_ms);
 void cell_worker_put_task (struct cell_worker *w, struct cell_task *t);
 void cell_worker_take_task (struct cell_worker *w, struct cell_task *t);
-bool cell_workers_settled (const struct cell *c, int64_t now_ms);
+/* Return a worker that an earlier owner may have given work, and that has not
+   told what it runs; NULL if there is none. */
+const struct cell_worker *cell_unsettled_worker (const struct cell *c,
+                                                 int64_t now_ms);
 void cell_stop_task (struct cell *c, struct cell_task *t, int64_t now_ms);
 void cell_order_stop (struct cell *c, const struct cell_worker *w,
                       const char *task, uint64_t run);
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -374,17 +374,17 @@
     }
 }
 
-bool
-cell_workers_settled (const struct cell *c, int64_t now_ms)
+const struct cell_worker *
+cell_unsettled_worker (const struct cell *c, int64_t now_ms)
 {
   for (guint i = 0; i < c->worker_list->len; i++)
     {
       const struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
 
       if (w->inherited && now_ms <= w->lease_over_ms)
-        return false;
+        return w;
     }
-  return true;
+  return NULL;
 }
 
 /* Reports. */
@@ -407,6 +407,7 @@
   cell_worker_put_task (w, t);
   cell_task_set_phase (t, TASK_RUNNING, now_ms);
   t->moved_ms = now_ms;
+  t->is_known = true;
   job->started = true;
   return true;
 }
@@ -791,7 +792,7 @@
     return;
   /* A task that lasts goes only where it can be started anew at once, and
      when what the owner before has stopped is no longer reported. */
-  if (s->lasts && cell_workers_settled (c, now_ms)
+  if (s->lasts && cell_unsettled_worker (c, now_ms) == NULL
       && now_ms > c->taken_over_ms + c->options.stop_grace_ms + STOP_SPARE_MS
       && (!is_at_work (t) || s->may_miss == 0
           || cell_step_missing (t) < s->may_miss))
@@ -829,5 +830,5 @@
   w->leaving_ms = now_ms + CELL_RELEASE_MS;
   for (guint i = 0; i < w->tasks->len; i++)
     release_task (cell, w, g_ptr_array_index (w->tasks, i), now_ms);
-  return w->tasks->len == 0 && cell_workers_settled (cell, now_ms);
+  return w->tasks->len == 0 && (!w->inherited || now_ms > w->lease_over_ms);
 }
