Hand a cell over with what its owner knows when it stops

Change: the owner's record names a stopping owner, which still answers with its workers' state; where the earlier owner has surely stopped, only its leases are waited for, 4.4 s.

--- a/Makefile
+++ b/Makefile
@@ -24,7 +24,7 @@
 	scripts/proof-pairs
 
 format:
-	clang-format -i src/*.[ch] tests/*/*.[ch]
+	clang-format -i src/*.[ch] platform/*.[ch] tests/*/*.[ch]
 
 clean:
 	rm -rf build build-sanitize
--- a/src/cell.c
+++ b/src/cell.c
@@ -220,7 +220,8 @@
     {
       const struct cell_job *job = g_ptr_array_index (cell->open, i);
 
-      if (job->stored && !job->started && strcmp (job->spec->queue, queue) == 0)
+      if (job->stored && !job->started
+          && strcmp (job->spec->queue, queue) == 0)
         n++;
     }
   return n;
--- a/src/cell.h
+++ b/src/cell.h
@@ -142,8 +142,8 @@
   RUN_ACCEPTED,
   RUN_NO_ANSWER,
   RUN_FENCED,
-  RUN_OLD,      /* a run as high has been stopped or has ended there */
-  RUN_LATE,     /* its deadline is over */
+  RUN_OLD,  /* a run as high has been stopped or has ended there */
+  RUN_LATE, /* its deadline is over */
   RUN_NO_ROOM,
   RUN_NO_TICKET,
   RUN_UNHEALTHY, /* the worker did nothing */
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -129,10 +129,10 @@
   return job;
 }
 
-struct cell_job *
+void
 cell_job_load (struct cell *c, struct job_spec *spec)
 {
-  return add_job (c, spec, true, c->taken_over_ms);
+  add_job (c, spec, true, c->taken_over_ms);
 }
 
 const struct job_step *
@@ -297,9 +297,7 @@
   const struct job_step *s = cell_task_step (t);
   struct cell_job *job = t->occurrence->job;
   struct cell_task *counted
-      = s->is_gang
-            ? &t->occurrence->tasks[t->occurrence->first[t->step]]
-            : t;
+      = s->is_gang ? &t->occurrence->tasks[t->occurrence->first[t->step]] : t;
 
   g_free (t->avoid_worker);
   t->avoid_worker = g_strdup (worker);
@@ -487,8 +485,8 @@
 void
 cell_job_load_progress (struct cell *c, struct cell_job *job, GBytes *bytes)
 {
-  GVariant *v = g_variant_ref_sink (g_variant_new_from_bytes (
-      G_VARIANT_TYPE (PROGRESS_TYPE), bytes, FALSE));
+  GVariant *v = g_variant_ref_sink (
+      g_variant_new_from_bytes (G_VARIANT_TYPE (PROGRESS_TYPE), bytes, FALSE));
   guchar state;
   GVariantIter *open;
   GVariant *one;
--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -127,8 +127,8 @@
       g_variant_builder_add (&runs, "(st)", name, t->run);
       g_free (name);
     }
-  return g_variant_new (WORKER_TYPE, w->entry->address, w->born_ms,
-                        ends, !w->confirmed, &runs);
+  return g_variant_new (WORKER_TYPE, w->entry->address, w->born_ms, ends,
+                        !w->confirmed, &runs);
 }
 
 struct journal_entry *
@@ -343,7 +343,8 @@
   cell->flight.retry_ms = now_ms + RETRY_MS;
 }
 
-/* A run that may still be on W, which its owner could not reach. */
+/* A run that may still be on W, which its owner could not reach.  The record
+   may be older than a start elsewhere, so the task is not known yet. */
 static void
 load_silent_run (struct cell *c, struct cell_worker *w, const char *name,
                  uint64_t run)
@@ -356,7 +357,6 @@
   cell_worker_put_task (w, t);
   cell_task_set_phase (t, TASK_RUNNING, c->taken_over_ms);
   t->moved_ms = c->taken_over_ms;
-  t->is_known = true;
   t->occurrence->job->started = true;
 }
 
@@ -404,7 +404,7 @@
           cell_note (cell, "journal-malformed", key, "record passed over");
           return;
         }
-      job = cell_job_load (cell, spec);
+      cell_job_load (cell, spec);
     }
   else if (g_str_has_prefix (key, "p:"))
     {
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -122,8 +122,8 @@
          const struct cell_worker *w, int64_t now_ms)
 {
   const struct job_step *s = cell_task_step (t);
-  int64_t cost = (int64_t)w->used.cpu_milli * 1000
-                 / MAX (w->entry->room.cpu_milli, 1);
+  int64_t cost
+      = (int64_t)w->used.cpu_milli * 1000 / MAX (w->entry->room.cpu_milli, 1);
 
   if (now_ms < w->shunned_ms)
     cost += COST_SHUNNED;
@@ -197,7 +197,8 @@
       struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
 
       if (may_run_on (t, w, now_ms) && now_ms >= w->shunned_ms
-          && (best == NULL || count_on_rack (c, w, t) < count_on_rack (c, best, t)))
+          && (best == NULL
+              || count_on_rack (c, w, t) < count_on_rack (c, best, t)))
         best = w;
     }
   if (best == NULL)
@@ -225,10 +226,11 @@
 
   if (!o->job->spec->advice.needed || now_ms < o->advice_ms[step])
     return;
-  o->advice_ms[step] = now_ms + MAX (ADVICE_RETRY_MS, o->job->spec->advice.valid_ms / 2);
+  o->advice_ms[step]
+      = now_ms + MAX (ADVICE_RETRY_MS, o->job->spec->advice.valid_ms / 2);
   order = cell_add_order (c, ORDER_ADVISE);
-  order->u.advise.step = g_strdup_printf ("%s.%u.%u", o->job->spec->id,
-                                          o->number, step);
+  order->u.advise.step
+      = g_strdup_printf ("%s.%u.%u", o->job->spec->id, o->number, step);
   order->u.advise.workers = g_ptr_array_new_with_free_func (g_free);
   for (guint i = 0; i < c->worker_list->len
                     && order->u.advise.workers->len < ADVICE_WORKERS;
@@ -336,7 +338,8 @@
     {
       const struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
 
-      if (s->near_rack[0] == '\0' || strcmp (s->near_rack, w->entry->rack) == 0)
+      if (s->near_rack[0] == '\0'
+          || strcmp (s->near_rack, w->entry->rack) == 0)
         if (try_gang (c, o, step, w->entry->rack, now_ms))
           return;
     }
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -63,9 +63,9 @@
   uint32_t number;
   uint32_t n_tasks;
   struct cell_task *tasks;
-  uint32_t *first;   /* place of a step's first task */
-  uint32_t *undone;  /* tasks of a step that are not done */
-  uint32_t *waiting; /* tasks of a step in TASK_WAITING */
+  uint32_t *first;      /* place of a step's first task */
+  uint32_t *undone;     /* tasks of a step that are not done */
+  uint32_t *waiting;    /* tasks of a step in TASK_WAITING */
   GHashTable **tickets; /* by step: worker to struct step_ticket, or NULL */
   int64_t *advice_ms;   /* by step: when advice may be asked next */
   uint32_t steps_undone;
@@ -96,12 +96,12 @@
   struct worker_entry *entry;
   bool listed;
   int64_t unlisted_ms;
-  int64_t born_ms; /* of the life that was heard last; 0 for none */
-  bool confirmed;  /* has answered since it last failed to */
-  bool inherited;  /* an earlier owner's runs may be there unseen */
+  int64_t born_ms;    /* of the life that was heard last; 0 for none */
+  bool confirmed;     /* has answered since it last failed to */
+  bool inherited;     /* an earlier owner's runs may be there unseen */
   uint64_t last_seen; /* ends that the journal has */
   uint64_t ends_taken;
-  bool queued; /* in the journal's list of changes */
+  bool queued;      /* in the journal's list of changes */
   bool in_journal;  /* the journal has a record of it */
   bool may_start;   /* that record says that runs may be there unseen */
   int64_t clock_ms; /* the worker's clock, as last heard */
@@ -109,8 +109,8 @@
   int64_t lease_over_ms; /* by then every run has ended, if not extended */
   bool hold_out;
   int64_t next_hold_ms;
-  int64_t blocked_ms;  /* no start before */
-  int64_t leaving_ms;  /* to be emptied until then */
+  int64_t blocked_ms; /* no start before */
+  int64_t leaving_ms; /* to be emptied until then */
   int64_t leaving_since_ms;
   uint32_t failed_streak; /* ends "failed" since one was done */
   int64_t shunned_ms;     /* used only if no other fits, until then */
@@ -151,10 +151,10 @@
   bool active;
   bool fenced;
   int64_t taken_over_ms;
-  GHashTable *jobs;    /* ID to struct cell_job * */
-  GPtrArray *open;     /* struct cell_job *, not ended, in order of placing */
+  GHashTable *jobs; /* ID to struct cell_job * */
+  GPtrArray *open;  /* struct cell_job *, not ended, in order of placing */
   bool open_unsorted;
-  GHashTable *workers; /* ID to struct cell_worker * */
+  GHashTable *workers;    /* ID to struct cell_worker * */
   GPtrArray *worker_list; /* the same */
   GQueue orders;          /* struct cell_order * */
   bool place_needed;
@@ -163,10 +163,10 @@
   int64_t unsettled_noted_ms;
   bool may_start;
   int64_t wall_ms;
-  GPtrArray *changed_jobs;    /* for the next append */
+  GPtrArray *changed_jobs; /* for the next append */
   GPtrArray *changed_workers;
   GPtrArray *dropped_keys; /* char *, to leave the journal */
-  bool urgent; /* somebody waits for the next append */
+  bool urgent;             /* somebody waits for the next append */
   struct cell_flight flight;
   uint64_t sequence;
   int64_t flushed_ms;
@@ -181,7 +181,7 @@
 
 /* cell_jobs.c */
 void cell_job_destroy (gpointer p);
-struct cell_job *cell_job_load (struct cell *c, struct job_spec *spec);
+void cell_job_load (struct cell *c, struct job_spec *spec);
 const struct job_step *cell_task_step (const struct cell_task *t);
 char *cell_task_name (const struct cell_task *t);
 struct cell_task *cell_find_task (struct cell *c, const char *name);
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -168,7 +168,8 @@
   return w->clock_ms + (now_ms - w->clock_heard_ms);
 }
 
-/* Return the deadline of a lease given now, and note when it is surely over. */
+/* Return the deadline of a lease given now, and note when it is surely over.
+ */
 static int64_t
 lease_deadline (struct cell_worker *w, int64_t now_ms)
 {
@@ -419,8 +420,7 @@
   struct cell_task *t = cell_find_task (c, r->task);
 
   if (t == NULL
-      || ((t->worker != w || t->run != r->run)
-          && !adopt (c, w, r, t, now_ms)))
+      || ((t->worker != w || t->run != r->run) && !adopt (c, w, r, t, now_ms)))
     {
       cell_note (c, "run-unknown", r->task,
                  "worker=%s run=%" G_GUINT64_FORMAT " outcome=stop",
@@ -428,13 +428,15 @@
       cell_order_stop (c, w, r->task, r->run);
       return;
     }
+  t->is_known = true;
   if (t->phase == TASK_STARTING && !t->call_out)
     cell_task_set_phase (t, TASK_RUNNING, now_ms);
   if (r->percent != t->percent)
     t->moved_ms = now_ms;
   t->percent = r->percent;
   t->figure = r->figure;
-  if (r->checkpoint[0] != '\0' && g_strcmp0 (t->checkpoint, r->checkpoint) != 0)
+  if (r->checkpoint[0] != '\0'
+      && g_strcmp0 (t->checkpoint, r->checkpoint) != 0)
     {
       g_free (t->checkpoint);
       t->checkpoint = g_strdup (r->checkpoint);
@@ -499,8 +501,9 @@
       if (!is_reported (report, name, t->run))
         {
           if (t->phase == TASK_RUNNING)
-            cell_note (c, "run-missing", name, "worker=%s run=%" G_GUINT64_FORMAT,
-                       w->entry->id, t->run);
+            cell_note (c, "run-missing", name,
+                       "worker=%s run=%" G_GUINT64_FORMAT, w->entry->id,
+                       t->run);
           cell_task_free (c, t, now_ms);
         }
       g_free (name);
@@ -557,9 +560,10 @@
         continue;
       if (tail > TAIL_SLOW_PERCENT && t->pace > 0
           && now_ms >= t->paced_ms + PACE_GAP_MS)
-        order_pace (c, t, tail > 100 || t->pace <= PACE_STEP_PERCENT
-                              ? 0
-                              : t->pace - PACE_STEP_PERCENT,
+        order_pace (c, t,
+                    tail > 100 || t->pace <= PACE_STEP_PERCENT
+                        ? 0
+                        : t->pace - PACE_STEP_PERCENT,
                     now_ms);
       else if (tail < TAIL_FAST_PERCENT && t->pace < 100
                && now_ms >= t->paced_ms + PACE_RAISE_GAP_MS)
@@ -781,23 +785,38 @@
 
 /* Emptying a worker. */
 
+/* A task that lasts goes only where it can be started anew at once, and when
+   what the owner before has stopped is no longer reported. */
+static bool
+may_take_lasting (const struct cell *c, const struct cell_task *t,
+                  int64_t now_ms)
+{
+  const struct job_step *s = cell_task_step (t);
+
+  if (cell_unsettled_worker (c, now_ms) != NULL
+      || now_ms <= c->taken_over_ms + c->options.stop_grace_ms + STOP_SPARE_MS)
+    return false;
+  return !is_at_work (t) || s->may_miss == 0
+         || cell_step_missing (t) < s->may_miss;
+}
+
+/* Other tasks are left to end for a while, unless nothing is lost. */
+static bool
+may_take_other (const struct cell_worker *w, const struct cell_task *t,
+                int64_t now_ms)
+{
+  return now_ms >= w->leaving_since_ms + RELEASE_PATIENCE_MS
+         || (cell_task_step (t)->checkpoints && t->checkpoint != NULL);
+}
+
 static void
 release_task (struct cell *c, struct cell_worker *w, struct cell_task *t,
               int64_t now_ms)
 {
-  const struct job_step *s = cell_task_step (t);
-  bool patient = now_ms < w->leaving_since_ms + RELEASE_PATIENCE_MS;
-
   if (t->phase != TASK_RUNNING || !w->confirmed)
     return;
-  /* A task that lasts goes only where it can be started anew at once, and
-     when what the owner before has stopped is no longer reported. */
-  if (s->lasts && cell_unsettled_worker (c, now_ms) == NULL
-      && now_ms > c->taken_over_ms + c->options.stop_grace_ms + STOP_SPARE_MS
-      && (!is_at_work (t) || s->may_miss == 0
-          || cell_step_missing (t) < s->may_miss))
-    cell_stop_task (c, t, now_ms);
-  else if (!s->lasts && (!patient || (s->checkpoints && t->checkpoint)))
+  if (cell_task_step (t)->lasts ? may_take_lasting (c, t, now_ms)
+                                : may_take_other (w, t, now_ms))
     cell_stop_task (c, t, now_ms);
 }
 
--- a/src/event_log.c
+++ b/src/event_log.c
@@ -42,10 +42,10 @@
 {
   int64_t now_ms = g_get_monotonic_time () / 1000;
 
-  state.allowance = MIN (state.allowance
-                             + (double)(now_ms - state.refilled_ms)
-                                   * LINES_PER_S / 1000,
-                         LINES_BURST);
+  state.allowance
+      = MIN (state.allowance
+                 + (double)(now_ms - state.refilled_ms) * LINES_PER_S / 1000,
+             LINES_BURST);
   state.refilled_ms = now_ms;
   if (state.allowance < 1 || state.buffer->len > BUFFER_MAX_BYTES)
     return false;
@@ -79,16 +79,17 @@
   va_start (args, format);
   detail = g_strdup_vprintf (format, args);
   va_end (args);
-  g_string_append_printf (
-      state.buffer, "{\"t\":%" G_GINT64_FORMAT ",\"node\":\"%s\",\"event\":\"%s\",\"subject\":\"",
-      clock_wall_ms (), state.node, event);
+  g_string_append_printf (state.buffer,
+                          "{\"t\":%" G_GINT64_FORMAT
+                          ",\"node\":\"%s\",\"event\":\"%s\",\"subject\":\"",
+                          clock_wall_ms (), state.node, event);
   put_text (state.buffer, subject);
   g_string_append (state.buffer, "\",\"detail\":\"");
   put_text (state.buffer, detail);
   if (state.dropped > state.reported)
     {
-      g_string_append_printf (state.buffer, "\",\"dropped\":\"%" G_GUINT64_FORMAT,
-                              state.dropped);
+      g_string_append_printf (
+          state.buffer, "\",\"dropped\":\"%" G_GUINT64_FORMAT, state.dropped);
       state.reported = state.dropped;
     }
   g_string_append (state.buffer, "\"}\n");
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -231,8 +231,8 @@
   struct http_client *c = g_new0 (struct http_client, 1);
 
   c->base = base;
-  c->lanes = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
-                                    lane_destroy);
+  c->lanes
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, lane_destroy);
   return c;
 }
 
@@ -300,9 +300,9 @@
 {
   struct lane *lane = find_lane (client, address, call->lane);
   struct pending_call *p = copy_call (call, done, data);
-  int64_t wait_ms
-      = g_queue_get_length (&lane->waiting) < LANE_QUEUE ? call->timeout_ms
-                                                         : 0;
+  int64_t wait_ms = g_queue_get_length (&lane->waiting) < LANE_QUEUE
+                        ? call->timeout_ms
+                        : 0;
   struct timeval timeout = { wait_ms / 1000, wait_ms % 1000 * 1000 };
   struct timeval now = { 0, 0 };
 
--- a/src/job.h
+++ b/src/job.h
@@ -45,12 +45,12 @@
 struct job_spec
 {
   char id[JOB_ID_LENGTH + 1];
-  char *queue;   /* name of the route that took it */
-  char *service; /* whose workers run it */
-  char *payload; /* handed to each task as it is */
-  int64_t accepted_ms; /* Unix time */
-  int64_t first_ms;    /* Unix time of the first occurrence; 0 for now */
-  int64_t interval_ms; /* between two occurrences */
+  char *queue;          /* name of the route that took it */
+  char *service;        /* whose workers run it */
+  char *payload;        /* handed to each task as it is */
+  int64_t accepted_ms;  /* Unix time */
+  int64_t first_ms;     /* Unix time of the first occurrence; 0 for now */
+  int64_t interval_ms;  /* between two occurrences */
   uint32_t occurrences; /* 0 for a job that runs once, at once */
   uint32_t priority;    /* 0 comes first */
   uint32_t max_attempts;
--- a/src/meters.c
+++ b/src/meters.c
@@ -99,9 +99,10 @@
         {
           total += meters->buckets[h][i];
           if (i < G_N_ELEMENTS (bounds_ms))
-            g_string_append_printf (
-                out, "%s_bucket{le=\"%" G_GINT64_FORMAT "\"} %" G_GUINT64_FORMAT "\n",
-                histogram_names[h], bounds_ms[i], total);
+            g_string_append_printf (out,
+                                    "%s_bucket{le=\"%" G_GINT64_FORMAT
+                                    "\"} %" G_GUINT64_FORMAT "\n",
+                                    histogram_names[h], bounds_ms[i], total);
         }
       g_string_append_printf (
           out, "%s_count %" G_GUINT64_FORMAT "\n%s_sum %" G_GINT64_FORMAT "\n",
--- a/src/meters.h
+++ b/src/meters.h
@@ -10,8 +10,8 @@
 enum meter
 {
   METER_JOBS_ACCEPTED,
-  METER_JOBS_REFUSED_STORE,   /* the store did not take them in time */
-  METER_JOBS_REFUSED_OWNER,   /* no owner could be reached */
+  METER_JOBS_REFUSED_STORE, /* the store did not take them in time */
+  METER_JOBS_REFUSED_OWNER, /* no owner could be reached */
   METER_JOBS_UNCLEAR,
   METER_JOBS_CANCELLED,
   METER_JOBS_ENDED,
--- a/src/node.c
+++ b/src/node.c
@@ -207,14 +207,14 @@
       if (h->cell == NULL)
         continue;
       cell_get_figures (h->cell, &f);
-      g_string_append_printf (
-          text,
-          "cell_jobs_open{service=\"%s\"} %u\n"
-          "cell_tasks_running{service=\"%s\"} %u\n"
-          "cell_tasks_waiting{service=\"%s\"} %u\n"
-          "cell_workers{service=\"%s\"} %u\n",
-          h->service, f.jobs_open, h->service, f.tasks_running, h->service,
-          f.tasks_waiting, h->service, f.workers);
+      g_string_append_printf (text,
+                              "cell_jobs_open{service=\"%s\"} %u\n"
+                              "cell_tasks_running{service=\"%s\"} %u\n"
+                              "cell_tasks_waiting{service=\"%s\"} %u\n"
+                              "cell_workers{service=\"%s\"} %u\n",
+                              h->service, f.jobs_open, h->service,
+                              f.tasks_running, h->service, f.tasks_waiting,
+                              h->service, f.workers);
     }
   evbuffer_add (body, text->str, text->len);
   evhttp_add_header (evhttp_request_get_output_headers (request),
@@ -245,8 +245,8 @@
   n->client = http_client_new (n->base);
   n->store = store_new (n->client, n->settings->store);
   n->meters = meters_new ();
-  n->address = g_strdup_printf ("%s:%u", n->settings->ip,
-                                n->settings->peer_port);
+  n->address
+      = g_strdup_printf ("%s:%u", n->settings->ip, n->settings->peer_port);
   g_queue_init (&n->fleet.writes);
   directory_start (n);
   owner_start (n);
--- a/src/node_directory.c
+++ b/src/node_directory.c
@@ -201,7 +201,8 @@
 
   if (value != NULL && e == NULL)
     meters_add (n->meters, METER_WORKER_ENTRIES_MALFORMED, 1);
-  if (e == NULL || (before != NULL && strcmp (before->service, e->service) != 0))
+  if (e == NULL
+      || (before != NULL && strcmp (before->service, e->service) != 0))
     drop_worker (n, key);
   if (e == NULL)
     return;
@@ -235,9 +236,10 @@
 {
   gsize size;
   const char *text = value != NULL ? g_bytes_get_data (value, &size) : NULL;
-  char *copy = text != NULL ? g_strndup (text, size) : g_strdup ("-");
+  char *copy = text != NULL ? g_strndup (text, size) : NULL;
 
-  owner_note (n, key, copy);
+  if (copy != NULL)
+    owner_note (n, key, copy);
   g_free (copy);
 }
 
--- a/src/node_fleet.c
+++ b/src/node_fleet.c
@@ -32,8 +32,8 @@
 {
   struct fleet_write *w = g_new0 (struct fleet_write, 1);
 
-  w->stream = g_strdup (stream == FLEET_STATUS ? STREAM_STATUS
-                                               : UPKEEP_STREAM);
+  w->stream
+      = g_strdup (stream == FLEET_STATUS ? STREAM_STATUS : UPKEEP_STREAM);
   w->key = key;
   w->value = value;
   return w;
@@ -100,12 +100,9 @@
   call->node = n;
   call->epoch = n->fleet.epoch;
   call->wave = wave;
-  if (m != NULL)
-    {
-      call->machine = g_strdup (m->name);
-      call->service = g_strdup (m->service);
-      call->worker = g_strdup (m->worker);
-    }
+  call->machine = g_strdup (m != NULL ? m->name : "");
+  call->service = g_strdup (m != NULL ? m->service : "");
+  call->worker = g_strdup (m != NULL ? m->worker : "");
   return call;
 }
 
@@ -176,10 +173,9 @@
   if (is_current (f, call->epoch))
     {
       struct fleet_write *w = g_queue_peek_head (&f->writes);
-      uint64_t *sequence
-          = &f->sequences[strcmp (w->stream, STREAM_STATUS) == 0
-                              ? FLEET_STATUS
-                              : FLEET_UPKEEP];
+      uint64_t *sequence = &f->sequences[strcmp (w->stream, STREAM_STATUS) == 0
+                                             ? FLEET_STATUS
+                                             : FLEET_UPKEEP];
 
       f->write_out = false;
       f->retry_ms = node_now_ms () + RETRY_MS;
@@ -256,9 +252,9 @@
   meters_add (n->meters, METER_UPKEEPS, 1);
   upkeep_machine_begun (f->upkeep, call->wave, call->machine, node_now_ms ());
   g_queue_push_tail (
-      &f->writes,
-      write_new (FLEET_UPKEEP, g_strdup_printf ("%" G_GINT64_FORMAT, call->wave),
-                 upkeep_begun_text (f->upkeep, call->wave)));
+      &f->writes, write_new (FLEET_UPKEEP,
+                             g_strdup_printf ("%" G_GINT64_FORMAT, call->wave),
+                             upkeep_begun_text (f->upkeep, call->wave)));
   if (call->worker[0] != '\0')
     front_ask (n->front, &ask, on_told, NULL);
 }
--- a/src/node_front.c
+++ b/src/node_front.c
@@ -81,8 +81,7 @@
 bool
 front_routes_are_fresh (const struct front *front)
 {
-  return node_now_ms ()
-         < front->node->config.confirmed_ms + ROUTES_FRESH_MS;
+  return node_now_ms () < front->node->config.confirmed_ms + ROUTES_FRESH_MS;
 }
 
 bool
@@ -135,11 +134,11 @@
   struct front_answer answer = { .result = FRONT_LATER };
 
   meters_add (p->front->node->meters, METER_JOBS_REFUSED_OWNER, 1);
-  event_log ("ask-given-up", p->subject,
-             "verb=%d service=%s tries=%u unclear=%d waited_ms=%"
-             G_GINT64_FORMAT,
-             (int)p->ask.verb, p->service, p->tries, p->unclear,
-             now_ms - p->begun_ms);
+  event_log (
+      "ask-given-up", p->subject,
+      "verb=%d service=%s tries=%u unclear=%d waited_ms=%" G_GINT64_FORMAT,
+      (int)p->ask.verb, p->service, p->tries, p->unclear,
+      now_ms - p->begun_ms);
   finish (p, &answer);
 }
 
@@ -209,7 +208,7 @@
       host_ask (h, &ask, on_local, p, now_ms);
       return;
     }
-  if (owner == NULL || strchr (owner, ':') == NULL
+  if (owner == NULL || owner[0] == OWNER_RELEASED || owner[0] == OWNER_LOST
       || strcmp (owner, n->address) == 0)
     {
       try_later (p, now_ms);
--- a/src/node_host.c
+++ b/src/node_host.c
@@ -12,10 +12,12 @@
 /* An owner that the store has not confirmed for so long starts and holds
    nothing more.  Longer than a usual outage of the store. */
 #define OWNER_SURE_MS 8000
-/* By then what an earlier owner has started has ended, wherever the new one
-   does not reach: it was sure for so long, and then its leases ran out on
-   clocks that may be slow. */
-#define FOREIGN_LEASE_MS 12500
+/* By then the leases that an earlier owner gave, and gives no more, are over
+   on clocks that may be slow. */
+#define STOPPED_LEASE_MS 4400
+/* The same where the earlier owner is only silent: it may be sure of itself,
+   and extend leases, for so long. */
+#define FOREIGN_LEASE_MS (OWNER_SURE_MS + STOPPED_LEASE_MS)
 /* An answer "no such job" needs an ownership as fresh as this. */
 #define KNOWS_ALL_MS 1800
 /* After a call of the takeover that failed. */
@@ -113,7 +115,8 @@
   h->serial = ++n->serial;
   h->phase = HOST_WATCHING;
   h->heard_ms = now_ms;
-  h->asks = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
+  h->asks
+      = g_hash_table_new_full (g_int64_hash, g_int64_equal, g_free, g_free);
   return h;
 }
 
@@ -184,6 +187,8 @@
 static void
 lose (struct host *h, int64_t now_ms)
 {
+  char value[2] = "";
+
   meters_add (h->node->meters, METER_CELLS_LOST, 1);
   event_log ("cell-lost", h->service, "epoch=%" G_GUINT64_FORMAT, h->epoch);
   abandon_asks (h);
@@ -195,7 +200,8 @@
   h->serial = ++h->node->serial; /* answers on their way are void */
   h->confirm_out = false;
   watch_again (h, now_ms);
-  owner_note (h->node, h->service, "-lost");
+  value[0] = OWNER_LOST;
+  owner_note (h->node, h->service, value);
 }
 
 static const char *
@@ -207,7 +213,8 @@
 }
 
 static void
-claim (struct host *h, const char *cause, int64_t now_ms)
+claim (struct host *h, const char *cause, int64_t foreign_lease_ms,
+       int64_t now_ms)
 {
   event_log ("cell-claim", h->service,
              "cause=%s owner=%s unheard_ms=%" G_GINT64_FORMAT, cause,
@@ -215,6 +222,7 @@
   g_free (h->claimed_from);
   h->claimed_from = g_strdup (known_owner (h));
   g_clear_pointer (&h->yielded, g_ptr_array_unref);
+  h->foreign_lease_ms = foreign_lease_ms;
   h->phase = HOST_CLAIMING;
   h->retry_ms = now_ms;
 }
@@ -225,42 +233,39 @@
   struct host_call *call = data;
   struct host *h = call_host (call);
   int64_t now_ms = node_now_ms ();
+  bool has_stopped = reply->status == 200;
 
   if (h != NULL && h->phase == HOST_YIELDING)
     {
       h->call_out = false;
-      claim (h, "owner-in-doubt", now_ms);
-      if (reply->status == 200)
+      claim (h, has_stopped ? "owner-yielded" : "owner-silent",
+             has_stopped ? STOPPED_LEASE_MS : FOREIGN_LEASE_MS, now_ms);
+      if (has_stopped)
         h->yielded = peer_read_records (reply);
-      event_log ("cell-yielded", h->service, "records=%d",
-                 h->yielded != NULL ? (int)h->yielded->len : -1);
     }
   call_destroy (call);
 }
 
 static void
-ask_yield (struct host *h, int64_t now_ms)
+ask_yield (struct host *h, const char *address, int64_t now_ms)
 {
-  const char *owner = known_owner (h);
-
-  if (strchr (owner, ':') == NULL)
-    {
-      claim (h, "owner-in-doubt", now_ms);
-      return;
-    }
   h->phase = HOST_YIELDING;
   h->call_out = true;
-  peer_ask_yield (h->node, owner, h->service, on_yielded,
+  peer_ask_yield (h->node, address, h->service, on_yielded,
                   call_new (h, NULL, NULL, 0, now_ms));
 }
 
+static GPtrArray *
+handover_records (struct host *h)
+{
+  return h->cell != NULL ? cell_yield (h->cell)
+                         : g_ptr_array_new_with_free_func (journal_entry_free);
+}
+
 GPtrArray *
 host_yield (struct host *host, int64_t now_ms)
 {
-  GPtrArray *records
-      = host->cell != NULL
-            ? cell_yield (host->cell)
-            : g_ptr_array_new_with_free_func (journal_entry_free);
+  GPtrArray *records = handover_records (host);
 
   lose (host, now_ms);
   return records;
@@ -276,10 +281,10 @@
 
   if (h != NULL && h->phase == HOST_WATCHING)
     {
-      char *text = reply->body_bytes > 0
-                       ? g_strndup ((const char *)reply->body,
-                                    reply->body_bytes)
-                       : g_strdup ("0");
+      char *text
+          = reply->body_bytes > 0
+                ? g_strndup ((const char *)reply->body, reply->body_bytes)
+                : g_strdup ("0");
       int64_t doubt_ms = g_ascii_strtoll (text, NULL, 10);
 
       g_free (text);
@@ -294,10 +299,11 @@
                || now_ms < h->node->store_back_ms + STORE_STEADY_MS)
         ;
       else if (reply->status == 200)
-        ask_yield (h, now_ms);
+        ask_yield (h, known_owner (h), now_ms);
+      else if (reply->status != 0)
+        claim (h, "not-the-owner", STOPPED_LEASE_MS, now_ms);
       else
-        claim (h, reply->status == 0 ? "owner-silent" : "not-the-owner",
-               now_ms);
+        claim (h, "owner-silent", FOREIGN_LEASE_MS, now_ms);
     }
   call_destroy (call);
 }
@@ -307,14 +313,18 @@
 {
   const char *owner = owner_address (h->node, h->service);
 
-  if (owner == NULL || strcmp (owner, "-") == 0)
-    claim (h, "no-owner", now_ms);
-  else if (strcmp (owner, "-lost") == 0
-           && h->node->owners.confirmed_ms > h->heard_ms + SUCCESSOR_MS)
-    claim (h, "no-successor", now_ms);
+  if (owner == NULL)
+    claim (h, "no-owner", STOPPED_LEASE_MS, now_ms);
+  else if (owner[0] == OWNER_RELEASED)
+    ask_yield (h, owner + 1, now_ms);
+  else if (owner[0] == OWNER_LOST)
+    {
+      if (h->node->owners.confirmed_ms > h->heard_ms + SUCCESSOR_MS)
+        claim (h, "no-successor", FOREIGN_LEASE_MS, now_ms);
+    }
   else if (strcmp (owner, h->node->address) == 0)
-    claim (h, "own-before-restart", now_ms);
-  else if (strchr (owner, ':') != NULL)
+    claim (h, "own-before-restart", STOPPED_LEASE_MS, now_ms);
+  else
     {
       h->call_out = true;
       peer_probe (h->node, owner, h->service, on_probed,
@@ -357,11 +367,19 @@
   g_ptr_array_unref (entries);
 }
 
-void
+GPtrArray *
 host_release (struct host *host)
 {
-  if (host->phase == HOST_ACTIVE)
-    announce (host, "-", 2, node_now_ms ());
+  char *value;
+  GPtrArray *records;
+
+  if (host->phase != HOST_ACTIVE)
+    return NULL;
+  value = g_strdup_printf ("%c%s", OWNER_RELEASED, host->node->address);
+  records = handover_records (host);
+  announce (host, value, 2, node_now_ms ());
+  g_free (value);
+  return records;
 }
 
 /* Make sure that no other has fenced this epoch. */
@@ -387,20 +405,26 @@
   call_destroy (call);
 }
 
+/* An append of nothing sets the epoch, or shows that it still holds. */
 static void
-confirm (struct host *h, int64_t now_ms)
+append_nothing (struct host *h, store_append_done done, int64_t now_ms)
 {
   struct store_writer writer = { WRITER, h->epoch, h->sequence };
-  char *stream;
+  char *stream = journal_stream (h);
 
+  store_append (h->node->store, stream, &writer, NULL, done,
+                call_new (h, NULL, NULL, 0, now_ms));
+  g_free (stream);
+}
+
+static void
+confirm (struct host *h, int64_t now_ms)
+{
   if (h->confirm_out || now_ms < h->confirmed_ms + CONFIRM_GAP_MS
       || now_ms < h->confirm_due_ms)
     return;
-  stream = journal_stream (h);
   h->confirm_out = true;
-  store_append (h->node->store, stream, &writer, NULL, on_confirmed,
-                call_new (h, NULL, NULL, 0, now_ms));
-  g_free (stream);
+  append_nothing (h, on_confirmed, now_ms);
 }
 
 static void
@@ -421,6 +445,7 @@
         {
           h->epoch = a->offset + 1;
           h->phase = HOST_FENCING;
+          h->sequence = 0;
           h->retry_ms = now_ms;
         }
     }
@@ -443,7 +468,6 @@
           h->phase = HOST_LOADING;
           h->retry_ms = now_ms;
           h->confirmed_ms = call->sent_ms;
-          h->sequence = 0;
           h->loaded = g_ptr_array_new_with_free_func (
               (GDestroyNotify)journal_entry_free);
         }
@@ -504,7 +528,7 @@
     .stop_grace_ms = s->stop_grace_ms,
     .early_ms = s->early_ms,
     .keep_state_ms = s->keep_state_ms,
-    .foreign_lease_ms = FOREIGN_LEASE_MS,
+    .foreign_lease_ms = h->foreign_lease_ms,
   };
 
   h->cell = cell_new (&options, now_ms);
@@ -567,45 +591,45 @@
 }
 
 static void
-take_over (struct host *h, int64_t now_ms)
+load_page (struct host *h, int64_t now_ms)
 {
-  struct store_writer writer = { WRITER, h->epoch, 0 };
-  struct host_call *call;
-  const struct journal_entry *last;
-  char *stream;
+  const struct journal_entry *last
+      = h->loaded->len > 0 ? g_ptr_array_index (h->loaded, h->loaded->len - 1)
+                           : NULL;
+  char *stream = journal_stream (h);
 
-  if (h->call_out || now_ms < h->retry_ms || h->phase == HOST_ACTIVE)
+  store_newest (h->node->store, stream, last != NULL ? last->key : NULL,
+                on_journal_page, call_new (h, NULL, NULL, 0, now_ms));
+  g_free (stream);
+}
+
+static void
+take_over (struct host *h, int64_t now_ms)
+{
+  if (h->call_out || now_ms < h->retry_ms)
     return;
-  if (h->phase == HOST_WATCHING)
-    {
-      watch (h, now_ms);
-      return;
-    }
-  call = call_new (h, NULL, NULL, 0, now_ms);
-  stream = journal_stream (h);
-  h->call_out = true;
   switch (h->phase)
     {
+    case HOST_WATCHING:
+      watch (h, now_ms);
+      break;
     case HOST_CLAIMING:
+      h->call_out = true;
       store_append_text (h->node->store, EPOCH_STREAM, h->service, on_epoch,
-                         call);
+                         call_new (h, NULL, NULL, 0, now_ms));
       break;
     case HOST_FENCING:
-      store_append (h->node->store, stream, &writer, NULL, on_fenced, call);
+      h->call_out = true;
+      append_nothing (h, on_fenced, now_ms);
       break;
     case HOST_LOADING:
-      last = h->loaded->len > 0
-                 ? g_ptr_array_index (h->loaded, h->loaded->len - 1)
-                 : NULL;
-      store_newest (h->node->store, stream, last != NULL ? last->key : NULL,
-                    on_journal_page, call);
+      h->call_out = true;
+      load_page (h, now_ms);
       break;
-    case HOST_WATCHING:
     case HOST_YIELDING:
     case HOST_ACTIVE:
       break;
     }
-  g_free (stream);
 }
 
 /* Orders of the cell. */
@@ -649,7 +673,8 @@
   count_start (call->node, answer);
   meters_time (call->node->meters, HISTOGRAM_START, now_ms - call->sent_ms);
   event_log ("task-start", call->task,
-             "run=%" G_GUINT64_FORMAT " worker=%s outcome=%s ms=%" G_GINT64_FORMAT,
+             "run=%" G_GUINT64_FORMAT
+             " worker=%s outcome=%s ms=%" G_GINT64_FORMAT,
              call->run, call->worker, run_answer_name (answer),
              now_ms - call->sent_ms);
   if (h != NULL && h->cell != NULL)
@@ -712,9 +737,8 @@
   struct host_call *call = data;
   struct host *h = call_host (call);
 
-  event_log ("advice", call->task, "workers=%d", tickets != NULL
-                                                     ? (int)tickets->len
-                                                     : -1);
+  event_log ("advice", call->task, "workers=%d",
+             tickets != NULL ? (int)tickets->len : -1);
   if (h != NULL && h->cell != NULL)
     {
       cell_advised (h->cell, call->task, tickets, valid_ms, node_now_ms ());
@@ -802,8 +826,8 @@
       finish_ask (&copy, FRONT_DONE);
       break;
     case CELL_NO_JOB:
-      finish_ask (&copy, knows_all (h, node_now_ms ()) ? FRONT_UNKNOWN
-                                                       : FRONT_LATER);
+      finish_ask (&copy,
+                  knows_all (h, node_now_ms ()) ? FRONT_UNKNOWN : FRONT_LATER);
       break;
     case CELL_NOT_TAKEN:
       meters_add (h->node->meters, METER_JOBS_REFUSED_STORE, 1);
--- a/src/node_owner.c
+++ b/src/node_owner.c
@@ -122,8 +122,10 @@
   n->owner.parts = g_array_new (FALSE, FALSE, sizeof (uint32_t));
   n->owner.owners
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  n->hosts = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
-                                    host_destroy);
+  n->owner.released = g_hash_table_new_full (
+      g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+  n->hosts
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, host_destroy);
 }
 
 void
@@ -160,7 +162,12 @@
   g_hash_table_iter_init (&iter, n->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      host_release (value);
+      GPtrArray *records = host_release (value);
+
+      if (records != NULL)
+        g_hash_table_insert (n->owner.released,
+                             g_strdup (((struct host *)value)->service),
+                             records);
       g_hash_table_iter_remove (&iter);
     }
   store_leave (n->store, GROUP, n->address, on_left, n);
@@ -172,4 +179,5 @@
   g_hash_table_unref (n->hosts);
   g_array_unref (n->owner.parts);
   g_hash_table_unref (n->owner.owners);
+  g_hash_table_unref (n->owner.released);
 }
--- a/src/node_peers.c
+++ b/src/node_peers.c
@@ -48,8 +48,8 @@
 {
   struct peer_ask *ask = data;
   struct evbuffer *body = evbuffer_new ();
-  uint32_t number = ask->verb == FRONT_STATE ? (uint32_t)answer->state
-                                             : answer->number;
+  uint32_t number
+      = ask->verb == FRONT_STATE ? (uint32_t)answer->state : answer->number;
 
   evbuffer_add_printf (body, "%u", number);
   evhttp_send_reply (ask->request, status_of (answer->result), "answered",
@@ -63,9 +63,9 @@
                   struct front_answer *answer)
 {
   /* There is no body where there is no answer. */
-  char *text = reply->body_bytes > 0 ? g_strndup ((const char *)reply->body,
-                                                  reply->body_bytes)
-                                     : g_strdup ("0");
+  char *text = reply->body_bytes > 0
+                   ? g_strndup ((const char *)reply->body, reply->body_bytes)
+                   : g_strdup ("0");
   uint32_t number = (uint32_t)g_ascii_strtoull (text, NULL, 10);
 
   g_free (text);
@@ -219,9 +219,8 @@
 }
 
 static void
-serve_yield (struct host *h, struct evhttp_request *request)
+send_records (struct evhttp_request *request, const GPtrArray *records)
 {
-  GPtrArray *records = host_yield (h, node_now_ms ());
   struct evbuffer *body = evbuffer_new ();
   GVariantBuilder b;
   GVariant *v;
@@ -240,7 +239,25 @@
   evhttp_send_reply (request, 200, "yielded", body);
   evbuffer_free (body);
   g_variant_unref (v);
-  g_ptr_array_unref (records);
+}
+
+/* Give a cell up, or tell again what was left when it was given up. */
+static void
+serve_yield (struct node *n, struct host *h, const char *service,
+             struct evhttp_request *request)
+{
+  GPtrArray *records = g_hash_table_lookup (n->owner.released, service);
+
+  if (h != NULL && h->phase == HOST_ACTIVE)
+    {
+      records = host_yield (h, node_now_ms ());
+      send_records (request, records);
+      g_ptr_array_unref (records);
+    }
+  else if (records != NULL)
+    send_records (request, records);
+  else
+    evhttp_send_reply (request, STATUS_NOT_OWNER, "not the owner", NULL);
 }
 
 /* Tell how long ago the owner was confirmed to be it. */
@@ -302,16 +319,20 @@
   bool is_owner = h != NULL && h->phase == HOST_ACTIVE && !n->stopping;
   struct peer_ask *kept;
 
+  if (g_str_has_prefix (path, CELLS_PATH)
+      && evhttp_request_get_command (request) == EVHTTP_REQ_POST)
+    {
+      serve_yield (n, h, service, request);
+      return;
+    }
   if (is_owner && g_str_has_prefix (path, CELLS_PATH))
     {
-      if (evhttp_request_get_command (request) == EVHTTP_REQ_POST)
-        serve_yield (h, request);
-      else
-        serve_probe (h, request);
+      serve_probe (h, request);
       return;
     }
-  if (is_owner && !read_verb (path, evhttp_request_get_command (request), &ask.verb,
-                  &ask.subject))
+  if (is_owner
+      && !read_verb (path, evhttp_request_get_command (request), &ask.verb,
+                     &ask.subject))
     {
       evhttp_send_reply (request, 400, "unknown call", NULL);
       return;
@@ -367,7 +388,8 @@
                                           | EVHTTP_REQ_DELETE);
   evhttp_set_max_body_size (server, BODY_MAX_BYTES);
   evhttp_set_gencb (server, on_request, n);
-  if (evhttp_bind_socket (server, n->settings->ip, n->settings->peer_port) == 0)
+  if (evhttp_bind_socket (server, n->settings->ip, n->settings->peer_port)
+      == 0)
     return server;
   evhttp_free (server);
   return NULL;
--- a/src/node_settings.c
+++ b/src/node_settings.c
@@ -42,10 +42,10 @@
       = fields_int (f, "worker_lease_max_ms", 1, HOUR_MS, 0);
   s->stop_grace_ms = fields_int (f, "stop_grace_ms", 0, HOUR_MS, -1);
   s->early_ms = fields_int (f, "early_ms", 0, HOUR_MS, -1);
-  s->keep_state_ms = (int64_t)(fields_double (f, "keep_state_s", 0, 86400, -1) * 1000);
+  s->keep_state_ms
+      = (int64_t)(fields_double (f, "keep_state_s", 0, 86400, -1) * 1000);
   s->holder_lease_ms = fields_int (f, "holder_lease_ms", 0, HOUR_MS, -1);
-  s->upkeep_ms
-      = (int64_t)(fields_double (f, "upkeep_s", 0, 3600, 0) * 1000);
+  s->upkeep_ms = (int64_t)(fields_double (f, "upkeep_s", 0, 3600, 0) * 1000);
   s->move_ms = (int64_t)(fields_double (f, "move_s", 0, 3600, 0) * 1000);
   if (fields_close (f, error))
     return s;
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -22,7 +22,7 @@
   char *advice;          /* "IP:PORT" of the advice service, or "" */
   uint32_t stream_parts; /* parts of a stream that a group shares */
   int64_t member_ttl_min_ms;
-  int64_t stop_ms;         /* from SIGTERM to the end of the process */
+  int64_t stop_ms; /* from SIGTERM to the end of the process */
   int64_t worker_lease_max_ms;
   int64_t stop_grace_ms;   /* the longest that stopping a task takes */
   int64_t early_ms;        /* an occurrence may start so much early */
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -28,11 +28,11 @@
 {
   struct node *node;
   const char *stream;
-  bool has_list;       /* the newest of all keys has been read */
+  bool has_list; /* the newest of all keys has been read */
   bool list_again;
-  char *after;         /* page of the list being read, or NULL */
-  GHashTable *listed;  /* keys of the list being read */
-  uint64_t next;       /* offset */
+  char *after;        /* page of the list being read, or NULL */
+  GHashTable *listed; /* keys of the list being read */
+  uint64_t next;      /* offset */
   int64_t confirmed_ms;
   int64_t gap_ms; /* between two reads */
   int64_t wait_ms;
@@ -60,8 +60,8 @@
   uint32_t serial; /* unlike that of every other host of this process */
   enum host_phase phase;
   uint64_t epoch;
-  struct cell *cell;    /* NULL before the epoch is known */
-  GPtrArray *loaded;    /* struct store_record *, of the journal */
+  struct cell *cell; /* NULL before the epoch is known */
+  GPtrArray *loaded; /* struct store_record *, of the journal */
   bool call_out;
   int64_t retry_ms;
   int64_t confirmed_ms; /* when it was last sure to be the owner */
@@ -69,13 +69,14 @@
   bool announce_out;
   bool confirm_out;
   int64_t confirm_due_ms;
-  uint64_t sequence;    /* of the last append that was done */
-  int64_t heard_ms;     /* when the owner that is watched last answered */
-  uint32_t unheard;     /* calls to it in a row without a good answer */
-  GPtrArray *yielded;   /* struct journal_entry *, from the owner before */
-  char *claimed_from;   /* the owner's address when the claim began */
-  GHashTable *asks;     /* token to struct local_ask */
-  bool dirty;           /* to be run before the loop waits */
+  uint64_t sequence;        /* of the last append that was done */
+  int64_t heard_ms;         /* when the owner that is watched last answered */
+  uint32_t unheard;         /* calls to it in a row without a good answer */
+  GPtrArray *yielded;       /* struct journal_entry *, from the owner before */
+  int64_t foreign_lease_ms; /* see struct cell_options */
+  char *claimed_from;       /* the owner's address when the claim began */
+  GHashTable *asks;         /* token to struct local_ask */
+  bool dirty;               /* to be run before the loop waits */
 };
 
 struct owner_state
@@ -84,8 +85,9 @@
   int64_t due_ms;
   bool call_out;
   bool left;
-  GArray *parts;      /* uint32_t, this node's */
-  GHashTable *owners; /* service to "IP:PORT" */
+  GArray *parts;        /* uint32_t, this node's */
+  GHashTable *owners;   /* service to "IP:PORT" */
+  GHashTable *released; /* service to GPtrArray of struct journal_entry * */
 };
 
 struct fleet_write
@@ -173,7 +175,10 @@
 void owner_apply (struct node *n, int64_t now_ms);
 /* Return the address of the service's owner, or NULL if it is not known. */
 const char *owner_address (const struct node *n, const char *service);
-/* Note who owns SERVICE: VALUE is "IP:PORT", or "-" for nobody. */
+/* Note who owns SERVICE: VALUE is "IP:PORT", "-IP:PORT" of an owner that has
+   given it up, or "?" where this node has lost it to an unknown one. */
+#define OWNER_RELEASED '-'
+#define OWNER_LOST '?'
 void owner_note (struct node *n, const char *service, const char *value);
 
 /* node_host.c */
@@ -187,8 +192,9 @@
 bool host_is_sure (const struct host *host, int64_t now_ms);
 /* Stop being the owner; return what the next one has to know. */
 GPtrArray *host_yield (struct host *host, int64_t now_ms);
-/* Give the cell up in favour of whoever is next. */
-void host_release (struct host *host);
+/* Give the cell up in favour of whoever is next; return what that one has to
+   know, or NULL if this node did not own it. */
+GPtrArray *host_release (struct host *host);
 
 /* node_front.c */
 struct front *front_new (struct node *n);
--- a/src/upkeep.c
+++ b/src/upkeep.c
@@ -2,7 +2,6 @@
 
 #include <string.h>
 
-
 struct wave
 {
   struct wave_request *request;
@@ -199,8 +198,8 @@
     }
   if (left == 0 && down == 0)
     add_step (steps, UPKEEP_COMPLETE, w->request->number, NULL);
-  for (guint i = 0;
-       i < w->request->machines->len && down < w->request->cap; i++)
+  for (guint i = 0; i < w->request->machines->len && down < w->request->cap;
+       i++)
     {
       const struct machine *m = machines_find (
           machines, g_ptr_array_index (w->request->machines, i));
--- a/src/upkeep.h
+++ b/src/upkeep.h
@@ -35,7 +35,7 @@
 struct wave_request
 {
   int64_t number;
-  GPtrArray *machines; /* char * */
+  GPtrArray *machines;  /* char * */
   int64_t finish_by_ms; /* from when it was asked */
   uint32_t cap;         /* machines of the wave down at once */
 };
