Prove the cell on virtual time: promises, handovers and seeded schedules

Seeded schedules found one more: a second successor took a worker that the first had not reached for one without unknown runs (seed 2128, run after done).

Ruled out on the way: a late order carried out by a worker born again, which the platform's workers do not do, and an answer that the world gave to another owner at the same address in memory.

--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -113,13 +113,20 @@
   return size;
 }
 
+/* Whether all runs that W may have are known, though it does not answer. */
+static bool
+is_silent (const struct cell_worker *w)
+{
+  return !w->confirmed && !w->inherited;
+}
+
 static GVariant *
 worker_record (const struct cell_worker *w, uint64_t ends)
 {
   GVariantBuilder runs;
 
   g_variant_builder_init (&runs, G_VARIANT_TYPE ("a(st)"));
-  for (guint i = 0; i < w->tasks->len && !w->confirmed; i++)
+  for (guint i = 0; i < w->tasks->len && is_silent (w); i++)
     {
       const struct cell_task *t = g_ptr_array_index (w->tasks, i);
       char *name = cell_task_name (t);
@@ -128,7 +135,7 @@
       g_free (name);
     }
   return g_variant_new (WORKER_TYPE, w->entry->address, w->born_ms, ends,
-                        !w->confirmed, &runs);
+                        is_silent (w), &runs);
 }
 
 struct journal_entry *
@@ -146,7 +153,7 @@
 static void
 put_worker (struct cell *c, struct cell_worker *w)
 {
-  struct flight_worker f = { w, w->ends_taken, !w->confirmed };
+  struct flight_worker f = { w, w->ends_taken, is_silent (w) };
 
   w->queued = false;
   g_ptr_array_add (c->flight.entries, cell_worker_entry (w, w->ends_taken));
@@ -360,27 +367,32 @@
   t->occurrence->job->started = true;
 }
 
+/* Load a worker's record; a later one of the same worker counts, but for the
+   ends: the journal may have more than its owner had heard of. */
 static void
 load_worker (struct cell *c, const char *id, GBytes *value)
 {
   GVariant *v = g_variant_ref_sink (
       g_variant_new_from_bytes (G_VARIANT_TYPE (WORKER_TYPE), value, FALSE));
   struct cell_worker *w = g_hash_table_lookup (c->workers, id);
-  gboolean is_silent;
+  gboolean silent;
   GVariantIter *runs;
   const char *name;
+  int64_t born_ms;
+  uint64_t ends;
   uint64_t run;
 
-  /* A later record of the same worker counts. */
   if (w == NULL)
     w = cell_worker_add (c, id);
   while (w->tasks->len > 0)
     cell_task_free (c, g_ptr_array_index (w->tasks, 0), c->taken_over_ms);
   g_free (w->entry->address);
-  g_variant_get (v, WORKER_TYPE, &w->entry->address, &w->born_ms,
-                 &w->ends_taken, &is_silent, &runs);
+  g_variant_get (v, WORKER_TYPE, &w->entry->address, &born_ms, &ends, &silent,
+                 &runs);
+  w->ends_taken = born_ms == w->born_ms ? MAX (ends, w->ends_taken) : ends;
   w->last_seen = w->ends_taken;
-  w->inherited = !is_silent;
+  w->born_ms = born_ms;
+  w->inherited = !silent;
   w->in_journal = true;
   while (g_variant_iter_next (runs, "(&st)", &name, &run))
     load_silent_run (c, w, name, run);
--- /dev/null
+++ b/tests/unit/cell_world.c
@@ -0,0 +1,831 @@
+#include "cell_world.h"
+
+#include <string.h>
+
+#define STEP_MS 5
+#define APPEND_MS 8
+#define CALL_MS 3
+#define ANSWER_TIMEOUT_MS 700
+#define STOP_MS 200
+/* A run that is longer belongs to a task that lasts. */
+#define LASTING_MS 100000
+#define CLOCK_OFFSET_MS 5000
+#define LEASE_MAX_MS 6000
+/* An owner without a store is sure of itself for so long. */
+#define SURE_MS 8000
+#define STOPPED_LEASE_MS 4400
+
+struct late_start
+{
+  int64_t at_ms;
+  struct cell *cell; /* to answer, or NULL */
+  uint64_t epoch;
+  char *worker;
+  char *task;
+  uint64_t run;
+  int64_t deadline_ms;
+  bool answered;
+};
+
+struct late_hold
+{
+  struct cell *cell;
+  uint64_t epoch;
+  char *worker;
+  int64_t sent_ms;
+  int64_t until_ms;
+  uint64_t last_seen;
+};
+
+struct late_append
+{
+  struct cell *cell;
+  uint64_t epoch;
+  int64_t at_ms;
+  enum append_result result;
+};
+
+static void
+break_rule (struct world *w, const char *rule, const char *task)
+{
+  g_string_append_printf (w->broken, "%s %s at %" G_GINT64_FORMAT "\n", rule,
+                          task, w->now_ms);
+}
+
+static bool
+happens (struct world *w, int percent)
+{
+  return percent > 0 && g_rand_int_range (w->rand, 0, 100) < percent;
+}
+
+static void
+free_run (gpointer p)
+{
+  struct world_run *r = p;
+
+  g_free (r->task);
+  g_free (r);
+}
+
+static void
+free_late_start (gpointer p)
+{
+  struct late_start *l = p;
+
+  g_free (l->worker);
+  g_free (l->task);
+  g_free (l);
+}
+
+static void
+free_late_hold (gpointer p)
+{
+  struct late_hold *l = p;
+
+  g_free (l->worker);
+  g_free (l);
+}
+
+static void
+clear_end (gpointer p)
+{
+  struct worker_end *e = p;
+
+  g_free (e->task);
+  g_free (e->checkpoint);
+}
+
+static int64_t
+worker_clock (const struct world *w)
+{
+  return w->now_ms + CLOCK_OFFSET_MS;
+}
+
+static void
+begin_life (struct world *w, struct world_worker *k)
+{
+  k->born_ms = 1000000 + w->now_ms;
+  k->fence = 0;
+  k->deadline_ms = 0;
+  k->last_number = 0;
+  k->noted = 0;
+  g_ptr_array_set_size (k->runs, 0);
+  g_array_set_size (k->ends, 0);
+}
+
+static struct worker_entry *
+entry_of (const struct world_worker *k)
+{
+  struct worker_entry *e = worker_entry_new (k->id);
+
+  g_free (e->address);
+  e->address = g_strdup ("10.0.0.1:80");
+  g_free (e->service);
+  e->service = g_strdup ("desk");
+  e->born_ms = k->born_ms;
+  e->room = (struct worker_room){ 16000, 32768, 0 };
+  return e;
+}
+
+static void
+list_workers (struct world *w, struct cell *cell)
+{
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    if (w->workers[i].alive)
+      {
+        struct worker_entry *e = entry_of (&w->workers[i]);
+
+        cell_worker_listed (cell, e, w->now_ms);
+        worker_entry_destroy (e);
+      }
+}
+
+static struct cell *
+new_owner (struct world *w, int64_t foreign_lease_ms)
+{
+  struct cell_options options = { .service = "desk",
+                                  .epoch = ++w->epoch,
+                                  .workers_admit = true,
+                                  .hold_max_ms = LEASE_MAX_MS,
+                                  .stop_grace_ms = 900,
+                                  .early_ms = 250,
+                                  .keep_state_ms = 120000,
+                                  .foreign_lease_ms = foreign_lease_ms };
+
+  w->journal_epoch = w->epoch;
+  w->journal_sequence = 0;
+  return cell_new (&options, w->now_ms);
+}
+
+static void
+load (struct world *w, struct cell *cell, char kind)
+{
+  GHashTableIter iter;
+  gpointer key, value;
+
+  g_hash_table_iter_init (&iter, w->journal);
+  while (g_hash_table_iter_next (&iter, &key, &value))
+    if (((const char *)key)[0] == kind)
+      cell_load (cell, key, value);
+}
+
+struct world *
+world_new (uint32_t seed)
+{
+  struct world *w = g_new0 (struct world, 1);
+
+  w->now_ms = 10000;
+  w->rand = g_rand_new_with_seed (seed);
+  w->journal = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                      (GDestroyNotify)g_bytes_unref);
+  w->late = g_ptr_array_new_with_free_func (free_late_start);
+  w->holds = g_ptr_array_new_with_free_func (free_late_hold);
+  w->appends = g_ptr_array_new_with_free_func (g_free);
+  w->done_noted
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  w->failures = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  w->answers = g_hash_table_new (g_direct_hash, g_direct_equal);
+  w->broken = g_string_new (NULL);
+  w->max_attempts = 3;
+  w->run_ms = 500;
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    {
+      struct world_worker *k = &w->workers[i];
+
+      k->id = g_strdup_printf ("worker-%d", i);
+      k->alive = true;
+      k->reachable = true;
+      k->runs = g_ptr_array_new_with_free_func (free_run);
+      k->ends = g_array_new (FALSE, TRUE, sizeof (struct worker_end));
+      g_array_set_clear_func (k->ends, clear_end);
+      begin_life (w, k);
+    }
+  w->cell = new_owner (w, STOPPED_LEASE_MS);
+  list_workers (w, w->cell);
+  cell_activate (w->cell, w->now_ms);
+  return w;
+}
+
+void
+world_destroy (struct world *w)
+{
+  cell_destroy (w->cell);
+  cell_destroy (w->zombie);
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    {
+      g_free (w->workers[i].id);
+      g_ptr_array_unref (w->workers[i].runs);
+      g_array_unref (w->workers[i].ends);
+    }
+  g_hash_table_unref (w->journal);
+  g_ptr_array_unref (w->late);
+  g_ptr_array_unref (w->holds);
+  g_ptr_array_unref (w->appends);
+  g_hash_table_unref (w->done_noted);
+  g_hash_table_unref (w->failures);
+  g_hash_table_unref (w->answers);
+  g_string_free (w->broken, TRUE);
+  g_rand_free (w->rand);
+  g_free (w);
+}
+
+static struct world_worker *
+find_worker (struct world *w, const char *id)
+{
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    if (strcmp (w->workers[i].id, id) == 0)
+      return &w->workers[i];
+  return NULL;
+}
+
+static struct world_run *
+find_run (const struct world_worker *k, const char *task)
+{
+  for (guint i = 0; i < k->runs->len; i++)
+    {
+      struct world_run *r = g_ptr_array_index (k->runs, i);
+
+      if (strcmp (r->task, task) == 0)
+        return r;
+    }
+  return NULL;
+}
+
+struct world_worker *
+world_find_run (struct world *w, const char *task)
+{
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    if (find_run (&w->workers[i], task) != NULL)
+      return &w->workers[i];
+  return NULL;
+}
+
+static bool
+has_ended (const struct world_worker *k, const char *task, uint64_t run)
+{
+  for (guint i = 0; i < k->ends->len; i++)
+    {
+      const struct worker_end *e
+          = &g_array_index (k->ends, struct worker_end, i);
+
+      if (strcmp (e->task, task) == 0 && e->run >= run)
+        return true;
+    }
+  return false;
+}
+
+static void
+end_run (struct world *w, struct world_worker *k, struct world_run *r,
+         enum run_end how)
+{
+  struct worker_end e = { .number = ++k->last_number,
+                          .task = g_strdup (r->task),
+                          .run = r->run,
+                          .how = how,
+                          .checkpoint = g_strdup ("") };
+
+  g_array_append_val (k->ends, e);
+  g_ptr_array_remove (k->runs, r);
+}
+
+static void
+check_start (struct world *w, const char *task)
+{
+  if (world_find_run (w, task) != NULL)
+    break_rule (w, "two-runs", task);
+  if (g_hash_table_contains (w->done_noted, task))
+    break_rule (w, "run-after-done", task);
+  if (GPOINTER_TO_UINT (g_hash_table_lookup (w->failures, task))
+      >= w->max_attempts)
+    break_rule (w, "attempts", task);
+}
+
+static enum run_answer
+start_run (struct world *w, struct world_worker *k, uint64_t epoch,
+           const char *task, uint64_t run, int64_t deadline_ms)
+{
+  struct world_run *r;
+
+  if (epoch < k->fence)
+    return RUN_FENCED;
+  k->fence = epoch;
+  if (deadline_ms <= worker_clock (w))
+    return RUN_LATE;
+  r = find_run (k, task);
+  if (r != NULL && r->run == run)
+    return RUN_ACCEPTED;
+  if (has_ended (k, task, run))
+    return RUN_OLD;
+  check_start (w, task);
+  w->starts++;
+  k->deadline_ms = MAX (k->deadline_ms, deadline_ms);
+  r = g_new0 (struct world_run, 1);
+  r->task = g_strdup (task);
+  r->run = run;
+  r->begun_ms = w->now_ms;
+  r->ends_ms = w->now_ms + w->run_ms / 2
+               + g_rand_int_range (w->rand, 0, (gint32)w->run_ms);
+  g_ptr_array_add (k->runs, r);
+  return RUN_ACCEPTED;
+}
+
+/* A run that is not there yet will be refused. */
+static void
+stop_run (struct world *w, struct world_worker *k, const char *task,
+          uint64_t run)
+{
+  struct world_run *r = find_run (k, task);
+
+  if (r != NULL && r->run <= run)
+    {
+      if (r->stop_ms == 0)
+        r->stop_ms = w->now_ms + STOP_MS;
+      return;
+    }
+  if (!has_ended (k, task, run))
+    {
+      struct worker_end e = { .number = 0,
+                              .task = g_strdup (task),
+                              .run = run,
+                              .how = END_STOPPED,
+                              .checkpoint = g_strdup ("") };
+
+      g_array_append_val (k->ends, e);
+    }
+}
+
+static void
+run_worker (struct world *w, struct world_worker *k)
+{
+  for (guint i = k->runs->len; i > 0; i--)
+    {
+      struct world_run *r = g_ptr_array_index (k->runs, i - 1);
+
+      if (worker_clock (w) >= k->deadline_ms)
+        end_run (w, k, r, END_LAPSED);
+      else if (r->stop_ms != 0 && w->now_ms >= r->stop_ms)
+        end_run (w, k, r, END_STOPPED);
+      else if (w->now_ms >= r->ends_ms)
+        end_run (w, k, r,
+                 happens (w, w->faults.task_fails) ? END_FAILED : END_DONE);
+    }
+}
+
+static void
+note_ends (struct world *w, struct world_worker *k, uint64_t last_seen)
+{
+  for (guint i = 0; i < k->ends->len; i++)
+    {
+      struct worker_end *e = &g_array_index (k->ends, struct worker_end, i);
+
+      if (e->number == 0 || e->number > last_seen || e->number <= k->noted)
+        continue;
+      if (e->how == END_DONE)
+        g_hash_table_add (w->done_noted, g_strdup (e->task));
+      if (e->how == END_FAILED)
+        g_hash_table_replace (
+            w->failures, g_strdup (e->task),
+            GUINT_TO_POINTER (1
+                              + GPOINTER_TO_UINT (g_hash_table_lookup (
+                                  w->failures, e->task))));
+    }
+  k->noted = MAX (k->noted, last_seen);
+}
+
+/* A task that lasts is at work at once; another shows how far it is. */
+static uint32_t
+percent_of (const struct world *w, const struct world_run *r)
+{
+  if (r->ends_ms - r->begun_ms > LASTING_MS)
+    return 100;
+  return (uint32_t)((w->now_ms - r->begun_ms) * 100
+                    / (r->ends_ms - r->begun_ms));
+}
+
+static struct worker_report *
+report_of (const struct world *w, const struct world_worker *k)
+{
+  struct worker_report *report = worker_report_new ();
+
+  report->clock_ms = worker_clock (w);
+  report->born_ms = k->born_ms;
+  for (guint i = 0; i < k->runs->len; i++)
+    {
+      const struct world_run *r = g_ptr_array_index (k->runs, i);
+      struct worker_run row = { .task = g_strdup (r->task),
+                                .run = r->run,
+                                .checkpoint = g_strdup (""),
+                                .percent = percent_of (w, r) };
+
+      g_array_append_val (report->runs, row);
+    }
+  for (guint i = 0; i < k->ends->len; i++)
+    {
+      const struct worker_end *e
+          = &g_array_index (k->ends, struct worker_end, i);
+      struct worker_end row = *e;
+
+      if (e->number <= k->noted)
+        continue;
+      row.task = g_strdup (e->task);
+      row.checkpoint = g_strdup ("");
+      g_array_append_val (report->ends, row);
+    }
+  return report;
+}
+
+/* Whether the owner that began a call still waits for its answer.  A later
+   one may stand at the same place in memory. */
+static bool
+owns (const struct world *w, const struct cell *cell, uint64_t epoch)
+{
+  return cell != NULL && (cell == w->cell || cell == w->zombie)
+         && cell_epoch (cell) == epoch;
+}
+
+/* Orders. */
+
+static void
+order_start (struct world *w, struct cell *cell, const struct run_order *o)
+{
+  struct world_worker *k = find_worker (w, o->worker);
+  struct late_start *l = g_new0 (struct late_start, 1);
+
+  l->cell = cell;
+  l->epoch = cell_epoch (cell);
+  l->worker = g_strdup (o->worker);
+  l->task = g_strdup (o->task);
+  l->run = o->run;
+  l->deadline_ms = o->deadline_ms;
+  l->at_ms = w->now_ms + CALL_MS;
+  l->answered = true;
+  if (!k->alive || !k->reachable || happens (w, w->faults.start_lost))
+    l->answered = false;
+  if (happens (w, w->faults.start_late))
+    {
+      l->answered = false;
+      l->at_ms += g_rand_int_range (w->rand, 2000, 6000);
+    }
+  g_ptr_array_add (w->late, l);
+}
+
+static void
+carry_out_start (struct world *w, struct late_start *l)
+{
+  struct world_worker *k = find_worker (w, l->worker);
+  enum run_answer answer = RUN_NO_ANSWER;
+
+  if (k->alive && k->reachable)
+    answer = start_run (w, k, l->epoch, l->task, l->run, l->deadline_ms);
+  if (l->answered && owns (w, l->cell, l->epoch))
+    cell_start_answered (l->cell, l->worker, l->task, l->run, answer,
+                         w->now_ms);
+  else if (owns (w, l->cell, l->epoch))
+    cell_start_answered (l->cell, l->worker, l->task, l->run, RUN_NO_ANSWER,
+                         w->now_ms);
+}
+
+static void
+order_stop (struct world *w, struct cell *cell, const struct run_order *o)
+{
+  struct world_worker *k = find_worker (w, o->worker);
+  enum run_answer answer = RUN_NO_ANSWER;
+
+  if (k->alive && k->reachable)
+    {
+      answer = cell_epoch (cell) < k->fence ? RUN_FENCED : RUN_ACCEPTED;
+      if (answer == RUN_ACCEPTED)
+        {
+          k->fence = cell_epoch (cell);
+          stop_run (w, k, o->task, o->run);
+        }
+    }
+  cell_stop_answered (cell, o->worker, o->task, o->run, answer, w->now_ms);
+}
+
+static void
+order_hold (struct world *w, struct cell *cell, const struct hold_order *o)
+{
+  struct world_worker *k = find_worker (w, o->worker);
+  struct late_hold *l = g_new0 (struct late_hold, 1);
+
+  l->cell = cell;
+  l->epoch = cell_epoch (cell);
+  l->worker = g_strdup (o->worker);
+  l->sent_ms = w->now_ms;
+  l->until_ms = w->now_ms + CALL_MS + o->wait_ms;
+  l->last_seen = o->last_seen;
+  if (k->alive && k->reachable && l->epoch >= k->fence)
+    {
+      k->fence = l->epoch;
+      note_ends (w, k, o->last_seen);
+      if (o->deadline_ms > 0)
+        k->deadline_ms
+            = MAX (k->deadline_ms,
+                   MIN (o->deadline_ms, worker_clock (w) + LEASE_MAX_MS));
+    }
+  else if (!k->alive || !k->reachable)
+    l->until_ms = w->now_ms + ANSWER_TIMEOUT_MS;
+  g_ptr_array_add (w->holds, l);
+}
+
+static bool
+hold_is_due (const struct world *w, const struct late_hold *l)
+{
+  struct world_worker *k = find_worker ((struct world *)w, l->worker);
+
+  if (w->now_ms >= l->until_ms)
+    return true;
+  return k->alive && k->reachable && w->now_ms >= l->sent_ms + CALL_MS
+         && (l->epoch < k->fence || k->last_number > k->noted);
+}
+
+static void
+answer_hold (struct world *w, const struct late_hold *l)
+{
+  struct world_worker *k = find_worker (w, l->worker);
+  struct worker_report *report = NULL;
+  bool fenced = false;
+
+  if (!owns (w, l->cell, l->epoch))
+    return;
+  if (k->alive && k->reachable)
+    {
+      fenced = l->epoch < k->fence;
+      if (!fenced)
+        report = report_of (w, k);
+    }
+  cell_hold_answered (l->cell, l->worker, report, fenced, false, l->sent_ms,
+                      w->now_ms);
+  worker_report_destroy (report);
+}
+
+static void
+write_journal (struct world *w, const struct append_order *o)
+{
+  if (o->sequence <= w->journal_sequence)
+    return; /* a repeat */
+  w->journal_sequence = o->sequence;
+  for (guint i = 0; i < o->entries->len; i++)
+    {
+      const struct journal_entry *e = g_ptr_array_index (o->entries, i);
+
+      if (e->value == NULL)
+        g_hash_table_remove (w->journal, e->key);
+      else
+        g_hash_table_replace (w->journal, g_strdup (e->key),
+                              g_bytes_ref (e->value));
+    }
+}
+
+static void
+order_append (struct world *w, struct cell *cell, const struct append_order *o)
+{
+  struct late_append *l = g_new0 (struct late_append, 1);
+
+  l->cell = cell;
+  l->epoch = cell_epoch (cell);
+  l->at_ms = w->now_ms + APPEND_MS;
+  if (w->store_away || happens (w, w->faults.append_refused))
+    l->result = APPEND_REFUSED;
+  else if (cell_epoch (cell) < w->journal_epoch)
+    l->result = APPEND_FENCED;
+  else
+    {
+      write_journal (w, o);
+      l->result
+          = happens (w, w->faults.append_lost) ? APPEND_UNCLEAR : APPEND_DONE;
+    }
+  g_ptr_array_add (w->appends, l);
+}
+
+static void
+carry_out (struct world *w, struct cell *cell)
+{
+  struct cell_order *o;
+
+  while ((o = cell_next_order (cell)) != NULL)
+    {
+      switch (o->kind)
+        {
+        case ORDER_START:
+          order_start (w, cell, &o->u.run);
+          break;
+        case ORDER_STOP:
+          order_stop (w, cell, &o->u.run);
+          break;
+        case ORDER_HOLD:
+          order_hold (w, cell, &o->u.hold);
+          break;
+        case ORDER_APPEND:
+          order_append (w, cell, &o->u.append);
+          break;
+        case ORDER_ANSWER:
+          g_hash_table_insert (w->answers,
+                               GUINT_TO_POINTER (o->u.answer.token),
+                               GINT_TO_POINTER (o->u.answer.answer + 1));
+          break;
+        case ORDER_PACE:
+        case ORDER_ADVISE:
+        case ORDER_NOTE:
+          break;
+        }
+      cell_order_destroy (o);
+    }
+}
+
+static void
+run_late (struct world *w)
+{
+  for (guint i = 0; i < w->late->len;)
+    {
+      struct late_start *l = g_ptr_array_index (w->late, i);
+
+      if (w->now_ms < l->at_ms)
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_steal_index (w->late, i);
+      carry_out_start (w, l);
+      free_late_start (l);
+    }
+  for (guint i = 0; i < w->holds->len;)
+    {
+      struct late_hold *l = g_ptr_array_index (w->holds, i);
+
+      if (!hold_is_due (w, l))
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_steal_index (w->holds, i);
+      answer_hold (w, l);
+      free_late_hold (l);
+    }
+  for (guint i = 0; i < w->appends->len;)
+    {
+      struct late_append *l = g_ptr_array_index (w->appends, i);
+
+      if (w->now_ms < l->at_ms)
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_steal_index (w->appends, i);
+      if (owns (w, l->cell, l->epoch))
+        cell_append_answered (l->cell, l->result, w->now_ms);
+      g_free (l);
+    }
+}
+
+/* A late start's caller hears nothing in time. */
+static void
+time_out_late (struct world *w)
+{
+  for (guint i = 0; i < w->late->len; i++)
+    {
+      struct late_start *l = g_ptr_array_index (w->late, i);
+
+      if (l->cell != NULL && !l->answered
+          && l->at_ms > w->now_ms + ANSWER_TIMEOUT_MS)
+        {
+          struct cell *cell = l->cell;
+
+          l->cell = NULL;
+          if (owns (w, cell, l->epoch))
+            cell_start_answered (cell, l->worker, l->task, l->run,
+                                 RUN_NO_ANSWER, w->now_ms);
+        }
+    }
+}
+
+void
+world_run (struct world *w, int64_t for_ms)
+{
+  for (int64_t end_ms = w->now_ms + for_ms; w->now_ms < end_ms;)
+    {
+      w->now_ms += STEP_MS;
+      for (int i = 0; i < WORLD_WORKERS; i++)
+        if (w->workers[i].alive)
+          run_worker (w, &w->workers[i]);
+      run_late (w);
+      time_out_late (w);
+      if (w->zombie != NULL && w->now_ms > w->zombie_until_ms)
+        g_clear_pointer (&w->zombie, cell_destroy);
+      if (w->zombie != NULL)
+        {
+          cell_tick (w->zombie, w->now_ms, true, w->now_ms);
+          carry_out (w, w->zombie);
+        }
+      cell_tick (w->cell, w->now_ms, true, w->now_ms);
+      carry_out (w, w->cell);
+    }
+}
+
+void
+world_take_over (struct world *w, bool yields, int64_t zombie_ms)
+{
+  GPtrArray *records = yields ? cell_yield (w->cell) : NULL;
+  int64_t foreign_ms
+      = zombie_ms > 0 ? SURE_MS + STOPPED_LEASE_MS : STOPPED_LEASE_MS;
+
+  cell_destroy (w->zombie);
+  w->zombie = NULL;
+  if (zombie_ms > 0 && !yields)
+    {
+      w->zombie = w->cell;
+      w->zombie_until_ms = w->now_ms + MIN (zombie_ms, SURE_MS);
+    }
+  else
+    cell_destroy (w->cell);
+  w->cell = new_owner (w, foreign_ms);
+  load (w, w->cell, 'j');
+  load (w, w->cell, 'p');
+  load (w, w->cell, 'w');
+  for (guint i = 0; records != NULL && i < records->len; i++)
+    {
+      const struct journal_entry *e = g_ptr_array_index (records, i);
+
+      cell_load (w->cell, e->key, e->value);
+    }
+  if (records != NULL)
+    g_ptr_array_unref (records);
+  list_workers (w, w->cell);
+  cell_activate (w->cell, w->now_ms);
+}
+
+struct job_spec *
+world_job (const struct world *w, const char *id, guint steps, uint32_t count)
+{
+  struct job_spec *spec = job_spec_new (id);
+
+  g_free (spec->queue);
+  spec->queue = g_strdup ("queue");
+  g_free (spec->service);
+  spec->service = g_strdup ("desk");
+  spec->max_attempts = w->max_attempts;
+  spec->stretch = 1.6;
+  for (guint i = 0; i < steps; i++)
+    {
+      struct job_step *s = job_step_new ();
+      uint32_t before = i - 1;
+
+      s->count = count;
+      s->cpu_milli = 1000;
+      s->memory_mb = 500;
+      s->estimate_ms = 500;
+      if (i > 0)
+        g_array_append_val (s->after, before);
+      g_ptr_array_add (spec->steps, s);
+    }
+  return spec;
+}
+
+uint64_t
+world_submit (struct world *w, struct job_spec *spec)
+{
+  static uint64_t token;
+
+  cell_submit (w->cell, spec, ++token, w->now_ms);
+  return token;
+}
+
+int
+world_answer (const struct world *w, uint64_t token)
+{
+  return GPOINTER_TO_INT (
+             g_hash_table_lookup (w->answers, GUINT_TO_POINTER (token)))
+         - 1;
+}
+
+enum job_state
+world_state (const struct world *w, const char *id)
+{
+  enum job_state state;
+
+  return cell_state (w->cell, id, &state) ? state : JOB_STATE_COUNT;
+}
+
+void
+world_crash (struct world *w, struct world_worker *worker, bool reborn)
+{
+  begin_life (w, worker);
+  worker->alive = reborn;
+  /* Orders that the life before has not carried out end with it. */
+  for (guint i = 0; i < w->late->len; i++)
+    {
+      struct late_start *l = g_ptr_array_index (w->late, i);
+
+      if (strcmp (l->worker, worker->id) == 0)
+        l->deadline_ms = 0;
+    }
+  if (!reborn)
+    return;
+  {
+    struct worker_entry *e = entry_of (worker);
+
+    cell_worker_listed (w->cell, e, w->now_ms);
+    worker_entry_destroy (e);
+  }
+}
--- /dev/null
+++ b/tests/unit/test_cell.c
@@ -0,0 +1,413 @@
+#include "cell_world.h"
+
+#include <string.h>
+
+/* What a cell promises, under the failures that have broken it once. */
+
+#define JOB "00000000000000a1"
+
+static void
+assert_unbroken (const struct world *w)
+{
+  g_assert_cmpstr (w->broken->str, ==, "");
+}
+
+static void
+test_a_chain_of_steps_runs_in_order (void)
+{
+  struct world *w = world_new (1);
+  uint64_t token;
+
+  world_run (w, 500);
+  token = world_submit (w, world_job (w, JOB, 2, 6));
+  world_run (w, 300);
+  g_assert_cmpint (world_answer (w, token), ==, CELL_STORED);
+  g_assert_cmpint (world_state (w, JOB), ==, JOB_RUNNING);
+  g_assert_null (world_find_run (w, JOB ".0.1.0"));
+  world_run (w, 4000);
+  g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
+  g_assert_cmpuint (w->starts, ==, 12);
+  assert_unbroken (w);
+  world_destroy (w);
+}
+
+static void
+test_the_same_job_twice_is_one (void)
+{
+  struct world *w = world_new (2);
+  uint64_t first, second;
+
+  world_run (w, 500);
+  first = world_submit (w, world_job (w, JOB, 1, 3));
+  second = world_submit (w, world_job (w, JOB, 1, 3));
+  world_run (w, 3000);
+  g_assert_cmpint (world_answer (w, first), ==, CELL_STORED);
+  g_assert_cmpint (world_answer (w, second), ==, CELL_STORED);
+  g_assert_cmpuint (w->starts, ==, 3);
+  world_destroy (w);
+}
+
+/* A refusal is true: the job never starts, and is not known. */
+static void
+test_a_job_that_the_store_refuses_never_starts (void)
+{
+  struct world *w = world_new (3);
+  uint64_t token;
+
+  world_run (w, 500);
+  w->store_away = true;
+  token = world_submit (w, world_job (w, JOB, 1, 3));
+  world_run (w, 2000);
+  g_assert_cmpint (world_answer (w, token), ==, CELL_NOT_TAKEN);
+  w->store_away = false;
+  world_run (w, 3000);
+  g_assert_cmpuint (w->starts, ==, 0);
+  g_assert_cmpint (world_state (w, JOB), ==, JOB_STATE_COUNT);
+  world_destroy (w);
+}
+
+/* A lost answer of the store is no refusal. */
+static void
+test_an_unclear_append_is_tried_until_it_is_clear (void)
+{
+  struct world *w = world_new (4);
+  uint64_t token;
+
+  world_run (w, 500);
+  w->faults.append_lost = 100;
+  token = world_submit (w, world_job (w, JOB, 1, 3));
+  world_run (w, 2500);
+  g_assert_cmpint (world_answer (w, token), ==, CELL_UNCLEAR);
+  w->faults.append_lost = 0;
+  world_run (w, 3000);
+  g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
+  world_destroy (w);
+}
+
+static void
+test_a_cancelled_job_stops_and_stays_so (void)
+{
+  struct world *w = world_new (5);
+  uint64_t token = 77;
+
+  world_run (w, 500);
+  w->run_ms = 20000;
+  world_submit (w, world_job (w, JOB, 2, 4));
+  world_run (w, 1000);
+  g_assert_nonnull (world_find_run (w, JOB ".0.0.0"));
+  cell_cancel (w->cell, JOB, token, w->now_ms);
+  world_run (w, 1500);
+  g_assert_cmpint (world_answer (w, token), ==, CELL_STORED);
+  g_assert_null (world_find_run (w, JOB ".0.0.0"));
+  world_take_over (w, false, 0);
+  world_run (w, 6000);
+  g_assert_cmpint (world_state (w, JOB), ==, JOB_CANCELLED);
+  g_assert_cmpuint (w->starts, ==, 4);
+  world_destroy (w);
+}
+
+static void
+test_a_new_owner_adopts_what_runs (void)
+{
+  struct world *w = world_new (6);
+
+  world_run (w, 500);
+  w->run_ms = 3000;
+  world_submit (w, world_job (w, JOB, 2, 6));
+  world_run (w, 1000);
+  world_take_over (w, false, 0);
+  world_run (w, 14000);
+  g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
+  g_assert_cmpuint (w->starts, ==, 12);
+  assert_unbroken (w);
+  world_destroy (w);
+}
+
+/* The runs of a worker that does not answer are over only with its lease. */
+static void
+test_a_silent_worker_keeps_its_tasks_until_its_lease_is_over (void)
+{
+  struct world *w = world_new (7);
+  struct world_worker *k;
+
+  world_run (w, 500);
+  w->run_ms = 60000;
+  world_submit (w, world_job (w, JOB, 1, 1));
+  world_run (w, 1000);
+  k = world_find_run (w, JOB ".0.0.0");
+  g_assert_nonnull (k);
+  k->reachable = false;
+  world_run (w, 2500);
+  g_assert_cmpuint (w->starts, ==, 1);
+  world_run (w, 4000);
+  g_assert_cmpuint (w->starts, ==, 2);
+  assert_unbroken (w);
+  world_destroy (w);
+}
+
+/* The successor of an owner that could not write which worker is silent: a
+   record from before names the task there, but it runs elsewhere by now. */
+static void
+test_a_task_that_moved_off_a_silent_worker_is_not_started_again (void)
+{
+  struct world *w = world_new (8);
+  struct world_worker *k;
+
+  world_run (w, 500);
+  w->run_ms = 60000;
+  world_submit (w, world_job (w, JOB, 1, 1));
+  world_run (w, 1000);
+  k = world_find_run (w, JOB ".0.0.0");
+  k->reachable = false;
+  world_run (w, 2000);
+  w->store_away = true;
+  world_run (w, 5000);
+  g_assert_cmpuint (w->starts, ==, 2);
+  w->store_away = false;
+  k = world_find_run (w, JOB ".0.0.0");
+  k->reachable = false;
+  world_take_over (w, true, 0);
+  world_run (w, 1500);
+  k->reachable = true;
+  world_run (w, 3000);
+  g_assert_cmpuint (w->starts, ==, 2);
+  assert_unbroken (w);
+  world_destroy (w);
+}
+
+/* The owner yields while an append with a failed end is on its way: the
+   journal has the end, its owner does not know, and it counts once. */
+static void
+test_an_end_counts_once_over_a_handover (void)
+{
+  struct world *w = world_new (9);
+
+  world_run (w, 500);
+  w->max_attempts = 2;
+  w->faults.task_fails = 100;
+  world_submit (w, world_job (w, JOB, 1, 1));
+  while (g_hash_table_size (w->journal) == 0
+         || world_find_run (w, JOB ".0.0.0") == NULL)
+    world_run (w, 5);
+  while (world_find_run (w, JOB ".0.0.0") != NULL)
+    world_run (w, 5);
+  /* Now the end is taken in, and its append goes out and is not answered. */
+  for (int i = 0; i < 40 && w->appends->len == 0; i++)
+    world_run (w, 5);
+  g_assert_cmpuint (w->appends->len, >, 0);
+  w->faults.task_fails = 0;
+  world_take_over (w, true, 0);
+  world_run (w, 8000);
+  g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
+  world_destroy (w);
+}
+
+/* The ends that an owner has taken in, but not written, are not handed over
+   as taken: the next owner would start the tasks again. */
+static void
+test_unwritten_ends_are_taken_in_by_the_next_owner (void)
+{
+  struct world *w = world_new (10);
+
+  world_run (w, 500);
+  world_submit (w, world_job (w, JOB, 1, 4));
+  world_run (w, 200);
+  w->store_away = true;
+  world_run (w, 2500);
+  g_assert_cmpuint (w->starts, ==, 4);
+  w->store_away = false;
+  world_take_over (w, true, 0);
+  world_run (w, 6000);
+  g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
+  g_assert_cmpuint (w->starts, ==, 4);
+  assert_unbroken (w);
+  world_destroy (w);
+}
+
+/* A quiet cell writes at once that a worker's life is over. */
+static void
+test_the_record_of_an_ended_worker_goes_without_other_appends (void)
+{
+  struct world *w = world_new (11);
+
+  world_run (w, 500);
+  world_submit (w, world_job (w, JOB, 1, 6));
+  world_run (w, 3000);
+  g_assert_true (g_hash_table_contains (w->journal, "w:worker-2"));
+  world_crash (w, &w->workers[2], false);
+  cell_worker_ended (w->cell, "worker-2", w->now_ms);
+  world_run (w, 1500);
+  g_assert_false (g_hash_table_contains (w->journal, "w:worker-2"));
+  world_destroy (w);
+}
+
+/* A worker that starts again under its old ID holds nothing and counts its
+   ends anew; none of them is passed over. */
+static void
+test_a_worker_born_again_loses_no_end (void)
+{
+  struct world *w = world_new (12);
+
+  world_run (w, 500);
+  for (int i = 0; i < 8; i++)
+    {
+      char *id = g_strdup_printf ("%016x", 0xb0 + i);
+
+      world_submit (w, world_job (w, id, 1, 6));
+      g_free (id);
+    }
+  world_run (w, 800);
+  world_crash (w, &w->workers[0], true);
+  /* This one is back before the list tells of its new life. */
+  world_crash (w, &w->workers[1], false);
+  w->workers[1].alive = true;
+  world_run (w, 9000);
+  for (int i = 0; i < 8; i++)
+    {
+      char *id = g_strdup_printf ("%016x", 0xb0 + i);
+
+      g_assert_cmpint (world_state (w, id), ==, JOB_COMPLETED);
+      g_free (id);
+    }
+  assert_unbroken (w);
+  world_destroy (w);
+}
+
+static struct job_spec *
+lasting_job (const struct world *w, uint32_t count, uint32_t may_miss)
+{
+  struct job_spec *spec = world_job (w, JOB, 1, count);
+  struct job_step *s = g_ptr_array_index (spec->steps, 0);
+
+  s->lasts = true;
+  s->per_worker = 1;
+  s->may_miss = may_miss;
+  return spec;
+}
+
+static guint
+count_running (struct world *w, uint32_t count)
+{
+  guint n = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      char *task = g_strdup_printf (JOB ".0.0.%u", i);
+
+      n += world_find_run (w, task) != NULL;
+      g_free (task);
+    }
+  return n;
+}
+
+/* Emptying two workers at once takes one task of a step at a time. */
+static void
+test_emptying_workers_keeps_the_availability_budget (void)
+{
+  struct world *w = world_new (13);
+  bool first = false, second = false;
+
+  world_run (w, 500);
+  w->run_ms = 1000000;
+  world_submit (w, lasting_job (w, 4, 1));
+  world_run (w, 3000);
+  g_assert_cmpuint (count_running (w, 4), ==, 4);
+  for (int i = 0; i < 400 && !(first && second); i++)
+    {
+      first = cell_release_worker (w->cell, "worker-0", w->now_ms);
+      second = cell_release_worker (w->cell, "worker-1", w->now_ms);
+      world_run (w, 20);
+      g_assert_cmpuint (count_running (w, 4), >=, 3);
+    }
+  g_assert_true (first && second);
+  world_destroy (w);
+}
+
+/* The owner before has ordered a stop that is not over yet: the next one does
+   not take another task of the step away meanwhile. */
+static void
+test_a_new_owner_waits_for_stops_of_the_one_before (void)
+{
+  struct world *w = world_new (14);
+
+  world_run (w, 500);
+  w->run_ms = 1000000;
+  world_submit (w, lasting_job (w, 4, 1));
+  world_run (w, 3000);
+  cell_release_worker (w->cell, world_find_run (w, JOB ".0.0.0")->id,
+                       w->now_ms);
+  world_run (w, 20);
+  world_take_over (w, true, 0);
+  for (int i = 0; i < 40; i++)
+    {
+      for (int k = 0; k < WORLD_WORKERS; k++)
+        {
+          char *id = g_strdup_printf ("worker-%d", k);
+
+          cell_release_worker (w->cell, id, w->now_ms);
+          g_free (id);
+        }
+      world_run (w, 20);
+      g_assert_cmpuint (count_running (w, 4), >=, 3);
+    }
+  world_destroy (w);
+}
+
+/* A worker that does not answer is not emptied: its tasks may be at work. */
+static void
+test_a_silent_worker_is_not_emptied (void)
+{
+  struct world *w = world_new (15);
+  struct world_worker *k;
+
+  world_run (w, 500);
+  w->run_ms = 1000000;
+  world_submit (w, lasting_job (w, 4, 1));
+  world_run (w, 3000);
+  k = world_find_run (w, JOB ".0.0.2");
+  k->reachable = false;
+  world_run (w, 2200);
+  cell_release_worker (w->cell, k->id, w->now_ms);
+  k->reachable = true;
+  world_run (w, 100);
+  g_assert_true (world_find_run (w, JOB ".0.0.2") == k);
+  for (guint i = 0; i < k->runs->len; i++)
+    g_assert_cmpint (
+        ((struct world_run *)g_ptr_array_index (k->runs, i))->stop_ms, ==, 0);
+  world_destroy (w);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/cell/chain", test_a_chain_of_steps_runs_in_order);
+  g_test_add_func ("/cell/same-job-twice", test_the_same_job_twice_is_one);
+  g_test_add_func ("/cell/refused",
+                   test_a_job_that_the_store_refuses_never_starts);
+  g_test_add_func ("/cell/unclear",
+                   test_an_unclear_append_is_tried_until_it_is_clear);
+  g_test_add_func ("/cell/cancelled", test_a_cancelled_job_stops_and_stays_so);
+  g_test_add_func ("/cell/adopt", test_a_new_owner_adopts_what_runs);
+  g_test_add_func (
+      "/cell/silent-worker",
+      test_a_silent_worker_keeps_its_tasks_until_its_lease_is_over);
+  g_test_add_func (
+      "/cell/moved-off-silent",
+      test_a_task_that_moved_off_a_silent_worker_is_not_started_again);
+  g_test_add_func ("/cell/end-counts-once",
+                   test_an_end_counts_once_over_a_handover);
+  g_test_add_func ("/cell/unwritten-ends",
+                   test_unwritten_ends_are_taken_in_by_the_next_owner);
+  g_test_add_func (
+      "/cell/ended-worker",
+      test_the_record_of_an_ended_worker_goes_without_other_appends);
+  g_test_add_func ("/cell/born-again", test_a_worker_born_again_loses_no_end);
+  g_test_add_func ("/cell/budget",
+                   test_emptying_workers_keeps_the_availability_budget);
+  g_test_add_func ("/cell/stops-before",
+                   test_a_new_owner_waits_for_stops_of_the_one_before);
+  g_test_add_func ("/cell/silent-not-emptied",
+                   test_a_silent_worker_is_not_emptied);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/unit/test_cell_seeds.c
@@ -0,0 +1,136 @@
+#include "cell_world.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+/* Seeded schedules of a cell: owners that die, yield or go on unaware, workers
+   that fall silent, crash and are born again, a store that goes away, answers
+   that are lost and starts that come late.  After each step the rules that
+   the world checks hold, and in the end every job is completed, or failed
+   where its tasks could fail so often.  A seed that failed once stays. */
+
+#define SEEDS 150
+/* Seeds that failed once.  2128: the second successor took a worker that the
+   first had not reached for one without unknown runs. */
+static const uint32_t failed_once[] = { 2128 };
+
+#define JOBS 12
+#define ROUNDS 30
+
+static void
+submit_some (struct world *w, int *submitted)
+{
+  for (int i = 0; i < 2 && *submitted < JOBS; i++)
+    {
+      char *id = g_strdup_printf ("%016x", 0xc00 + *submitted);
+
+      world_submit (w, world_job (w, id, 1 + *submitted % 3, 4));
+      ++*submitted;
+      g_free (id);
+    }
+}
+
+static void
+disturb (struct world *w)
+{
+  struct world_worker *k
+      = &w->workers[g_rand_int_range (w->rand, 0, WORLD_WORKERS)];
+
+  switch (g_rand_int_range (w->rand, 0, 9))
+    {
+    case 0:
+      world_take_over (w, false, 0);
+      break;
+    case 1:
+      world_take_over (w, true, 0);
+      break;
+    case 2:
+      world_take_over (w, false, g_rand_int_range (w->rand, 500, 8000));
+      break;
+    case 3:
+      k->reachable = false;
+      break;
+    case 4:
+      world_crash (w, k, true);
+      break;
+    case 5:
+      w->store_away = true;
+      break;
+    default:
+      break;
+    }
+}
+
+static void
+calm (struct world *w)
+{
+  w->store_away = false;
+  w->faults = (struct world_faults){ 0 };
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    w->workers[i].reachable = true;
+}
+
+static void
+play (uint32_t seed)
+{
+  struct world *w = world_new (seed);
+  int submitted = 0;
+
+  w->run_ms = 1200;
+  w->faults = (struct world_faults){ .start_lost = 5,
+                                     .start_late = 5,
+                                     .append_lost = 5,
+                                     .append_refused = 5,
+                                     .task_fails = 3 };
+  world_run (w, 500);
+  for (int i = 0; i < ROUNDS; i++)
+    {
+      submit_some (w, &submitted);
+      disturb (w);
+      world_run (w, g_rand_int_range (w->rand, 50, 1500));
+      if (g_rand_int_range (w->rand, 0, 3) == 0)
+        {
+          w->store_away = false;
+          for (int k = 0; k < WORLD_WORKERS; k++)
+            w->workers[k].reachable = true;
+        }
+    }
+  calm (w);
+  world_run (w, 45000);
+  if (w->broken->len > 0)
+    g_error ("seed %u: %s", seed, w->broken->str);
+  for (int i = 0; i < submitted; i++)
+    {
+      char *id = g_strdup_printf ("%016x", 0xc00 + i);
+      enum job_state state = world_state (w, id);
+
+      if (state == JOB_PENDING || state == JOB_RUNNING)
+        g_error ("seed %u: job %s is %s in the end", seed, id,
+                 job_state_name (state));
+      g_free (id);
+    }
+  world_destroy (w);
+}
+
+static void
+test_seeds (void)
+{
+  for (gsize i = 0; i < G_N_ELEMENTS (failed_once); i++)
+    play (failed_once[i]);
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    play (seed);
+}
+
+int
+main (int argc, char **argv)
+{
+  if (argc == 3 && strcmp (argv[1], "--seed") == 0)
+    {
+      play ((uint32_t)strtoul (argv[2], NULL, 10));
+      return 0;
+    }
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/cell/seeds", test_seeds);
+  return g_test_run ();
+}
