Size pools to what their work asks for

Cause: each queue asks five times its mean in its turn, more than its pool holds, while eight standby machines and the other pools' idle ones did nothing: jobs waited 2.5 s for their first start at the 95th percentile.

Change: the fleet's owner asks the cells for their load four times a second and moves standby and idle machines to a pool whose work does not fit; what a pool has not needed for 2.5 s goes back to standby, where it costs nothing.

--- a/src/cell.h
+++ b/src/cell.h
@@ -2,6 +2,7 @@
 #define CELL_H
 
 #include "job.h"
+#include "sizing.h"
 #include "worker.h"
 
 #include <glib.h>
@@ -248,4 +249,7 @@
 
 void cell_get_figures (const struct cell *cell, struct cell_figures *figures);
 
+/* Return the load of the cell's pool, which the caller destroys. */
+struct pool_load *cell_get_load (const struct cell *cell);
+
 #endif
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -443,3 +443,46 @@
         place_job (c, job, now_ms);
     }
 }
+
+static uint64_t
+cpu_wanted (const struct cell_job *job)
+{
+  uint64_t wanted = 0;
+
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      const struct cell_occurrence *o
+          = g_ptr_array_index (job->occurrences, i);
+
+      for (uint32_t k = 0; k < job->spec->steps->len; k++)
+        {
+          const struct job_step *s = g_ptr_array_index (job->spec->steps, k);
+
+          if (o->waiting[k] > 0 && !s->fills && is_ready (o, k))
+            wanted += (uint64_t)o->waiting[k] * s->cpu_milli;
+        }
+    }
+  return wanted;
+}
+
+struct pool_load *
+cell_get_load (const struct cell *cell)
+{
+  struct pool_load *l = pool_load_new (cell->service);
+
+  for (guint i = 0; i < cell->worker_list->len; i++)
+    {
+      const struct cell_worker *w = g_ptr_array_index (cell->worker_list, i);
+
+      l->cpu_used_milli += w->used.cpu_milli;
+      if (!w->confirmed || !w->listed || w->entry->draining)
+        continue;
+      l->cpu_per_worker_milli
+          = MAX (l->cpu_per_worker_milli, w->entry->room.cpu_milli);
+      if (w->tasks->len == 0)
+        g_ptr_array_add (l->idle, g_strdup (w->entry->id));
+    }
+  for (guint i = 0; i < cell->open->len; i++)
+    l->cpu_wanted_milli += cpu_wanted (g_ptr_array_index (cell->open, i));
+  return l;
+}
--- a/src/node_fleet.c
+++ b/src/node_fleet.c
@@ -6,7 +6,8 @@
 
 #include <string.h>
 
-/* One node, the owner of the fleet, carries out maintenance waves.  Its
+/* One node, the owner of the fleet, carries out maintenance waves and sizes
+   the pools.  Its
    epoch is the fencing token of its orders for machines. */
 
 #define WRITER "fleet"
@@ -63,6 +64,8 @@
   g_clear_pointer (&f->upkeep, upkeep_destroy);
   g_clear_pointer (&f->machines, g_ptr_array_unref);
   g_clear_pointer (&f->announced, g_hash_table_unref);
+  g_clear_pointer (&f->sizing, sizing_destroy);
+  g_clear_pointer (&f->loads, g_ptr_array_unref);
 }
 
 static bool
@@ -90,6 +93,7 @@
   char *machine;
   char *service;
   char *worker;
+  char *target; /* service to move to; NULL for upkeep */
 };
 
 static struct fleet_call *
@@ -112,6 +116,7 @@
   g_free (call->machine);
   g_free (call->service);
   g_free (call->worker);
+  g_free (call->target);
   g_free (call);
 }
 
@@ -146,7 +151,10 @@
   f->write_out = false;
   f->round_out = false;
   f->orders_out = 0;
+  f->loads_out = 0;
   f->upkeep = upkeep_new ();
+  f->sizing = sizing_new ();
+  f->loads = g_ptr_array_new_with_free_func (pool_load_destroy);
   f->announced = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->sequences[FLEET_STATUS] = 1;
   f->sequences[FLEET_UPKEEP] = 1;
@@ -240,34 +248,48 @@
 {
 }
 
+/* The machine is down: whatever ran there has ended. */
 static void
-note_begun (struct node *n, const struct fleet_call *call)
+tell_worker_ended (struct node *n, const struct fleet_call *call)
 {
-  struct fleet_state *f = &n->fleet;
   struct front_ask ask = { .verb = FRONT_ENDED,
                            .service = call->service,
                            .subject = call->worker,
                            .patience_ms = RELEASE_PATIENCE_MS };
 
+  if (call->worker[0] != '\0')
+    front_ask (n->front, &ask, on_told, NULL);
+}
+
+static void
+note_done (struct node *n, const struct fleet_call *call)
+{
+  struct fleet_state *f = &n->fleet;
+
+  tell_worker_ended (n, call);
+  if (call->target != NULL)
+    {
+      meters_add (n->meters, METER_MOVES, 1);
+      return;
+    }
   meters_add (n->meters, METER_UPKEEPS, 1);
   upkeep_machine_begun (f->upkeep, call->wave, call->machine, node_now_ms ());
   g_queue_push_tail (
       &f->writes, write_new (FLEET_UPKEEP,
                              g_strdup_printf ("%" G_GINT64_FORMAT, call->wave),
                              upkeep_begun_text (f->upkeep, call->wave)));
-  if (call->worker[0] != '\0')
-    front_ask (n->front, &ask, on_told, NULL);
 }
 
 static void
-on_upkeep_ordered (void *data, enum machine_answer answer)
+on_ordered (void *data, enum machine_answer answer)
 {
   struct fleet_call *call = data;
   struct node *n = call->node;
 
-  event_log ("machine-upkeep", call->machine,
-             "wave=%" G_GINT64_FORMAT " service=%s worker=%s outcome=%d",
-             call->wave, call->service, call->worker, (int)answer);
+  event_log ("machine-order", call->machine,
+             "wave=%" G_GINT64_FORMAT " service=%s worker=%s to=%s outcome=%d",
+             call->wave, call->service, call->worker,
+             call->target != NULL ? call->target : "upkeep", (int)answer);
   if (!is_current (&n->fleet, call->epoch))
     {
       call_destroy (call);
@@ -278,7 +300,7 @@
     {
     case MACHINE_ORDER_DONE:
     case MACHINE_ORDER_REFUSED:
-      note_begun (n, call);
+      note_done (n, call);
       break;
     case MACHINE_ORDER_FENCED:
       fleet_end (n);
@@ -292,16 +314,17 @@
 }
 
 static void
-order_upkeep (struct fleet_call *call)
+order (struct fleet_call *call)
 {
   struct node *n = call->node;
   struct machine_order order = { .holder = n->settings->node,
                                  .fencing_token = n->fleet.epoch,
                                  .machine = call->machine,
+                                 .service = call->target,
                                  .wave = call->wave };
 
-  machine_order_send (n->client, n->settings->machines, &order,
-                      on_upkeep_ordered, call);
+  machine_order_send (n->client, n->settings->machines, &order, on_ordered,
+                      call);
 }
 
 static void
@@ -315,7 +338,7 @@
   if (is_ours && answer->result == FRONT_DONE && answer->number == 1
       && is_sure (call->node, node_now_ms ()))
     {
-      order_upkeep (call);
+      order (call);
       return;
     }
   if (is_ours)
@@ -324,17 +347,19 @@
 }
 
 static void
-empty_machine (struct node *n, const struct upkeep_step *step)
+empty_machine (struct node *n, const struct machine *m, int64_t wave,
+               const char *target)
 {
-  struct fleet_call *call = call_new (n, step->wave, step->machine);
+  struct fleet_call *call = call_new (n, wave, m);
   struct front_ask ask = { .verb = FRONT_RELEASE,
                            .service = call->service,
                            .subject = call->worker,
                            .patience_ms = RELEASE_PATIENCE_MS };
 
+  call->target = g_strdup (target);
   n->fleet.orders_out++;
   if (call->worker[0] == '\0')
-    order_upkeep (call);
+    order (call);
   else
     front_ask (n->front, &ask, on_released, call);
 }
@@ -367,8 +392,10 @@
     }
 }
 
+/* Carry out what is due of the waves; note in RESERVED which machines it
+   takes. */
 static void
-carry_out (struct node *n, int64_t now_ms)
+carry_out_waves (struct node *n, GHashTable *reserved, int64_t now_ms)
 {
   struct fleet_state *f = &n->fleet;
   GArray *steps = g_array_new (FALSE, FALSE, sizeof (struct upkeep_step));
@@ -383,7 +410,8 @@
       switch (step->kind)
         {
         case UPKEEP_EMPTY:
-          empty_machine (n, step);
+          g_hash_table_add (reserved, g_strdup (step->machine->name));
+          empty_machine (n, step->machine, step->wave, NULL);
           break;
         case UPKEEP_COMPLETE:
           announce (n, step->wave, true);
@@ -396,6 +424,114 @@
   g_array_unref (steps);
 }
 
+static const char *
+standby_service (const struct node *n)
+{
+  for (guint i = 0; i < n->routes->services->len; i++)
+    {
+      const struct service_entry *s
+          = g_ptr_array_index (n->routes->services, i);
+
+      if (s->standby)
+        return s->name;
+    }
+  return NULL;
+}
+
+static void
+carry_out_moves (struct node *n, GHashTable *reserved, int64_t now_ms)
+{
+  struct fleet_state *f = &n->fleet;
+  GArray *steps = g_array_new (FALSE, FALSE, sizeof (struct sizing_step));
+
+  sizing_plan (f->sizing, f->machines, f->loads, standby_service (n), reserved,
+               now_ms, steps);
+  for (guint i = 0; i < steps->len; i++)
+    {
+      const struct sizing_step *step
+          = &g_array_index (steps, struct sizing_step, i);
+
+      empty_machine (n, step->machine, 0, step->service);
+    }
+  g_array_unref (steps);
+}
+
+static void
+finish_round (struct node *n, int64_t now_ms)
+{
+  GHashTable *reserved
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+
+  n->fleet.round_out = false;
+  n->fleet.round_ms = now_ms + ROUND_GAP_MS;
+  carry_out_waves (n, reserved, now_ms);
+  carry_out_moves (n, reserved, now_ms);
+  g_hash_table_unref (reserved);
+}
+
+static void
+on_load (void *data, const struct http_reply *reply)
+{
+  struct fleet_call *call = data;
+  struct node *n = call->node;
+  struct fleet_state *f = &n->fleet;
+
+  if (is_current (f, call->epoch))
+    {
+      if (reply->status == 200)
+        {
+          GBytes *bytes = g_bytes_new (reply->body, reply->body_bytes);
+          struct pool_load *load = pool_load_from_bytes (call->service, bytes);
+
+          if (load != NULL)
+            g_ptr_array_add (f->loads, load);
+          g_bytes_unref (bytes);
+        }
+      if (--f->loads_out == 0)
+        finish_round (n, node_now_ms ());
+    }
+  call_destroy (call);
+}
+
+static void
+ask_load (struct node *n, const char *service)
+{
+  const struct host *h = g_hash_table_lookup (n->hosts, service);
+  const char *owner = owner_address (n, service);
+  struct fleet_call *call;
+
+  if (h != NULL && h->cell != NULL)
+    {
+      g_ptr_array_add (n->fleet.loads, cell_get_load (h->cell));
+      return;
+    }
+  if (owner == NULL || owner[0] == OWNER_RELEASED || owner[0] == OWNER_LOST
+      || strcmp (owner, n->address) == 0)
+    return;
+  call = call_new (n, 0, NULL);
+  g_free (call->service);
+  call->service = g_strdup (service);
+  n->fleet.loads_out++;
+  peer_ask_load (n, owner, service, on_load, call);
+}
+
+static void
+ask_loads (struct node *n, int64_t now_ms)
+{
+  g_ptr_array_set_size (n->fleet.loads, 0);
+  n->fleet.loads_out = 0;
+  for (guint i = 0; i < n->routes->services->len; i++)
+    {
+      const struct service_entry *s
+          = g_ptr_array_index (n->routes->services, i);
+
+      if (!s->standby)
+        ask_load (n, s->name);
+    }
+  if (n->fleet.loads_out == 0)
+    finish_round (n, now_ms);
+}
+
 static void
 on_machines (void *data, GPtrArray *machines)
 {
@@ -404,16 +540,16 @@
   struct fleet_state *f = &n->fleet;
   int64_t now_ms = node_now_ms ();
 
-  if (is_current (f, call->epoch))
+  if (is_current (f, call->epoch) && machines == NULL)
     {
       f->round_out = false;
       f->round_ms = now_ms + ROUND_GAP_MS;
     }
-  if (is_current (f, call->epoch) && machines != NULL)
+  else if (is_current (f, call->epoch))
     {
       g_clear_pointer (&f->machines, g_ptr_array_unref);
       f->machines = g_ptr_array_ref (machines);
-      carry_out (n, now_ms);
+      ask_loads (n, now_ms);
     }
   call_destroy (call);
 }
@@ -430,7 +566,6 @@
     return;
   take_waves (n, now_ms);
   if (f->round_out || f->orders_out > 0 || now_ms < f->round_ms
-      || !upkeep_has_work (f->upkeep)
       || now_ms < f->since_ms + n->settings->holder_lease_ms + HOLDER_SPARE_MS
       || !is_sure (n, now_ms))
     return;
--- a/src/node_peers.c
+++ b/src/node_peers.c
@@ -13,6 +13,7 @@
 #define QUEUES_PATH "/v1/queues/"
 #define WORKERS_PATH "/v1/workers/"
 #define CELLS_PATH "/v1/cells/"
+#define LOAD_PATH "/v1/load/"
 #define STATUS_NOT_OWNER 421
 /* Whoever asks would follow the owner if it does not answer. */
 #define PROBE_TIMEOUT_MS 500
@@ -158,10 +159,11 @@
 
 static void
 call_owner (struct node *n, const char *address, const char *method,
-            const char *service, http_done done, void *data)
+            const char *prefix, const char *service, http_done done,
+            void *data)
 {
   char *name = g_uri_escape_string (service, NULL, FALSE);
-  char *path = g_strconcat (CELLS_PATH, name, "?service=", name, NULL);
+  char *path = g_strconcat (prefix, name, "?service=", name, NULL);
   struct http_call call = { .method = method,
                             .path = path,
                             .timeout_ms = PROBE_TIMEOUT_MS,
@@ -181,14 +183,21 @@
 peer_probe (struct node *n, const char *address, const char *service,
             http_done done, void *data)
 {
-  call_owner (n, address, "GET", service, done, data);
+  call_owner (n, address, "GET", CELLS_PATH, service, done, data);
 }
 
 void
 peer_ask_yield (struct node *n, const char *address, const char *service,
                 http_done done, void *data)
 {
-  call_owner (n, address, "POST", service, done, data);
+  call_owner (n, address, "POST", CELLS_PATH, service, done, data);
+}
+
+void
+peer_ask_load (struct node *n, const char *address, const char *service,
+               http_done done, void *data)
+{
+  call_owner (n, address, "GET", LOAD_PATH, service, done, data);
 }
 
 #define RECORDS_TYPE "a(say)"
@@ -272,6 +281,22 @@
   evbuffer_free (body);
 }
 
+static void
+serve_load (const struct host *h, struct evhttp_request *request)
+{
+  struct pool_load *load = cell_get_load (h->cell);
+  GBytes *bytes = pool_load_to_bytes (load);
+  struct evbuffer *body = evbuffer_new ();
+  gsize size;
+  const void *data = g_bytes_get_data (bytes, &size);
+
+  evbuffer_add (body, data, size);
+  evhttp_send_reply (request, 200, "load", body);
+  evbuffer_free (body);
+  g_bytes_unref (bytes);
+  pool_load_destroy (load);
+}
+
 static bool
 read_verb (const char *path, enum evhttp_cmd_type method,
            enum front_verb *verb, const char **subject)
@@ -310,38 +335,48 @@
   return spec;
 }
 
+/* Serve a call about the cell itself.  Return false if it is another call. */
+static bool
+serve_cell_call (struct node *n, struct evhttp_request *request,
+                 const char *path, const char *service, struct host *owned)
+{
+  bool is_post = evhttp_request_get_command (request) == EVHTTP_REQ_POST;
+
+  if (g_str_has_prefix (path, CELLS_PATH) && is_post)
+    serve_yield (n, owned, service, request);
+  else if (owned != NULL && g_str_has_prefix (path, CELLS_PATH))
+    serve_probe (owned, request);
+  else if (owned != NULL && owned->cell != NULL
+           && g_str_has_prefix (path, LOAD_PATH))
+    serve_load (owned, request);
+  else
+    return false;
+  return true;
+}
+
 static void
 serve_ask (struct node *n, struct evhttp_request *request, const char *path,
            const char *service)
 {
   struct front_ask ask = { .service = service };
   struct host *h = g_hash_table_lookup (n->hosts, service);
-  bool is_owner = h != NULL && h->phase == HOST_ACTIVE && !n->stopping;
   struct peer_ask *kept;
 
-  if (g_str_has_prefix (path, CELLS_PATH)
-      && evhttp_request_get_command (request) == EVHTTP_REQ_POST)
-    {
-      serve_yield (n, h, service, request);
-      return;
-    }
-  if (is_owner && g_str_has_prefix (path, CELLS_PATH))
+  if (h != NULL && (h->phase != HOST_ACTIVE || n->stopping))
+    h = NULL;
+  if (serve_cell_call (n, request, path, service, h))
+    return;
+  if (h == NULL || h->cell == NULL)
     {
-      serve_probe (h, request);
+      evhttp_send_reply (request, STATUS_NOT_OWNER, "not the owner", NULL);
       return;
     }
-  if (is_owner
-      && !read_verb (path, evhttp_request_get_command (request), &ask.verb,
-                     &ask.subject))
+  if (!read_verb (path, evhttp_request_get_command (request), &ask.verb,
+                  &ask.subject))
     {
       evhttp_send_reply (request, 400, "unknown call", NULL);
       return;
     }
-  if (!is_owner || h->cell == NULL)
-    {
-      evhttp_send_reply (request, STATUS_NOT_OWNER, "not the owner", NULL);
-      return;
-    }
   if (ask.verb == FRONT_SUBMIT)
     {
       ask.spec = read_spec (request);
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -110,6 +110,9 @@
   int64_t round_ms;
   uint32_t orders_out;
   GPtrArray *machines;
+  struct sizing *sizing;
+  GPtrArray *loads; /* struct pool_load *, of this round */
+  uint32_t loads_out;
   GHashTable *announced; /* waves whose status has been written */
 };
 
@@ -212,6 +215,9 @@
 /* Ask ADDRESS to give SERVICE up; 200 with records for peer_read_records. */
 void peer_ask_yield (struct node *n, const char *address, const char *service,
                      http_done done, void *data);
+/* Ask ADDRESS for the load of SERVICE's pool: 200 with a struct pool_load. */
+void peer_ask_load (struct node *n, const char *address, const char *service,
+                    http_done done, void *data);
 GPtrArray *peer_read_records (const struct http_reply *reply);
 /* Read the answer of another node.  Return false if it is not the owner. */
 bool peer_read_answer (enum front_verb verb, const struct http_reply *reply,
--- /dev/null
+++ b/src/sizing.c
@@ -0,0 +1,284 @@
+#include "sizing.h"
+
+#include <string.h>
+
+/* A pool is full when so much of its processors is asked for; beyond, large
+   tasks find no place though there is room in sum. */
+#define FULL_PERCENT 80
+/* A pool is never made smaller than this. */
+#define POOL_MIN_MACHINES 2
+/* A machine more than needed is kept, so that a single job finds room. */
+#define POOL_SPARE_MACHINES 1
+/* A pool that has had more than it needs for so long gives machines back: a
+   move there and back costs as much as some 2.4 s of a machine in a pool. */
+#define RETURN_AFTER_MS 2500
+/* Machines that one pool gets in one round. */
+#define MAX_PER_ROUND 6
+
+struct pool_state
+{
+  int64_t short_ms; /* when it last needed all that it has */
+};
+
+struct sizing
+{
+  GHashTable *pools; /* service to struct pool_state * */
+};
+
+#define LOAD_TYPE "(tttas)"
+
+struct pool_load *
+pool_load_new (const char *service)
+{
+  struct pool_load *l = g_new0 (struct pool_load, 1);
+
+  l->service = g_strdup (service);
+  l->idle = g_ptr_array_new_with_free_func (g_free);
+  return l;
+}
+
+void
+pool_load_destroy (gpointer load)
+{
+  struct pool_load *l = load;
+
+  if (l == NULL)
+    return;
+  g_free (l->service);
+  g_ptr_array_unref (l->idle);
+  g_free (l);
+}
+
+GBytes *
+pool_load_to_bytes (const struct pool_load *load)
+{
+  GVariantBuilder idle;
+  GVariant *v;
+  GBytes *bytes;
+
+  g_variant_builder_init (&idle, G_VARIANT_TYPE ("as"));
+  for (guint i = 0; i < load->idle->len; i++)
+    g_variant_builder_add (&idle, "s", g_ptr_array_index (load->idle, i));
+  v = g_variant_ref_sink (g_variant_new (LOAD_TYPE, load->cpu_per_worker_milli,
+                                         load->cpu_used_milli,
+                                         load->cpu_wanted_milli, &idle));
+  bytes = g_variant_get_data_as_bytes (v);
+  g_variant_unref (v);
+  return bytes;
+}
+
+struct pool_load *
+pool_load_from_bytes (const char *service, GBytes *bytes)
+{
+  GVariant *v = g_variant_ref_sink (
+      g_variant_new_from_bytes (G_VARIANT_TYPE (LOAD_TYPE), bytes, FALSE));
+  struct pool_load *l;
+  GVariantIter *idle;
+  const char *id;
+
+  if (!g_variant_is_normal_form (v))
+    {
+      g_variant_unref (v);
+      return NULL;
+    }
+  l = pool_load_new (service);
+  g_variant_get (v, LOAD_TYPE, &l->cpu_per_worker_milli, &l->cpu_used_milli,
+                 &l->cpu_wanted_milli, &idle);
+  while (g_variant_iter_next (idle, "&s", &id))
+    g_ptr_array_add (l->idle, g_strdup (id));
+  g_variant_iter_free (idle);
+  g_variant_unref (v);
+  return l;
+}
+
+struct sizing *
+sizing_new (void)
+{
+  struct sizing *s = g_new0 (struct sizing, 1);
+
+  s->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  return s;
+}
+
+void
+sizing_destroy (struct sizing *sizing)
+{
+  if (sizing == NULL)
+    return;
+  g_hash_table_unref (sizing->pools);
+  g_free (sizing);
+}
+
+/* One pool in one round. */
+struct pool
+{
+  const struct pool_load *load;
+  uint32_t have; /* machines there, or on their way */
+  uint32_t need;
+};
+
+static uint32_t
+count_machines (const GPtrArray *machines, const char *service)
+{
+  uint32_t n = 0;
+
+  for (guint i = 0; i < machines->len; i++)
+    {
+      const struct machine *m = g_ptr_array_index (machines, i);
+
+      if (strcmp (m->service, service) == 0 && m->state != MACHINE_DOWN)
+        n++;
+    }
+  return n;
+}
+
+static uint32_t
+machines_needed (const struct pool_load *l)
+{
+  uint64_t usable = l->cpu_per_worker_milli * FULL_PERCENT / 100;
+  uint64_t asked = l->cpu_used_milli + l->cpu_wanted_milli;
+
+  if (usable == 0)
+    return POOL_MIN_MACHINES;
+  return (uint32_t)MAX ((asked + usable - 1) / usable + POOL_SPARE_MACHINES,
+                        POOL_MIN_MACHINES);
+}
+
+static struct pool_state *
+find_state (struct sizing *s, const char *service, int64_t now_ms)
+{
+  struct pool_state *state = g_hash_table_lookup (s->pools, service);
+
+  if (state == NULL)
+    {
+      state = g_new0 (struct pool_state, 1);
+      state->short_ms = now_ms;
+      g_hash_table_insert (s->pools, g_strdup (service), state);
+    }
+  return state;
+}
+
+static void
+add_step (GArray *steps, GHashTable *reserved, const struct machine *m,
+          const char *service)
+{
+  struct sizing_step step = { m, service };
+
+  g_array_append_val (steps, step);
+  g_hash_table_add (reserved, g_strdup (m->name));
+}
+
+/* Return a machine of SERVICE that can go: with an idle worker, or, where IDLE
+   is NULL, any that is up. */
+static const struct machine *
+find_spare (const GPtrArray *machines, const char *service,
+            const GPtrArray *idle, GHashTable *reserved)
+{
+  for (guint i = 0; i < machines->len; i++)
+    {
+      const struct machine *m = g_ptr_array_index (machines, i);
+
+      if (m->state != MACHINE_UP || strcmp (m->service, service) != 0
+          || g_hash_table_contains (reserved, m->name))
+        continue;
+      if (idle == NULL
+          || g_ptr_array_find_with_equal_func ((GPtrArray *)idle, m->worker,
+                                               g_str_equal, NULL))
+        return m;
+    }
+  return NULL;
+}
+
+/* Take one machine for POOL from the standby pool, or from the pool that has
+   the most to spare. */
+static const struct machine *
+find_donor (GArray *pools, const GPtrArray *machines, const char *standby,
+            GHashTable *reserved)
+{
+  const struct machine *m
+      = standby != NULL ? find_spare (machines, standby, NULL, reserved)
+                        : NULL;
+  struct pool *best = NULL;
+
+  if (m != NULL)
+    return m;
+  for (guint i = 0; i < pools->len; i++)
+    {
+      struct pool *p = &g_array_index (pools, struct pool, i);
+
+      if (p->have > p->need
+          && (best == NULL || p->have - p->need > best->have - best->need)
+          && find_spare (machines, p->load->service, p->load->idle, reserved)
+                 != NULL)
+        best = p;
+    }
+  if (best == NULL)
+    return NULL;
+  best->have--;
+  return find_spare (machines, best->load->service, best->load->idle,
+                     reserved);
+}
+
+static void
+fill_pool (GArray *pools, struct pool *p, const GPtrArray *machines,
+           const char *standby, GHashTable *reserved, GArray *steps)
+{
+  for (int i = 0; i < MAX_PER_ROUND && p->have < p->need; i++)
+    {
+      const struct machine *m
+          = find_donor (pools, machines, standby, reserved);
+
+      if (m == NULL)
+        return;
+      add_step (steps, reserved, m, p->load->service);
+      p->have++;
+    }
+}
+
+static void
+give_back (struct pool *p, const GPtrArray *machines, const char *standby,
+           GHashTable *reserved, GArray *steps)
+{
+  for (int i = 0; i < MAX_PER_ROUND && p->have > p->need; i++)
+    {
+      const struct machine *m
+          = find_spare (machines, p->load->service, p->load->idle, reserved);
+
+      if (m == NULL)
+        return;
+      add_step (steps, reserved, m, standby);
+      p->have--;
+    }
+}
+
+void
+sizing_plan (struct sizing *sizing, const GPtrArray *machines,
+             const GPtrArray *loads, const char *standby, GHashTable *reserved,
+             int64_t now_ms, GArray *steps)
+{
+  GArray *pools = g_array_new (FALSE, FALSE, sizeof (struct pool));
+
+  for (guint i = 0; i < loads->len; i++)
+    {
+      struct pool p = { .load = g_ptr_array_index (loads, i) };
+
+      p.have = count_machines (machines, p.load->service);
+      p.need = machines_needed (p.load);
+      if (p.need >= p.have)
+        find_state (sizing, p.load->service, now_ms)->short_ms = now_ms;
+      g_array_append_val (pools, p);
+    }
+  for (guint i = 0; i < pools->len; i++)
+    fill_pool (pools, &g_array_index (pools, struct pool, i), machines,
+               standby, reserved, steps);
+  for (guint i = 0; i < pools->len && standby != NULL; i++)
+    {
+      struct pool *p = &g_array_index (pools, struct pool, i);
+      int64_t short_ms
+          = find_state (sizing, p->load->service, now_ms)->short_ms;
+
+      if (now_ms > short_ms + RETURN_AFTER_MS)
+        give_back (p, machines, standby, reserved, steps);
+    }
+  g_array_unref (pools);
+}
