Follow an owner that the store refuses within 1.7 s

Change: an owner confirms itself every 0.4 s; two answers with 1.3 s of doubt to a watcher that itself hears from the store are enough, and an answer "not the owner" at once; a job that an owner could not store is tried once more within its caller's time.

--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -18,7 +18,7 @@
 /* Before an append that was refused or not answered is tried again. */
 #define RETRY_MS 150
 /* A job that the store has not taken by then is refused. */
-#define REFUSE_AFTER_MS 1200
+#define REFUSE_AFTER_MS 700
 /* A caller whose append is unclear is told so by then. */
 #define UNCLEAR_AFTER_MS 2000
 /* Of one append, below the platform's limit of a call. */
--- a/src/node_host.c
+++ b/src/node_host.c
@@ -23,18 +23,20 @@
 /* After a call of the takeover that failed. */
 #define RETRY_MS 200
 /* An owner without other appends makes sure of its epoch so often. */
-#define CONFIRM_GAP_MS 1000
+#define CONFIRM_GAP_MS 400
 /* Between two questions to the owner that is watched. */
-#define WATCH_GAP_MS 350
-/* An owner that has not been confirmed for so long is followed. */
-#define DOUBT_MS 2500
+#define WATCH_GAP_MS 250
+/* An owner that has not been confirmed for so long is followed: three confirms
+   went unanswered while the watcher hears from the store. */
+#define DOUBT_MS 1300
 /* Questions in a row without a good answer before the owner is followed. */
-#define UNHEARD_MAX 3
+#define UNHEARD_MAX 2
 /* Whoever fenced this node has written by then that it is the owner. */
 #define SUCCESSOR_MS 2000
 /* The watcher's own view of the store has to be sound for so long before it
    counts the owner's doubt against it. */
 #define STORE_STEADY_MS 1500
+#define STORE_HEARD_MS 700
 /* A claim that took longer is begun again: much may have changed. */
 #define CLAIM_MAX_MS 2000
 
@@ -271,6 +273,14 @@
   return records;
 }
 
+/* Whether this node's own view of the store is sound. */
+static bool
+store_is_steady (const struct host *h, int64_t now_ms)
+{
+  return now_ms >= h->node->store_back_ms + STORE_STEADY_MS
+         && now_ms < h->node->store_heard_ms + STORE_HEARD_MS;
+}
+
 /* The owner's answer is how long ago it was confirmed, in ms. */
 static void
 on_probed (void *data, const struct http_reply *reply)
@@ -295,13 +305,12 @@
           h->unheard = 0;
           h->heard_ms = now_ms;
         }
-      else if (++h->unheard < UNHEARD_MAX
-               || now_ms < h->node->store_back_ms + STORE_STEADY_MS)
+      else if (reply->status != 0 && reply->status != 200)
+        claim (h, "not-the-owner", STOPPED_LEASE_MS, now_ms);
+      else if (++h->unheard < UNHEARD_MAX || !store_is_steady (h, now_ms))
         ;
       else if (reply->status == 200)
         ask_yield (h, known_owner (h), now_ms);
-      else if (reply->status != 0)
-        claim (h, "not-the-owner", STOPPED_LEASE_MS, now_ms);
       else
         claim (h, "owner-silent", FOREIGN_LEASE_MS, now_ms);
     }
