--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -606,6 +606,7 @@
   pace_fillers (c, w, now_ms);
   if (w->ends_taken != before || (!w->may_start && w->listed))
     cell_journal_worker (c, w);
+  c->urgent = c->urgent || (!w->may_start && w->listed);
 }
 
 void
--- a/src/node_directory.c
+++ b/src/node_directory.c
@@ -10,7 +10,7 @@
 /* Workers write themselves anew every 1.5 s each; between two reads their
    records gather. */
 #define WORKERS_WAIT_MS 1500
-#define WORKERS_GAP_MS 400
+#define WORKERS_GAP_MS 250
 #define STATUS_WAIT_MS 5000
 /* A change of owner wakes the call at once. */
 #define OWNERS_WAIT_MS 1500
--- a/src/node_fleet.c
+++ b/src/node_fleet.c
@@ -65,6 +65,8 @@
   g_clear_pointer (&f->machines, g_ptr_array_unref);
   g_clear_pointer (&f->announced, g_hash_table_unref);
   g_clear_pointer (&f->sizing, sizing_destroy);
+  g_clear_pointer (&f->held_back, g_hash_table_unref);
+  g_clear_pointer (&f->ordered, g_hash_table_unref);
   g_clear_pointer (&f->loads, g_ptr_array_unref);
 }
 
@@ -139,14 +141,58 @@
   g_free (copy);
 }
 
+static int64_t
+holder_gap_ms (const struct node *n)
+{
+  return n->settings->holder_lease_ms + HOLDER_SPARE_MS;
+}
+
+static void
+set_time (GHashTable *times, const char *machine, int64_t at_ms)
+{
+  g_hash_table_replace (times, g_strdup (machine),
+                        g_memdup2 (&at_ms, sizeof at_ms));
+}
+
+GPtrArray *
+fleet_handover (struct node *n)
+{
+  GPtrArray *entries = g_ptr_array_new_with_free_func (journal_entry_free);
+  int64_t now_ms = node_now_ms ();
+  GHashTableIter iter;
+  gpointer machine, at_ms;
+
+  if (n->fleet.epoch == 0)
+    return entries;
+  g_hash_table_iter_init (&iter, n->fleet.ordered);
+  while (g_hash_table_iter_next (&iter, &machine, &at_ms))
+    if (*(int64_t *)at_ms + holder_gap_ms (n) > now_ms)
+      {
+        GBytes *nothing = g_bytes_new (NULL, 0);
+
+        g_ptr_array_add (entries, journal_entry_new (machine, nothing));
+        g_bytes_unref (nothing);
+      }
+  return entries;
+}
+
 void
 fleet_begin (struct node *n, uint64_t epoch, const GPtrArray *records,
-             int64_t now_ms)
+             const GPtrArray *yielded, int64_t now_ms)
 {
   struct fleet_state *f = &n->fleet;
 
+  f->held_back
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  f->ordered = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
+  /* Where the holder before could not tell, it may have ordered any. */
+  f->free_ms = yielded != NULL ? now_ms : now_ms + holder_gap_ms (n);
+  for (guint i = 0; yielded != NULL && i < yielded->len; i++)
+    set_time (
+        f->held_back,
+        ((const struct journal_entry *)g_ptr_array_index (yielded, i))->key,
+        now_ms + holder_gap_ms (n));
   f->epoch = epoch;
-  f->since_ms = now_ms;
   f->retry_ms = now_ms;
   f->write_out = false;
   f->round_out = false;
@@ -358,6 +404,7 @@
 
   call->target = g_strdup (target);
   n->fleet.orders_out++;
+  set_time (n->fleet.ordered, m->name, node_now_ms ());
   if (call->worker[0] == '\0')
     order (call);
   else
@@ -451,11 +498,30 @@
       const struct sizing_step *step
           = &g_array_index (steps, struct sizing_step, i);
 
+      event_log ("machine-move", step->machine->name,
+                 "from=%s to=%s have=%u need=%u", step->machine->service,
+                 step->service, step->have, step->need);
       empty_machine (n, step->machine, 0, step->service);
     }
   g_array_unref (steps);
 }
 
+/* Leave out the machines that another holder has ordered just now. */
+static void
+drop_held_back (struct node *n, int64_t now_ms)
+{
+  struct fleet_state *f = &n->fleet;
+
+  for (guint i = f->machines->len; i > 0; i--)
+    {
+      struct machine *m = g_ptr_array_index (f->machines, i - 1);
+      const int64_t *until_ms = g_hash_table_lookup (f->held_back, m->name);
+
+      if (until_ms != NULL && now_ms < *until_ms && m->state == MACHINE_UP)
+        m->state = MACHINE_MOVING;
+    }
+}
+
 static void
 finish_round (struct node *n, int64_t now_ms)
 {
@@ -464,6 +530,7 @@
 
   n->fleet.round_out = false;
   n->fleet.round_ms = now_ms + ROUND_GAP_MS;
+  drop_held_back (n, now_ms);
   carry_out_waves (n, reserved, now_ms);
   carry_out_moves (n, reserved, now_ms);
   g_hash_table_unref (reserved);
@@ -566,8 +633,7 @@
     return;
   take_waves (n, now_ms);
   if (f->round_out || f->orders_out > 0 || now_ms < f->round_ms
-      || now_ms < f->since_ms + n->settings->holder_lease_ms + HOLDER_SPARE_MS
-      || !is_sure (n, now_ms))
+      || now_ms < f->free_ms || !is_sure (n, now_ms))
     return;
   f->round_out = true;
   machines_read (n->client, n->settings->machines, on_machines,
--- a/src/node_host.c
+++ b/src/node_host.c
@@ -558,7 +558,7 @@
 activate (struct host *h, int64_t now_ms)
 {
   if (is_fleet (h))
-    fleet_begin (h->node, h->epoch, h->loaded, now_ms);
+    fleet_begin (h->node, h->epoch, h->loaded, h->yielded, now_ms);
   else
     activate_cell (h, now_ms);
   g_clear_pointer (&h->loaded, g_ptr_array_unref);
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -99,8 +99,10 @@
 
 struct fleet_state
 {
-  uint64_t epoch;   /* 0 while another node has the duty */
-  int64_t since_ms; /* holder since */
+  uint64_t epoch;        /* 0 while another node has the duty */
+  int64_t free_ms;       /* orders for any machine from then on */
+  GHashTable *held_back; /* machine to int64_t *: orders for it from then on */
+  GHashTable *ordered;   /* machine to int64_t *: when this holder last did */
   int64_t retry_ms;
   struct upkeep *upkeep;
   GQueue writes; /* struct fleet_write * */
@@ -226,9 +228,12 @@
 /* node_fleet.c */
 #define UPKEEP_STREAM "keyed.upkeep"
 /* Take the duty under EPOCH; RECORDS (struct journal_entry *) tell which
-   machines' upkeep has been begun. */
+   machines' upkeep has been begun, and YIELDED what fleet_handover of the
+   holder before told, or is NULL. */
 void fleet_begin (struct node *n, uint64_t epoch, const GPtrArray *records,
-                  int64_t now_ms);
+                  const GPtrArray *yielded, int64_t now_ms);
+/* Return which machines this holder has ordered lately, as entries. */
+GPtrArray *fleet_handover (struct node *n);
 void fleet_end (struct node *n);
 void fleet_tick (struct node *n, int64_t now_ms);
 
--- a/src/sizing.c
+++ b/src/sizing.c
@@ -160,9 +160,9 @@
 
 static void
 add_step (GArray *steps, GHashTable *reserved, const struct machine *m,
-          const char *service)
+          const char *service, const struct pool *p)
 {
-  struct sizing_step step = { m, service };
+  struct sizing_step step = { m, service, p->have, p->need };
 
   g_array_append_val (steps, step);
   g_hash_table_add (reserved, g_strdup (m->name));
@@ -230,7 +230,7 @@
 
       if (m == NULL)
         return;
-      add_step (steps, reserved, m, p->load->service);
+      add_step (steps, reserved, m, p->load->service, p);
       p->have++;
     }
 }
@@ -246,7 +246,7 @@
 
       if (m == NULL)
         return;
-      add_step (steps, reserved, m, standby);
+      add_step (steps, reserved, m, standby, p);
       p->have--;
     }
 }
--- a/src/sizing.h
+++ b/src/sizing.h
@@ -34,11 +34,13 @@
 struct sizing *sizing_new (void);
 void sizing_destroy (struct sizing *sizing);
 
-/* A machine to move. */
+/* A machine to move, and what that rests on. */
 struct sizing_step
 {
   const struct machine *machine;
   const char *service; /* where to */
+  uint32_t have;       /* machines of the pool that gets or gives it */
+  uint32_t need;
 };
 
 /* Fill STEPS (struct sizing_step) given the MACHINES as listed, the LOADS
