Place work on workers that have some

Cause: tasks went to the least used worker, so hardly any machine was idle and could be lent to a pool in its burst; tasks that last stood on a machine each.

Ruled out: packing tasks that last without regard to racks.

--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -20,8 +20,10 @@
 #define COST_SHUNNED 100000
 #define COST_AVOIDED 50000
 #define COST_FAR 4000
-#define COST_SAME_WORKER 3000
-#define COST_SAME_RACK 500
+#define COST_SAME_WORKER 1200
+#define COST_SAME_RACK 250
+/* A worker without work is kept so: its machine can be lent. */
+#define COST_EMPTY 1500
 
 static gint
 compare_jobs (gconstpointer a, gconstpointer b)
@@ -125,6 +127,8 @@
   int64_t cost
       = (int64_t)w->used.cpu_milli * 1000 / MAX (w->entry->room.cpu_milli, 1);
 
+  if (w->tasks->len == 0)
+    cost += COST_EMPTY;
   if (now_ms < w->shunned_ms)
     cost += COST_SHUNNED;
   if (g_strcmp0 (t->avoid_worker, w->entry->id) == 0)
