Refuse at once what the store does not take

Change: once appends have failed for 0.3 s new jobs are refused at once, with a time to come back; an ask that finds no owner is given up after a quarter of its caller's patience; an unclear append is said to be so after 1 s.

--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -355,13 +355,29 @@
     t->retry_ms = now_ms + RESTART_PAUSE_MS;
 }
 
+static void
+answer_one (struct cell *c, uint64_t token, enum cell_answer answer)
+{
+  GArray *one = g_array_new (FALSE, FALSE, sizeof (uint64_t));
+
+  g_array_append_val (one, token);
+  cell_answer (c, one, answer);
+  g_array_unref (one);
+}
+
 void
 cell_submit (struct cell *cell, struct job_spec *spec, uint64_t token,
              int64_t now_ms)
 {
   struct cell_job *job = g_hash_table_lookup (cell->jobs, spec->id);
-  GArray *one;
 
+  if (job == NULL && cell_store_is_away (cell, now_ms))
+    {
+      cell_note (cell, "job-refused", spec->id, "reason=store-away");
+      job_spec_destroy (spec);
+      answer_one (cell, token, CELL_NOT_TAKEN);
+      return;
+    }
   if (job == NULL)
     {
       job = add_job (cell, spec, false, now_ms);
@@ -369,37 +385,32 @@
     }
   else
     job_spec_destroy (spec);
-  if (!job->stored)
-    {
-      g_array_append_val (job->submit_tokens, token);
-      return;
-    }
-  one = g_array_new (FALSE, FALSE, sizeof (uint64_t));
-  g_array_append_val (one, token);
-  cell_answer (cell, one, CELL_STORED);
-  g_array_unref (one);
+  if (job->stored)
+    answer_one (cell, token, CELL_STORED);
+  else
+    g_array_append_val (job->submit_tokens, token);
 }
 
 void
 cell_cancel (struct cell *cell, const char *id, uint64_t token, int64_t now_ms)
 {
   struct cell_job *job = g_hash_table_lookup (cell->jobs, id);
-  GArray *one = g_array_new (FALSE, FALSE, sizeof (uint64_t));
 
-  g_array_append_val (one, token);
   if (job == NULL)
-    cell_answer (cell, one, CELL_NO_JOB);
-  else if (job->shown >= JOB_COMPLETED)
-    cell_answer (cell, one, CELL_STORED);
-  else
     {
-      g_array_append_val (job->cancel_tokens, token);
-      cell_note (cell, "job-cancelled", id, "state=%s",
-                 job_state_name (job->state));
-      cell_job_end (cell, job, JOB_CANCELLED, now_ms);
-      cell_journal_job (cell, job, true);
+      answer_one (cell, token, CELL_NO_JOB);
+      return;
     }
-  g_array_unref (one);
+  if (job->shown >= JOB_COMPLETED)
+    {
+      answer_one (cell, token, CELL_STORED);
+      return;
+    }
+  g_array_append_val (job->cancel_tokens, token);
+  cell_note (cell, "job-cancelled", id, "state=%s",
+             job_state_name (job->state));
+  cell_job_end (cell, job, JOB_CANCELLED, now_ms);
+  cell_journal_job (cell, job, true);
 }
 
 /* Progress in the journal. */
--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -17,10 +17,13 @@
 #define CALM_GAP_MS 80
 /* Before an append that was refused or not answered is tried again. */
 #define RETRY_MS 150
-/* A job that the store has not taken by then is refused. */
-#define REFUSE_AFTER_MS 700
+/* A job that the store has not taken by then is refused: its caller has time
+   left to come back. */
+#define REFUSE_AFTER_MS 450
+/* When appends have failed for so long, new jobs are refused at once. */
+#define AWAY_MS 300
 /* A caller whose append is unclear is told so by then. */
-#define UNCLEAR_AFTER_MS 2000
+#define UNCLEAR_AFTER_MS 1000
 /* Of one append, below the platform's limit of a call. */
 #define APPEND_MAX_BYTES 1000000
 
@@ -321,10 +324,20 @@
   c->flight.retry_ms = now_ms + RETRY_MS;
 }
 
+bool
+cell_store_is_away (const struct cell *c, int64_t now_ms)
+{
+  return c->away_ms != 0 && now_ms > c->away_ms + AWAY_MS;
+}
+
 void
 cell_append_answered (struct cell *cell, enum append_result result,
                       int64_t now_ms)
 {
+  if (result == APPEND_DONE)
+    cell->away_ms = 0;
+  else if (cell->away_ms == 0)
+    cell->away_ms = now_ms;
   cell->flight.call_out = false;
   if (cell->flight.entries == NULL)
     return;
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -170,6 +170,7 @@
   struct cell_flight flight;
   uint64_t sequence;
   int64_t flushed_ms;
+  int64_t away_ms; /* since when appends fail; 0 while they are done */
   int64_t swept_ms;
 };
 
@@ -230,6 +231,8 @@
 /* Have KEY, which the journal owns from now on, dropped. */
 void cell_journal_drop (struct cell *c, char *key);
 void cell_journal_tick (struct cell *c, int64_t now_ms);
+/* Whether appends have failed for a while. */
+bool cell_store_is_away (const struct cell *c, int64_t now_ms);
 void cell_journal_clear (struct cell *c);
 
 #endif
--- a/src/node_front.c
+++ b/src/node_front.c
@@ -8,9 +8,9 @@
 #define RETRY_MS 60
 /* An owner that does not answer for so long is tried anew. */
 #define TRY_MS 900
-/* A submission that no owner takes is given up after this share of the
-   caller's patience, so that the caller can go elsewhere in time. */
-#define GIVE_UP_PERCENT 60
+/* An ask that no owner answers is given up after this share of the caller's
+   patience, so that the caller can come back in time. */
+#define GIVE_UP_PERCENT 25
 /* What a caller that has to come back is told. */
 #define RETRY_AFTER_MS 1000
 /* The view of the routes is fresh if the store confirmed it so lately. */
@@ -157,7 +157,8 @@
   int64_t now_ms = node_now_ms ();
 
   p->out = false;
-  if (answer->result == FRONT_LATER && now_ms < p->give_up_ms)
+  if (answer->result == FRONT_LATER && now_ms < p->give_up_ms
+      && p->ask.verb != FRONT_SUBMIT)
     try_later (p, now_ms);
   else
     finish (p, answer);
