Play the whole path with real processes on a stand-in of the platform

Found by it, with a test that failed first: once a quiet cell had refused a job for want of the store, it refused all that came after, as only an append could show that the store was back. Now the store counts as away only while something is being tried.

--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -327,7 +327,10 @@
 bool
 cell_store_is_away (const struct cell *c, int64_t now_ms)
 {
-  return c->away_ms != 0 && now_ms > c->away_ms + AWAY_MS;
+  bool is_trying = c->flight.entries != NULL
+                   || c->changed_jobs->len + c->changed_workers->len > 0;
+
+  return is_trying && c->away_ms != 0 && now_ms > c->away_ms + AWAY_MS;
 }
 
 void
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,378 @@
+"""The users' platform, as far as a node needs it: the store's keyed streams
+and group, workers with leases, fences and lists of ends, and the machines.
+One process, all state in memory; it records every run for the test to judge."""
+
+import base64
+import json
+import socket
+import struct
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+from urllib.parse import parse_qs, urlsplit
+
+PARTS = 16
+LEASE_MAX_MS = 6000
+STOP_MS = 100
+
+
+def now_ms():
+    return int(time.monotonic() * 1000)
+
+
+class Store:
+    def __init__(self):
+        self.lock = threading.Condition()
+        self.streams = {}  # (topic, part) to list of (key, value)
+        self.writers = {}  # (topic, part, producer) to [epoch, seq, answers]
+        self.members = {}  # member to time of its last join
+        self.parts = {}    # part to member
+        self.generation = 0
+
+    def put(self, topic, key, value):
+        with self.lock:
+            self.streams.setdefault((topic, 0), []).append(
+                (key, json.dumps(value).encode()))
+            self.lock.notify_all()
+
+    def newest(self, topic, key):
+        with self.lock:
+            for k, v in reversed(self.streams.get((topic, 0), [])):
+                if k == key:
+                    return v
+        return None
+
+    def check_writer(self, at, query):
+        """Return an answer that ends the append, or None."""
+        if "producer" not in query:
+            return None
+        epoch, seq = int(query["epoch"][0]), int(query["seq"][0])
+        writer = self.writers.setdefault(at + (query["producer"][0],),
+                                         [epoch, seq - 1, {}])
+        if epoch < writer[0]:
+            return 409, {"reason": "fenced"}
+        if epoch > writer[0]:
+            writer[:] = [epoch, seq - 1, {}]
+        if seq in writer[2]:
+            return 200, writer[2][seq]
+        if seq != writer[1] + 1:
+            return 409, {"reason": "seq", "seq": writer[1] + 1}
+        return None
+
+    def append(self, query, body):
+        topic, part = query["topic"][0], int(query["part"][0])
+        at = (topic, part)
+        with self.lock:
+            stream = self.streams.setdefault(at, [])
+            if not body:
+                writer = self.writers.get(at + (query["producer"][0],))
+                epoch = int(query["epoch"][0])
+                if writer and epoch < writer[0]:
+                    return 409, {"reason": "fenced"}
+                if not writer or epoch > writer[0]:
+                    self.writers[at + (query["producer"][0],)] = [epoch, 0, {}]
+                return 200, {"offset": len(stream), "end": len(stream)}
+            ended = self.check_writer(at, query)
+            if ended:
+                return ended
+            offset = len(stream)
+            while body:
+                (size,) = struct.unpack(">I", body[:4])
+                record, body = body[4:4 + size], body[4 + size:]
+                if topic.startswith("keyed."):
+                    n = record[0]
+                    stream.append((record[1:1 + n].decode(), record[1 + n:]))
+                else:
+                    stream.append(("", record))
+            answer = {"offset": offset, "end": len(stream)}
+            if "producer" in query:
+                writer = self.writers[at + (query["producer"][0],)]
+                writer[1] = int(query["seq"][0])
+                writer[2][writer[1]] = answer
+            self.lock.notify_all()
+            return 200, answer
+
+    def read(self, query):
+        at = (query["topic"][0], int(query["part"][0]))
+        start = int(query["from"][0])
+        until = time.monotonic() + int(query.get("wait_ms", ["0"])[0]) / 1000
+        with self.lock:
+            while True:
+                stream = self.streams.get(at, [])
+                left = until - time.monotonic()
+                if len(stream) > start or left <= 0:
+                    break
+                self.lock.wait(left)
+            out = struct.pack(">QQ", len(stream), 0)
+            for key, value in stream[start:]:
+                record = bytes([len(key)]) + key.encode() + value
+                out += struct.pack(">I", len(record)) + record
+            return out
+
+    def list_newest(self, query):
+        with self.lock:
+            stream = self.streams.get((query["topic"][0], 0), [])
+            newest = {}
+            for offset, (key, value) in enumerate(stream):
+                newest[key] = (value, offset)
+            after = query.get("after", [""])[0]
+            items = [{"key": k, "value": base64.b64encode(v).decode(),
+                      "offset": o}
+                     for k, (v, o) in sorted(newest.items())
+                     if v and k > after]
+            return {"items": items, "more": False, "end": len(stream)}
+
+    def share(self, ttl):
+        now = time.monotonic()
+        alive = sorted(m for m, t in self.members.items() if now - t < ttl)
+        wanted = {p: alive[p % len(alive)] for p in range(PARTS)}
+        if wanted != self.parts:
+            self.parts = wanted
+            self.generation += 1
+
+    def join(self, body):
+        with self.lock:
+            self.members[body["member"]] = time.monotonic()
+            self.share(body["ttl_ms"] / 1000)
+            return {"generation": self.generation,
+                    "parts": [[body["topics"][0], p, 0]
+                              for p, m in self.parts.items()
+                              if m == body["member"]]}
+
+    def leave(self, body):
+        with self.lock:
+            self.members.pop(body["member"], None)
+            return {}
+
+
+class Worker:
+    """One worker; task INDEX of a job whose payload is "MS" runs MS ms."""
+
+    def __init__(self, platform, number):
+        self.platform = platform
+        self.id = "i-%d" % number
+        self.machine = "m-%d" % number
+        self.lock = threading.Condition()
+        self.born = int(time.time() * 1000)
+        self.fence = 0
+        self.deadline = 0
+        self.seen = 0
+        self.number = 0
+        self.runs = {}   # task to [run, ends_ms, begun_ms]
+        self.ends = []   # [number, task, run, how, saved]
+        self.highest = {}
+        self.starts = []  # (task, run, begun_ms, ended_ms, how)
+
+    def end(self, task, how):
+        run, _, begun = self.runs.pop(task)
+        self.number += 1
+        self.ends.append([self.number, task, run, how, ""])
+        self.highest[task] = max(run, self.highest.get(task, 0))
+        self.starts.append((task, run, begun, now_ms(), how))
+        self.lock.notify_all()
+
+    def turn(self):
+        with self.lock:
+            now = now_ms()
+            for task, (run, ends, _) in list(self.runs.items()):
+                if now >= self.deadline:
+                    self.end(task, "lapsed")
+                elif now >= ends:
+                    self.end(task, "done")
+
+    def report(self):
+        now = now_ms()
+        running = [[t, r[0], "", int(min(99, (now - r[2]) * 100
+                                         / max(r[1] - r[2], 1))), 0]
+                   for t, r in self.runs.items()]
+        return {"clock_ms": now, "born": self.born, "running": running,
+                "ended": [e for e in self.ends if e[0] > self.seen]}
+
+    def check_fence(self, body):
+        if body["fencing_token"] < self.fence:
+            return 409, {"clock_ms": now_ms(), "reason": "fence"}
+        self.fence = body["fencing_token"]
+        return None
+
+    def start(self, body):
+        with self.lock:
+            refused = self.check_fence(body)
+            if refused:
+                return refused
+            task, run, now = body["task"], body["run"], now_ms()
+            self.deadline = max(self.deadline,
+                                min(body["deadline_ms"], now + LEASE_MAX_MS))
+            if task in self.runs and self.runs[task][0] == run:
+                return 200, {"clock_ms": now}
+            if run <= self.highest.get(task, 0) or task in self.runs:
+                return 409, {"clock_ms": now, "reason": "old"}
+            if body["deadline_ms"] <= now:
+                return 409, {"clock_ms": now, "reason": "late"}
+            self.runs[task] = [run, now + int(body["spec"]), now]
+            return 200, {"clock_ms": now}
+
+    def stop(self, body):
+        with self.lock:
+            refused = self.check_fence(body)
+            if refused:
+                return refused
+            task, run = body["task"], body["run"]
+            if task in self.runs and self.runs[task][0] <= run:
+                self.end(task, "stopped")
+            self.highest[task] = max(run, self.highest.get(task, 0))
+            return 200, {"clock_ms": now_ms()}
+
+    def hold(self, body):
+        until = time.monotonic() + body.get("wait_ms", 0) / 1000
+        with self.lock:
+            refused = self.check_fence(body)
+            if refused:
+                return refused
+            self.seen = max(self.seen, body["last_seen"])
+            self.deadline = max(self.deadline,
+                                min(body.get("deadline_ms", 0),
+                                    now_ms() + LEASE_MAX_MS))
+            while not any(e[0] > self.seen for e in self.ends):
+                left = until - time.monotonic()
+                if left <= 0:
+                    break
+                self.lock.wait(left)
+            if body["fencing_token"] < self.fence:
+                return 409, {"clock_ms": now_ms(), "reason": "fence"}
+            return 200, self.report()
+
+
+class Handler(BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+
+    def log_message(self, *args):
+        pass
+
+    def answer(self, status, body):
+        data = body if isinstance(body, bytes) else json.dumps(body).encode()
+        self.send_response(status)
+        self.send_header("Content-Length", str(len(data)))
+        self.end_headers()
+        self.wfile.write(data)
+
+    def handle_call(self):
+        url = urlsplit(self.path)
+        query = parse_qs(url.query)
+        length = int(self.headers.get("Content-Length") or 0)
+        body = self.rfile.read(length)
+        self.answer(*self.server.serve(self, url.path, query, body))
+
+    do_GET = do_POST = do_DELETE = handle_call
+
+
+class Server(ThreadingHTTPServer):
+    daemon_threads = True
+    request_queue_size = 64
+
+    def __init__(self, serve):
+        super().__init__(("127.0.0.1", 0), Handler)
+        self.serve = serve
+        self.address = "127.0.0.1:%d" % self.server_address[1]
+        threading.Thread(target=self.serve_forever, daemon=True).start()
+
+    def handle_error(self, request, client_address):
+        pass  # a node that is killed breaks its connections
+
+
+class Platform:
+    def __init__(self, services, workers_each):
+        self.store = Store()
+        self.store_away = False
+        self.workers = []
+        self.server = Server(self.serve_store)
+        self.services = services
+        routes = []
+        for s in services:
+            routes.append({"name": "q-" + s, "host": "desk.example",
+                           "path_prefix": "/%s/" % s, "backend": s,
+                           "target_duration_ms": 600, "priority": 0,
+                           "max_attempts": 3, "stretch": 1.6})
+            for _ in range(workers_each):
+                self.add_worker(s)
+        self.store.put("keyed.op", "config", {
+            "version": 1, "routes": routes,
+            "services": [{"name": s, "admission_control": True}
+                         for s in services]})
+        threading.Thread(target=self.turn, daemon=True).start()
+
+    def add_worker(self, service):
+        worker = Worker(self, len(self.workers))
+        worker.service = service
+        self.workers.append(worker)
+        worker.server = Server(
+            lambda h, path, query, body, w=worker:
+                self.serve_worker(w, h, path, body))
+        self.store.put("keyed.servers", worker.id, {
+            "backend": service, "address": worker.server.address,
+            "zone": "a", "state": "ready", "born": worker.born,
+            "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
+            "labels": ["a", "r1-%d" % (len(self.workers) % 2)]})
+
+    def turn(self):
+        while True:
+            for worker in self.workers:
+                worker.turn()
+            time.sleep(0.005)
+
+    def serve_store(self, handler, path, query, body):
+        if path == "/-/machines":
+            return 200, {"machines": [
+                {"machine": w.machine, "pool": w.service, "state": "up",
+                 "id": w.id} for w in self.workers], "next_token": None}
+        if self.store_away:
+            return 503, {}
+        if path == "/-/log-append":
+            return self.store.append(query, body)
+        if path == "/-/log-read":
+            return 200, self.store.read(query)
+        if path == "/-/log-newest":
+            return 200, self.store.list_newest(query)
+        if path == "/-/log-join":
+            return 200, self.store.join(json.loads(body))
+        if path == "/-/log-leave":
+            return 200, self.store.leave(json.loads(body))
+        return 404, {}
+
+    def serve_worker(self, worker, handler, path, body):
+        if handler.headers.get("X-Target-Instance") != worker.id:
+            return 421, {}
+        calls = {"/-/run-start": worker.start, "/-/run-stop": worker.stop,
+                 "/-/hold": worker.hold}
+        if path not in calls:
+            return 404, {}
+        return calls[path](json.loads(body))
+
+    def owner(self, service):
+        value = self.store.newest("keyed.cells", service)
+        return value.decode() if value else None
+
+    def judge(self):
+        """Return what rule the runs have broken, one a line."""
+        broken = []
+        by_task = {}
+        for worker in self.workers:
+            for start in worker.starts:
+                by_task.setdefault(start[0], []).append(start)
+        for task, starts in sorted(by_task.items()):
+            starts.sort(key=lambda s: s[2])
+            for before, after in zip(starts, starts[1:]):
+                if after[2] < before[3]:
+                    broken.append("two runs at a time: " + task)
+                if before[4] == "done":
+                    broken.append("run after done: " + task)
+        return broken
+
+    def runs(self):
+        return sum(len(w.starts) for w in self.workers)
+
+
+def free_port():
+    with socket.socket() as s:
+        s.bind(("127.0.0.1", 0))
+        return s.getsockname()[1]
--- a/tests/unit/test_cell.c
+++ b/tests/unit/test_cell.c
@@ -66,6 +66,32 @@
   world_destroy (w);
 }
 
+/* While appends fail, new jobs are refused at once; when the store is back,
+   the next one is taken, though nothing else was written meanwhile. */
+static void
+test_a_job_is_taken_once_the_store_is_back (void)
+{
+  struct world *w = world_new (16);
+  uint64_t first, second, third;
+
+  world_run (w, 500);
+  w->store_away = true;
+  first = world_submit (w, world_job (w, JOB, 1, 3));
+  world_run (w, 400);
+  second = world_submit (w, world_job (w, "00000000000000a2", 1, 3));
+  world_run (w, 5);
+  g_assert_cmpint (world_answer (w, second), ==, CELL_NOT_TAKEN);
+  world_run (w, 600);
+  g_assert_cmpint (world_answer (w, first), ==, CELL_NOT_TAKEN);
+  w->store_away = false;
+  third = world_submit (w, world_job (w, "00000000000000a3", 1, 3));
+  world_run (w, 2500);
+  g_assert_cmpint (world_answer (w, third), ==, CELL_STORED);
+  g_assert_cmpint (world_state (w, "00000000000000a3"), ==, JOB_COMPLETED);
+  g_assert_cmpuint (w->starts, ==, 3);
+  world_destroy (w);
+}
+
 /* A lost answer of the store is no refusal. */
 static void
 test_an_unclear_append_is_tried_until_it_is_clear (void)
@@ -381,6 +407,8 @@
   g_test_add_func ("/cell/same-job-twice", test_the_same_job_twice_is_one);
   g_test_add_func ("/cell/refused",
                    test_a_job_that_the_store_refuses_never_starts);
+  g_test_add_func ("/cell/store-back",
+                   test_a_job_is_taken_once_the_store_is_back);
   g_test_add_func ("/cell/unclear",
                    test_an_unclear_append_is_tried_until_it_is_clear);
   g_test_add_func ("/cell/cancelled", test_a_cancelled_job_stops_and_stays_so);
--- /dev/null
+++ b/tests/unit/test_job.c
@@ -0,0 +1,158 @@
+#include "job.h"
+
+#include "error.h"
+#include "routes.h"
+
+#include <string.h>
+
+/* Jobs, their encoding, and the choice of a queue. */
+
+static struct job_spec *
+make_job (void)
+{
+  struct job_spec *spec = job_spec_new ("00000000000000a1");
+  uint32_t first = 0;
+
+  for (int i = 0; i < 2; i++)
+    {
+      struct job_step *s = job_step_new ();
+
+      s->count = 3;
+      s->cpu_milli = 500;
+      s->estimate_ms = 400 + i;
+      g_ptr_array_add (spec->steps, s);
+    }
+  g_array_append_val (
+      ((struct job_step *)g_ptr_array_index (spec->steps, 1))->after, first);
+  return spec;
+}
+
+static void
+test_a_job_survives_its_encoding (void)
+{
+  struct job_spec *spec = make_job ();
+  struct job_step *s = g_ptr_array_index (spec->steps, 1);
+  GBytes *bytes;
+  struct job_spec *copy;
+  const struct job_step *t;
+
+  s->lasts = true;
+  s->may_miss = 2;
+  g_free (s->near_rack);
+  s->near_rack = g_strdup ("r1-2");
+  spec->stretch = 1.6;
+  bytes = job_spec_to_bytes (spec);
+  copy = job_spec_from_bytes (bytes);
+  g_assert_nonnull (copy);
+  g_assert_cmpstr (copy->id, ==, spec->id);
+  g_assert_cmpfloat (copy->stretch, ==, 1.6);
+  t = g_ptr_array_index (copy->steps, 1);
+  g_assert_true (t->lasts);
+  g_assert_cmpuint (t->may_miss, ==, 2);
+  g_assert_cmpstr (t->near_rack, ==, "r1-2");
+  g_assert_cmpuint (t->after->len, ==, 1);
+  g_assert_cmpint (job_spec_chain_ms (copy), ==, 801);
+  job_spec_destroy (copy);
+  g_bytes_unref (bytes);
+  job_spec_destroy (spec);
+}
+
+static void
+assert_refused (struct job_spec *spec)
+{
+  GError *error = NULL;
+
+  g_assert_false (job_spec_check (spec, &error));
+  g_assert_error (error, SHED_ERROR, ERROR_INVALID);
+  g_error_free (error);
+  job_spec_destroy (spec);
+}
+
+static void
+test_a_job_that_can_never_run_is_refused (void)
+{
+  struct job_spec *spec = make_job ();
+  uint32_t place = 1;
+
+  g_array_append_val (
+      ((struct job_step *)g_ptr_array_index (spec->steps, 0))->after, place);
+  assert_refused (spec); /* a circle */
+  spec = make_job ();
+  ((struct job_step *)g_ptr_array_index (spec->steps, 0))->count = 0;
+  assert_refused (spec);
+  spec = make_job ();
+  place = 7;
+  g_array_append_val (
+      ((struct job_step *)g_ptr_array_index (spec->steps, 0))->after, place);
+  assert_refused (spec);
+  assert_refused (job_spec_new ("00000000000000a1")); /* no step */
+}
+
+static void
+test_garbage_is_no_job (void)
+{
+  GBytes *bytes = g_bytes_new_static ("no job at all", 13);
+
+  g_assert_null (job_spec_from_bytes (bytes));
+  g_bytes_unref (bytes);
+}
+
+static void
+test_ids_and_task_names (void)
+{
+  struct task_name name;
+
+  g_assert_true (job_id_is_valid ("5c0e7a21d94b36f8"));
+  g_assert_false (job_id_is_valid ("5c0e7a21d94b36f"));
+  g_assert_false (job_id_is_valid ("5c0e7a21d94b36fg"));
+  g_assert_true (task_name_parse ("5c0e7a21d94b36f8.2.1.17", &name));
+  g_assert_cmpstr (name.job, ==, "5c0e7a21d94b36f8");
+  g_assert_cmpuint (name.occurrence, ==, 2);
+  g_assert_cmpuint (name.step, ==, 1);
+  g_assert_cmpuint (name.index, ==, 17);
+  g_assert_false (task_name_parse ("5c0e7a21d94b36f8.2.1", &name));
+  g_assert_false (task_name_parse ("5c0e7a21d94b36f8.2.1.1x", &name));
+}
+
+static void
+add_queue (struct routes *r, const char *name, const char *host,
+           const char *prefix)
+{
+  struct queue_route *q = routes_add_queue (r);
+
+  q->name = g_strdup (name);
+  q->host = g_strdup (host);
+  q->path_prefix = g_strdup (prefix);
+  q->service = g_strdup ("search");
+}
+
+static void
+test_the_longest_prefix_of_the_host_counts (void)
+{
+  struct routes *r = routes_new ();
+
+  add_queue (r, "short", "a.example", "/q/");
+  add_queue (r, "long", "a.example", "/q/urgent/");
+  add_queue (r, "other", "b.example", "/q/");
+  g_assert_cmpstr (routes_find (r, "a.example:80", "/q/urgent/x")->name, ==,
+                   "long");
+  g_assert_cmpstr (routes_find (r, "A.example", "/q/x")->name, ==, "short");
+  g_assert_cmpstr (routes_find (r, "b.example", "/q/urgent/x")->name, ==,
+                   "other");
+  g_assert_null (routes_find (r, "c.example", "/q/x"));
+  g_assert_null (routes_find (r, "a.example", "/p/x"));
+  routes_destroy (r);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/job/encoding", test_a_job_survives_its_encoding);
+  g_test_add_func ("/job/refused", test_a_job_that_can_never_run_is_refused);
+  g_test_add_func ("/job/garbage", test_garbage_is_no_job);
+  g_test_add_func ("/job/names", test_ids_and_task_names);
+  g_test_add_func ("/routes/longest",
+                   test_the_longest_prefix_of_the_host_counts);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/unit/test_upkeep.c
@@ -0,0 +1,140 @@
+#include "upkeep.h"
+
+#include <string.h>
+
+/* Waves keep their cap, in what the list shows and in what was just ordered.
+ */
+
+static GPtrArray *
+make_machines (void)
+{
+  GPtrArray *machines = machines_new ();
+
+  for (int i = 0; i < 4; i++)
+    {
+      struct machine *m = machines_add (machines);
+
+      m->name = g_strdup_printf ("m%d", i);
+      m->service = g_strdup ("search");
+      m->worker = g_strdup ("");
+      m->state = MACHINE_UP;
+    }
+  return machines;
+}
+
+static struct machine *
+machine (GPtrArray *machines, guint i)
+{
+  return g_ptr_array_index (machines, i);
+}
+
+static struct wave_request *
+make_wave (uint32_t cap)
+{
+  struct wave_request *r = wave_request_new (1);
+
+  r->cap = cap;
+  for (int i = 0; i < 3; i++)
+    g_ptr_array_add (r->machines, g_strdup_printf ("m%d", i));
+  return r;
+}
+
+/* Return the machines to be emptied as "m0 m1", or "complete". */
+static char *
+plan (struct upkeep *u, const GPtrArray *machines, int64_t now_ms)
+{
+  GArray *steps = g_array_new (FALSE, FALSE, sizeof (struct upkeep_step));
+  GString *text = g_string_new (NULL);
+
+  upkeep_plan (u, machines, 2000, now_ms, steps);
+  for (guint i = 0; i < steps->len; i++)
+    {
+      const struct upkeep_step *s
+          = &g_array_index (steps, struct upkeep_step, i);
+
+      g_string_append_printf (text, "%s%s", i > 0 ? " " : "",
+                              s->kind == UPKEEP_COMPLETE ? "complete"
+                                                         : s->machine->name);
+    }
+  g_array_unref (steps);
+  return g_string_free (text, FALSE);
+}
+
+static void
+expect (char *got, const char *wanted)
+{
+  g_assert_cmpstr (got, ==, wanted);
+  g_free (got);
+}
+
+static void
+test_a_wave_goes_on_within_its_cap (void)
+{
+  struct upkeep *u = upkeep_new ();
+  GPtrArray *machines = make_machines ();
+
+  upkeep_add_wave (u, make_wave (2), 0);
+  expect (plan (u, machines, 100), "m0 m1");
+  upkeep_machine_begun (u, 1, "m0", 200);
+  /* The list does not show it yet. */
+  expect (plan (u, machines, 300), "m1");
+  machine (machines, 0)->state = MACHINE_IN_UPKEEP;
+  expect (plan (u, machines, 900), "m1");
+  upkeep_machine_begun (u, 1, "m1", 900);
+  machine (machines, 1)->state = MACHINE_IN_UPKEEP;
+  expect (plan (u, machines, 1500), "");
+  machine (machines, 0)->state = MACHINE_UP;
+  expect (plan (u, machines, 2500), "m2");
+  g_ptr_array_unref (machines);
+  upkeep_destroy (u);
+}
+
+static void
+test_a_wave_is_complete_when_all_are_back (void)
+{
+  struct upkeep *u = upkeep_new ();
+  GPtrArray *machines = make_machines ();
+
+  upkeep_add_wave (u, make_wave (3), 0);
+  for (int i = 0; i < 3; i++)
+    {
+      char *name = g_strdup_printf ("m%d", i);
+
+      upkeep_machine_begun (u, 1, name, 100);
+      g_free (name);
+    }
+  machine (machines, 2)->state = MACHINE_IN_UPKEEP;
+  expect (plan (u, machines, 3000), "");
+  machine (machines, 2)->state = MACHINE_UP;
+  expect (plan (u, machines, 3200), "complete");
+  upkeep_wave_completed (u, 1);
+  g_assert_false (upkeep_has_work (u));
+  g_ptr_array_unref (machines);
+  upkeep_destroy (u);
+}
+
+/* A machine that is gone for good does not hold the wave up. */
+static void
+test_a_wave_passes_over_a_machine_that_is_gone (void)
+{
+  struct upkeep *u = upkeep_new ();
+  GPtrArray *machines = make_machines ();
+
+  upkeep_add_wave (u, make_wave (1), 0);
+  g_ptr_array_remove_index (machines, 0);
+  expect (plan (u, machines, 100), "m1");
+  g_ptr_array_unref (machines);
+  upkeep_destroy (u);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/upkeep/cap", test_a_wave_goes_on_within_its_cap);
+  g_test_add_func ("/upkeep/complete",
+                   test_a_wave_is_complete_when_all_are_back);
+  g_test_add_func ("/upkeep/gone",
+                   test_a_wave_passes_over_a_machine_that_is_gone);
+  return g_test_run ();
+}
--- /dev/null
+++ b/tests/unit/test_wire.c
@@ -0,0 +1,195 @@
+#include "wire.h"
+
+#include <string.h>
+
+/* The platform's messages, as its pages show them, and nonsense. */
+
+#define READ(f, text) f (text, strlen (text))
+
+static void
+test_a_job (void)
+{
+  static const char body[]
+      = "{\"spec\":\"(text)\",\"steps\":[{\"count\":4,\"cpu\":500,\"mem_mb\":"
+        "256,\"estimate_ms\":900,\"affinity\":\"r1-3\"},{\"count\":20,\"cpu\":"
+        "2000,\"mem_mb\":1024,\"after\":[0],\"checkpointing\":true,"
+        "\"anti_affinity\":2,\"future\":{}}]}";
+  struct job_spec *spec = job_spec_new ("00000000000000a1");
+  const struct job_step *s;
+
+  g_assert_true (wire_read_job (body, strlen (body), spec, NULL));
+  g_assert_cmpstr (spec->payload, ==, "(text)");
+  g_assert_cmpuint (spec->steps->len, ==, 2);
+  s = g_ptr_array_index (spec->steps, 0);
+  g_assert_cmpstr (s->near_rack, ==, "r1-3");
+  s = g_ptr_array_index (spec->steps, 1);
+  g_assert_cmpuint (s->per_worker, ==, 2);
+  g_assert_true (s->checkpoints);
+  job_spec_destroy (spec);
+}
+
+static void
+test_no_job (void)
+{
+  static const char *const bodies[] = {
+    "",
+    "[]",
+    "{\"spec\":7,\"steps\":[]}",
+    "{\"spec\":\"x\"}",
+    "{\"spec\":\"x\",\"steps\":[]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":-1}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[-2]}]}",
+    "{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[0]}]}",
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (bodies); i++)
+    {
+      struct job_spec *spec = job_spec_new ("00000000000000a1");
+      GError *error = NULL;
+
+      g_assert_false (
+          wire_read_job (bodies[i], strlen (bodies[i]), spec, &error));
+      g_assert_nonnull (error);
+      g_error_free (error);
+      job_spec_destroy (spec);
+    }
+}
+
+static void
+test_a_worker (void)
+{
+  static const char text[]
+      = "{\"backend\":\"huvo11a\",\"address\":\"10.128.0.9:8080\",\"state\":"
+        "\"draining\",\"capacity\":{\"cpu\":16000,\"mem_mb\":32768,\"gpu\":0},"
+        "\"labels\":[\"a\",\"r1-3\"],\"born\":1769708169473}";
+  struct worker_entry *e = wire_read_worker ("i-1", text, strlen (text));
+
+  g_assert_nonnull (e);
+  g_assert_cmpstr (e->rack, ==, "r1-3");
+  g_assert_true (worker_entry_has_label (e, "a"));
+  g_assert_true (e->draining);
+  g_assert_cmpuint (e->room.cpu_milli, ==, 16000);
+  g_assert_cmpint (e->born_ms, ==, 1769708169473);
+  worker_entry_destroy (e);
+}
+
+static void
+test_no_worker (void)
+{
+  static const char *const texts[] = {
+    "\xff\xfe",
+    "null",
+    "{\"backend\":\"x\"}",
+    "{\"backend\":7,\"address\":\"a:1\",\"state\":\"ready\",\"capacity\":{}}",
+    "{\"backend\":\"x\",\"address\":\"a:1\",\"state\":\"odd\",\"capacity\":{}"
+    "}",
+    "{\"backend\":\"x\",\"address\":\"a:1\",\"state\":\"ready\",\"capacity\":"
+    "1}",
+  };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (texts); i++)
+    g_assert_null (wire_read_worker ("i-1", texts[i], strlen (texts[i])));
+}
+
+static void
+test_a_report (void)
+{
+  static const char text[]
+      = "{\"clock_ms\":482113,\"born\":5,\"running\":[[\"5c0e7a21d94b36f8.0.1."
+        "17\",2,\"00000bb87a21d94b\",41,350]],\"ended\":[[58,"
+        "\"5c0e7a21d94b36f8.0.1.9\",1,\"done\",\"\"],[59,\"x\",1,\"odd\",\"\"]"
+        ","
+        "7]}";
+  struct worker_report *r = READ (wire_read_report, text);
+  const struct worker_run *run;
+  const struct worker_end *end;
+
+  g_assert_nonnull (r);
+  g_assert_cmpint (r->clock_ms, ==, 482113);
+  g_assert_cmpint (r->born_ms, ==, 5);
+  g_assert_cmpuint (r->runs->len, ==, 1);
+  run = &g_array_index (r->runs, struct worker_run, 0);
+  g_assert_cmpuint (run->percent, ==, 41);
+  g_assert_cmpint (run->figure, ==, 350);
+  g_assert_cmpuint (r->ends->len, ==, 1);
+  end = &g_array_index (r->ends, struct worker_end, 0);
+  g_assert_cmpuint (end->number, ==, 58);
+  g_assert_cmpint (end->how, ==, END_DONE);
+  worker_report_destroy (r);
+  g_assert_null (READ (wire_read_report, "nothing"));
+}
+
+static void
+test_routes (void)
+{
+  static const char text[]
+      = "{\"version\":7,\"routes\":[{\"name\":\"r-1\",\"host\":\"a.example\","
+        "\"path_prefix\":\"/q/\",\"target_duration_ms\":600,\"priority\":1,"
+        "\"backend\":\"x\",\"max_attempts\":3,\"stretch\":1.6,\"advice\":{"
+        "\"decision_ms\":1,\"valid_ms\":3000}}],\"services\":[{\"name\":\"y\","
+        "\"standby\":true},{\"name\":\"x\",\"admission_control\":true}],"
+        "\"limits\":{\"max_body_bytes\":1000}}";
+  struct routes *r = READ (wire_read_routes, text);
+  const struct queue_route *q;
+
+  g_assert_nonnull (r);
+  g_assert_cmpint (r->version, ==, 7);
+  g_assert_cmpuint (r->max_body_bytes, ==, 1000);
+  q = g_ptr_array_index (r->queues, 0);
+  g_assert_cmpuint (q->max_attempts, ==, 3);
+  g_assert_true (q->advice_needed);
+  g_assert_cmpint (q->advice_valid_ms, ==, 3000);
+  g_assert_cmpint (routes_find_service (r, "x"), ==, 0);
+  g_assert_cmpint (routes_find_service (r, "y"), ==, 1);
+  g_assert_cmpint (routes_find_service (r, "z"), ==, -1);
+  routes_destroy (r);
+}
+
+static void
+test_waves_and_machines (void)
+{
+  static const char wave[]
+      = "{\"wave\":1,\"machines\":[\"m-1\",\"m-2\"],\"finish_by_s\":20,"
+        "\"cap\":2}";
+  static const char page[]
+      = "{\"machines\":[{\"machine\":\"m-1\",\"pool\":\"x\",\"state\":\"up\","
+        "\"id\":\"i-1\"},{\"machine\":\"m-2\",\"pool\":\"x\",\"state\":"
+        "\"upkeep\",\"id\":null}],\"next_token\":\"t\"}";
+  struct wave_request *w = READ (wire_read_wave, wave);
+  GPtrArray *machines = machines_new ();
+  char *next;
+  char *status;
+
+  g_assert_cmpint (w->number, ==, 1);
+  g_assert_cmpuint (w->cap, ==, 2);
+  g_assert_cmpint (w->finish_by_ms, ==, 20000);
+  wave_request_destroy (w);
+  g_assert_true (wire_read_machines (page, strlen (page), machines, &next));
+  g_assert_cmpstr (next, ==, "t");
+  g_assert_cmpint (machines_find (machines, "m-2")->state, ==,
+                   MACHINE_IN_UPKEEP);
+  g_assert_cmpstr (machines_find (machines, "m-2")->worker, ==, "");
+  g_free (next);
+  g_ptr_array_unref (machines);
+  g_assert_cmpint (wire_operator_key ("config"), ==, OPERATOR_ROUTES);
+  g_assert_cmpint (wire_operator_key ("wave/3"), ==, OPERATOR_WAVE);
+  g_assert_cmpint (wire_wave_number ("wave/3"), ==, 3);
+  g_assert_cmpint (wire_wave_number ("wave/x"), ==, -1);
+  status = wire_wave_status (3, true);
+  g_assert_true (wire_wave_is_completed (status, strlen (status)));
+  g_free (status);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/wire/job", test_a_job);
+  g_test_add_func ("/wire/no-job", test_no_job);
+  g_test_add_func ("/wire/worker", test_a_worker);
+  g_test_add_func ("/wire/no-worker", test_no_worker);
+  g_test_add_func ("/wire/report", test_a_report);
+  g_test_add_func ("/wire/routes", test_routes);
+  g_test_add_func ("/wire/waves", test_waves_and_machines);
+  return g_test_run ();
+}
