--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -493,31 +493,49 @@
   g_variant_unref (failure_counts);
 }
 
-void
-cell_job_load_progress (struct cell *c, struct cell_job *job, GBytes *bytes)
+static void
+load_open (struct cell *c, struct cell_job *job, GVariantIter *open)
 {
-  GVariant *v = g_variant_ref_sink (
-      g_variant_new_from_bytes (G_VARIANT_TYPE (PROGRESS_TYPE), bytes, FALSE));
-  guchar state;
-  GVariantIter *open;
   GVariant *one;
 
-  g_variant_get (v, PROGRESS_TYPE, &state, &job->next_occurrence,
-                 &job->done_occurrences, &open);
   while ((one = g_variant_iter_next_value (open)) != NULL)
     {
       load_occurrence (c, job, one);
       g_variant_unref (one);
     }
-  g_variant_iter_free (open);
-  g_variant_unref (v);
-  job->state = state < JOB_STATE_COUNT ? (enum job_state)state : JOB_PENDING;
-  job->shown = job->state;
-  if (job->state >= JOB_COMPLETED)
+}
+
+void
+cell_job_load_progress (struct cell *c, const char *id, GBytes *bytes)
+{
+  struct cell_job *job = g_hash_table_lookup (c->jobs, id);
+  GVariant *v = g_variant_ref_sink (
+      g_variant_new_from_bytes (G_VARIANT_TYPE (PROGRESS_TYPE), bytes, FALSE));
+  guchar number;
+  uint32_t next, done;
+  GVariantIter *open;
+  enum job_state state;
+
+  g_variant_get (v, PROGRESS_TYPE, &number, &next, &done, &open);
+  state = number < JOB_STATE_COUNT ? (enum job_state)number : JOB_PENDING;
+  /* Of a job that has ended the journal keeps the state alone. */
+  if (job == NULL && state >= JOB_COMPLETED)
+    job = add_job (c, job_spec_new (id), true, c->taken_over_ms);
+  if (job != NULL)
     {
-      g_ptr_array_remove (c->open, job);
-      job->ended_ms = c->taken_over_ms;
+      job->next_occurrence = next;
+      job->done_occurrences = done;
+      load_open (c, job, open);
+      job->state = state;
+      job->shown = state;
+      if (state >= JOB_COMPLETED)
+        {
+          g_ptr_array_remove (c->open, job);
+          job->ended_ms = c->taken_over_ms;
+        }
     }
+  g_variant_iter_free (open);
+  g_variant_unref (v);
 }
 
 static bool
@@ -550,7 +568,6 @@
           || now_ms < job->ended_ms + c->options.keep_state_ms
           || c->flight.entries != NULL || has_runs (job))
         continue;
-      cell_journal_drop (c, g_strconcat ("j:", job->spec->id, NULL));
       cell_journal_drop (c, g_strconcat ("p:", job->spec->id, NULL));
       g_hash_table_iter_remove (&iter);
     }
--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -1,8 +1,9 @@
 #include "cell_state.h"
 
-/* The journal holds, by key: "j:JOB" the job as it was accepted, "p:JOB" how
-   far it is, "w:WORKER" which ends of a worker have been taken in.  One append
-   is on its way at a time; what changes meanwhile goes into the next.
+/* The journal holds, by key: "j:JOB" the job as it was accepted, until it has
+   ended, "p:JOB" how far it is, "w:WORKER" which ends of a worker have been
+   taken in.  One append is on its way at a time; what changes meanwhile goes
+   into the next.
 
    A worker has a record before the first start there, so that the next owner
    knows whom to ask for runs.  When it falls silent, the record names the runs
@@ -112,6 +113,9 @@
     size += add_entry (c, "j:", job->spec->id, job_spec_to_bytes (job->spec));
   if (job->stored || job->state != JOB_PENDING)
     size += add_entry (c, "p:", job->spec->id, cell_job_progress (job));
+  /* Of a job that has ended only the state is asked for. */
+  if (job->stored && job->state >= JOB_COMPLETED)
+    add_entry (c, "j:", job->spec->id, NULL);
   g_array_append_val (c->flight.jobs, f);
   return size;
 }
@@ -310,7 +314,8 @@
     {
       const struct journal_entry *e = g_ptr_array_index (c->flight.entries, i);
 
-      if (e->value == NULL)
+      /* A job's entries come again with the job. */
+      if (e->value == NULL && e->key[0] != 'j')
         cell_journal_drop (c, g_strdup (e->key));
     }
   clear_flight (c);
@@ -420,7 +425,6 @@
 cell_load (struct cell *cell, const char *key, GBytes *value)
 {
   struct job_spec *spec;
-  struct cell_job *job;
 
   if (g_str_has_prefix (key, "w:"))
     load_worker (cell, key + 2, value);
@@ -435,9 +439,5 @@
       cell_job_load (cell, spec);
     }
   else if (g_str_has_prefix (key, "p:"))
-    {
-      job = g_hash_table_lookup (cell->jobs, key + 2);
-      if (job != NULL)
-        cell_job_load_progress (cell, job, value);
-    }
+    cell_job_load_progress (cell, key + 2, value);
 }
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -198,8 +198,7 @@
 /* Add the occurrences that are due. */
 void cell_job_open_due (struct cell *c, struct cell_job *job, int64_t now_ms);
 GBytes *cell_job_progress (const struct cell_job *job);
-void cell_job_load_progress (struct cell *c, struct cell_job *job,
-                             GBytes *bytes);
+void cell_job_load_progress (struct cell *c, const char *id, GBytes *bytes);
 void cell_jobs_sweep (struct cell *c, int64_t now_ms);
 
 /* cell_workers.c */
--- a/src/node_host.c
+++ b/src/node_host.c
@@ -235,14 +235,18 @@
   struct host_call *call = data;
   struct host *h = call_host (call);
   int64_t now_ms = node_now_ms ();
-  bool has_stopped = reply->status == 200;
+  /* 421 comes from a process that was started since, and knows nothing. */
+  bool has_stopped = reply->status != 0;
 
   if (h != NULL && h->phase == HOST_YIELDING)
     {
       h->call_out = false;
-      claim (h, has_stopped ? "owner-yielded" : "owner-silent",
+      claim (h,
+             reply->status == 200 ? "owner-yielded"
+             : has_stopped        ? "not-the-owner"
+                                  : "owner-silent",
              has_stopped ? STOPPED_LEASE_MS : FOREIGN_LEASE_MS, now_ms);
-      if (has_stopped)
+      if (reply->status == 200)
         h->yielded = peer_read_records (reply);
     }
   call_destroy (call);
@@ -306,7 +310,7 @@
           h->heard_ms = now_ms;
         }
       else if (reply->status != 0 && reply->status != 200)
-        claim (h, "not-the-owner", STOPPED_LEASE_MS, now_ms);
+        ask_yield (h, known_owner (h), now_ms);
       else if (++h->unheard < UNHEARD_MAX || !store_is_steady (h, now_ms))
         ;
       else if (reply->status == 200)
@@ -436,6 +440,15 @@
   append_nothing (h, on_confirmed, now_ms);
 }
 
+/* Whether another node was written as the owner since the claim began. */
+static bool
+has_new_owner (const struct host *h)
+{
+  const char *owner = known_owner (h);
+
+  return owner[0] != OWNER_RELEASED && strcmp (h->claimed_from, owner) != 0;
+}
+
 static void
 on_epoch (void *data, const struct store_appended *a)
 {
@@ -447,8 +460,7 @@
     {
       h->call_out = false;
       h->retry_ms = now_ms + RETRY_MS;
-      if (now_ms > call->sent_ms + CLAIM_MAX_MS
-          || strcmp (h->claimed_from, known_owner (h)) != 0)
+      if (now_ms > call->sent_ms + CLAIM_MAX_MS || has_new_owner (h))
         watch_again (h, now_ms);
       else if (a->result == STORE_DONE)
         {
