--- a/src/cell.h
+++ b/src/cell.h
@@ -184,7 +184,8 @@
 void cell_worker_unlisted (struct cell *cell, const char *worker,
                            int64_t now_ms);
 
-/* A worker's life is surely over, and so is all that ran on it. */
+/* The machine of an emptied worker was ordered away: its life is over, unless
+   it has work again. */
 void cell_worker_ended (struct cell *cell, const char *worker, int64_t now_ms);
 
 /* Empty a worker of work, without leaving more tasks of a step missing than
--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -10,7 +10,7 @@
    that it may have: nothing else is started there until it answers and the
    record says so, and the next owner has to wait for these runs only. */
 
-#define WORKER_TYPE "(sxtba(st))"
+#define WORKER_TYPE "(sxtbba(st))"
 
 /* Between two appends somebody waits for; a store answers in some 4 ms. */
 #define URGENT_GAP_MS 15
@@ -142,7 +142,7 @@
       g_free (name);
     }
   return g_variant_new (WORKER_TYPE, w->entry->address, w->born_ms, ends,
-                        is_silent (w), &runs);
+                        is_silent (w), w->leaving, &runs);
 }
 
 struct journal_entry *
@@ -160,7 +160,7 @@
 static void
 put_worker (struct cell *c, struct cell_worker *w)
 {
-  struct flight_worker f = { w, w->ends_taken, is_silent (w) };
+  struct flight_worker f = { w, w->ends_taken, is_silent (w), w->leaving };
 
   w->queued = false;
   g_ptr_array_add (c->flight.entries, cell_worker_entry (w, w->ends_taken));
@@ -294,6 +294,7 @@
 
       f->worker->in_journal = true;
       f->worker->may_start = !f->silent && f->worker->confirmed;
+      f->worker->leaving_saved = f->leaving && f->worker->leaving;
       c->place_needed = true;
       if (f->ends_taken > f->worker->last_seen)
         f->worker->next_hold_ms = MIN (f->worker->next_hold_ms, now_ms);
@@ -396,7 +397,7 @@
   GVariant *v = g_variant_ref_sink (
       g_variant_new_from_bytes (G_VARIANT_TYPE (WORKER_TYPE), value, FALSE));
   struct cell_worker *w = g_hash_table_lookup (c->workers, id);
-  gboolean silent;
+  gboolean silent, leaving;
   GVariantIter *runs;
   const char *name;
   int64_t born_ms;
@@ -409,12 +410,18 @@
     cell_task_free (c, g_ptr_array_index (w->tasks, 0), c->taken_over_ms);
   g_free (w->entry->address);
   g_variant_get (v, WORKER_TYPE, &w->entry->address, &born_ms, &ends, &silent,
-                 &runs);
+                 &leaving, &runs);
   w->ends_taken = born_ms == w->born_ms ? MAX (ends, w->ends_taken) : ends;
   w->last_seen = w->ends_taken;
   w->born_ms = born_ms;
   w->inherited = !silent;
   w->in_journal = true;
+  if (leaving)
+    {
+      w->leaving = true;
+      w->leaving_ms = c->taken_over_ms + CELL_RELEASE_MS;
+      w->leaving_since_ms = c->taken_over_ms;
+    }
   while (g_variant_iter_next (runs, "(&st)", &name, &run))
     load_silent_run (c, w, name, run);
   g_variant_iter_free (runs);
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -45,8 +45,7 @@
 {
   return w->confirmed && w->may_start && !w->entry->draining
          && (w->listed || now_ms < w->unlisted_ms + UNLISTED_GRACE_MS)
-         && now_ms >= w->blocked_ms && now_ms > w->leaving_ms
-         && w->clock_heard_ms != 0;
+         && now_ms >= w->blocked_ms && !w->leaving && w->clock_heard_ms != 0;
 }
 
 static bool
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -110,7 +110,9 @@
   bool hold_out;
   int64_t next_hold_ms;
   int64_t blocked_ms; /* no start before */
-  int64_t leaving_ms; /* to be emptied until then */
+  bool leaving;       /* to be emptied */
+  bool leaving_saved; /* the journal says so: the next owner knows */
+  int64_t leaving_ms; /* not longer than until then */
   int64_t leaving_since_ms;
   uint32_t failed_streak; /* ends "failed" since one was done */
   int64_t shunned_ms;     /* used only if no other fits, until then */
@@ -142,6 +144,7 @@
   struct cell_worker *worker;
   uint64_t ends_taken;
   bool silent;
+  bool leaving;
 };
 
 struct cell
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -149,6 +149,15 @@
   cell_note (cell, "worker-unlisted", worker, "tasks=%u", w->tasks->len);
 }
 
+/* W's life is surely over. */
+static void
+end_life (struct cell *c, struct cell_worker *w, int64_t now_ms)
+{
+  lose_tasks (c, w, "worker-ended", now_ms);
+  w->confirmed = false;
+  w->lease_over_ms = now_ms;
+}
+
 void
 cell_worker_ended (struct cell *cell, const char *worker, int64_t now_ms)
 {
@@ -156,9 +165,12 @@
 
   if (w == NULL)
     return;
-  lose_tasks (cell, w, "worker-ended", now_ms);
-  w->confirmed = false;
-  w->lease_over_ms = now_ms;
+  /* It was emptied by the owner at that time: one with work has been used
+     since, and may live. */
+  if (w->tasks->len == 0)
+    end_life (cell, w, now_ms);
+  else
+    w->next_hold_ms = MIN (w->next_hold_ms, now_ms);
 }
 
 /* Return the worker's own clock as it should be now. */
@@ -354,6 +366,11 @@
   if (!w->confirmed && now_ms > w->lease_over_ms && w->in_journal
       && w->tasks->len == 0)
     leave_journal (c, w);
+  if (w->leaving && now_ms > w->leaving_ms)
+    {
+      w->leaving = false;
+      w->leaving_saved = false;
+    }
   run_task_timers (c, w, now_ms);
   if (!w->hold_out && now_ms >= w->next_hold_ms
       && w->entry->address[0] != '\0')
@@ -627,7 +644,7 @@
     }
   if (gone)
     {
-      cell_worker_ended (cell, worker, now_ms);
+      end_life (cell, w, now_ms);
       w->next_hold_ms = now_ms + IDLE_HOLD_GAP_MS;
       return;
     }
@@ -845,10 +862,17 @@
 
   if (w == NULL)
     return true;
-  if (now_ms > w->leaving_ms)
+  if (!w->leaving)
     w->leaving_since_ms = now_ms;
+  w->leaving = true;
   w->leaving_ms = now_ms + CELL_RELEASE_MS;
+  if (!w->leaving_saved)
+    {
+      cell_journal_worker (cell, w);
+      cell->urgent = true;
+    }
   for (guint i = 0; i < w->tasks->len; i++)
     release_task (cell, w, g_ptr_array_index (w->tasks, i), now_ms);
-  return w->tasks->len == 0 && (!w->inherited || now_ms > w->lease_over_ms);
+  return w->tasks->len == 0 && w->leaving_saved
+         && (!w->inherited || now_ms > w->lease_over_ms);
 }
--- a/src/node.c
+++ b/src/node.c
@@ -119,7 +119,7 @@
 {
   int64_t since_ms = now_ms - n->stop_begun_ms;
 
-  if ((since_ms > STOP_NOTICE_MS && ingress_open_requests (n->ingress) == 0)
+  if ((since_ms > STOP_NOTICE_MS && ingress_is_idle (n->ingress))
       || since_ms > n->settings->stop_ms - STOP_SPARE_MS)
     event_base_loopbreak (n->base);
 }
@@ -241,6 +241,7 @@
 {
   struct timeval tick = { 0, TICK_MS * 1000 };
 
+  n->started_ms = node_now_ms ();
   n->base = event_base_new ();
   n->client = http_client_new (n->base);
   n->store = store_new (n->client, n->settings->store);
--- a/src/node_fleet.c
+++ b/src/node_fleet.c
@@ -7,10 +7,16 @@
 #include <string.h>
 
 /* One node, the owner of the fleet, carries out maintenance waves and sizes
-   the pools.  Its
+   the pools.  Before an order goes out, the journal names the machine: the
+   next holder leaves the machines of the last record alone for a while.  Its
    epoch is the fencing token of its orders for machines. */
 
 #define WRITER "fleet"
+/* A worker is empty once its journal says that it is kept so, some 20 ms
+   later: it is asked again before the round is over. */
+#define ASKS_MAX 4
+#define ASK_GAP_MS 30
+#define ORDERED_KEY "ordered"
 #define RETRY_MS 300
 /* Between two looks at the list of machines while a wave goes on. */
 #define ROUND_GAP_MS 250
@@ -21,6 +27,9 @@
 /* The list shows an upkeep late by so much. */
 #define LIST_LAG_MS 300
 #define RELEASE_PATIENCE_MS 1000
+/* An emptied worker is ordered away within this, or emptied anew: its cell
+   keeps it empty for CELL_RELEASE_MS. */
+#define ORDER_WITHIN_MS 900
 
 enum fleet_stream
 {
@@ -48,6 +57,8 @@
   g_free (w->stream);
   g_free (w->key);
   g_free (w->value);
+  if (w->orders != NULL)
+    g_ptr_array_unref (w->orders);
   g_free (w);
 }
 
@@ -64,6 +75,7 @@
   g_clear_pointer (&f->upkeep, upkeep_destroy);
   g_clear_pointer (&f->machines, g_ptr_array_unref);
   g_clear_pointer (&f->announced, g_hash_table_unref);
+  g_clear_pointer (&f->ready, g_ptr_array_unref);
   g_clear_pointer (&f->sizing, sizing_destroy);
   g_clear_pointer (&f->held_back, g_hash_table_unref);
   g_clear_pointer (&f->ordered, g_hash_table_unref);
@@ -95,7 +107,9 @@
   char *machine;
   char *service;
   char *worker;
-  char *target; /* service to move to; NULL for upkeep */
+  char *target;        /* service to move to; NULL for upkeep */
+  int64_t released_ms; /* when its worker was found empty */
+  uint32_t asks;       /* for its worker to be emptied */
 };
 
 static struct fleet_call *
@@ -113,8 +127,10 @@
 }
 
 static void
-call_destroy (struct fleet_call *call)
+call_destroy (gpointer p)
 {
+  struct fleet_call *call = p;
+
   g_free (call->machine);
   g_free (call->service);
   g_free (call->worker);
@@ -124,23 +140,6 @@
 
 /* Taking the duty. */
 
-static void
-load_begun (struct fleet_state *f, const struct journal_entry *r,
-            int64_t now_ms)
-{
-  gsize size;
-  const char *text = g_bytes_get_data (r->value, &size);
-  char *copy = g_strndup (text, size);
-  char **names = g_strsplit (copy, ",", -1);
-  int64_t wave = g_ascii_strtoll (r->key, NULL, 10);
-
-  for (char **name = names; *name != NULL; name++)
-    if (**name != '\0')
-      upkeep_machine_begun (f->upkeep, wave, *name, now_ms);
-  g_strfreev (names);
-  g_free (copy);
-}
-
 static int64_t
 holder_gap_ms (const struct node *n)
 {
@@ -154,44 +153,56 @@
                         g_memdup2 (&at_ms, sizeof at_ms));
 }
 
-GPtrArray *
-fleet_handover (struct node *n)
+/* A record holds machines by name: those of a wave whose upkeep has been
+   begun, under its number, or those that were ordered last. */
+static void
+load_record (struct node *n, const struct journal_entry *e, int64_t now_ms)
+{
+  gsize size;
+  const char *text = g_bytes_get_data (e->value, &size);
+  char *copy = g_strndup (text, size);
+  char **names = g_strsplit (copy, ",", -1);
+  int64_t wave = g_ascii_strtoll (e->key, NULL, 10);
+
+  for (char **name = names; *name != NULL; name++)
+    if (**name == '\0')
+      continue;
+    else if (strcmp (e->key, ORDERED_KEY) == 0)
+      set_time (n->fleet.held_back, *name, now_ms + holder_gap_ms (n));
+    else
+      upkeep_machine_begun (n->fleet.upkeep, wave, *name, now_ms);
+  g_strfreev (names);
+  g_free (copy);
+}
+
+/* The machines that were ordered lately, as "A,B,C". */
+static char *
+ordered_text (struct node *n)
 {
-  GPtrArray *entries = g_ptr_array_new_with_free_func (journal_entry_free);
+  GString *text = g_string_new (NULL);
   int64_t now_ms = node_now_ms ();
   GHashTableIter iter;
   gpointer machine, at_ms;
 
-  if (n->fleet.epoch == 0)
-    return entries;
   g_hash_table_iter_init (&iter, n->fleet.ordered);
   while (g_hash_table_iter_next (&iter, &machine, &at_ms))
     if (*(int64_t *)at_ms + holder_gap_ms (n) > now_ms)
-      {
-        GBytes *nothing = g_bytes_new (NULL, 0);
-
-        g_ptr_array_add (entries, journal_entry_new (machine, nothing));
-        g_bytes_unref (nothing);
-      }
-  return entries;
+      g_string_append_printf (text, "%s%s", text->len > 0 ? "," : "",
+                              (const char *)machine);
+    else
+      g_hash_table_iter_remove (&iter);
+  return g_string_free (text, FALSE);
 }
 
 void
 fleet_begin (struct node *n, uint64_t epoch, const GPtrArray *records,
-             const GPtrArray *yielded, int64_t now_ms)
+             int64_t now_ms)
 {
   struct fleet_state *f = &n->fleet;
 
   f->held_back
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   f->ordered = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
-  /* Where the holder before could not tell, it may have ordered any. */
-  f->free_ms = yielded != NULL ? now_ms : now_ms + holder_gap_ms (n);
-  for (guint i = 0; yielded != NULL && i < yielded->len; i++)
-    set_time (
-        f->held_back,
-        ((const struct journal_entry *)g_ptr_array_index (yielded, i))->key,
-        now_ms + holder_gap_ms (n));
   f->epoch = epoch;
   f->retry_ms = now_ms;
   f->write_out = false;
@@ -200,6 +211,7 @@
   f->loads_out = 0;
   f->upkeep = upkeep_new ();
   f->sizing = sizing_new ();
+  f->ready = g_ptr_array_new_with_free_func (call_destroy);
   f->loads = g_ptr_array_new_with_free_func (pool_load_destroy);
   f->announced = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   f->sequences[FLEET_STATUS] = 1;
@@ -211,13 +223,15 @@
       const struct journal_entry *e = g_ptr_array_index (records, i);
 
       if (e->value != NULL)
-        load_begun (f, e, now_ms);
+        load_record (n, e, now_ms);
     }
   event_log ("fleet-taken", "", "epoch=%" G_GUINT64_FORMAT, f->epoch);
 }
 
 /* Writing: one at a time, in order, each until it is done. */
 
+static void send_orders (struct node *n, struct fleet_write *w);
+
 static void
 on_written (void *data, const struct store_appended *a)
 {
@@ -237,7 +251,9 @@
         {
           ++*sequence;
           f->retry_ms = node_now_ms ();
-          write_destroy (g_queue_pop_head (&f->writes));
+          g_queue_pop_head (&f->writes);
+          send_orders (call->node, w);
+          write_destroy (w);
         }
       else if (a->result == STORE_SEQUENCE)
         *sequence = a->next_sequence;
@@ -308,11 +324,12 @@
 }
 
 static void
-note_done (struct node *n, const struct fleet_call *call)
+note_done (struct node *n, const struct fleet_call *call, bool is_down)
 {
   struct fleet_state *f = &n->fleet;
 
-  tell_worker_ended (n, call);
+  if (is_down)
+    tell_worker_ended (n, call);
   if (call->target != NULL)
     {
       meters_add (n->meters, METER_MOVES, 1);
@@ -345,8 +362,11 @@
   switch (answer)
     {
     case MACHINE_ORDER_DONE:
+      note_done (n, call, true);
+      break;
     case MACHINE_ORDER_REFUSED:
-      note_done (n, call);
+      /* It will never be done; the machine is as it was. */
+      note_done (n, call, false);
       break;
     case MACHINE_ORDER_FENCED:
       fleet_end (n);
@@ -373,6 +393,50 @@
                       call);
 }
 
+/* The journal names the machines of W: order them, if this node is still sure
+   to be the holder. */
+static void
+send_orders (struct node *n, struct fleet_write *w)
+{
+  while (w->orders != NULL && w->orders->len > 0)
+    {
+      struct fleet_call *call = g_ptr_array_steal_index (w->orders, 0);
+
+      int64_t now_ms = node_now_ms ();
+
+      if (is_sure (n, now_ms) && now_ms < call->released_ms + ORDER_WITHIN_MS)
+        {
+          order (call);
+          continue;
+        }
+      n->fleet.orders_out--;
+      call_destroy (call);
+    }
+}
+
+/* Write which machines are about to be ordered. */
+static void
+write_ready (struct node *n)
+{
+  struct fleet_state *f = &n->fleet;
+  struct fleet_write *w;
+  int64_t now_ms = node_now_ms ();
+
+  if (f->ready->len == 0)
+    return;
+  for (guint i = 0; i < f->ready->len; i++)
+    set_time (
+        f->ordered,
+        ((const struct fleet_call *)g_ptr_array_index (f->ready, i))->machine,
+        now_ms);
+  w = write_new (FLEET_UPKEEP, g_strdup (ORDERED_KEY), ordered_text (n));
+  w->orders = f->ready;
+  f->ready = g_ptr_array_new_with_free_func (call_destroy);
+  g_queue_push_tail (&f->writes, w);
+}
+
+static void ask_again (evutil_socket_t fd, short events, void *data);
+
 static void
 on_released (void *data, const struct front_answer *answer)
 {
@@ -384,7 +448,16 @@
   if (is_ours && answer->result == FRONT_DONE && answer->number == 1
       && is_sure (call->node, node_now_ms ()))
     {
-      order (call);
+      call->released_ms = node_now_ms ();
+      g_ptr_array_add (f->ready, call);
+      return;
+    }
+  if (is_ours && answer->result == FRONT_DONE && ++call->asks < ASKS_MAX)
+    {
+      struct timeval soon = { 0, ASK_GAP_MS * 1000 };
+
+      event_base_once (call->node->base, -1, EV_TIMEOUT, ask_again, call,
+                       &soon);
       return;
     }
   if (is_ours)
@@ -393,22 +466,35 @@
 }
 
 static void
-empty_machine (struct node *n, const struct machine *m, int64_t wave,
-               const char *target)
+ask_release (struct fleet_call *call)
 {
-  struct fleet_call *call = call_new (n, wave, m);
   struct front_ask ask = { .verb = FRONT_RELEASE,
                            .service = call->service,
                            .subject = call->worker,
                            .patience_ms = RELEASE_PATIENCE_MS };
 
+  front_ask (call->node->front, &ask, on_released, call);
+}
+
+static void
+ask_again (evutil_socket_t fd, short events, void *data)
+{
+  ask_release (data);
+}
+
+static void
+empty_machine (struct node *n, const struct machine *m, int64_t wave,
+               const char *target)
+{
+  struct fleet_call *call = call_new (n, wave, m);
+
   call->target = g_strdup (target);
   n->fleet.orders_out++;
-  set_time (n->fleet.ordered, m->name, node_now_ms ());
+  call->released_ms = node_now_ms ();
   if (call->worker[0] == '\0')
-    order (call);
+    g_ptr_array_add (n->fleet.ready, call);
   else
-    front_ask (n->front, &ask, on_released, call);
+    ask_release (call);
 }
 
 /* Take in the waves that operators have asked for. */
@@ -628,6 +714,7 @@
 
   if (f->epoch == 0 || n->stopping || n->settings->machines[0] == '\0')
     return;
+  write_ready (n);
   write_next (n);
   if (!n->config.has_list || !n->status.has_list)
     return;
--- a/src/node_host.c
+++ b/src/node_host.c
@@ -570,11 +570,12 @@
 activate (struct host *h, int64_t now_ms)
 {
   if (is_fleet (h))
-    fleet_begin (h->node, h->epoch, h->loaded, h->yielded, now_ms);
+    fleet_begin (h->node, h->epoch, h->loaded, now_ms);
   else
     activate_cell (h, now_ms);
   g_clear_pointer (&h->loaded, g_ptr_array_unref);
   g_clear_pointer (&h->yielded, g_ptr_array_unref);
+  g_hash_table_remove (h->node->owner.released, h->service);
   h->phase = HOST_ACTIVE;
   h->announced = false;
   h->announce_out = false;
--- a/src/node_owner.c
+++ b/src/node_owner.c
@@ -17,6 +17,13 @@
 /* Three joins within the time to live, one of which may be lost. */
 #define JOIN_GAP_MS 450
 #define RETRY_MS 250
+/* A process claims nothing when it is younger: where all start at once, the
+   first to join would be given every part. */
+#define SETTLE_MS 400
+/* A node with more cells gives one up to the member that has its part, once
+   the members have not changed for a while. */
+#define CELLS_WANTED 2
+#define STABLE_MS 3000
 
 /* Return the part that the cell of SERVICE belongs to, or -1.  Neighbouring
    cells are kept apart, as parts are given out in runs. */
@@ -78,7 +85,8 @@
 void
 owner_apply (struct node *n, int64_t now_ms)
 {
-  if (n->routes == NULL || n->stopping || !n->owners.has_list)
+  if (n->routes == NULL || n->stopping || !n->owners.has_list
+      || now_ms < n->started_ms + SETTLE_MS)
     return;
   for (guint i = 0; i < n->routes->services->len; i++)
     apply_to (n,
@@ -110,6 +118,7 @@
                  "generation=%" G_GINT64_FORMAT " parts=%u", m->generation,
                  m->parts->len);
       o->generation = m->generation;
+      o->changed_ms = now_ms;
       /* Acknowledge what has been taken away. */
       o->due_ms = now_ms;
     }
@@ -128,11 +137,54 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, host_destroy);
 }
 
+/* Give HOST's cell up, and keep what its next owner will ask for. */
+static void
+release (struct node *n, struct host *host)
+{
+  GPtrArray *records = host_release (host);
+
+  if (records != NULL)
+    g_hash_table_replace (n->owner.released, g_strdup (host->service),
+                          records);
+}
+
+/* Give one cell up if this node has many, and another member is to have it. */
+static void
+share_cells (struct node *n, int64_t now_ms)
+{
+  struct host *surplus = NULL;
+  guint active = 0;
+  GHashTableIter iter;
+  gpointer value;
+
+  if (n->routes == NULL || now_ms < n->owner.changed_ms + STABLE_MS)
+    return;
+  g_hash_table_iter_init (&iter, n->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct host *h = value;
+
+      if (h->phase != HOST_ACTIVE)
+        continue;
+      active++;
+      if (!has_part (n, part_of (n, h->service)))
+        surplus = h;
+    }
+  if (active <= CELLS_WANTED || surplus == NULL)
+    return;
+  event_log ("cell-shared", surplus->service, "cells=%u", active);
+  n->owner.changed_ms = now_ms;
+  release (n, surplus);
+  g_hash_table_remove (n->hosts, surplus->service);
+}
+
 void
 owner_tick (struct node *n, int64_t now_ms)
 {
   struct owner_state *o = &n->owner;
 
+  if (!o->left)
+    share_cells (n, now_ms);
   if (o->left || o->call_out || now_ms < o->due_ms)
     return;
   o->call_out = true;
@@ -162,12 +214,7 @@
   g_hash_table_iter_init (&iter, n->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
     {
-      GPtrArray *records = host_release (value);
-
-      if (records != NULL)
-        g_hash_table_insert (n->owner.released,
-                             g_strdup (((struct host *)value)->service),
-                             records);
+      release (n, value);
       g_hash_table_iter_remove (&iter);
     }
   store_leave (n->store, GROUP, n->address, on_left, n);
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -82,6 +82,7 @@
 struct owner_state
 {
   int64_t generation;
+  int64_t changed_ms; /* when the generation last did */
   int64_t due_ms;
   bool call_out;
   bool left;
@@ -95,6 +96,7 @@
   char *stream;
   char *key;
   char *value;
+  GPtrArray *orders; /* struct fleet_call *, to be sent then, or NULL */
 };
 
 struct fleet_state
@@ -105,7 +107,8 @@
   GHashTable *ordered;   /* machine to int64_t *: when this holder last did */
   int64_t retry_ms;
   struct upkeep *upkeep;
-  GQueue writes; /* struct fleet_write * */
+  GPtrArray *ready; /* struct fleet_call *, to be ordered */
+  GQueue writes;    /* struct fleet_write * */
   bool write_out;
   uint64_t sequences[2]; /* of the status and the upkeep stream */
   bool round_out;
@@ -153,6 +156,7 @@
   int64_t wall_offset_ms; /* Unix time less the steady clock */
   int64_t wall_other_ms;  /* another offset that may be the right one */
   int64_t wall_other_since_ms;
+  int64_t started_ms;
   int64_t ticked_ms;
   int64_t limits_version;
 };
@@ -228,12 +232,9 @@
 /* node_fleet.c */
 #define UPKEEP_STREAM "keyed.upkeep"
 /* Take the duty under EPOCH; RECORDS (struct journal_entry *) tell which
-   machines' upkeep has been begun, and YIELDED what fleet_handover of the
-   holder before told, or is NULL. */
+   machines' upkeep has been begun, and which machines were ordered lately. */
 void fleet_begin (struct node *n, uint64_t epoch, const GPtrArray *records,
-                  const GPtrArray *yielded, int64_t now_ms);
-/* Return which machines this holder has ordered lately, as entries. */
-GPtrArray *fleet_handover (struct node *n);
+                  int64_t now_ms);
 void fleet_end (struct node *n);
 void fleet_tick (struct node *n, int64_t now_ms);
 
--- a/tests/platform/whole_path.py
+++ b/tests/platform/whole_path.py
@@ -71,9 +71,8 @@
     while not condition():
         if time.monotonic() > until:
             print("gave up:", what)
-            return False
+            sys.exit(1)
         time.sleep(0.05)
-    return True
 
 
 def job(tasks, run_ms, steps=1):
--- a/tests/unit/test_cell.c
+++ b/tests/unit/test_cell.c
@@ -267,6 +267,27 @@
   world_destroy (w);
 }
 
+/* The word that a worker is gone may come late, to an owner that has given it
+   work since. */
+static void
+test_a_worker_with_work_is_not_taken_for_ended (void)
+{
+  struct world *w = world_new (17);
+  struct world_worker *k;
+
+  world_run (w, 500);
+  w->run_ms = 3000;
+  world_submit (w, world_job (w, JOB, 1, 1));
+  world_run (w, 300);
+  k = world_find_run (w, JOB ".0.0.0");
+  cell_worker_ended (w->cell, k->id, w->now_ms);
+  world_run (w, 6000);
+  g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
+  g_assert_cmpuint (w->starts, ==, 1);
+  assert_unbroken (w);
+  world_destroy (w);
+}
+
 /* A worker that starts again under its old ID holds nothing and counts its
    ends anew; none of them is passed over. */
 static void
@@ -349,6 +370,31 @@
   world_destroy (w);
 }
 
+/* A worker that was emptied to be ordered away stays empty over a handover. */
+static void
+test_an_emptied_worker_stays_so_over_a_handover (void)
+{
+  struct world *w = world_new (18);
+  bool is_empty = false;
+
+  world_run (w, 500);
+  for (int i = 0; i < 20 && !is_empty; i++)
+    {
+      is_empty = cell_release_worker (w->cell, "worker-0", w->now_ms);
+      world_run (w, 20);
+    }
+  g_assert_true (is_empty);
+  world_take_over (w, false, 0);
+  w->run_ms = 3000;
+  world_submit (w, world_job (w, JOB, 1, 60));
+  world_run (w, 1000);
+  g_assert_cmpuint (w->starts, >, 0);
+  g_assert_cmpuint (w->workers[0].runs->len, ==, 0);
+  world_run (w, 8000);
+  g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
+  world_destroy (w);
+}
+
 /* The owner before has ordered a stop that is not over yet: the next one does
    not take another task of the step away meanwhile. */
 static void
@@ -426,9 +472,13 @@
   g_test_add_func (
       "/cell/ended-worker",
       test_the_record_of_an_ended_worker_goes_without_other_appends);
+  g_test_add_func ("/cell/not-ended",
+                   test_a_worker_with_work_is_not_taken_for_ended);
   g_test_add_func ("/cell/born-again", test_a_worker_born_again_loses_no_end);
   g_test_add_func ("/cell/budget",
                    test_emptying_workers_keeps_the_availability_budget);
+  g_test_add_func ("/cell/stays-empty",
+                   test_an_emptied_worker_stays_so_over_a_handover);
   g_test_add_func ("/cell/stops-before",
                    test_a_new_owner_waits_for_stops_of_the_one_before);
   g_test_add_func ("/cell/silent-not-emptied",
