--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -814,8 +814,8 @@
   if (cell_unsettled_worker (c, now_ms) != NULL
       || now_ms <= c->taken_over_ms + c->options.stop_grace_ms + STOP_SPARE_MS)
     return false;
-  return !is_at_work (t) || s->may_miss == 0
-         || cell_step_missing (t) < s->may_miss;
+  /* Even if it was not at work when its worker reported last. */
+  return s->may_miss == 0 || cell_step_missing (t) < s->may_miss;
 }
 
 /* Other tasks are left to end for a while, unless nothing is lost. */
--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -397,7 +397,7 @@
 percent_of (const struct world *w, const struct world_run *r)
 {
   if (r->ends_ms - r->begun_ms > LASTING_MS)
-    return 100;
+    return w->now_ms >= r->begun_ms + w->startup_ms ? 100 : 0;
   return (uint32_t)((w->now_ms - r->begun_ms) * 100
                     / (r->ends_ms - r->begun_ms));
 }
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -68,6 +68,7 @@
   GHashTable *failures;   /* task to count of noted failed ends */
   uint32_t max_attempts;
   int64_t run_ms;      /* of a task */
+  int64_t startup_ms;  /* of a task that lasts, before it is at work */
   GHashTable *answers; /* token to enum cell_answer */
   GString *broken;     /* what rule was broken, one a line */
   uint32_t starts;
--- a/tests/unit/test_cell.c
+++ b/tests/unit/test_cell.c
@@ -370,6 +370,26 @@
   world_destroy (w);
 }
 
+/* Tasks may be at work since their last report said that they were not. */
+static void
+test_tasks_that_start_up_are_kept_within_the_budget (void)
+{
+  struct world *w = world_new (19);
+
+  world_run (w, 2000);
+  w->run_ms = 1000000;
+  w->startup_ms = 300;
+  world_submit (w, lasting_job (w, 4, 1));
+  while (count_running (w, 4) < 4)
+    world_run (w, 5);
+  world_run (w, 320);
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    cell_release_worker (w->cell, w->workers[i].id, w->now_ms);
+  world_run (w, 400);
+  g_assert_cmpuint (count_running (w, 4), >=, 3);
+  world_destroy (w);
+}
+
 /* A worker that was emptied to be ordered away stays empty over a handover. */
 static void
 test_an_emptied_worker_stays_so_over_a_handover (void)
@@ -477,6 +497,8 @@
   g_test_add_func ("/cell/born-again", test_a_worker_born_again_loses_no_end);
   g_test_add_func ("/cell/budget",
                    test_emptying_workers_keeps_the_availability_budget);
+  g_test_add_func ("/cell/starting-up",
+                   test_tasks_that_start_up_are_kept_within_the_budget);
   g_test_add_func ("/cell/stays-empty",
                    test_an_emptied_worker_stays_so_over_a_handover);
   g_test_add_func ("/cell/stops-before",
