Take a lasting task away only where it has another place

Change: it stays until another worker fits, and its pool asks for one machine more; the two large files of the cell and the host are split; an unused setting is gone; workers that do not admit get nothing beside unknown runs.

--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -12,6 +12,8 @@
 #define ADVICE_WORKERS 30
 /* A ticket is used no later than this before its end. */
 #define TICKET_SPARE_MS 300
+/* A pool is too small for so long after a task that lasts found no place. */
+#define SHORT_MS 1000
 #define UNSETTLED_NOTE_GAP_MS 1000
 /* An entry may be missing so long while the store comes back. */
 #define UNLISTED_GRACE_MS 2500
@@ -41,8 +43,11 @@
 }
 
 static bool
-takes_work (const struct cell_worker *w, int64_t now_ms)
+takes_work (const struct cell *c, const struct cell_worker *w, int64_t now_ms)
 {
+  /* What other runs take is not known; a worker that admits checks itself. */
+  if (!c->options.workers_admit && w->strangers > 0)
+    return false;
   return w->confirmed && w->may_start && !w->entry->draining
          && (w->listed || now_ms < w->unlisted_ms + UNLISTED_GRACE_MS)
          && now_ms >= w->blocked_ms && !w->leaving && w->clock_heard_ms != 0;
@@ -107,12 +112,12 @@
 }
 
 static bool
-may_run_on (const struct cell_task *t, const struct cell_worker *w,
-            int64_t now_ms)
+may_run_on (const struct cell *c, const struct cell_task *t,
+            const struct cell_worker *w, int64_t now_ms)
 {
   const struct job_step *s = cell_task_step (t);
 
-  if (!takes_work (w, now_ms)
+  if (!takes_work (c, w, now_ms)
       || (s->label[0] != '\0' && !worker_entry_has_label (w->entry, s->label)))
     return false;
   return s->per_worker == 0 || count_on_worker (w, t) < s->per_worker;
@@ -153,7 +158,7 @@
       int64_t cost;
 
       if ((rack != NULL && strcmp (w->entry->rack, rack) != 0)
-          || !has_room (w, cell_task_step (t)) || !may_run_on (t, w, now_ms)
+          || !has_room (w, cell_task_step (t)) || !may_run_on (c, t, w, now_ms)
           || !has_ticket (t, w, now_ms))
         continue;
       cost = cost_of (c, t, w, now_ms);
@@ -166,6 +171,15 @@
   return best;
 }
 
+bool
+cell_has_place (struct cell *c, const struct cell_task *t, int64_t now_ms)
+{
+  if (choose (c, t, NULL, now_ms) != NULL)
+    return true;
+  c->short_ms = now_ms;
+  return false;
+}
+
 static uint64_t
 next_run (const struct cell *c, uint32_t count)
 {
@@ -199,7 +213,7 @@
     {
       struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
 
-      if (may_run_on (t, w, now_ms) && now_ms >= w->shunned_ms
+      if (may_run_on (c, t, w, now_ms) && now_ms >= w->shunned_ms
           && (best == NULL
               || count_on_rack (c, w, t) < count_on_rack (c, best, t)))
         best = w;
@@ -241,7 +255,7 @@
     {
       struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
 
-      if (may_run_on (t, w, now_ms))
+      if (may_run_on (c, t, w, now_ms))
         g_ptr_array_add (order->u.advise.workers, g_strdup (w->entry->id));
     }
 }
@@ -374,6 +388,8 @@
           assign (c, t, w, next_run (c, ++t->runs), now_ms);
           continue;
         }
+      if (s->lasts)
+        c->short_ms = now_ms;
       if (s->lasts && !s->fills && now_ms > t->phase_ms + PREEMPT_AFTER_MS
           && now_ms >= t->paced_ms + PREEMPT_GAP_MS)
         {
@@ -487,5 +503,11 @@
     }
   for (guint i = 0; i < cell->open->len; i++)
     l->cpu_wanted_milli += cpu_wanted (g_ptr_array_index (cell->open, i));
+  /* Whatever the sum says, a task that lasts has found no place. */
+  if (cell->short_ms != 0 && cell->placed_ms < cell->short_ms + SHORT_MS)
+    l->cpu_wanted_milli
+        = MAX (l->cpu_wanted_milli + l->cpu_used_milli,
+               cell->worker_list->len * l->cpu_per_worker_milli)
+          - l->cpu_used_milli;
   return l;
 }
--- /dev/null
+++ b/src/cell_runs.c
@@ -0,0 +1,392 @@
+#include "cell_state.h"
+
+#include <string.h>
+
+/* The orders about runs: start, stop, pace, and emptying a worker. */
+
+/* Between two stops of the same run, and after an unanswered start. */
+#define STOP_RETRY_MS 400
+/* Added to the longest that a stop takes, for its way. */
+#define STOP_SPARE_MS 600
+/* Starts of one run without an answer before it is stopped instead. */
+#define START_TRIES 2
+/* A start that no room was left for blocks the worker so long. */
+#define NO_ROOM_PAUSE_MS 100
+/* A task without progress for so long on a sound lease is started anew. */
+#define STALLED_MS 2200
+/* Work on a worker that is to be emptied is left to end so long. */
+#define RELEASE_PATIENCE_MS 3500
+
+static void
+fill_run (struct cell_order *o, const struct cell_worker *w, char *task,
+          uint64_t run)
+{
+  o->u.run.worker = g_strdup (w->entry->id);
+  o->u.run.address = g_strdup (w->entry->address);
+  o->u.run.task = task;
+  o->u.run.run = run;
+}
+
+void
+cell_order_stop (struct cell *c, const struct cell_worker *w, const char *task,
+                 uint64_t run)
+{
+  fill_run (cell_add_order (c, ORDER_STOP), w, g_strdup (task), run);
+}
+
+static const char *
+ticket_for (const struct cell_task *t, const struct cell_worker *w)
+{
+  GHashTable *tickets = t->occurrence->tickets[t->step];
+  struct step_ticket *ticket;
+
+  if (tickets == NULL)
+    return "";
+  ticket = g_hash_table_lookup (tickets, w->entry->id);
+  return ticket != NULL ? ticket->ticket : "";
+}
+
+void
+cell_order_start (struct cell *c, struct cell_task *t, int64_t now_ms)
+{
+  struct cell_order *o = cell_add_order (c, ORDER_START);
+  struct cell_worker *w = t->worker;
+
+  fill_run (o, w, cell_task_name (t), t->run);
+  o->u.run.deadline_ms = cell_lease_deadline (w, now_ms);
+  o->u.run.payload = g_strdup (t->occurrence->job->spec->payload);
+  o->u.run.checkpoint = g_strdup (t->checkpoint != NULL ? t->checkpoint : "");
+  o->u.run.ticket = g_strdup (ticket_for (t, w));
+  t->call_out = true;
+  t->start_tries++;
+}
+
+static void
+send_stop (struct cell *c, struct cell_task *t, int64_t now_ms)
+{
+  char *name = cell_task_name (t);
+
+  cell_order_stop (c, t->worker, name, t->run);
+  g_free (name);
+  t->call_out = true;
+  t->retry_ms = now_ms + STOP_RETRY_MS;
+}
+
+void
+cell_stop_task (struct cell *c, struct cell_task *t, int64_t now_ms)
+{
+  if (t->worker == NULL || t->phase == TASK_STOPPING)
+    return;
+  cell_task_set_phase (t, TASK_STOPPING, now_ms);
+  t->stop_heard = false;
+  send_stop (c, t, now_ms);
+}
+
+static bool
+is_at_work (const struct cell_task *t)
+{
+  return t->phase == TASK_RUNNING && t->percent == 100 && t->worker != NULL
+         && t->worker->confirmed;
+}
+
+uint32_t
+cell_step_missing (const struct cell_task *t)
+{
+  const struct cell_occurrence *o = t->occurrence;
+  uint32_t missing = 0;
+
+  for (uint32_t i = 0; i < cell_task_step (t)->count; i++)
+    {
+      const struct cell_task *other = &o->tasks[o->first[t->step] + i];
+
+      if (other != t && !is_at_work (other))
+        missing++;
+    }
+  return missing;
+}
+
+static bool
+has_stalled (const struct cell_task *t, int64_t now_ms)
+{
+  const struct job_step *s = cell_task_step (t);
+
+  return t->phase == TASK_RUNNING && !s->lasts && !s->is_gang && !s->fills
+         && t->worker->confirmed
+         && now_ms > MAX (t->moved_ms, t->phase_ms) + STALLED_MS;
+}
+
+void
+cell_run_timers (struct cell *c, struct cell_worker *w, int64_t now_ms)
+{
+  for (guint i = 0; i < w->tasks->len; i++)
+    {
+      struct cell_task *t = g_ptr_array_index (w->tasks, i);
+
+      if (t->phase == TASK_STOPPING && !t->call_out && !t->stop_heard
+          && now_ms >= t->retry_ms)
+        send_stop (c, t, now_ms);
+      else if (has_stalled (t, now_ms))
+        {
+          char *name = cell_task_name (t);
+
+          cell_note (c, "task-stalled", name,
+                     "worker=%s percent=%u unmoved_ms=%" G_GINT64_FORMAT,
+                     w->entry->id, t->percent, now_ms - t->moved_ms);
+          g_free (name);
+          g_free (t->avoid_worker);
+          t->avoid_worker = g_strdup (w->entry->id);
+          w->shunned_ms = now_ms + CELL_SHUN_MS;
+          cell_stop_task (c, t, now_ms);
+        }
+    }
+}
+
+static void
+order_pace (struct cell *c, struct cell_task *t, uint32_t percent,
+            int64_t now_ms)
+{
+  struct cell_order *o = cell_add_order (c, ORDER_PACE);
+
+  fill_run (o, t->worker, cell_task_name (t), t->run);
+  o->u.run.percent = percent;
+  t->pace = percent;
+  t->paced_ms = now_ms;
+}
+
+/* The worst tail of the serving tasks on W, in percent of its target. */
+static int64_t
+worst_tail_percent (const struct cell_worker *w)
+{
+  int64_t worst = 0;
+
+  for (guint i = 0; i < w->tasks->len; i++)
+    {
+      const struct cell_task *t = g_ptr_array_index (w->tasks, i);
+      const struct job_step *s = cell_task_step (t);
+
+      if (s->tail_target_ms > 0 && t->phase == TASK_RUNNING)
+        worst = MAX (worst, t->figure * 100 / s->tail_target_ms);
+    }
+  return worst;
+}
+
+/* Hysteresis: fillers are slowed above one share of the target and sped up
+   only below a lower one. */
+#define TAIL_SLOW_PERCENT 85
+#define TAIL_FAST_PERCENT 60
+#define PACE_STEP_PERCENT 25
+#define PACE_GAP_MS 700
+#define PACE_RAISE_GAP_MS 1500
+
+void
+cell_pace_fillers (struct cell *c, struct cell_worker *w, int64_t now_ms)
+{
+  int64_t tail = worst_tail_percent (w);
+
+  for (guint i = 0; i < w->tasks->len; i++)
+    {
+      struct cell_task *t = g_ptr_array_index (w->tasks, i);
+
+      if (!cell_task_step (t)->fills || t->phase != TASK_RUNNING)
+        continue;
+      if (tail > TAIL_SLOW_PERCENT && t->pace > 0
+          && now_ms >= t->paced_ms + PACE_GAP_MS)
+        order_pace (c, t,
+                    tail > 100 || t->pace <= PACE_STEP_PERCENT
+                        ? 0
+                        : t->pace - PACE_STEP_PERCENT,
+                    now_ms);
+      else if (tail < TAIL_FAST_PERCENT && t->pace < 100
+               && now_ms >= t->paced_ms + PACE_RAISE_GAP_MS)
+        order_pace (c, t, MIN (t->pace + PACE_STEP_PERCENT, 100), now_ms);
+    }
+}
+
+/* Answers to starts and stops. */
+
+static struct cell_task *
+answered_task (struct cell *c, const char *worker, const char *task,
+               uint64_t run)
+{
+  struct cell_task *t = cell_find_task (c, task);
+
+  if (t == NULL || t->worker == NULL || t->run != run
+      || strcmp (t->worker->entry->id, worker) != 0)
+    return NULL;
+  t->call_out = false;
+  return t;
+}
+
+/* T has certainly not started, unless an earlier try of the same start was
+   only slow. */
+static void
+not_started (struct cell *c, struct cell_task *t, int64_t pause_ms,
+             int64_t now_ms)
+{
+  if (t->start_tries > 1)
+    {
+      cell_stop_task (c, t, now_ms);
+      return;
+    }
+  cell_task_free (c, t, now_ms);
+  t->retry_ms = now_ms + pause_ms;
+}
+
+static void
+start_unanswered (struct cell *c, struct cell_task *t, int64_t now_ms)
+{
+  if (t->phase != TASK_STARTING)
+    return;
+  if (t->start_tries < START_TRIES)
+    {
+      cell_order_start (c, t, now_ms);
+      return;
+    }
+  t->start_tries++;
+  cell_stop_task (c, t, now_ms);
+}
+
+static void
+hold_soon (struct cell_worker *w, int64_t now_ms)
+{
+  w->next_hold_ms = MIN (w->next_hold_ms, now_ms);
+}
+
+void
+cell_start_answered (struct cell *cell, const char *worker, const char *task,
+                     uint64_t run, enum run_answer answer, int64_t now_ms)
+{
+  struct cell_task *t = answered_task (cell, worker, task, run);
+  struct cell_worker *w;
+
+  if (answer == RUN_FENCED)
+    cell->fenced = true;
+  if (t == NULL)
+    return;
+  w = t->worker;
+  if (t->phase == TASK_STOPPING)
+    {
+      /* The stop went out while the start was on its way. */
+      t->retry_ms = t->stop_heard ? t->retry_ms : now_ms;
+      return;
+    }
+  switch (answer)
+    {
+    case RUN_ACCEPTED:
+    case RUN_OLD:
+      cell_task_set_phase (t, TASK_RUNNING, now_ms);
+      t->moved_ms = now_ms;
+      t->occurrence->job->started = true;
+      hold_soon (w, now_ms);
+      break;
+    case RUN_NO_ANSWER:
+    case RUN_FENCED:
+      start_unanswered (cell, t, now_ms);
+      break;
+    case RUN_LATE:
+      w->confirmed = false;
+      not_started (cell, t, 0, now_ms);
+      hold_soon (w, now_ms);
+      break;
+    case RUN_NO_ROOM:
+      w->blocked_ms = now_ms + NO_ROOM_PAUSE_MS;
+      not_started (cell, t, 0, now_ms);
+      break;
+    case RUN_NO_TICKET:
+      if (t->occurrence->tickets[t->step] != NULL)
+        g_hash_table_remove (t->occurrence->tickets[t->step], worker);
+      not_started (cell, t, 0, now_ms);
+      break;
+    case RUN_UNHEALTHY:
+      w->blocked_ms = now_ms + STOP_RETRY_MS;
+      not_started (cell, t, 0, now_ms);
+      break;
+    case RUN_GONE:
+      w->confirmed = false;
+      hold_soon (w, now_ms);
+      not_started (cell, t, 0, now_ms);
+      break;
+    }
+}
+
+void
+cell_stop_answered (struct cell *cell, const char *worker, const char *task,
+                    uint64_t run, enum run_answer answer, int64_t now_ms)
+{
+  struct cell_task *t;
+
+  if (answer == RUN_FENCED)
+    cell->fenced = true;
+  t = answered_task (cell, worker, task, run);
+  if (t == NULL || t->phase != TASK_STOPPING)
+    return;
+  if (answer == RUN_NO_ANSWER || answer == RUN_FENCED
+      || answer == RUN_UNHEALTHY)
+    {
+      t->retry_ms = now_ms + STOP_RETRY_MS;
+      return;
+    }
+  t->stop_heard = true;
+  t->phase_ms = now_ms;
+  hold_soon (t->worker, now_ms);
+}
+
+/* Emptying a worker. */
+
+/* A task that lasts goes only where it can be started anew at once, and when
+   what the owner before has stopped is no longer reported. */
+static bool
+may_take_lasting (struct cell *c, const struct cell_task *t, int64_t now_ms)
+{
+  const struct job_step *s = cell_task_step (t);
+
+  if (cell_unsettled_worker (c, now_ms) != NULL
+      || now_ms <= c->taken_over_ms + c->options.stop_grace_ms + STOP_SPARE_MS)
+    return false;
+  /* Even if it was not at work when its worker reported last. */
+  if (s->may_miss > 0 && cell_step_missing (t) >= s->may_miss)
+    return false;
+  return cell_has_place (c, t, now_ms);
+}
+
+/* Other tasks are left to end for a while, unless nothing is lost. */
+static bool
+may_take_other (const struct cell_worker *w, const struct cell_task *t,
+                int64_t now_ms)
+{
+  return now_ms >= w->leaving_since_ms + RELEASE_PATIENCE_MS
+         || (cell_task_step (t)->checkpoints && t->checkpoint != NULL);
+}
+
+static void
+release_task (struct cell *c, struct cell_worker *w, struct cell_task *t,
+              int64_t now_ms)
+{
+  if (t->phase != TASK_RUNNING || !w->confirmed)
+    return;
+  if (cell_task_step (t)->lasts ? may_take_lasting (c, t, now_ms)
+                                : may_take_other (w, t, now_ms))
+    cell_stop_task (c, t, now_ms);
+}
+
+bool
+cell_release_worker (struct cell *cell, const char *worker, int64_t now_ms)
+{
+  struct cell_worker *w = g_hash_table_lookup (cell->workers, worker);
+
+  if (w == NULL)
+    return true;
+  if (!w->leaving)
+    w->leaving_since_ms = now_ms;
+  w->leaving = true;
+  w->leaving_ms = now_ms + CELL_RELEASE_MS;
+  if (!w->leaving_saved)
+    {
+      cell_journal_worker (cell, w);
+      cell->urgent = true;
+    }
+  for (guint i = 0; i < w->tasks->len; i++)
+    release_task (cell, w, g_ptr_array_index (w->tasks, i), now_ms);
+  return w->tasks->len == 0 && w->leaving_saved
+         && (!w->inherited || now_ms > w->lease_over_ms);
+}
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -7,12 +7,15 @@
    cell.c          creation, time, orders
    cell_jobs.c     jobs, their tasks and how they end
    cell_workers.c  leases, and what workers report
+   cell_runs.c     orders about runs, and emptying a worker
    cell_place.c    which task starts where
    cell_journal.c  what is written before it is said. */
 
 /* A lease is extended to this; shorter frees the work of a dead worker
    sooner, longer bridges a change of owner.  Below hold_max_ms. */
 #define CELL_LEASE_MS 4000
+/* A suspect worker is used only if no other fits, for so long. */
+#define CELL_SHUN_MS 2500
 /* Runs that one epoch may give a task before the numbers of the next. */
 #define CELL_RUNS_PER_EPOCH 4096
 
@@ -114,6 +117,8 @@
   bool leaving_saved; /* the journal says so: the next owner knows */
   int64_t leaving_ms; /* not longer than until then */
   int64_t leaving_since_ms;
+  int64_t lease_ms;       /* given with each hold and start */
+  uint32_t strangers;     /* runs last reported that are not the cell's */
   uint32_t failed_streak; /* ends "failed" since one was done */
   int64_t shunned_ms;     /* used only if no other fits, until then */
   GPtrArray *tasks;       /* struct cell_task *, with a run here */
@@ -164,6 +169,7 @@
   int64_t placed_ms;
   bool is_settled; /* every worker of an earlier owner has answered */
   int64_t unsettled_noted_ms;
+  int64_t short_ms; /* when a task that lasts last found no place */
   bool may_start;
   int64_t wall_ms;
   GPtrArray *changed_jobs; /* for the next append */
@@ -214,6 +220,15 @@
    told what it runs; NULL if there is none. */
 const struct cell_worker *cell_unsettled_worker (const struct cell *c,
                                                  int64_t now_ms);
+/* Return the deadline of a lease given now, and note when it is surely over.
+ */
+int64_t cell_lease_deadline (struct cell_worker *w, int64_t now_ms);
+
+/* cell_runs.c */
+/* Repeat stops, and start stalled tasks anew. */
+void cell_run_timers (struct cell *c, struct cell_worker *w, int64_t now_ms);
+/* Slow tasks that fill beside serving ones whose tail grows. */
+void cell_pace_fillers (struct cell *c, struct cell_worker *w, int64_t now_ms);
 void cell_stop_task (struct cell *c, struct cell_task *t, int64_t now_ms);
 void cell_order_stop (struct cell *c, const struct cell_worker *w,
                       const char *task, uint64_t run);
@@ -223,6 +238,9 @@
 
 /* cell_place.c */
 void cell_place (struct cell *c, int64_t now_ms);
+/* Return whether T could be started on a worker now; note it if not. */
+bool cell_has_place (struct cell *c, const struct cell_task *t,
+                     int64_t now_ms);
 
 /* cell_journal.c */
 void cell_journal_job (struct cell *c, struct cell_job *job, bool urgent);
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -2,6 +2,8 @@
 
 #include <string.h>
 
+/* What is known of workers: how they are listed, leases, and reports. */
+
 /* A hold waits so long for an end, and so renews the lease every second. */
 #define HOLD_WAIT_MS 1000
 /* Between two holds of a worker with work, so that ends come in batches. */
@@ -12,21 +14,8 @@
 #define UNSAVED_HOLD_GAP_MS 150
 /* After a hold that was not answered. */
 #define RETRY_HOLD_MS 250
-/* Between two stops of the same run, and after an unanswered start. */
-#define STOP_RETRY_MS 400
-/* Added to the longest that a stop takes, for its way. */
-#define STOP_SPARE_MS 600
-/* Starts of one run without an answer before it is stopped instead. */
-#define START_TRIES 2
-/* A start that no room was left for blocks the worker so long. */
-#define NO_ROOM_PAUSE_MS 100
-/* Failed ends in a row that make a worker suspect, and for how long. */
+/* Failed ends in a row that make a worker suspect. */
 #define FAILED_STREAK 3
-#define SHUN_MS 2500
-/* A task without progress for so long on a sound lease is started anew. */
-#define STALLED_MS 2200
-/* Work on a worker that is to be emptied is left to end so long. */
-#define RELEASE_PATIENCE_MS 3500
 /* A clock of a worker may be so slow, in thousandths. */
 #define SLOW_CLOCK_PERMILLE 25
 /* Added to the end of a lease for the way of a call. */
@@ -53,6 +42,7 @@
 
   w->entry = worker_entry_new (id);
   w->tasks = g_ptr_array_new ();
+  w->lease_ms = MIN (CELL_LEASE_MS, c->options.hold_max_ms);
   w->lease_over_ms = c->taken_over_ms + c->options.foreign_lease_ms;
   g_hash_table_insert (c->workers, w->entry->id, w);
   g_ptr_array_add (c->worker_list, w);
@@ -182,104 +172,16 @@
 
 /* Return the deadline of a lease given now, and note when it is surely over.
  */
-static int64_t
-lease_deadline (struct cell_worker *w, int64_t now_ms)
+int64_t
+cell_lease_deadline (struct cell_worker *w, int64_t now_ms)
 {
   int64_t unheard_ms = now_ms - w->clock_heard_ms;
-  int64_t longest_ms = CELL_LEASE_MS + unheard_ms;
-  int64_t over_ms = now_ms + CELL_LEASE_MS
+  int64_t longest_ms = w->lease_ms + unheard_ms;
+  int64_t over_ms = now_ms + w->lease_ms
                     + longest_ms * SLOW_CLOCK_PERMILLE / 1000 + LEASE_SLACK_MS;
 
   w->lease_over_ms = MAX (w->lease_over_ms, over_ms);
-  return worker_clock (w, now_ms) + CELL_LEASE_MS;
-}
-
-static void
-fill_run (struct cell_order *o, const struct cell_worker *w, char *task,
-          uint64_t run)
-{
-  o->u.run.worker = g_strdup (w->entry->id);
-  o->u.run.address = g_strdup (w->entry->address);
-  o->u.run.task = task;
-  o->u.run.run = run;
-}
-
-void
-cell_order_stop (struct cell *c, const struct cell_worker *w, const char *task,
-                 uint64_t run)
-{
-  fill_run (cell_add_order (c, ORDER_STOP), w, g_strdup (task), run);
-}
-
-static const char *
-ticket_for (const struct cell_task *t, const struct cell_worker *w)
-{
-  GHashTable *tickets = t->occurrence->tickets[t->step];
-  struct step_ticket *ticket;
-
-  if (tickets == NULL)
-    return "";
-  ticket = g_hash_table_lookup (tickets, w->entry->id);
-  return ticket != NULL ? ticket->ticket : "";
-}
-
-void
-cell_order_start (struct cell *c, struct cell_task *t, int64_t now_ms)
-{
-  struct cell_order *o = cell_add_order (c, ORDER_START);
-  struct cell_worker *w = t->worker;
-
-  fill_run (o, w, cell_task_name (t), t->run);
-  o->u.run.deadline_ms = lease_deadline (w, now_ms);
-  o->u.run.payload = g_strdup (t->occurrence->job->spec->payload);
-  o->u.run.checkpoint = g_strdup (t->checkpoint != NULL ? t->checkpoint : "");
-  o->u.run.ticket = g_strdup (ticket_for (t, w));
-  t->call_out = true;
-  t->start_tries++;
-}
-
-static void
-send_stop (struct cell *c, struct cell_task *t, int64_t now_ms)
-{
-  char *name = cell_task_name (t);
-
-  cell_order_stop (c, t->worker, name, t->run);
-  g_free (name);
-  t->call_out = true;
-  t->retry_ms = now_ms + STOP_RETRY_MS;
-}
-
-void
-cell_stop_task (struct cell *c, struct cell_task *t, int64_t now_ms)
-{
-  if (t->worker == NULL || t->phase == TASK_STOPPING)
-    return;
-  cell_task_set_phase (t, TASK_STOPPING, now_ms);
-  t->stop_heard = false;
-  send_stop (c, t, now_ms);
-}
-
-static bool
-is_at_work (const struct cell_task *t)
-{
-  return t->phase == TASK_RUNNING && t->percent == 100 && t->worker != NULL
-         && t->worker->confirmed;
-}
-
-uint32_t
-cell_step_missing (const struct cell_task *t)
-{
-  const struct cell_occurrence *o = t->occurrence;
-  uint32_t missing = 0;
-
-  for (uint32_t i = 0; i < cell_task_step (t)->count; i++)
-    {
-      const struct cell_task *other = &o->tasks[o->first[t->step] + i];
-
-      if (other != t && !is_at_work (other))
-        missing++;
-    }
-  return missing;
+  return worker_clock (w, now_ms) + w->lease_ms;
 }
 
 /* Holds. */
@@ -293,7 +195,7 @@
   o->u.hold.worker = g_strdup (w->entry->id);
   o->u.hold.address = g_strdup (w->entry->address);
   if (w->clock_heard_ms != 0 && w->confirmed && has_work)
-    o->u.hold.deadline_ms = lease_deadline (w, now_ms);
+    o->u.hold.deadline_ms = cell_lease_deadline (w, now_ms);
   /* A life that has not been confirmed may count its ends anew. */
   o->u.hold.last_seen = w->confirmed ? w->last_seen : 0;
   if (w->confirmed && has_work && w->ends_taken == w->last_seen)
@@ -301,42 +203,6 @@
   w->hold_out = true;
 }
 
-static bool
-has_stalled (const struct cell_task *t, int64_t now_ms)
-{
-  const struct job_step *s = cell_task_step (t);
-
-  return t->phase == TASK_RUNNING && !s->lasts && !s->is_gang && !s->fills
-         && t->worker->confirmed
-         && now_ms > MAX (t->moved_ms, t->phase_ms) + STALLED_MS;
-}
-
-static void
-run_task_timers (struct cell *c, struct cell_worker *w, int64_t now_ms)
-{
-  for (guint i = 0; i < w->tasks->len; i++)
-    {
-      struct cell_task *t = g_ptr_array_index (w->tasks, i);
-
-      if (t->phase == TASK_STOPPING && !t->call_out && !t->stop_heard
-          && now_ms >= t->retry_ms)
-        send_stop (c, t, now_ms);
-      else if (has_stalled (t, now_ms))
-        {
-          char *name = cell_task_name (t);
-
-          cell_note (c, "task-stalled", name,
-                     "worker=%s percent=%u unmoved_ms=%" G_GINT64_FORMAT,
-                     w->entry->id, t->percent, now_ms - t->moved_ms);
-          g_free (name);
-          g_free (t->avoid_worker);
-          t->avoid_worker = g_strdup (w->entry->id);
-          w->shunned_ms = now_ms + SHUN_MS;
-          cell_stop_task (c, t, now_ms);
-        }
-    }
-}
-
 static void
 forget_worker (struct cell *c, struct cell_worker *w)
 {
@@ -371,7 +237,7 @@
       w->leaving = false;
       w->leaving_saved = false;
     }
-  run_task_timers (c, w, now_ms);
+  cell_run_timers (c, w, now_ms);
   if (!w->hold_out && now_ms >= w->next_hold_ms
       && w->entry->address[0] != '\0')
     send_hold (c, w, now_ms);
@@ -443,6 +309,7 @@
                  "worker=%s run=%" G_GUINT64_FORMAT " outcome=stop",
                  w->entry->id, r->run);
       cell_order_stop (c, w, r->task, r->run);
+      w->strangers++;
       return;
     }
   t->is_known = true;
@@ -472,8 +339,9 @@
     {
       if (now_ms >= w->shunned_ms)
         cell_note (c, "worker-shunned", w->entry->id,
-                   "failed_in_a_row=%u for_ms=%d", w->failed_streak, SHUN_MS);
-      w->shunned_ms = now_ms + SHUN_MS;
+                   "failed_in_a_row=%u for_ms=%d", w->failed_streak,
+                   CELL_SHUN_MS);
+      w->shunned_ms = now_ms + CELL_SHUN_MS;
     }
   if (e->how == END_DONE)
     w->failed_streak = 0;
@@ -527,67 +395,6 @@
     }
 }
 
-static void
-order_pace (struct cell *c, struct cell_task *t, uint32_t percent,
-            int64_t now_ms)
-{
-  struct cell_order *o = cell_add_order (c, ORDER_PACE);
-
-  fill_run (o, t->worker, cell_task_name (t), t->run);
-  o->u.run.percent = percent;
-  t->pace = percent;
-  t->paced_ms = now_ms;
-}
-
-/* The worst tail of the serving tasks on W, in percent of its target. */
-static int64_t
-worst_tail_percent (const struct cell_worker *w)
-{
-  int64_t worst = 0;
-
-  for (guint i = 0; i < w->tasks->len; i++)
-    {
-      const struct cell_task *t = g_ptr_array_index (w->tasks, i);
-      const struct job_step *s = cell_task_step (t);
-
-      if (s->tail_target_ms > 0 && t->phase == TASK_RUNNING)
-        worst = MAX (worst, t->figure * 100 / s->tail_target_ms);
-    }
-  return worst;
-}
-
-/* Hysteresis: fillers are slowed above one share of the target and sped up
-   only below a lower one. */
-#define TAIL_SLOW_PERCENT 85
-#define TAIL_FAST_PERCENT 60
-#define PACE_STEP_PERCENT 25
-#define PACE_GAP_MS 700
-#define PACE_RAISE_GAP_MS 1500
-
-static void
-pace_fillers (struct cell *c, struct cell_worker *w, int64_t now_ms)
-{
-  int64_t tail = worst_tail_percent (w);
-
-  for (guint i = 0; i < w->tasks->len; i++)
-    {
-      struct cell_task *t = g_ptr_array_index (w->tasks, i);
-
-      if (!cell_task_step (t)->fills || t->phase != TASK_RUNNING)
-        continue;
-      if (tail > TAIL_SLOW_PERCENT && t->pace > 0
-          && now_ms >= t->paced_ms + PACE_GAP_MS)
-        order_pace (c, t,
-                    tail > 100 || t->pace <= PACE_STEP_PERCENT
-                        ? 0
-                        : t->pace - PACE_STEP_PERCENT,
-                    now_ms);
-      else if (tail < TAIL_FAST_PERCENT && t->pace < 100
-               && now_ms >= t->paced_ms + PACE_RAISE_GAP_MS)
-        order_pace (c, t, MIN (t->pace + PACE_STEP_PERCENT, 100), now_ms);
-    }
-}
-
 static void
 take_report (struct cell *c, struct cell_worker *w,
              const struct worker_report *report, int64_t sent_ms,
@@ -615,12 +422,13 @@
       if (e->number > w->ends_taken)
         note_end (c, w, e, now_ms);
     }
+  w->strangers = 0;
   for (guint i = 0; i < report->runs->len; i++)
     note_run (c, w, &g_array_index (report->runs, struct worker_run, i),
               now_ms);
   free_unreported (c, w, report, sent_ms, now_ms);
   w->inherited = false;
-  pace_fillers (c, w, now_ms);
+  cell_pace_fillers (c, w, now_ms);
   if (w->ends_taken != before || (!w->may_start && w->listed))
     cell_journal_worker (c, w);
   c->urgent = c->urgent || (!w->may_start && w->listed);
@@ -672,172 +480,6 @@
     w->next_hold_ms = now_ms + IDLE_HOLD_GAP_MS;
 }
 
-/* Answers to starts and stops. */
-
-static struct cell_task *
-answered_task (struct cell *c, const char *worker, const char *task,
-               uint64_t run)
-{
-  struct cell_task *t = cell_find_task (c, task);
-
-  if (t == NULL || t->worker == NULL || t->run != run
-      || strcmp (t->worker->entry->id, worker) != 0)
-    return NULL;
-  t->call_out = false;
-  return t;
-}
-
-/* T has certainly not started, unless an earlier try of the same start was
-   only slow. */
-static void
-not_started (struct cell *c, struct cell_task *t, int64_t pause_ms,
-             int64_t now_ms)
-{
-  if (t->start_tries > 1)
-    {
-      cell_stop_task (c, t, now_ms);
-      return;
-    }
-  cell_task_free (c, t, now_ms);
-  t->retry_ms = now_ms + pause_ms;
-}
-
-static void
-start_unanswered (struct cell *c, struct cell_task *t, int64_t now_ms)
-{
-  if (t->phase != TASK_STARTING)
-    return;
-  if (t->start_tries < START_TRIES)
-    {
-      cell_order_start (c, t, now_ms);
-      return;
-    }
-  t->start_tries++;
-  cell_stop_task (c, t, now_ms);
-}
-
-static void
-hold_soon (struct cell_worker *w, int64_t now_ms)
-{
-  w->next_hold_ms = MIN (w->next_hold_ms, now_ms);
-}
-
-void
-cell_start_answered (struct cell *cell, const char *worker, const char *task,
-                     uint64_t run, enum run_answer answer, int64_t now_ms)
-{
-  struct cell_task *t = answered_task (cell, worker, task, run);
-  struct cell_worker *w;
-
-  if (answer == RUN_FENCED)
-    cell->fenced = true;
-  if (t == NULL)
-    return;
-  w = t->worker;
-  if (t->phase == TASK_STOPPING)
-    {
-      /* The stop went out while the start was on its way. */
-      t->retry_ms = t->stop_heard ? t->retry_ms : now_ms;
-      return;
-    }
-  switch (answer)
-    {
-    case RUN_ACCEPTED:
-    case RUN_OLD:
-      cell_task_set_phase (t, TASK_RUNNING, now_ms);
-      t->moved_ms = now_ms;
-      t->occurrence->job->started = true;
-      hold_soon (w, now_ms);
-      break;
-    case RUN_NO_ANSWER:
-    case RUN_FENCED:
-      start_unanswered (cell, t, now_ms);
-      break;
-    case RUN_LATE:
-      w->confirmed = false;
-      not_started (cell, t, 0, now_ms);
-      hold_soon (w, now_ms);
-      break;
-    case RUN_NO_ROOM:
-      w->blocked_ms = now_ms + NO_ROOM_PAUSE_MS;
-      not_started (cell, t, 0, now_ms);
-      break;
-    case RUN_NO_TICKET:
-      if (t->occurrence->tickets[t->step] != NULL)
-        g_hash_table_remove (t->occurrence->tickets[t->step], worker);
-      not_started (cell, t, 0, now_ms);
-      break;
-    case RUN_UNHEALTHY:
-      w->blocked_ms = now_ms + STOP_RETRY_MS;
-      not_started (cell, t, 0, now_ms);
-      break;
-    case RUN_GONE:
-      w->confirmed = false;
-      hold_soon (w, now_ms);
-      not_started (cell, t, 0, now_ms);
-      break;
-    }
-}
-
-void
-cell_stop_answered (struct cell *cell, const char *worker, const char *task,
-                    uint64_t run, enum run_answer answer, int64_t now_ms)
-{
-  struct cell_task *t;
-
-  if (answer == RUN_FENCED)
-    cell->fenced = true;
-  t = answered_task (cell, worker, task, run);
-  if (t == NULL || t->phase != TASK_STOPPING)
-    return;
-  if (answer == RUN_NO_ANSWER || answer == RUN_FENCED
-      || answer == RUN_UNHEALTHY)
-    {
-      t->retry_ms = now_ms + STOP_RETRY_MS;
-      return;
-    }
-  t->stop_heard = true;
-  t->phase_ms = now_ms;
-  hold_soon (t->worker, now_ms);
-}
-
-/* Emptying a worker. */
-
-/* A task that lasts goes only where it can be started anew at once, and when
-   what the owner before has stopped is no longer reported. */
-static bool
-may_take_lasting (const struct cell *c, const struct cell_task *t,
-                  int64_t now_ms)
-{
-  const struct job_step *s = cell_task_step (t);
-
-  if (cell_unsettled_worker (c, now_ms) != NULL
-      || now_ms <= c->taken_over_ms + c->options.stop_grace_ms + STOP_SPARE_MS)
-    return false;
-  /* Even if it was not at work when its worker reported last. */
-  return s->may_miss == 0 || cell_step_missing (t) < s->may_miss;
-}
-
-/* Other tasks are left to end for a while, unless nothing is lost. */
-static bool
-may_take_other (const struct cell_worker *w, const struct cell_task *t,
-                int64_t now_ms)
-{
-  return now_ms >= w->leaving_since_ms + RELEASE_PATIENCE_MS
-         || (cell_task_step (t)->checkpoints && t->checkpoint != NULL);
-}
-
-static void
-release_task (struct cell *c, struct cell_worker *w, struct cell_task *t,
-              int64_t now_ms)
-{
-  if (t->phase != TASK_RUNNING || !w->confirmed)
-    return;
-  if (cell_task_step (t)->lasts ? may_take_lasting (c, t, now_ms)
-                                : may_take_other (w, t, now_ms))
-    cell_stop_task (c, t, now_ms);
-}
-
 GPtrArray *
 cell_yield (struct cell *cell)
 {
@@ -854,25 +496,3 @@
   cell->fenced = true;
   return records;
 }
-
-bool
-cell_release_worker (struct cell *cell, const char *worker, int64_t now_ms)
-{
-  struct cell_worker *w = g_hash_table_lookup (cell->workers, worker);
-
-  if (w == NULL)
-    return true;
-  if (!w->leaving)
-    w->leaving_since_ms = now_ms;
-  w->leaving = true;
-  w->leaving_ms = now_ms + CELL_RELEASE_MS;
-  if (!w->leaving_saved)
-    {
-      cell_journal_worker (cell, w);
-      cell->urgent = true;
-    }
-  for (guint i = 0; i < w->tasks->len; i++)
-    release_task (cell, w, g_ptr_array_index (w->tasks, i), now_ms);
-  return w->tasks->len == 0 && w->leaving_saved
-         && (!w->inherited || now_ms > w->lease_over_ms);
-}
--- a/src/node.c
+++ b/src/node.c
@@ -181,7 +181,6 @@
   n->settings->stop_ms = s->stop_ms;
   n->settings->keep_state_ms = s->keep_state_ms;
   n->settings->upkeep_ms = s->upkeep_ms;
-  n->settings->move_ms = s->move_ms;
   node_settings_destroy (s);
   event_log ("reload", n->settings_file, "outcome=taken");
 }
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -29,7 +29,6 @@
   int64_t keep_state_ms;   /* an ended job's state is kept */
   int64_t holder_lease_ms; /* between orders of two holders for a machine */
   int64_t upkeep_ms;       /* a machine is down for upkeep */
-  int64_t move_ms;         /* a machine is down for a move */
 };
 
 /* Read the settings at ROOT.  Return NULL with ERROR set if any is wrong. */
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -18,7 +18,8 @@
    node.c            start, stop, time
    node_directory.c  configuration, workers and waves, followed in the store
    node_owner.c      which cells this node owns
-   node_host.c       takeover of a cell, and its orders carried out
+   node_host.c       a cell's orders carried out, and what it is asked
+   node_takeover.c   how a cell changes hands
    node_front.c      callers' asks, here or at the owner's node
    node_peers.c      the other nodes' asks
    node_fleet.c      maintenance waves. */
--- a/tests/platform/whole_path.py
+++ b/tests/platform/whole_path.py
@@ -37,7 +37,7 @@
                 "stream_parts": 16, "member_ttl_min_ms": 1000, "stop_s": 6,
                 "worker_lease_max_ms": 6000, "stop_grace_ms": 900,
                 "early_ms": 250, "keep_state_s": 120,
-                "holder_lease_ms": 3000, "upkeep_s": 2, "move_s": 1.5}, f)
+                "holder_lease_ms": 3000, "upkeep_s": 2}, f)
         self.log = open(os.path.join(folder, "node-%d.log" % number), "ab")
         self.start()
 
--- a/tests/unit/test_cell.c
+++ b/tests/unit/test_cell.c
@@ -288,6 +288,41 @@
   world_destroy (w);
 }
 
+/* A gang runs as a whole: all its tasks in one go, under one number. */
+static void
+test_a_gang_starts_as_a_whole (void)
+{
+  struct world *w = world_new (20);
+  struct job_spec *spec = world_job (w, JOB, 1, 3);
+  struct job_step *s = g_ptr_array_index (spec->steps, 0);
+  uint64_t run = 0;
+
+  s->is_gang = true;
+  s->cpu_milli = 15000;
+  w->run_ms = 4000;
+  world_run (w, 500);
+  for (int i = 0; i < 4; i++)
+    cell_worker_unlisted (w->cell, w->workers[i].id, w->now_ms - 60000);
+  world_submit (w, spec);
+  world_run (w, 500);
+  g_assert_cmpuint (w->starts, ==, 0); /* room for two only */
+  for (int i = 0; i < 4; i++)
+    world_crash (w, &w->workers[i], true);
+  world_run (w, 500);
+  g_assert_cmpuint (w->starts, ==, 3);
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    for (guint k = 0; k < w->workers[i].runs->len; k++)
+      {
+        const struct world_run *r = g_ptr_array_index (w->workers[i].runs, k);
+
+        g_assert_true (run == 0 || r->run == run);
+        run = r->run;
+      }
+  world_run (w, 8000);
+  g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
+  world_destroy (w);
+}
+
 /* A worker that starts again under its old ID holds nothing and counts its
    ends anew; none of them is passed over. */
 static void
@@ -390,6 +425,28 @@
   world_destroy (w);
 }
 
+/* A task that lasts and fits nowhere else stays; its pool asks for room. */
+static void
+test_a_task_without_another_place_stays (void)
+{
+  struct world *w = world_new (21);
+  struct pool_load *load;
+
+  world_run (w, 2000);
+  w->run_ms = 1000000;
+  world_submit (w, lasting_job (w, WORLD_WORKERS, 1));
+  world_run (w, 1500);
+  g_assert_cmpuint (count_running (w, WORLD_WORKERS), ==, WORLD_WORKERS);
+  g_assert_false (cell_release_worker (w->cell, "worker-0", w->now_ms));
+  world_run (w, 600);
+  g_assert_cmpuint (count_running (w, WORLD_WORKERS), ==, WORLD_WORKERS);
+  load = cell_get_load (w->cell);
+  g_assert_cmpuint (load->cpu_used_milli + load->cpu_wanted_milli, >=,
+                    WORLD_WORKERS * load->cpu_per_worker_milli);
+  pool_load_destroy (load);
+  world_destroy (w);
+}
+
 /* A worker that was emptied to be ordered away stays empty over a handover. */
 static void
 test_an_emptied_worker_stays_so_over_a_handover (void)
@@ -494,11 +551,14 @@
       test_the_record_of_an_ended_worker_goes_without_other_appends);
   g_test_add_func ("/cell/not-ended",
                    test_a_worker_with_work_is_not_taken_for_ended);
+  g_test_add_func ("/cell/gang", test_a_gang_starts_as_a_whole);
   g_test_add_func ("/cell/born-again", test_a_worker_born_again_loses_no_end);
   g_test_add_func ("/cell/budget",
                    test_emptying_workers_keeps_the_availability_budget);
   g_test_add_func ("/cell/starting-up",
                    test_tasks_that_start_up_are_kept_within_the_budget);
+  g_test_add_func ("/cell/no-other-place",
+                   test_a_task_without_another_place_stays);
   g_test_add_func ("/cell/stays-empty",
                    test_an_emptied_worker_stays_so_over_a_handover);
   g_test_add_func ("/cell/stops-before",
