Remove a counter that nothing counted and a function that only called another

Cause: jobs_ended stood at 0 on every node, as ends are counted nowhere, and host_tick did what host_run does. Found in the last read of the change.

Behaviour is otherwise unchanged; test_cell, test_node_peers and the whole path pass.

--- a/src/meters.c
+++ b/src/meters.c
@@ -6,7 +6,6 @@
   [METER_JOBS_REFUSED_OWNER] = "jobs_refused{reason=\"no-owner\"}",
   [METER_JOBS_UNCLEAR] = "jobs_unclear",
   [METER_JOBS_CANCELLED] = "jobs_cancelled",
-  [METER_JOBS_ENDED] = "jobs_ended",
   [METER_REQUESTS_INVALID] = "requests_invalid",
   [METER_REQUESTS_NO_QUEUE] = "requests_no_queue",
   [METER_STARTS] = "starts",
--- a/src/node.c
+++ b/src/node.c
@@ -141,7 +141,7 @@
   owner_tick (n, now_ms);
   g_hash_table_iter_init (&iter, n->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    host_tick (value, now_ms);
+    host_run (value, now_ms);
   front_tick (n->front, now_ms);
   if (n->routes != NULL && n->routes->version != n->limits_version)
     {
--- a/src/node_host.c
+++ b/src/node_host.c
@@ -419,12 +419,6 @@
     host_lose (host, now_ms);
 }
 
-void
-host_tick (struct host *host, int64_t now_ms)
-{
-  host_run (host, now_ms);
-}
-
 /* Asks. */
 
 static void
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -194,7 +194,6 @@
 /* node_host.c */
 struct host *host_new (struct node *n, const char *service, int64_t now_ms);
 void host_destroy (gpointer host);
-void host_tick (struct host *host, int64_t now_ms);
 void host_run (struct host *host, int64_t now_ms);
 /* Ask a cell that is active here; DONE is called once. */
 void host_ask (struct host *host, const struct front_ask *ask, front_done done,
