Let nodes with processor to spare own the cells

Cause: on the grown deployments 27 of 35 nodes have 0.12 of a core and the store's group gives every member the same number of parts, so most cells were owned by a node that can order some 400 tasks a second; a service's burst asks for some 1,300. Its callers met 504 and 503 and a job's tasks stayed unplaced.

Change: a node with less than 0.2 cores joins a second group, the reserve. It follows an owner only when nobody else has for 3.5 s, and a larger node that watches a cell owned by the reserve asks it to yield.

--- a/src/node_owner.c
+++ b/src/node_owner.c
@@ -11,6 +11,14 @@
    which fences the one before. */
 
 #define GROUP "burdockshed"
+#define RESERVE_GROUP "burdockshed-reserve"
+/* Cores that the owner of a busy cell needs: one of 60 workers starts some
+   1300 tasks a second in its burst, at 0.3 ms each.  A node with less is in
+   the reserve: it owns a cell only while no other does. */
+#define OWNER_SHARE_MIN 0.2
+/* The reserve leaves others so long to follow an owner: twice the time after
+   which they do. */
+#define RESERVE_PATIENCE_MS 3500
 #define GROUP_STREAM "cells"
 /* A member that is silent for so long loses its parts. */
 #define MEMBER_TTL_MS 1600
@@ -25,6 +33,24 @@
 #define CELLS_WANTED 2
 #define STABLE_MS 3000
 
+bool
+owner_is_reserve (const struct node *n)
+{
+  return n->settings->processor_share < OWNER_SHARE_MIN;
+}
+
+bool
+owner_may_follow (const struct node *n, int64_t unheard_ms)
+{
+  return !owner_is_reserve (n) || unheard_ms > RESERVE_PATIENCE_MS;
+}
+
+static const char *
+group_of (const struct node *n)
+{
+  return owner_is_reserve (n) ? RESERVE_GROUP : GROUP;
+}
+
 /* Return the part that the cell of SERVICE belongs to, or -1.  Neighbouring
    cells are kept apart, as parts are given out in runs. */
 static int64_t
@@ -188,7 +214,7 @@
   if (o->left || o->call_out || now_ms < o->due_ms)
     return;
   o->call_out = true;
-  store_join (n->store, GROUP, n->address, GROUP_STREAM,
+  store_join (n->store, group_of (n), n->address, GROUP_STREAM,
               MAX (MEMBER_TTL_MS, n->settings->member_ttl_min_ms),
               o->generation, on_joined, n);
 }
@@ -217,7 +243,7 @@
       release (n, value);
       g_hash_table_iter_remove (&iter);
     }
-  store_leave (n->store, GROUP, n->address, on_left, n);
+  store_leave (n->store, group_of (n), n->address, on_left, n);
 }
 
 void
--- a/src/node_peers.c
+++ b/src/node_peers.c
@@ -269,14 +269,16 @@
     evhttp_send_reply (request, STATUS_NOT_OWNER, "not the owner", NULL);
 }
 
-/* Tell how long ago the owner was confirmed to be it. */
+/* Tell how long ago the owner was confirmed to be it, and whether it is of the
+   reserve. */
 static void
 serve_probe (const struct host *h, struct evhttp_request *request)
 {
   struct evbuffer *body = evbuffer_new ();
 
-  evbuffer_add_printf (body, "%" G_GINT64_FORMAT,
-                       node_now_ms () - h->confirmed_ms);
+  evbuffer_add_printf (body, "%" G_GINT64_FORMAT " %d",
+                       node_now_ms () - h->confirmed_ms,
+                       owner_is_reserve (h->node));
   evhttp_send_reply (request, 200, "owner", body);
   evbuffer_free (body);
 }
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -185,6 +185,11 @@
 void owner_apply (struct node *n, int64_t now_ms);
 /* Return the address of the service's owner, or NULL if it is not known. */
 const char *owner_address (const struct node *n, const char *service);
+/* Whether this node is too small to own a cell while another can. */
+bool owner_is_reserve (const struct node *n);
+/* Whether this node may take a cell whose owner has not been heard for so
+   long. */
+bool owner_may_follow (const struct node *n, int64_t unheard_ms);
 /* Note who owns SERVICE: VALUE is "IP:PORT", "-IP:PORT" of an owner that has
    given it up, or "?" where this node has lost it to an unknown one. */
 #define OWNER_RELEASED '-'
--- a/src/node_takeover.c
+++ b/src/node_takeover.c
@@ -154,15 +154,18 @@
          && now_ms < h->node->store_heard_ms + STORE_HEARD_MS;
 }
 
-/* The owner's answer is how long ago it was confirmed, in ms. */
+/* The owner's answer is how long ago it was confirmed, in ms, and 1 if it is
+   of the reserve. */
 static int64_t
-read_doubt (const struct http_reply *reply)
+read_doubt (const struct http_reply *reply, bool *is_reserve)
 {
   char *text = reply->body_bytes > 0
                    ? g_strndup ((const char *)reply->body, reply->body_bytes)
                    : g_strdup ("0");
-  int64_t doubt_ms = g_ascii_strtoll (text, NULL, 10);
+  char *rest = NULL;
+  int64_t doubt_ms = g_ascii_strtoll (text, &rest, 10);
 
+  *is_reserve = g_ascii_strtoll (rest, NULL, 10) == 1;
   g_free (text);
   return doubt_ms;
 }
@@ -172,11 +175,20 @@
 {
   bool is_owner = reply->status == 200;
   bool is_silent = reply->status == 0;
+  bool is_reserve = false;
 
   h->call_out = false;
   h->retry_ms = now_ms + WATCH_GAP_MS;
-  if (is_owner && read_doubt (reply) < DOUBT_MS)
+  if (is_owner && read_doubt (reply, &is_reserve) < DOUBT_MS)
     {
+      if (is_reserve && !owner_is_reserve (h->node)
+          && store_is_steady (h, now_ms))
+        {
+          event_log ("cell-relieve", h->service, "owner=%s cause=reserve",
+                     known_owner (h));
+          ask_yield (h, known_owner (h), now_ms);
+          return;
+        }
       h->unheard = 0;
       h->heard_ms = now_ms;
       return;
@@ -184,6 +196,8 @@
   if ((is_owner || is_silent)
       && (++h->unheard < UNHEARD_MAX || !store_is_steady (h, now_ms)))
     return;
+  if (!owner_may_follow (h->node, now_ms - h->heard_ms))
+    return;
   if (is_silent)
     claim (h, "owner-silent", FOREIGN_LEASE_MS, now_ms);
   else
@@ -206,7 +220,18 @@
 {
   const char *owner = owner_address (h->node, h->service);
 
-  if (owner == NULL)
+  bool may_follow = owner_may_follow (h->node, now_ms - h->heard_ms);
+
+  if (owner != NULL && owner[0] != OWNER_RELEASED && owner[0] != OWNER_LOST
+      && strcmp (owner, h->node->address) != 0)
+    {
+      h->call_out = true;
+      peer_probe (h->node, owner, h->service, on_probed,
+                  host_call_new (h, NULL, NULL, 0, now_ms));
+    }
+  else if (!may_follow)
+    h->retry_ms = now_ms + WATCH_GAP_MS;
+  else if (owner == NULL)
     claim (h, "no-owner", STOPPED_LEASE_MS, now_ms);
   else if (owner[0] == OWNER_RELEASED)
     ask_yield (h, owner + 1, now_ms);
@@ -215,14 +240,8 @@
       if (h->node->owners.confirmed_ms > h->heard_ms + SUCCESSOR_MS)
         claim (h, "no-successor", FOREIGN_LEASE_MS, now_ms);
     }
-  else if (strcmp (owner, h->node->address) == 0)
-    claim (h, "own-before-restart", STOPPED_LEASE_MS, now_ms);
   else
-    {
-      h->call_out = true;
-      peer_probe (h->node, owner, h->service, on_probed,
-                  host_call_new (h, NULL, NULL, 0, now_ms));
-    }
+    claim (h, "own-before-restart", STOPPED_LEASE_MS, now_ms);
 }
 
 /* Tell all nodes who owns the cell now. */
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -20,14 +20,29 @@
     return int(time.monotonic() * 1000)
 
 
+class Group:
+    """A group of the store, whose members share the parts of a topic."""
+
+    def __init__(self):
+        self.members = {}  # member to time of its last join
+        self.parts = {}    # part to member
+        self.generation = 0
+
+    def share(self, ttl):
+        now = time.monotonic()
+        alive = sorted(m for m, t in self.members.items() if now - t < ttl)
+        wanted = {p: alive[p % len(alive)] for p in range(PARTS)}
+        if wanted != self.parts:
+            self.parts = wanted
+            self.generation += 1
+
+
 class Store:
     def __init__(self):
         self.lock = threading.Condition()
         self.streams = {}  # (topic, part) to list of (key, value)
         self.writers = {}  # (topic, part, producer) to [epoch, seq, answers]
-        self.members = {}  # member to time of its last join
-        self.parts = {}    # part to member
-        self.generation = 0
+        self.groups = {}   # group to Group
 
     def put(self, topic, key, value):
         with self.lock:
@@ -122,26 +137,20 @@
                      if v and k > after]
             return {"items": items, "more": False, "end": len(stream)}
 
-    def share(self, ttl):
-        now = time.monotonic()
-        alive = sorted(m for m, t in self.members.items() if now - t < ttl)
-        wanted = {p: alive[p % len(alive)] for p in range(PARTS)}
-        if wanted != self.parts:
-            self.parts = wanted
-            self.generation += 1
-
     def join(self, body):
         with self.lock:
-            self.members[body["member"]] = time.monotonic()
-            self.share(body["ttl_ms"] / 1000)
-            return {"generation": self.generation,
+            group = self.groups.setdefault(body["group"], Group())
+            group.members[body["member"]] = time.monotonic()
+            group.share(body["ttl_ms"] / 1000)
+            return {"generation": group.generation,
                     "parts": [[body["topics"][0], p, 0]
-                              for p, m in self.parts.items()
+                              for p, m in group.parts.items()
                               if m == body["member"]]}
 
     def leave(self, body):
         with self.lock:
-            self.members.pop(body["member"], None)
+            if body["group"] in self.groups:
+                self.groups[body["group"]].members.pop(body["member"], None)
             return {}
 
 
