Move as many machines a round as the platform takes; size by spread

Cause: a round moved at most 6 machines a pool, 18 to 24 a second, where the platform takes 215 orders a second and a burst on the grown deployment needs some 100 machines more: the pool was whole 7 s after the burst began, and the backlog asked for still more. A lasting task without a place let its pool ask for a quarter more than it has, round after round: at 3 s all four pools asked for 160 to 290 machines at once, and gave them back seconds later.

Ruled out: the owner's processor time (0.09 cores at most); the time of a move itself (1.5 s).

Change: one round moves at most what the platform takes between two rounds (machine_orders_per_s of the settings). A pool asks for as many machines as its widest lasting step is spread over, and for room for the lasting tasks that have no place, instead of a share of all it has.

Tests: /sizing/spread and /sizing/rate. /cell/no-other-place asked for the processors of all workers; the pool's request is in workers_min now, which has to be at least the whole pool, and sizing adds one.

--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -484,10 +484,34 @@
   return wanted;
 }
 
+/* Workers that the widest step of JOB that lasts is to be spread over. */
+static uint32_t
+workers_for_spread (const struct cell_job *job)
+{
+  uint32_t most = 0;
+
+  for (guint i = 0; i < job->spec->steps->len; i++)
+    {
+      const struct job_step *s = g_ptr_array_index (job->spec->steps, i);
+
+      if (s->lasts && s->per_worker > 0)
+        most = MAX (most, (s->count + s->per_worker - 1) / s->per_worker);
+    }
+  return most;
+}
+
+static uint64_t
+lasting_cpu_waiting (const struct cell_job *job)
+{
+  return job->lasts ? cpu_wanted (job) : 0;
+}
+
 struct pool_load *
 cell_get_load (const struct cell *cell)
 {
   struct pool_load *l = pool_load_new (cell->service);
+  uint64_t lasting_milli = 0;
+  uint32_t listed = 0;
 
   for (guint i = 0; i < cell->worker_list->len; i++)
     {
@@ -496,18 +520,25 @@
       l->cpu_used_milli += w->used.cpu_milli;
       if (!w->confirmed || !w->listed || w->entry->draining)
         continue;
+      listed++;
       l->cpu_per_worker_milli
           = MAX (l->cpu_per_worker_milli, w->entry->room.cpu_milli);
       if (w->tasks->len == 0)
         g_ptr_array_add (l->idle, g_strdup (w->entry->id));
     }
   for (guint i = 0; i < cell->open->len; i++)
-    l->cpu_wanted_milli += cpu_wanted (g_ptr_array_index (cell->open, i));
+    {
+      const struct cell_job *job = g_ptr_array_index (cell->open, i);
+
+      l->cpu_wanted_milli += cpu_wanted (job);
+      lasting_milli += lasting_cpu_waiting (job);
+      l->workers_min = MAX (l->workers_min, workers_for_spread (job));
+    }
   /* Whatever the sum says, a task that lasts has found no place. */
-  if (cell->short_ms != 0 && cell->placed_ms < cell->short_ms + SHORT_MS)
-    l->cpu_wanted_milli
-        = MAX (l->cpu_wanted_milli + l->cpu_used_milli,
-               cell->worker_list->len * l->cpu_per_worker_milli)
-          - l->cpu_used_milli;
+  if (cell->short_ms != 0 && cell->placed_ms < cell->short_ms + SHORT_MS
+      && l->cpu_per_worker_milli > 0)
+    l->workers_min
+        = MAX (l->workers_min,
+               listed + (uint32_t)(lasting_milli / l->cpu_per_worker_milli));
   return l;
 }
--- a/src/node_fleet.c
+++ b/src/node_fleet.c
@@ -210,7 +210,8 @@
   f->orders_out = 0;
   f->loads_out = 0;
   f->upkeep = upkeep_new ();
-  f->sizing = sizing_new ();
+  f->sizing = sizing_new ((uint32_t)MAX (
+      n->settings->machine_orders_per_s * ROUND_GAP_MS / 1000, 1));
   f->ready = g_ptr_array_new_with_free_func (call_destroy);
   f->loads = g_ptr_array_new_with_free_func (pool_load_destroy);
   f->announced = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
--- a/src/node_settings.c
+++ b/src/node_settings.c
@@ -46,6 +46,8 @@
       = (int64_t)(fields_double (f, "keep_state_s", 0, 86400, -1) * 1000);
   s->holder_lease_ms = fields_int (f, "holder_lease_ms", 0, HOUR_MS, -1);
   s->upkeep_ms = (int64_t)(fields_double (f, "upkeep_s", 0, 3600, 0) * 1000);
+  s->machine_orders_per_s
+      = fields_double (f, "machine_orders_per_s", 1, 1000000, 24);
   s->processor_share = fields_double (f, "processor_share", 0, 1024, 1);
   if (fields_close (f, error))
     return s;
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -29,6 +29,7 @@
   int64_t keep_state_ms;   /* an ended job's state is kept */
   int64_t holder_lease_ms; /* between orders of two holders for a machine */
   int64_t upkeep_ms;       /* a machine is down for upkeep */
+  double machine_orders_per_s; /* that the platform accepts */
   double processor_share;      /* cores that the node may use */
 };
 
--- a/src/sizing.c
+++ b/src/sizing.c
@@ -12,9 +12,6 @@
 /* A pool that has had more than it needs for so long gives machines back: a
    move there and back costs as much as some 2.4 s of a machine in a pool. */
 #define RETURN_AFTER_MS 2500
-/* Machines that one pool gets in one round. */
-#define MAX_PER_ROUND 6
-
 struct pool_state
 {
   int64_t short_ms; /* when it last needed all that it has */
@@ -22,10 +19,11 @@
 
 struct sizing
 {
-  GHashTable *pools; /* service to struct pool_state * */
+  uint32_t max_per_round; /* machines to move in one round */
+  GHashTable *pools;      /* service to struct pool_state * */
 };
 
-#define LOAD_TYPE "(tttas)"
+#define LOAD_TYPE "(tttuas)"
 
 struct pool_load *
 pool_load_new (const char *service)
@@ -59,9 +57,9 @@
   g_variant_builder_init (&idle, G_VARIANT_TYPE ("as"));
   for (guint i = 0; i < load->idle->len; i++)
     g_variant_builder_add (&idle, "s", g_ptr_array_index (load->idle, i));
-  v = g_variant_ref_sink (g_variant_new (LOAD_TYPE, load->cpu_per_worker_milli,
-                                         load->cpu_used_milli,
-                                         load->cpu_wanted_milli, &idle));
+  v = g_variant_ref_sink (g_variant_new (
+      LOAD_TYPE, load->cpu_per_worker_milli, load->cpu_used_milli,
+      load->cpu_wanted_milli, load->workers_min, &idle));
   bytes = g_variant_get_data_as_bytes (v);
   g_variant_unref (v);
   return bytes;
@@ -83,7 +81,7 @@
     }
   l = pool_load_new (service);
   g_variant_get (v, LOAD_TYPE, &l->cpu_per_worker_milli, &l->cpu_used_milli,
-                 &l->cpu_wanted_milli, &idle);
+                 &l->cpu_wanted_milli, &l->workers_min, &idle);
   while (g_variant_iter_next (idle, "&s", &id))
     g_ptr_array_add (l->idle, g_strdup (id));
   g_variant_iter_free (idle);
@@ -92,10 +90,11 @@
 }
 
 struct sizing *
-sizing_new (void)
+sizing_new (uint32_t max_per_round)
 {
   struct sizing *s = g_new0 (struct sizing, 1);
 
+  s->max_per_round = max_per_round;
   s->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return s;
 }
@@ -138,10 +137,10 @@
   uint64_t usable = l->cpu_per_worker_milli * FULL_PERCENT / 100;
   uint64_t asked = l->cpu_used_milli + l->cpu_wanted_milli;
 
-  if (usable == 0)
-    return POOL_MIN_MACHINES;
-  return (uint32_t)MAX ((asked + usable - 1) / usable + POOL_SPARE_MACHINES,
-                        POOL_MIN_MACHINES);
+  uint64_t needed = usable == 0 ? 0 : (asked + usable - 1) / usable;
+
+  needed = MAX (needed, l->workers_min) + POOL_SPARE_MACHINES;
+  return (uint32_t)MAX (needed, POOL_MIN_MACHINES);
 }
 
 static struct pool_state *
@@ -220,10 +219,11 @@
 }
 
 static void
-fill_pool (GArray *pools, struct pool *p, const GPtrArray *machines,
-           const char *standby, GHashTable *reserved, GArray *steps)
+fill_pool (const struct sizing *s, GArray *pools, struct pool *p,
+           const GPtrArray *machines, const char *standby,
+           GHashTable *reserved, GArray *steps)
 {
-  for (int i = 0; i < MAX_PER_ROUND && p->have < p->need; i++)
+  while (steps->len < s->max_per_round && p->have < p->need)
     {
       const struct machine *m
           = find_donor (pools, machines, standby, reserved);
@@ -236,10 +236,10 @@
 }
 
 static void
-give_back (struct pool *p, const GPtrArray *machines, const char *standby,
-           GHashTable *reserved, GArray *steps)
+give_back (const struct sizing *s, struct pool *p, const GPtrArray *machines,
+           const char *standby, GHashTable *reserved, GArray *steps)
 {
-  for (int i = 0; i < MAX_PER_ROUND && p->have > p->need; i++)
+  while (steps->len < s->max_per_round && p->have > p->need)
     {
       const struct machine *m
           = find_spare (machines, p->load->service, p->load->idle, reserved);
@@ -269,7 +269,7 @@
       g_array_append_val (pools, p);
     }
   for (guint i = 0; i < pools->len; i++)
-    fill_pool (pools, &g_array_index (pools, struct pool, i), machines,
+    fill_pool (sizing, pools, &g_array_index (pools, struct pool, i), machines,
                standby, reserved, steps);
   for (guint i = 0; i < pools->len && standby != NULL; i++)
     {
@@ -278,7 +278,7 @@
           = find_state (sizing, p->load->service, now_ms)->short_ms;
 
       if (now_ms > short_ms + RETURN_AFTER_MS)
-        give_back (p, machines, standby, reserved, steps);
+        give_back (sizing, p, machines, standby, reserved, steps);
     }
   g_array_unref (pools);
 }
--- a/src/sizing.h
+++ b/src/sizing.h
@@ -19,6 +19,8 @@
   uint64_t cpu_per_worker_milli;
   uint64_t cpu_used_milli;   /* of runs */
   uint64_t cpu_wanted_milli; /* of tasks that could start now */
+  uint32_t workers_min;      /* whatever the processors say: tasks of a step
+                                are spread, or one has found no place */
   GPtrArray *idle;           /* char *: IDs of workers without any run */
 };
 
@@ -31,7 +33,8 @@
 
 struct sizing;
 
-struct sizing *sizing_new (void);
+/* At most MAX_PER_ROUND machines are moved by one plan. */
+struct sizing *sizing_new (uint32_t max_per_round);
 void sizing_destroy (struct sizing *sizing);
 
 /* A machine to move, and what that rests on. */
