Try: move machines ahead of expected bursts

Cause: bursts are met some 2.2 s late, the time of a move; each service is busy in its turn. Ruled out: a burst recognized by the work asked for alone, as one large job makes as much of it as a burst.

--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -381,6 +381,11 @@
   if (job == NULL)
     {
       job = add_job (cell, spec, false, now_ms);
+      if (!job->lasts && spec->occurrences == 0)
+        {
+          cell->jobs_taken++;
+          cell->work_taken_milli_s += job_spec_work_milli_s (spec);
+        }
       cell_journal_job (cell, job, true);
     }
   else
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -500,6 +500,22 @@
   return most;
 }
 
+/* The processors of all tasks of JOB that last. */
+static uint64_t
+lasting_cpu (const struct cell_job *job)
+{
+  uint64_t cpu = 0;
+
+  for (guint i = 0; job->lasts && i < job->spec->steps->len; i++)
+    {
+      const struct job_step *s = g_ptr_array_index (job->spec->steps, i);
+
+      if (s->lasts && !s->fills)
+        cpu += (uint64_t)s->count * s->cpu_milli;
+    }
+  return cpu;
+}
+
 static uint64_t
 lasting_cpu_waiting (const struct cell_job *job)
 {
@@ -513,6 +529,8 @@
   uint64_t lasting_milli = 0;
   uint32_t listed = 0;
 
+  l->jobs_taken = cell->jobs_taken;
+  l->work_taken_milli_s = cell->work_taken_milli_s;
   for (guint i = 0; i < cell->worker_list->len; i++)
     {
       const struct cell_worker *w = g_ptr_array_index (cell->worker_list, i);
@@ -533,6 +551,7 @@
       l->cpu_wanted_milli += cpu_wanted (job);
       lasting_milli += lasting_cpu_waiting (job);
       l->workers_min = MAX (l->workers_min, workers_for_spread (job));
+      l->cpu_lasting_milli += lasting_cpu (job);
     }
   /* Whatever the sum says, a task that lasts has found no place. */
   if (cell->short_ms != 0 && cell->placed_ms < cell->short_ms + SHORT_MS
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -169,7 +169,9 @@
   int64_t placed_ms;
   bool is_settled; /* every worker of an earlier owner has answered */
   int64_t unsettled_noted_ms;
-  int64_t short_ms; /* when a task that lasts last found no place */
+  uint64_t jobs_taken;         /* that end and are not scheduled */
+  uint64_t work_taken_milli_s; /* of these */
+  int64_t short_ms;            /* when a task that lasts last found no place */
   bool may_start;
   int64_t wall_ms;
   GPtrArray *changed_jobs; /* for the next append */
--- a/src/job.c
+++ b/src/job.c
@@ -179,6 +179,22 @@
   return MAX (longest_chain (spec), 0);
 }
 
+uint64_t
+job_spec_work_milli_s (const struct job_spec *spec)
+{
+  uint64_t work = 0;
+
+  for (guint i = 0; i < spec->steps->len; i++)
+    {
+      const struct job_step *s = g_ptr_array_index (spec->steps, i);
+
+      if (!s->lasts && !s->fills)
+        work += (uint64_t)s->count * s->cpu_milli
+                * (uint64_t)MAX (s->estimate_ms, 0) / 1000;
+    }
+  return work;
+}
+
 bool
 job_spec_lasts (const struct job_spec *spec)
 {
--- a/src/job.h
+++ b/src/job.h
@@ -87,6 +87,10 @@
 /* Return the estimated length of the longest chain of steps, in ms. */
 int64_t job_spec_chain_ms (const struct job_spec *spec);
 
+/* Return the work of all steps that end, as estimated, in thousandths of a
+   core for a second. */
+uint64_t job_spec_work_milli_s (const struct job_spec *spec);
+
 /* Return whether some step lasts until the job is cancelled. */
 bool job_spec_lasts (const struct job_spec *spec);
 
--- a/src/node_fleet.c
+++ b/src/node_fleet.c
@@ -585,9 +585,11 @@
       const struct sizing_step *step
           = &g_array_index (steps, struct sizing_step, i);
 
-      event_log ("machine-move", step->machine->name,
-                 "from=%s to=%s have=%u need=%u", step->machine->service,
-                 step->service, step->have, step->need);
+      event_log (
+          "machine-move", step->machine->name,
+          "from=%s to=%s have=%u need=%u expected_milli=%" G_GUINT64_FORMAT,
+          step->machine->service, step->service, step->have, step->need,
+          step->expected_milli);
       empty_machine (n, step->machine, 0, step->service);
     }
   g_array_unref (steps);
--- a/src/sizing.c
+++ b/src/sizing.c
@@ -1,5 +1,7 @@
 #include "sizing.h"
 
+#include "demand.h"
+
 #include <string.h>
 
 /* A pool is full when so much of its processors is asked for; beyond, large
@@ -12,18 +14,25 @@
 /* A pool that has had more than it needs for so long gives machines back: a
    move there and back costs as much as some 2.4 s of a machine in a pool. */
 #define RETURN_AFTER_MS 2500
+
 struct pool_state
 {
   int64_t short_ms; /* when it last needed all that it has */
 };
 
+/* From the decision to move a machine until its worker takes tasks: 0.2 s to
+   empty and order it, 1.5 s for the move, 0.6 s until it is listed and its
+   cell has heard from it.  A burst is seen some 0.6 s after it began. */
+#define LEAD_MS 2900
+
 struct sizing
 {
   uint32_t max_per_round; /* machines to move in one round */
   GHashTable *pools;      /* service to struct pool_state * */
+  struct demand *demand;
 };
 
-#define LOAD_TYPE "(tttuas)"
+#define LOAD_TYPE "(ttttuttas)"
 
 struct pool_load *
 pool_load_new (const char *service)
@@ -59,7 +68,8 @@
     g_variant_builder_add (&idle, "s", g_ptr_array_index (load->idle, i));
   v = g_variant_ref_sink (g_variant_new (
       LOAD_TYPE, load->cpu_per_worker_milli, load->cpu_used_milli,
-      load->cpu_wanted_milli, load->workers_min, &idle));
+      load->cpu_lasting_milli, load->cpu_wanted_milli, load->workers_min,
+      load->jobs_taken, load->work_taken_milli_s, &idle));
   bytes = g_variant_get_data_as_bytes (v);
   g_variant_unref (v);
   return bytes;
@@ -81,7 +91,8 @@
     }
   l = pool_load_new (service);
   g_variant_get (v, LOAD_TYPE, &l->cpu_per_worker_milli, &l->cpu_used_milli,
-                 &l->cpu_wanted_milli, &l->workers_min, &idle);
+                 &l->cpu_lasting_milli, &l->cpu_wanted_milli, &l->workers_min,
+                 &l->jobs_taken, &l->work_taken_milli_s, &idle);
   while (g_variant_iter_next (idle, "&s", &id))
     g_ptr_array_add (l->idle, g_strdup (id));
   g_variant_iter_free (idle);
@@ -95,6 +106,7 @@
   struct sizing *s = g_new0 (struct sizing, 1);
 
   s->max_per_round = max_per_round;
+  s->demand = demand_new (LEAD_MS);
   s->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return s;
 }
@@ -105,6 +117,7 @@
   if (sizing == NULL)
     return;
   g_hash_table_unref (sizing->pools);
+  demand_destroy (sizing->demand);
   g_free (sizing);
 }
 
@@ -114,6 +127,7 @@
   const struct pool_load *load;
   uint32_t have; /* machines there, or on their way */
   uint32_t need;
+  uint64_t expected_milli;
 };
 
 static uint32_t
@@ -132,10 +146,11 @@
 }
 
 static uint32_t
-machines_needed (const struct pool_load *l)
+machines_needed (const struct pool_load *l, uint64_t expected_milli)
 {
   uint64_t usable = l->cpu_per_worker_milli * FULL_PERCENT / 100;
-  uint64_t asked = l->cpu_used_milli + l->cpu_wanted_milli;
+  uint64_t asked = MAX (l->cpu_used_milli + l->cpu_wanted_milli,
+                        l->cpu_lasting_milli + expected_milli);
 
   uint64_t needed = usable == 0 ? 0 : (asked + usable - 1) / usable;
 
@@ -161,7 +176,8 @@
 add_step (GArray *steps, GHashTable *reserved, const struct machine *m,
           const char *service, const struct pool *p)
 {
-  struct sizing_step step = { m, service, p->have, p->need };
+  struct sizing_step step
+      = { m, service, p->have, p->need, p->expected_milli };
 
   g_array_append_val (steps, step);
   g_hash_table_add (reserved, g_strdup (m->name));
@@ -258,12 +274,21 @@
 {
   GArray *pools = g_array_new (FALSE, FALSE, sizeof (struct pool));
 
+  for (guint i = 0; i < loads->len; i++)
+    {
+      const struct pool_load *l = g_ptr_array_index (loads, i);
+
+      demand_note (sizing->demand, l->service, l->jobs_taken,
+                   l->work_taken_milli_s, l->cpu_per_worker_milli, now_ms);
+    }
   for (guint i = 0; i < loads->len; i++)
     {
       struct pool p = { .load = g_ptr_array_index (loads, i) };
 
       p.have = count_machines (machines, p.load->service);
-      p.need = machines_needed (p.load);
+      p.expected_milli
+          = demand_expected_milli (sizing->demand, p.load->service, now_ms);
+      p.need = machines_needed (p.load, p.expected_milli);
       if (p.need >= p.have)
         find_state (sizing, p.load->service, now_ms)->short_ms = now_ms;
       g_array_append_val (pools, p);
--- a/src/sizing.h
+++ b/src/sizing.h
@@ -17,11 +17,14 @@
 {
   char *service;
   uint64_t cpu_per_worker_milli;
-  uint64_t cpu_used_milli;   /* of runs */
-  uint64_t cpu_wanted_milli; /* of tasks that could start now */
-  uint32_t workers_min;      /* whatever the processors say: tasks of a step
-                                are spread, or one has found no place */
-  GPtrArray *idle;           /* char *: IDs of workers without any run */
+  uint64_t cpu_lasting_milli;  /* of the tasks that last, running or not */
+  uint64_t cpu_used_milli;     /* of runs */
+  uint64_t cpu_wanted_milli;   /* of tasks that could start now */
+  uint32_t workers_min;        /* whatever the processors say: tasks of a step
+                                  are spread, or one has found no place */
+  uint64_t jobs_taken;         /* by its owner so far, that end */
+  uint64_t work_taken_milli_s; /* of these, as estimated */
+  GPtrArray *idle;             /* char *: IDs of workers without any run */
 };
 
 struct pool_load *pool_load_new (const char *service);
@@ -44,6 +47,7 @@
   const char *service; /* where to */
   uint32_t have;       /* machines of the pool that gets or gives it */
   uint32_t need;
+  uint64_t expected_milli; /* of the pool's jobs, see demand.h */
 };
 
 /* Fill STEPS (struct sizing_step) given the MACHINES as listed, the LOADS
