Size pools by the work that comes with a burst, not by what runs of it

Cause: the processors in use and asked for grow only as the jobs of a burst run: a pool asked for its machines in steps over the first second and a half.

The learning of turns and periods is gone.

--- a/src/demand.h
+++ b/src/demand.h
@@ -4,16 +4,14 @@
 #include <glib.h>
 #include <stdint.h>
 
-/* Expects how much work a service is about to be given.  Services are busy in
-   turns: each for some seconds, one after the other.  A burst is recognized by
-   the rate of jobs, and its length, height and period are learned, so that
-   machines can be moved before the next one.  Pure; times are milliseconds of
-   a steady clock. */
+/* Recognizes by the rate of jobs that a service has a burst, and how much work
+   comes with it.  The processors in use tell that only once the first jobs of
+   the burst have run for a while.  Pure; times are milliseconds of a steady
+   clock. */
 
 struct demand;
 
-/* A machine that is ordered serves after LEAD_MS. */
-struct demand *demand_new (int64_t lead_ms);
+struct demand *demand_new (void);
 void demand_destroy (struct demand *demand);
 
 /* SERVICE has accepted JOBS jobs in all, which ask for WORK_MILLI_S
@@ -23,10 +21,8 @@
                   uint64_t work_milli_s, uint64_t worker_milli,
                   int64_t now_ms);
 
-/* Return the processors, in thousandths of a core, that SERVICE's jobs keep
-   busy now, or will when a machine that is ordered now serves; 0 while no
-   burst is seen or expected. */
-uint64_t demand_expected_milli (const struct demand *demand,
-                                const char *service, int64_t now_ms);
+/* Return the processors, in thousandths of a core, that the jobs of SERVICE's
+   burst keep busy; 0 while it has none. */
+uint64_t demand_burst_milli (const struct demand *demand, const char *service);
 
 #endif
--- a/src/node_fleet.c
+++ b/src/node_fleet.c
@@ -587,9 +587,9 @@
 
       event_log (
           "machine-move", step->machine->name,
-          "from=%s to=%s have=%u need=%u expected_milli=%" G_GUINT64_FORMAT,
+          "from=%s to=%s have=%u need=%u burst_milli=%" G_GUINT64_FORMAT,
           step->machine->service, step->service, step->have, step->need,
-          step->expected_milli);
+          step->burst_milli);
       empty_machine (n, step->machine, 0, step->service);
     }
   g_array_unref (steps);
--- a/src/sizing.c
+++ b/src/sizing.c
@@ -20,11 +20,6 @@
   int64_t short_ms; /* when it last needed all that it has */
 };
 
-/* From the decision to move a machine until its worker takes tasks: 0.2 s to
-   empty and order it, 1.5 s for the move, 0.6 s until it is listed and its
-   cell has heard from it.  A burst is seen some 0.6 s after it began. */
-#define LEAD_MS 2900
-
 struct sizing
 {
   uint32_t max_per_round; /* machines to move in one round */
@@ -106,7 +101,7 @@
   struct sizing *s = g_new0 (struct sizing, 1);
 
   s->max_per_round = max_per_round;
-  s->demand = demand_new (LEAD_MS);
+  s->demand = demand_new ();
   s->pools = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   return s;
 }
@@ -127,7 +122,7 @@
   const struct pool_load *load;
   uint32_t have; /* machines there, or on their way */
   uint32_t need;
-  uint64_t expected_milli;
+  uint64_t burst_milli;
 };
 
 static uint32_t
@@ -146,11 +141,11 @@
 }
 
 static uint32_t
-machines_needed (const struct pool_load *l, uint64_t expected_milli)
+machines_needed (const struct pool_load *l, uint64_t burst_milli)
 {
   uint64_t usable = l->cpu_per_worker_milli * FULL_PERCENT / 100;
   uint64_t asked = MAX (l->cpu_used_milli + l->cpu_wanted_milli,
-                        l->cpu_lasting_milli + expected_milli);
+                        l->cpu_lasting_milli + burst_milli);
 
   uint64_t needed = usable == 0 ? 0 : (asked + usable - 1) / usable;
 
@@ -176,8 +171,7 @@
 add_step (GArray *steps, GHashTable *reserved, const struct machine *m,
           const char *service, const struct pool *p)
 {
-  struct sizing_step step
-      = { m, service, p->have, p->need, p->expected_milli };
+  struct sizing_step step = { m, service, p->have, p->need, p->burst_milli };
 
   g_array_append_val (steps, step);
   g_hash_table_add (reserved, g_strdup (m->name));
@@ -286,9 +280,8 @@
       struct pool p = { .load = g_ptr_array_index (loads, i) };
 
       p.have = count_machines (machines, p.load->service);
-      p.expected_milli
-          = demand_expected_milli (sizing->demand, p.load->service, now_ms);
-      p.need = machines_needed (p.load, p.expected_milli);
+      p.burst_milli = demand_burst_milli (sizing->demand, p.load->service);
+      p.need = machines_needed (p.load, p.burst_milli);
       if (p.need >= p.have)
         find_state (sizing, p.load->service, now_ms)->short_ms = now_ms;
       g_array_append_val (pools, p);
--- a/src/sizing.h
+++ b/src/sizing.h
@@ -47,7 +47,7 @@
   const char *service; /* where to */
   uint32_t have;       /* machines of the pool that gets or gives it */
   uint32_t need;
-  uint64_t expected_milli; /* of the pool's jobs, see demand.h */
+  uint64_t burst_milli; /* see demand.h */
 };
 
 /* Fill STEPS (struct sizing_step) given the MACHINES as listed, the LOADS
--- a/tests/unit/test_sizing.c
+++ b/tests/unit/test_sizing.c
@@ -174,6 +174,23 @@
   tear_down (&f);
 }
 
+/* The work of a burst counts before its jobs have begun. */
+static void
+test_a_pool_follows_a_burst (void)
+{
+  struct fixture f;
+  struct pool_load *l = load_of ("search", 0, 0, NULL);
+
+  set_up (&f);
+  g_ptr_array_add (f.loads, l);
+  g_ptr_array_add (f.loads, load_of ("archive", 0, 0, "w-b1"));
+  expect (plan (&f, NULL, 1000), "");
+  l->jobs_taken = 10;
+  l->work_taken_milli_s = 64000;
+  expect (plan (&f, NULL, 2000), "s1>search b1>search");
+  tear_down (&f);
+}
+
 static void
 test_a_load_survives_its_encoding (void)
 {
@@ -182,11 +199,17 @@
   struct pool_load *copy;
 
   l->workers_min = 9;
+  l->cpu_lasting_milli = 3;
+  l->jobs_taken = 4;
+  l->work_taken_milli_s = 6;
   bytes = pool_load_to_bytes (l);
   copy = pool_load_from_bytes ("search", bytes);
   g_assert_cmpuint (copy->cpu_used_milli, ==, 5);
   g_assert_cmpuint (copy->cpu_wanted_milli, ==, 7);
   g_assert_cmpuint (copy->workers_min, ==, 9);
+  g_assert_cmpuint (copy->cpu_lasting_milli, ==, 3);
+  g_assert_cmpuint (copy->jobs_taken, ==, 4);
+  g_assert_cmpuint (copy->work_taken_milli_s, ==, 6);
   g_assert_cmpuint (copy->idle->len, ==, 1);
   g_assert_cmpstr (g_ptr_array_index (copy->idle, 0), ==, "w-a1");
   g_assert_null (pool_load_from_bytes ("search", garbage));
@@ -208,6 +231,7 @@
   g_test_add_func ("/sizing/least", test_a_pool_never_falls_below_two);
   g_test_add_func ("/sizing/spread", test_a_pool_is_as_wide_as_its_steps);
   g_test_add_func ("/sizing/rate", test_a_plan_keeps_to_the_rate);
+  g_test_add_func ("/sizing/burst", test_a_pool_follows_a_burst);
   g_test_add_func ("/sizing/encoding", test_a_load_survives_its_encoding);
   return g_test_run ();
 }
