Try a suspect worker with one task at a time

It was shunned by cost only, so it got whatever the full others could not hold, failed it within milliseconds and had room again, until tasks had used up their three attempts.

A job that fails everywhere counts once a worker, and if more than a third of the workers are suspect none is spared.

--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -18,6 +18,10 @@
 /* An entry may be missing so long while the store comes back. */
 #define UNLISTED_GRACE_MS 2500
 
+/* Suspect workers are spared as long as they are no more than this share of
+   all; beyond, it is rather the jobs that fail. */
+#define SUSPECT_MAX_PERCENT 34
+
 /* What a worse choice costs, in the units of a worker's use in permille. */
 #define COST_SHUNNED 100000
 #define COST_AVOIDED 50000
@@ -111,6 +115,16 @@
   return ticket != NULL && now_ms < ticket->until_ms - TICKET_SPARE_MS;
 }
 
+/* A suspect worker is tried with one task that has not failed yet: it would
+   use up the attempts of all that it can hold. */
+static bool
+may_probe (const struct cell_task *t, const struct cell_worker *w,
+           int64_t now_ms)
+{
+  return now_ms >= w->shunned_ms && w->tasks->len == 0 && t->failures == 0
+         && !cell_task_step (t)->lasts;
+}
+
 static bool
 may_run_on (const struct cell *c, const struct cell_task *t,
             const struct cell_worker *w, int64_t now_ms)
@@ -120,6 +134,9 @@
   if (!takes_work (c, w, now_ms)
       || (s->label[0] != '\0' && !worker_entry_has_label (w->entry, s->label)))
     return false;
+  if (c->spares_suspects && cell_worker_is_suspect (w)
+      && !may_probe (t, w, now_ms))
+    return false;
   return s->per_worker == 0 || count_on_worker (w, t) < s->per_worker;
 }
 
@@ -442,6 +459,18 @@
              now_ms - c->taken_over_ms);
 }
 
+static void
+count_suspects (struct cell *c)
+{
+  uint32_t suspects = 0;
+
+  for (guint i = 0; i < c->worker_list->len; i++)
+    if (cell_worker_is_suspect (g_ptr_array_index (c->worker_list, i)))
+      suspects++;
+  c->spares_suspects
+      = suspects * 100 <= c->worker_list->len * SUSPECT_MAX_PERCENT;
+}
+
 void
 cell_place (struct cell *c, int64_t now_ms)
 {
@@ -451,6 +480,7 @@
   c->place_needed = false;
   c->placed_ms = now_ms;
   note_settled (c, now_ms);
+  count_suspects (c);
   if (c->open_unsorted)
     g_ptr_array_sort (c->open, compare_jobs);
   c->open_unsorted = false;
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -136,6 +136,7 @@
           g_free (t->avoid_worker);
           t->avoid_worker = g_strdup (w->entry->id);
           w->shunned_ms = now_ms + CELL_SHUN_MS;
+          cell_worker_blame (c, w, t->occurrence->job->spec->id, now_ms);
           cell_stop_task (c, t, now_ms);
         }
     }
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -119,9 +119,10 @@
   int64_t leaving_since_ms;
   int64_t lease_ms;       /* given with each hold and start */
   uint32_t strangers;     /* runs last reported that are not the cell's */
-  uint32_t failed_streak; /* ends "failed" since one was done */
-  int64_t shunned_ms;     /* used only if no other fits, until then */
-  GPtrArray *tasks;       /* struct cell_task *, with a run here */
+  uint32_t failed_streak; /* jobs failed in a row since a task was done */
+  char failed_job[JOB_ID_LENGTH + 1]; /* the last one of these */
+  int64_t shunned_ms; /* used only if no other fits, until then */
+  GPtrArray *tasks;   /* struct cell_task *, with a run here */
   struct worker_room used;
 };
 
@@ -166,6 +167,7 @@
   GPtrArray *worker_list; /* the same */
   GQueue orders;          /* struct cell_order * */
   bool place_needed;
+  bool spares_suspects; /* few enough workers are suspect */
   int64_t placed_ms;
   bool is_settled; /* every worker of an earlier owner has answered */
   int64_t unsettled_noted_ms;
@@ -215,6 +217,12 @@
 /* cell_workers.c */
 void cell_worker_destroy (gpointer p);
 struct cell_worker *cell_worker_add (struct cell *c, const char *id);
+/* A task of JOB has failed on W, or stands still there. */
+void cell_worker_blame (struct cell *c, struct cell_worker *w, const char *job,
+                        int64_t now_ms);
+/* Whether W seems to fail what it starts: it gets one task at a time until
+   one is done. */
+bool cell_worker_is_suspect (const struct cell_worker *w);
 void cell_workers_tick (struct cell *c, int64_t now_ms);
 void cell_worker_put_task (struct cell_worker *w, struct cell_task *t);
 void cell_worker_take_task (struct cell_worker *w, struct cell_task *t);
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -14,7 +14,8 @@
 #define UNSAVED_HOLD_GAP_MS 150
 /* After a hold that was not answered. */
 #define RETRY_HOLD_MS 250
-/* Failed ends in a row that make a worker suspect. */
+/* Jobs that fail in a row make a worker suspect; one alone may be a job that
+   can never be done. */
 #define FAILED_STREAK 3
 /* A clock of a worker may be so slow, in thousandths. */
 #define SLOW_CLOCK_PERMILLE 25
@@ -328,23 +329,42 @@
     }
 }
 
+void
+cell_worker_blame (struct cell *c, struct cell_worker *w, const char *job,
+                   int64_t now_ms)
+{
+  if (strcmp (job, w->failed_job) != 0)
+    w->failed_streak++;
+  g_strlcpy (w->failed_job, job, sizeof w->failed_job);
+  if (!cell_worker_is_suspect (w))
+    return;
+  if (now_ms >= w->shunned_ms)
+    cell_note (c, "worker-shunned", w->entry->id,
+               "failed_in_a_row=%u for_ms=%d", w->failed_streak, CELL_SHUN_MS);
+  w->shunned_ms = now_ms + CELL_SHUN_MS;
+}
+
+bool
+cell_worker_is_suspect (const struct cell_worker *w)
+{
+  return w->failed_streak >= FAILED_STREAK;
+}
+
 static void
 note_end (struct cell *c, struct cell_worker *w, const struct worker_end *e,
           int64_t now_ms)
 {
   struct cell_task *t = cell_find_task (c, e->task);
+  struct task_name name;
 
   w->ends_taken = e->number;
-  if (e->how == END_FAILED && ++w->failed_streak >= FAILED_STREAK)
+  if (e->how == END_FAILED && task_name_parse (e->task, &name))
+    cell_worker_blame (c, w, name.job, now_ms);
+  if (e->how == END_DONE)
     {
-      if (now_ms >= w->shunned_ms)
-        cell_note (c, "worker-shunned", w->entry->id,
-                   "failed_in_a_row=%u for_ms=%d", w->failed_streak,
-                   CELL_SHUN_MS);
-      w->shunned_ms = now_ms + CELL_SHUN_MS;
+      w->failed_streak = 0;
+      w->failed_job[0] = '\0';
     }
-  if (e->how == END_DONE)
-    w->failed_streak = 0;
   if (t != NULL)
     cell_task_ended (c, t, w, e, now_ms);
 }
--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -15,6 +15,9 @@
 #define SURE_MS 8000
 #define STOPPED_LEASE_MS 4400
 
+/* A worker that fails all it starts does so after this. */
+#define GREY_RUN_MS 30
+
 struct late_start
 {
   int64_t at_ms;
@@ -365,6 +368,8 @@
         end_run (w, k, r, END_LAPSED);
       else if (r->stop_ms != 0 && w->now_ms >= r->stop_ms)
         end_run (w, k, r, END_STOPPED);
+      else if (k->fails_all && w->now_ms >= r->begun_ms + GREY_RUN_MS)
+        end_run (w, k, r, END_FAILED);
       else if (w->now_ms >= r->ends_ms)
         end_run (w, k, r,
                  happens (w, w->faults.task_fails) ? END_FAILED : END_DONE);
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -28,6 +28,7 @@
   char *id;
   bool alive;
   bool reachable;
+  bool fails_all; /* whatever it starts fails at once */
   int64_t born_ms;
   uint64_t fence;
   int64_t deadline_ms; /* of all its leases */
--- a/tests/unit/test_cell.c
+++ b/tests/unit/test_cell.c
@@ -447,6 +447,95 @@
   world_destroy (w);
 }
 
+static guint
+count_state (struct world *w, guint jobs, enum job_state state)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < jobs; i++)
+    {
+      char *id = g_strdup_printf ("%016x", i);
+
+      n += world_state (w, id) == state;
+      g_free (id);
+    }
+  return n;
+}
+
+static void
+submit_many (struct world *w, guint jobs, uint32_t tasks)
+{
+  for (guint i = 0; i < jobs; i++)
+    {
+      char *id = g_strdup_printf ("%016x", i);
+
+      world_submit (w, world_job (w, id, 1, tasks));
+      g_free (id);
+    }
+}
+
+/* One worker fails all it starts, and so always has room while the others are
+   full: the jobs keep their attempts. */
+static void
+test_a_worker_that_fails_all_fails_no_job (void)
+{
+  struct world *w = world_new (31);
+
+  world_run (w, 2000);
+  w->workers[0].fails_all = true;
+  submit_many (w, 60, 6);
+  world_run (w, 12000);
+  g_assert_cmpuint (count_state (w, 60, JOB_FAILED), ==, 0);
+  g_assert_cmpuint (count_state (w, 60, JOB_COMPLETED), ==, 60);
+  assert_unbroken (w);
+  world_destroy (w);
+}
+
+/* It is used again once a task has been done there. */
+static void
+test_a_worker_that_is_well_again_is_used (void)
+{
+  struct world *w = world_new (32);
+
+  world_run (w, 2000);
+  w->workers[0].fails_all = true;
+  submit_many (w, 60, 6);
+  world_run (w, 12000);
+  w->workers[0].fails_all = false;
+  submit_many (w, 1, 1);
+  w->run_ms = 3000;
+  for (guint i = 0; i < 40; i++)
+    {
+      char *id = g_strdup_printf ("%016x", 1000 + i);
+
+      world_submit (w, world_job (w, id, 1, 6));
+      g_free (id);
+    }
+  world_run (w, 6500);
+  g_assert_cmpuint (w->workers[0].runs->len, >, 1);
+  world_destroy (w);
+}
+
+/* Jobs that fail everywhere make no worker suspect for the others. */
+static void
+test_jobs_that_fail_everywhere_keep_no_worker_idle (void)
+{
+  struct world *w = world_new (33);
+
+  world_run (w, 2000);
+  w->faults.task_fails = 100;
+  submit_many (w, 20, 6);
+  world_run (w, 8000);
+  g_assert_cmpuint (count_state (w, 20, JOB_FAILED), ==, 20);
+  w->faults.task_fails = 0;
+  w->run_ms = 1000000;
+  world_submit (w, world_job (w, JOB, 1, 16 * WORLD_WORKERS));
+  world_run (w, 1500);
+  g_assert_cmpuint (count_running (w, 16 * WORLD_WORKERS), ==,
+                    16 * WORLD_WORKERS);
+  world_destroy (w);
+}
+
 /* A worker that was emptied to be ordered away stays empty over a handover. */
 static void
 test_an_emptied_worker_stays_so_over_a_handover (void)
@@ -559,6 +648,12 @@
                    test_tasks_that_start_up_are_kept_within_the_budget);
   g_test_add_func ("/cell/no-other-place",
                    test_a_task_without_another_place_stays);
+  g_test_add_func ("/cell/fails-all",
+                   test_a_worker_that_fails_all_fails_no_job);
+  g_test_add_func ("/cell/well-again",
+                   test_a_worker_that_is_well_again_is_used);
+  g_test_add_func ("/cell/jobs-that-fail",
+                   test_jobs_that_fail_everywhere_keep_no_worker_idle);
   g_test_add_func ("/cell/stays-empty",
                    test_an_emptied_worker_stays_so_over_a_handover);
   g_test_add_func ("/cell/stops-before",
