--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -120,11 +120,12 @@
   return size;
 }
 
-/* Whether all runs that W may have are known, though it does not answer. */
+/* Whether all runs that W may have are known, though it does not answer: to
+   whoever reads a record with its ends up to ENDS. */
 static bool
-is_silent (const struct cell_worker *w)
+is_silent (const struct cell_worker *w, uint64_t ends)
 {
-  return !w->confirmed && !w->inherited;
+  return !w->confirmed && !w->inherited && w->ends_taken == ends;
 }
 
 static GVariant *
@@ -133,7 +134,7 @@
   GVariantBuilder runs;
 
   g_variant_builder_init (&runs, G_VARIANT_TYPE ("a(st)"));
-  for (guint i = 0; i < w->tasks->len && is_silent (w); i++)
+  for (guint i = 0; i < w->tasks->len && is_silent (w, ends); i++)
     {
       const struct cell_task *t = g_ptr_array_index (w->tasks, i);
       char *name = cell_task_name (t);
@@ -142,7 +143,7 @@
       g_free (name);
     }
   return g_variant_new (WORKER_TYPE, w->entry->address, w->born_ms, ends,
-                        is_silent (w), w->leaving, &runs);
+                        is_silent (w, ends), w->leaving, &runs);
 }
 
 struct journal_entry *
@@ -160,7 +161,8 @@
 static void
 put_worker (struct cell *c, struct cell_worker *w)
 {
-  struct flight_worker f = { w, w->ends_taken, is_silent (w), w->leaving };
+  struct flight_worker f
+      = { w, w->ends_taken, is_silent (w, w->ends_taken), w->leaving };
 
   w->queued = false;
   g_ptr_array_add (c->flight.entries, cell_worker_entry (w, w->ends_taken));
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -388,6 +388,8 @@
     }
   for (guint i = 0; i < w->tasks->len; i++)
     release_task (cell, w, g_ptr_array_index (w->tasks, i), now_ms);
+  /* Ends that the journal does not have would be lost with the worker. */
   return w->tasks->len == 0 && w->leaving_saved
+         && w->ends_taken == w->last_seen
          && (!w->inherited || now_ms > w->lease_over_ms);
 }
--- a/tests/unit/test_cell.c
+++ b/tests/unit/test_cell.c
@@ -447,6 +447,68 @@
   world_destroy (w);
 }
 
+/* Its end is lost with the worker: the next owner would start the task anew.
+ */
+static void
+test_a_worker_with_unwritten_ends_is_not_empty (void)
+{
+  struct world *w = world_new (34);
+  bool is_empty = false;
+
+  world_run (w, 2000);
+  w->run_ms = 300;
+  world_submit (w, world_job (w, JOB, 1, WORLD_WORKERS));
+  world_run (w, 150);
+  for (int i = 0; i < 5; i++, world_run (w, 20))
+    for (int k = 0; k < WORLD_WORKERS; k++)
+      cell_release_worker (w->cell, w->workers[k].id, w->now_ms);
+  w->store_away = true;
+  for (int i = 0; i < 40; i++, world_run (w, 20))
+    for (int k = 0; k < WORLD_WORKERS; k++)
+      if (w->workers[k].last_number > w->workers[k].noted)
+        is_empty |= cell_release_worker (w->cell, w->workers[k].id, w->now_ms);
+  g_assert_false (is_empty);
+  w->store_away = false;
+  for (int i = 0; i < 100 && !is_empty; i++, world_run (w, 20))
+    is_empty = cell_release_worker (w->cell, "worker-0", w->now_ms);
+  g_assert_true (is_empty);
+  assert_unbroken (w);
+  world_destroy (w);
+}
+
+/* An owner without the store has heard of ends that the journal does not have
+   when their workers fall silent: whoever it yields to waits for them. */
+static void
+test_unwritten_ends_of_silent_workers_are_waited_for (void)
+{
+  struct world *w = world_new (35);
+  struct job_spec *job = world_job (w, JOB, 1, WORLD_WORKERS);
+
+  world_run (w, 2000);
+  w->run_ms = 300;
+  ((struct job_step *)g_ptr_array_index (job->steps, 0))->per_worker = 1;
+  world_submit (w, job);
+  world_run (w, 150);
+  w->store_away = true;
+  world_run (w, 500);
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    w->workers[i].reachable = false;
+  world_run (w, 2500);
+  w->store_away = false;
+  world_take_over (w, true, 0);
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    w->workers[i].reachable = i % 2 == 0;
+  world_run (w, 1000);
+  g_assert_cmpuint (w->starts, ==, WORLD_WORKERS);
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    w->workers[i].reachable = true;
+  world_run (w, 2000);
+  g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
+  g_assert_cmpuint (w->starts, ==, WORLD_WORKERS);
+  assert_unbroken (w);
+  world_destroy (w);
+}
+
 static guint
 count_state (struct world *w, guint jobs, enum job_state state)
 {
@@ -648,6 +710,10 @@
                    test_tasks_that_start_up_are_kept_within_the_budget);
   g_test_add_func ("/cell/no-other-place",
                    test_a_task_without_another_place_stays);
+  g_test_add_func ("/cell/unwritten-not-empty",
+                   test_a_worker_with_unwritten_ends_is_not_empty);
+  g_test_add_func ("/cell/unwritten-silent",
+                   test_unwritten_ends_of_silent_workers_are_waited_for);
   g_test_add_func ("/cell/fails-all",
                    test_a_worker_that_fails_all_fails_no_job);
   g_test_add_func ("/cell/well-again",
