Have the seeded world spread jobs, and lose holds that never arrived

Cause: in the seeded schedules all tasks of a job ran on one worker, so a worker with a part of a job's ends was never tried.

Traced: a hold sent to a worker out of reach was answered by it once it was back without having raised its fence, so a late start of the earlier owner was let in. No worker does that; the world did.

Change: a hold that did not arrive is not answered. The check stays as it was.

--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -35,6 +35,7 @@
   struct cell *cell;
   uint64_t epoch;
   char *worker;
+  bool arrived; /* the worker has it: its fence is raised */
   int64_t sent_ms;
   int64_t until_ms;
   uint64_t last_seen;
@@ -520,7 +521,8 @@
   l->sent_ms = w->now_ms;
   l->until_ms = w->now_ms + CALL_MS + o->wait_ms;
   l->last_seen = o->last_seen;
-  if (k->alive && k->reachable && l->epoch >= k->fence)
+  l->arrived = k->alive && k->reachable;
+  if (l->arrived && l->epoch >= k->fence)
     {
       k->fence = l->epoch;
       note_ends (w, k, o->last_seen);
@@ -529,7 +531,7 @@
             = MAX (k->deadline_ms,
                    MIN (o->deadline_ms, worker_clock (w) + LEASE_MAX_MS));
     }
-  else if (!k->alive || !k->reachable)
+  else if (!l->arrived)
     l->until_ms = w->now_ms + ANSWER_TIMEOUT_MS;
   g_ptr_array_add (w->holds, l);
 }
@@ -541,7 +543,8 @@
 
   if (w->now_ms >= l->until_ms)
     return true;
-  return k->alive && k->reachable && w->now_ms >= l->sent_ms + CALL_MS
+  return l->arrived && k->alive && k->reachable
+         && w->now_ms >= l->sent_ms + CALL_MS
          && (l->epoch < k->fence || k->last_number > k->noted);
 }
 
@@ -554,7 +557,7 @@
 
   if (!owns (w, l->cell, l->epoch))
     return;
-  if (k->alive && k->reachable)
+  if (l->arrived && k->alive && k->reachable)
     {
       fenced = l->epoch < k->fence;
       if (!fenced)
--- a/tests/unit/test_cell_seeds.c
+++ b/tests/unit/test_cell_seeds.c
@@ -25,7 +25,12 @@
     {
       char *id = g_strdup_printf ("%016x", 0xc00 + *submitted);
 
-      world_submit (w, world_job (w, id, 1 + *submitted % 3, 4));
+      struct job_spec *job = world_job (w, id, 1 + *submitted % 3, 4);
+
+      /* Every other job is spread, so that no worker has all of its runs. */
+      if (*submitted % 2 == 1)
+        ((struct job_step *)g_ptr_array_index (job->steps, 0))->per_worker = 1;
+      world_submit (w, job);
       ++*submitted;
       g_free (id);
     }
