Let a lease run out however often its cell changes hands

A new owner counted the leases of a worker that is silent from its own takeover; a rolling stop hands the cell over every 2.5 s, so they never ran out.

Ruled out: the worker's room elsewhere (the last owner started the task at once when it took it for lost); a wait for another worker (12.4 s only where the owner before was silent, and all were stopped).

Change: whoever yields says how long the leases of each worker can last yet. The next owner believes it if no other node has asked for the same records: one that did may have been the owner meanwhile.

--- a/src/cell.h
+++ b/src/cell.h
@@ -31,6 +31,8 @@
   int64_t keep_state_ms;    /* an ended job's state is kept so long */
   int64_t foreign_lease_ms; /* an earlier owner's leases are over by then,
                                counted from the takeover */
+  bool trusts_leases;       /* the owner before has yielded to this one and to
+                               no other: leases are over when it said */
 };
 
 /* What the caller of a job is told. */
@@ -219,7 +221,7 @@
 /* Stop being the owner, and return what the next one has to know of the
    workers, as journal records (struct journal_entry *) that are newer than
    those of the journal. */
-GPtrArray *cell_yield (struct cell *cell);
+GPtrArray *cell_yield (struct cell *cell, int64_t now_ms);
 
 /* Do what is due.  WALL_MS is Unix time as far as it can be trusted, and
    MAY_START tells whether the owner is still sure enough to be it. */
--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -10,7 +10,7 @@
    that it may have: nothing else is started there until it answers and the
    record says so, and the next owner has to wait for these runs only. */
 
-#define WORKER_TYPE "(sxtbba(st))"
+#define WORKER_TYPE "(sxtbbxa(st))"
 
 /* Between two appends somebody waits for; a store answers in some 4 ms. */
 #define URGENT_GAP_MS 15
@@ -129,7 +129,8 @@
 }
 
 static GVariant *
-worker_record (const struct cell_worker *w, uint64_t ends)
+worker_record (const struct cell_worker *w, uint64_t ends,
+               int64_t lease_left_ms)
 {
   GVariantBuilder runs;
 
@@ -143,14 +144,15 @@
       g_free (name);
     }
   return g_variant_new (WORKER_TYPE, w->entry->address, w->born_ms, ends,
-                        is_silent (w, ends), w->leaving, &runs);
+                        is_silent (w, ends), w->leaving, lease_left_ms, &runs);
 }
 
 struct journal_entry *
-cell_worker_entry (const struct cell_worker *w, uint64_t ends)
+cell_worker_entry (const struct cell_worker *w, uint64_t ends,
+                   int64_t lease_left_ms)
 {
   struct journal_entry *e = g_new0 (struct journal_entry, 1);
-  GVariant *v = g_variant_ref_sink (worker_record (w, ends));
+  GVariant *v = g_variant_ref_sink (worker_record (w, ends, lease_left_ms));
 
   e->key = g_strconcat ("w:", w->entry->id, NULL);
   e->value = g_variant_get_data_as_bytes (v);
@@ -165,7 +167,8 @@
       = { w, w->ends_taken, is_silent (w, w->ends_taken), w->leaving };
 
   w->queued = false;
-  g_ptr_array_add (c->flight.entries, cell_worker_entry (w, w->ends_taken));
+  g_ptr_array_add (c->flight.entries,
+                   cell_worker_entry (w, w->ends_taken, LEASE_UNKNOWN));
   g_array_append_val (c->flight.workers, f);
 }
 
@@ -412,7 +415,7 @@
     cell_task_free (c, g_ptr_array_index (w->tasks, 0), c->taken_over_ms);
   g_free (w->entry->address);
   g_variant_get (v, WORKER_TYPE, &w->entry->address, &born_ms, &ends, &silent,
-                 &leaving, &runs);
+                 &leaving, &w->lease_left_ms, &runs);
   w->ends_taken = born_ms == w->born_ms ? MAX (ends, w->ends_taken) : ends;
   w->last_seen = w->ends_taken;
   w->born_ms = born_ms;
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -14,6 +14,8 @@
 /* A lease is extended to this; shorter frees the work of a dead worker
    sooner, longer bridges a change of owner.  Below hold_max_ms. */
 #define CELL_LEASE_MS 4000
+/* A worker's record does not tell how long its leases last. */
+#define LEASE_UNKNOWN (-1)
 /* A suspect worker is used only if no other fits, for so long. */
 #define CELL_SHUN_MS 2500
 /* Runs that one epoch may give a task before the numbers of the next. */
@@ -110,6 +112,7 @@
   int64_t clock_ms; /* the worker's clock, as last heard */
   int64_t clock_heard_ms;
   int64_t lease_over_ms; /* by then every run has ended, if not extended */
+  int64_t lease_left_ms; /* of an owner that yielded, then; or LEASE_UNKNOWN */
   bool hold_out;
   int64_t next_hold_ms;
   int64_t blocked_ms; /* no start before */
@@ -255,9 +258,11 @@
 /* cell_journal.c */
 void cell_journal_job (struct cell *c, struct cell_job *job, bool urgent);
 void cell_journal_worker (struct cell *c, struct cell_worker *w);
-/* Return the journal's record of W as it is now, with its ends up to ENDS. */
+/* Return the journal's record of W as it is now, with its ends up to ENDS.
+   Nobody but the reader extends its leases, and they are over within
+   LEASE_LEFT_MS, unless that is LEASE_UNKNOWN. */
 struct journal_entry *cell_worker_entry (const struct cell_worker *w,
-                                         uint64_t ends);
+                                         uint64_t ends, int64_t lease_left_ms);
 /* Have KEY, which the journal owns from now on, dropped. */
 void cell_journal_drop (struct cell *c, char *key);
 void cell_journal_tick (struct cell *c, int64_t now_ms);
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -45,6 +45,7 @@
   w->tasks = g_ptr_array_new ();
   w->lease_ms = MIN (CELL_LEASE_MS, c->options.hold_max_ms);
   w->lease_over_ms = c->taken_over_ms + c->options.foreign_lease_ms;
+  w->lease_left_ms = LEASE_UNKNOWN;
   g_hash_table_insert (c->workers, w->entry->id, w);
   g_ptr_array_add (c->worker_list, w);
   return w;
@@ -501,7 +502,7 @@
 }
 
 GPtrArray *
-cell_yield (struct cell *cell)
+cell_yield (struct cell *cell, int64_t now_ms)
 {
   GPtrArray *records = g_ptr_array_new_with_free_func (journal_entry_free);
 
@@ -511,7 +512,9 @@
     {
       const struct cell_worker *w = g_ptr_array_index (cell->worker_list, i);
 
-      g_ptr_array_add (records, cell_worker_entry (w, w->last_seen));
+      g_ptr_array_add (records,
+                       cell_worker_entry (w, w->last_seen,
+                                          MAX (w->lease_over_ms - now_ms, 0)));
     }
   cell->fenced = true;
   return records;
--- a/src/node_owner.c
+++ b/src/node_owner.c
@@ -159,6 +159,8 @@
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   n->owner.released = g_hash_table_new_full (
       g_str_hash, g_str_equal, g_free, (GDestroyNotify)g_ptr_array_unref);
+  n->owner.given
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   n->hosts
       = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, host_destroy);
 }
@@ -169,9 +171,10 @@
 {
   GPtrArray *records = host_release (host);
 
-  if (records != NULL)
-    g_hash_table_replace (n->owner.released, g_strdup (host->service),
-                          records);
+  if (records == NULL)
+    return;
+  g_hash_table_replace (n->owner.released, g_strdup (host->service), records);
+  g_hash_table_remove (n->owner.given, host->service);
 }
 
 /* Give one cell up if this node has many, and another member is to have it. */
@@ -253,4 +256,5 @@
   g_array_unref (n->owner.parts);
   g_hash_table_unref (n->owner.owners);
   g_hash_table_unref (n->owner.released);
+  g_hash_table_unref (n->owner.given);
 }
--- a/src/node_peers.c
+++ b/src/node_peers.c
@@ -228,7 +228,8 @@
 }
 
 static void
-send_records (struct evhttp_request *request, const GPtrArray *records)
+send_records (struct evhttp_request *request, int status,
+              const GPtrArray *records)
 {
   struct evbuffer *body = evbuffer_new ();
   GVariantBuilder b;
@@ -245,7 +246,7 @@
     }
   v = g_variant_ref_sink (g_variant_builder_end (&b));
   evbuffer_add (body, g_variant_get_data (v), g_variant_get_size (v));
-  evhttp_send_reply (request, 200, "yielded", body);
+  evhttp_send_reply (request, status, "yielded", body);
   evbuffer_free (body);
   g_variant_unref (v);
 }
@@ -260,11 +261,15 @@
   if (h != NULL && h->phase == HOST_ACTIVE)
     {
       records = host_yield (h, node_now_ms ());
-      send_records (request, records);
+      send_records (request, 200, records);
       g_ptr_array_unref (records);
     }
   else if (records != NULL)
-    send_records (request, records);
+    send_records (request,
+                  g_hash_table_add (n->owner.given, g_strdup (service))
+                      ? 200
+                      : STATUS_YIELDED_BEFORE,
+                  records);
   else
     evhttp_send_reply (request, STATUS_NOT_OWNER, "not the owner", NULL);
 }
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -74,6 +74,7 @@
   int64_t heard_ms;         /* when the owner that is watched last answered */
   uint32_t unheard;         /* calls to it in a row without a good answer */
   GPtrArray *yielded;       /* struct journal_entry *, from the owner before */
+  bool yielded_here_only;   /* and to no other node */
   int64_t foreign_lease_ms; /* see struct cell_options */
   char *claimed_from;       /* the owner's address when the claim began */
   GHashTable *asks;         /* token to struct local_ask */
@@ -90,6 +91,7 @@
   GArray *parts;        /* uint32_t, this node's */
   GHashTable *owners;   /* service to "IP:PORT" */
   GHashTable *released; /* service to GPtrArray of struct journal_entry * */
+  GHashTable *given;    /* services whose records have been asked for */
 };
 
 struct fleet_write
@@ -223,7 +225,9 @@
 /* Ask ADDRESS whether it owns SERVICE; 200 with its doubt in ms, see below. */
 void peer_probe (struct node *n, const char *address, const char *service,
                  http_done done, void *data);
-/* Ask ADDRESS to give SERVICE up; 200 with records for peer_read_records. */
+/* Ask ADDRESS to give SERVICE up; 200 with records for peer_read_records, or
+   STATUS_YIELDED_BEFORE where another node has asked for them. */
+#define STATUS_YIELDED_BEFORE 206
 void peer_ask_yield (struct node *n, const char *address, const char *service,
                      http_done done, void *data);
 /* Ask ADDRESS for the load of SERVICE's pool: 200 with a struct pool_load. */
--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -154,6 +154,7 @@
                                   .stop_grace_ms = 900,
                                   .early_ms = 250,
                                   .keep_state_ms = 120000,
+                                  .trusts_leases = true,
                                   .foreign_lease_ms = foreign_lease_ms };
 
   w->journal_epoch = w->epoch;
@@ -734,7 +735,7 @@
 void
 world_take_over (struct world *w, bool yields, int64_t zombie_ms)
 {
-  GPtrArray *records = yields ? cell_yield (w->cell) : NULL;
+  GPtrArray *records = yields ? cell_yield (w->cell, w->now_ms) : NULL;
   int64_t foreign_ms
       = zombie_ms > 0 ? SURE_MS + STOPPED_LEASE_MS : STOPPED_LEASE_MS;
 
--- a/tests/unit/test_cell.c
+++ b/tests/unit/test_cell.c
@@ -493,7 +493,7 @@
   world_run (w, 500);
   for (int i = 0; i < WORLD_WORKERS; i++)
     w->workers[i].reachable = false;
-  world_run (w, 2500);
+  world_run (w, 1500);
   w->store_away = false;
   world_take_over (w, true, 0);
   for (int i = 0; i < WORLD_WORKERS; i++)
@@ -509,6 +509,34 @@
   world_destroy (w);
 }
 
+/* A lease that an owner does not extend runs out however often the cell
+   changes hands. */
+static void
+test_handovers_do_not_extend_leases (void)
+{
+  struct world *w = world_new (36);
+  struct world_worker *worker;
+
+  world_run (w, 2000);
+  w->run_ms = 1000000;
+  world_submit (w, lasting_job (w, 1, 1));
+  world_run (w, 500);
+  worker = world_find_run (w, JOB ".0.0.0");
+  g_assert_nonnull (worker);
+  worker->reachable = false;
+  for (int i = 0; i < 5; i++)
+    {
+      world_run (w, 1600);
+      world_take_over (w, true, 0);
+    }
+  world_run (w, 400);
+  worker = world_find_run (w, JOB ".0.0.0");
+  g_assert_nonnull (worker);
+  g_assert_true (worker->reachable);
+  assert_unbroken (w);
+  world_destroy (w);
+}
+
 static guint
 count_state (struct world *w, guint jobs, enum job_state state)
 {
@@ -714,6 +742,8 @@
                    test_a_worker_with_unwritten_ends_is_not_empty);
   g_test_add_func ("/cell/unwritten-silent",
                    test_unwritten_ends_of_silent_workers_are_waited_for);
+  g_test_add_func ("/cell/handovers-and-leases",
+                   test_handovers_do_not_extend_leases);
   g_test_add_func ("/cell/fails-all",
                    test_a_worker_that_fails_all_fails_no_job);
   g_test_add_func ("/cell/well-again",
