--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -122,7 +122,9 @@
   w->listed = true;
   if (entry->born_ms != 0 && w->born_ms != 0 && entry->born_ms > w->born_ms)
     {
-      lose_tasks (cell, w, "born-again", now_ms);
+      /* Its next report tells which runs are in the new life. */
+      cell_note (cell, "worker-born-again", entry->id, "tasks=%u",
+                 w->tasks->len);
       begin_life (w, entry->born_ms);
       w->confirmed = false;
       w->next_hold_ms = now_ms;
@@ -425,7 +427,10 @@
 
   if (w->born_ms != 0 && report->born_ms != 0 && report->born_ms != w->born_ms)
     {
-      lose_tasks (c, w, "born-again", now_ms);
+      /* A start may have arrived in the new life already: what is lost is what
+         the report lacks. */
+      cell_note (c, "worker-born-again", w->entry->id, "tasks=%u",
+                 w->tasks->len);
       begin_life (w, report->born_ms);
       before = 0;
     }
--- a/src/node.c
+++ b/src/node.c
@@ -296,6 +296,19 @@
   g_free (n->address);
 }
 
+/* Hold back the signals that the node handles, or let them come. */
+static void
+hold_signals (bool hold)
+{
+  sigset_t handled;
+
+  sigemptyset (&handled);
+  sigaddset (&handled, SIGTERM);
+  sigaddset (&handled, SIGINT);
+  sigaddset (&handled, SIGHUP);
+  sigprocmask (hold ? SIG_BLOCK : SIG_UNBLOCK, &handled, NULL);
+}
+
 int
 node_run (const char *settings_file)
 {
@@ -303,6 +316,8 @@
   GError *error = NULL;
   struct event *stop, *interrupt, *reload;
 
+  /* A stop that comes while the node starts is a planned one, too. */
+  hold_signals (true);
   signal (SIGPIPE, SIG_IGN);
   n.settings = node_settings_read (settings_file, &error);
   if (n.settings == NULL)
@@ -326,6 +341,7 @@
   event_add (stop, NULL);
   event_add (interrupt, NULL);
   event_add (reload, NULL);
+  hold_signals (false);
   event_log ("serving", n.address, "callers=%s store=%s version=%s",
              n.settings->callers, n.settings->store, BURDOCKSHED_VERSION);
   event_base_dispatch (n.base);
--- a/tests/platform/nodes.py
+++ b/tests/platform/nodes.py
@@ -13,7 +13,8 @@
 
 
 class Node:
-    def __init__(self, binary, folder, platform, number, share=1.0):
+    def __init__(self, binary, folder, platform, number, share=1.0,
+                 store=None):
         self.number = number
         self.callers = free_port()
         self.readiness = free_port()
@@ -28,7 +29,7 @@
                 "readiness": "127.0.0.1:%d" % self.readiness,
                 "ip": "127.0.0.1", "peer_port": self.peer,
                 "metrics_port": self.metrics,
-                "store": platform.server.address,
+                "store": store or platform.server.address,
                 "machines": platform.server.address, "advice": "",
                 "stream_parts": 16, "member_ttl_min_ms": 1000, "stop_s": 6,
                 "worker_lease_max_ms": 6000, "stop_grace_ms": 900,
@@ -39,6 +40,7 @@
         self.start()
 
     def start(self):
+        self.started = time.monotonic()
         self.process = subprocess.Popen(
             [self.binary, "node", "--settings", self.file],
             stdout=self.log, stderr=self.log)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -4,6 +4,7 @@
 
 import base64
 import json
+import random
 import socket
 import struct
 import threading
@@ -170,12 +171,16 @@
         self.runs = {}   # task to [run, ends_ms, begun_ms]
         self.ends = []   # [number, task, run, how, saved]
         self.highest = {}
+        self.ended_ms = {}  # number of an end to when it came about
         self.starts = []  # (task, run, begun_ms, ended_ms, how)
+        self.lapsed_ms = 0  # when its lease was over last
+        self.done_noted = {}  # task to when its end "done" came about
 
     def end(self, task, how):
         run, _, begun = self.runs.pop(task)
         self.number += 1
         self.ends.append([self.number, task, run, how, ""])
+        self.ended_ms[self.number] = now_ms()
         self.highest[task] = max(run, self.highest.get(task, 0))
         self.starts.append((task, run, begun, now_ms(), how))
         self.lock.notify_all()
@@ -183,12 +188,35 @@
     def turn(self):
         with self.lock:
             now = now_ms()
+            if now >= self.deadline:
+                self.lapsed_ms = self.deadline
             for task, (run, ends, _) in list(self.runs.items()):
                 if now >= self.deadline:
                     self.end(task, "lapsed")
                 elif now >= ends:
                     self.end(task, "done")
 
+    def note(self, last_seen):
+        """An owner has taken note of the ends up to LAST_SEEN; not of those
+        that came before the lease was over."""
+        for number, task, _, how, _ in self.ends:
+            ended = self.ended_ms.get(number, 0)
+            if self.seen < number <= last_seen and how == "done" \
+                    and ended > self.lapsed_ms:
+                self.done_noted.setdefault(task, ended)
+        self.seen = max(self.seen, last_seen)
+
+    def crash(self):
+        """All is lost; the same ID is there again."""
+        with self.lock:
+            for task, (run, _, begun) in self.runs.items():
+                self.starts.append((task, run, begun, now_ms(), "gone"))
+            self.born = int(time.time() * 1000)
+            self.fence = self.deadline = self.seen = self.number = 0
+            self.runs, self.ends, self.highest = {}, [], {}
+            self.ended_ms = {}
+            self.lock.notify_all()
+
     def report(self):
         now = now_ms()
         running = [[t, r[0], "", int(min(99, (now - r[2]) * 100
@@ -237,7 +265,7 @@
             refused = self.check_fence(body)
             if refused:
                 return refused
-            self.seen = max(self.seen, body["last_seen"])
+            self.note(body["last_seen"])
             self.deadline = max(self.deadline,
                                 min(body.get("deadline_ms", 0),
                                     now_ms() + LEASE_MAX_MS))
@@ -290,9 +318,13 @@
 
 
 class Platform:
-    def __init__(self, services, workers_each):
+    def __init__(self, services, workers_each, proxies=None):
         self.store = Store()
         self.store_away = False
+        self.store_slow_s = 0
+        self.store_lost = 0  # share of the calls that are not answered
+        self.proxies = proxies  # between nodes and workers, or None
+        self.version = 1
         self.workers = []
         self.server = Server(self.serve_store)
         self.services = services
@@ -304,11 +336,17 @@
                            "max_attempts": 3, "stretch": 1.6})
             for _ in range(workers_each):
                 self.add_worker(s)
+        self.routes = routes
+        self.publish()
+        threading.Thread(target=self.turn, daemon=True).start()
+
+    def publish(self):
+        """Publish the configuration under the next version."""
         self.store.put("keyed.op", "config", {
-            "version": 1, "routes": routes,
+            "version": self.version, "routes": self.routes,
             "services": [{"name": s, "admission_control": True}
-                         for s in services]})
-        threading.Thread(target=self.turn, daemon=True).start()
+                         for s in self.services]})
+        self.version += 3
 
     def add_worker(self, service):
         worker = Worker(self, len(self.workers))
@@ -317,11 +355,19 @@
         worker.server = Server(
             lambda h, path, query, body, w=worker:
                 self.serve_worker(w, h, path, body))
+        worker.rack = "r1-%d" % (len(self.workers) % 2)
+        worker.address = worker.server.address
+        if self.proxies:
+            worker.proxy = self.proxies.add(worker.address)
+            worker.address = worker.proxy.address
+        self.list_worker(worker)
+
+    def list_worker(self, worker):
         self.store.put("keyed.servers", worker.id, {
-            "backend": service, "address": worker.server.address,
+            "backend": worker.service, "address": worker.address,
             "zone": "a", "state": "ready", "born": worker.born,
             "capacity": {"cpu": 16000, "mem_mb": 32768, "gpu": 0},
-            "labels": ["a", "r1-%d" % (len(self.workers) % 2)]})
+            "labels": ["a", worker.rack]})
 
     def turn(self):
         while True:
@@ -336,6 +382,13 @@
                  "id": w.id} for w in self.workers], "next_token": None}
         if self.store_away:
             return 503, {}
+        time.sleep(self.store_slow_s)
+        answer = self.call_store(path, query, body)
+        if random.random() < self.store_lost:
+            raise ConnectionError("the answer is lost")
+        return answer
+
+    def call_store(self, path, query, body):
         if path == "/-/log-append":
             return self.store.append(query, body)
         if path == "/-/log-read":
--- a/tests/unit/test_cell.c
+++ b/tests/unit/test_cell.c
@@ -537,6 +537,30 @@
   world_destroy (w);
 }
 
+/* A start may arrive in a worker's new life before its owner knows of it: that
+   run goes on, and the ones of the life before are started anew. */
+static void
+test_a_start_in_a_new_life_is_no_lost_run (void)
+{
+  struct world *w = world_new (37);
+  struct world_worker *worker;
+
+  world_run (w, 2000);
+  w->run_ms = 1000000;
+  world_submit (w, world_job (w, JOB, 1, 6));
+  world_run (w, 500);
+  worker = world_find_run (w, JOB ".0.0.0");
+  world_crash (w, worker, false);
+  worker->alive = true;
+  world_submit (w, world_job (w, "00000000000000a2", 1, 6));
+  world_run (w, 30);
+  g_assert_true (world_find_run (w, "00000000000000a2.0.0.0") == worker);
+  world_run (w, 3000);
+  assert_unbroken (w);
+  g_assert_cmpuint (count_running (w, 6), ==, 6);
+  world_destroy (w);
+}
+
 static guint
 count_state (struct world *w, guint jobs, enum job_state state)
 {
@@ -744,6 +768,8 @@
                    test_unwritten_ends_of_silent_workers_are_waited_for);
   g_test_add_func ("/cell/handovers-and-leases",
                    test_handovers_do_not_extend_leases);
+  g_test_add_func ("/cell/start-in-new-life",
+                   test_a_start_in_a_new_life_is_no_lost_run);
   g_test_add_func ("/cell/fails-all",
                    test_a_worker_that_fails_all_fails_no_job);
   g_test_add_func ("/cell/well-again",
