--- a/tests/unit/test_cell.c
+++ b/tests/unit/test_cell.c
@@ -561,6 +561,33 @@
   world_destroy (w);
 }
 
+/* No run is left on the workers and their leases are over, but their ends are
+   in no journal: the next owner waits for them all the same. */
+static void
+test_unwritten_ends_outlive_leases (void)
+{
+  struct world *w = world_new (38);
+  struct job_spec *job = world_job (w, JOB, 1, WORLD_WORKERS);
+
+  world_run (w, 2000);
+  w->run_ms = 300;
+  ((struct job_step *)g_ptr_array_index (job->steps, 0))->per_worker = 1;
+  world_submit (w, job);
+  world_run (w, 150);
+  w->store_away = true;
+  world_run (w, 6000);
+  w->workers[0].reachable = false;
+  w->store_away = false;
+  world_take_over (w, true, 0);
+  world_run (w, 300);
+  w->workers[0].reachable = true;
+  world_run (w, 3000);
+  g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
+  g_assert_cmpuint (w->starts, ==, WORLD_WORKERS);
+  assert_unbroken (w);
+  world_destroy (w);
+}
+
 static guint
 count_state (struct world *w, guint jobs, enum job_state state)
 {
@@ -770,6 +797,7 @@
                    test_handovers_do_not_extend_leases);
   g_test_add_func ("/cell/start-in-new-life",
                    test_a_start_in_a_new_life_is_no_lost_run);
+  g_test_add_func ("/cell/unwritten-idle", test_unwritten_ends_outlive_leases);
   g_test_add_func ("/cell/fails-all",
                    test_a_worker_that_fails_all_fails_no_job);
   g_test_add_func ("/cell/well-again",
