Give each test run ports of its own

Ports were drawn at random from 22,000, so two of a run's 24 are the same in some 1 of 80 runs; the stand-in's nodes took ports out of the range of outgoing connections.

Ruled out: another run's node (the node's own callers edge had the port).

Change: a run hands out the ports of a block in turn, and the block depends on its process ID.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -3,7 +3,9 @@
 One process, all state in memory; it records every run for the test to judge."""
 
 import base64
+import itertools
 import json
+import os
 import random
 import socket
 import struct
@@ -434,7 +436,22 @@
         return sum(len(w.starts) for w in self.workers)
 
 
+# Above the ports that the system gives to outgoing connections; each run has a
+# block of its own, by its process ID.
+FIRST_PORT = 61000
+BLOCKS = 100
+BLOCK_PORTS = 45
+given_ports = itertools.count()
+
+
 def free_port():
-    with socket.socket() as s:
-        s.bind(("127.0.0.1", 0))
-        return s.getsockname()[1]
+    """Return a port that is free now, and none twice."""
+    first = FIRST_PORT + os.getpid() % BLOCKS * BLOCK_PORTS
+    while True:
+        port = first + next(given_ports) % BLOCK_PORTS
+        with socket.socket() as s:
+            try:
+                s.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
--- a/tests/scenario/nodes.c
+++ b/tests/scenario/nodes.c
@@ -2,10 +2,14 @@
 
 #include <signal.h>
 #include <string.h>
+#include <unistd.h>
 
 #define CALL_TIMEOUT_S 20
+/* Each run has a block of ports of its own, by its process ID, so that runs
+   beside each other do not take the same. */
 #define FIRST_PORT 10000
-#define LAST_PORT 32000
+#define BLOCKS 400
+#define BLOCK_PORTS 55
 
 /* Whether PORT is free on loopback now. */
 static bool
@@ -24,14 +28,19 @@
 }
 
 /* Ports below those that the system gives to outgoing connections, so that
-   none is taken between the choice and the node's start. */
+   none is taken between the choice and the node's start.  None is returned
+   twice: a node binds its ports one after the other. */
 uint16_t
 find_free_port (void)
 {
+  static uint16_t given;
+
   for (;;)
     {
-      uint16_t port = (uint16_t)g_random_int_range (FIRST_PORT, LAST_PORT);
+      uint16_t port = (uint16_t)(FIRST_PORT + getpid () % BLOCKS * BLOCK_PORTS
+                                 + given % BLOCK_PORTS);
 
+      given++;
       if (is_free (port))
         return port;
     }
