--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -10,9 +10,6 @@
 #define STOP_SPARE_MS 600
 /* Starts of one run without an answer before it is stopped instead. */
 #define START_TRIES 2
-/* A worker that leaves a start unanswered gets no other for so long, unless it
-   reports: by then its hold shows whether it is silent. */
-#define UNANSWERED_PAUSE_MS 1700
 /* A start that no room was left for blocks the worker so long. */
 #define NO_ROOM_PAUSE_MS 100
 /* A task without progress for so long on a sound lease is started anew. */
@@ -285,7 +282,6 @@
       break;
     case RUN_NO_ANSWER:
     case RUN_FENCED:
-      w->blocked_ms = now_ms + UNANSWERED_PAUSE_MS;
       start_unanswered (cell, t, now_ms);
       break;
     case RUN_LATE:
