--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -838,3 +838,63 @@
     worker_entry_destroy (e);
   }
 }
+
+void
+world_assert_unbroken (const struct world *w)
+{
+  g_assert_cmpstr (w->broken->str, ==, "");
+}
+
+struct job_spec *
+world_lasting_job (const struct world *w, uint32_t count, uint32_t may_miss)
+{
+  struct job_spec *spec = world_job (w, WORLD_JOB, 1, count);
+  struct job_step *s = g_ptr_array_index (spec->steps, 0);
+
+  s->lasts = true;
+  s->per_worker = 1;
+  s->may_miss = may_miss;
+  return spec;
+}
+
+guint
+world_count_running (struct world *w, uint32_t count)
+{
+  guint n = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      char *task = g_strdup_printf (WORLD_JOB ".0.0.%u", i);
+
+      n += world_find_run (w, task) != NULL;
+      g_free (task);
+    }
+  return n;
+}
+
+guint
+world_count_state (struct world *w, guint jobs, enum job_state state)
+{
+  guint n = 0;
+
+  for (guint i = 0; i < jobs; i++)
+    {
+      char *id = g_strdup_printf ("%016x", i);
+
+      n += world_state (w, id) == state;
+      g_free (id);
+    }
+  return n;
+}
+
+void
+world_submit_many (struct world *w, guint jobs, uint32_t tasks)
+{
+  for (guint i = 0; i < jobs; i++)
+    {
+      char *id = g_strdup_printf ("%016x", i);
+
+      world_submit (w, world_job (w, id, 1, tasks));
+      g_free (id);
+    }
+}
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -13,6 +13,8 @@
    that was taken note of, and none more often than it may fail. */
 
 #define WORLD_WORKERS 6
+/* The job that most tests submit. */
+#define WORLD_JOB "00000000000000a1"
 
 struct world_run
 {
@@ -103,4 +105,20 @@
 /* The worker crashes, and is there again with nothing if REBORN. */
 void world_crash (struct world *w, struct world_worker *worker, bool reborn);
 
+/* Return WORLD_JOB as one step of COUNT tasks that last, each on a worker of
+   its own. */
+struct job_spec *world_lasting_job (const struct world *w, uint32_t count,
+                                    uint32_t may_miss);
+
+/* Submit JOBS jobs with the IDs 0, 1, ... of one step of TASKS tasks. */
+void world_submit_many (struct world *w, guint jobs, uint32_t tasks);
+
+/* Return how many of the first COUNT tasks of WORLD_JOB run. */
+guint world_count_running (struct world *w, uint32_t count);
+
+/* Return how many of the jobs with the IDs 0 to JOBS - 1 are in STATE. */
+guint world_count_state (struct world *w, guint jobs, enum job_state state);
+
+void world_assert_unbroken (const struct world *w);
+
 #endif
