Have whoever yields name the runs on every worker

A record named the runs only of workers that the owner before knew to be silent; any other that does not answer kept the whole cell waiting.

Change: whoever yields names all runs on each worker whose ends it has written, so that its successor waits for these runs only.

--- a/src/cell.c
+++ b/src/cell.c
@@ -148,7 +148,7 @@
       struct cell_worker *w = g_ptr_array_index (cell->worker_list, i);
 
       w->lease_over_ms = now_ms + cell->options.foreign_lease_ms;
-      if (cell->options.trusts_leases && w->lease_left_ms != LEASE_UNKNOWN)
+      if (w->lease_left_ms != LEASE_UNKNOWN)
         w->lease_over_ms = MIN (w->lease_over_ms, now_ms + w->lease_left_ms);
     }
   cell_note (cell, "cell-taken", cell->service,
--- a/src/cell.h
+++ b/src/cell.h
@@ -31,8 +31,6 @@
   int64_t keep_state_ms;    /* an ended job's state is kept so long */
   int64_t foreign_lease_ms; /* an earlier owner's leases are over by then,
                                counted from the takeover */
-  bool trusts_leases;       /* the owner before has yielded to this one and to
-                               no other: leases are over when it said */
 };
 
 /* What the caller of a job is told. */
--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -120,22 +120,21 @@
   return size;
 }
 
-/* Whether all runs that W may have are known, though it does not answer: to
-   whoever reads a record with its ends up to ENDS. */
+/* Whether all runs that W may have are known, though it does not answer. */
 static bool
-is_silent (const struct cell_worker *w, uint64_t ends)
+is_silent (const struct cell_worker *w)
 {
-  return !w->confirmed && !w->inherited && w->ends_taken == ends;
+  return !w->confirmed && !w->inherited;
 }
 
 static GVariant *
-worker_record (const struct cell_worker *w, uint64_t ends,
+worker_record (const struct cell_worker *w, uint64_t ends, bool names_runs,
                int64_t lease_left_ms)
 {
   GVariantBuilder runs;
 
   g_variant_builder_init (&runs, G_VARIANT_TYPE ("a(st)"));
-  for (guint i = 0; i < w->tasks->len && is_silent (w, ends); i++)
+  for (guint i = 0; i < w->tasks->len && names_runs; i++)
     {
       const struct cell_task *t = g_ptr_array_index (w->tasks, i);
       char *name = cell_task_name (t);
@@ -144,15 +143,16 @@
       g_free (name);
     }
   return g_variant_new (WORKER_TYPE, w->entry->address, w->born_ms, ends,
-                        is_silent (w, ends), w->leaving, lease_left_ms, &runs);
+                        names_runs, w->leaving, lease_left_ms, &runs);
 }
 
 struct journal_entry *
-cell_worker_entry (const struct cell_worker *w, uint64_t ends,
+cell_worker_entry (const struct cell_worker *w, uint64_t ends, bool names_runs,
                    int64_t lease_left_ms)
 {
   struct journal_entry *e = g_new0 (struct journal_entry, 1);
-  GVariant *v = g_variant_ref_sink (worker_record (w, ends, lease_left_ms));
+  GVariant *v = g_variant_ref_sink (
+      worker_record (w, ends, names_runs, lease_left_ms));
 
   e->key = g_strconcat ("w:", w->entry->id, NULL);
   e->value = g_variant_get_data_as_bytes (v);
@@ -163,12 +163,12 @@
 static void
 put_worker (struct cell *c, struct cell_worker *w)
 {
-  struct flight_worker f
-      = { w, w->ends_taken, is_silent (w, w->ends_taken), w->leaving };
+  struct flight_worker f = { w, w->ends_taken, is_silent (w), w->leaving };
 
   w->queued = false;
-  g_ptr_array_add (c->flight.entries,
-                   cell_worker_entry (w, w->ends_taken, LEASE_UNKNOWN));
+  g_ptr_array_add (
+      c->flight.entries,
+      cell_worker_entry (w, w->ends_taken, is_silent (w), LEASE_UNKNOWN));
   g_array_append_val (c->flight.workers, f);
 }
 
@@ -402,7 +402,7 @@
   GVariant *v = g_variant_ref_sink (
       g_variant_new_from_bytes (G_VARIANT_TYPE (WORKER_TYPE), value, FALSE));
   struct cell_worker *w = g_hash_table_lookup (c->workers, id);
-  gboolean silent, leaving;
+  gboolean names_runs, leaving;
   GVariantIter *runs;
   const char *name;
   int64_t born_ms;
@@ -414,12 +414,12 @@
   while (w->tasks->len > 0)
     cell_task_free (c, g_ptr_array_index (w->tasks, 0), c->taken_over_ms);
   g_free (w->entry->address);
-  g_variant_get (v, WORKER_TYPE, &w->entry->address, &born_ms, &ends, &silent,
-                 &leaving, &w->lease_left_ms, &runs);
+  g_variant_get (v, WORKER_TYPE, &w->entry->address, &born_ms, &ends,
+                 &names_runs, &leaving, &w->lease_left_ms, &runs);
   w->ends_taken = born_ms == w->born_ms ? MAX (ends, w->ends_taken) : ends;
   w->last_seen = w->ends_taken;
   w->born_ms = born_ms;
-  w->inherited = !silent;
+  w->inherited = !names_runs;
   w->in_journal = true;
   if (leaving)
     {
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -259,10 +259,12 @@
 void cell_journal_job (struct cell *c, struct cell_job *job, bool urgent);
 void cell_journal_worker (struct cell *c, struct cell_worker *w);
 /* Return the journal's record of W as it is now, with its ends up to ENDS.
-   Nobody but the reader extends its leases, and they are over within
-   LEASE_LEFT_MS, unless that is LEASE_UNKNOWN. */
+   With NAMES_RUNS it holds all the runs that may be there, so that the reader
+   has to wait for these only.  Nobody but the reader extends its leases, and
+   they are over within LEASE_LEFT_MS, unless that is LEASE_UNKNOWN. */
 struct journal_entry *cell_worker_entry (const struct cell_worker *w,
-                                         uint64_t ends, int64_t lease_left_ms);
+                                         uint64_t ends, bool names_runs,
+                                         int64_t lease_left_ms);
 /* Have KEY, which the journal owns from now on, dropped. */
 void cell_journal_drop (struct cell *c, char *key);
 void cell_journal_tick (struct cell *c, int64_t now_ms);
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -512,17 +512,18 @@
   GPtrArray *records = g_ptr_array_new_with_free_func (journal_entry_free);
 
   /* The journal does not have the ends after last_seen: the next owner has
-     to take them in itself, even where the leases are over. */
+     to take them in itself, even where the leases are over.  Elsewhere it
+     needs to wait for the runs only that this one knows of. */
   for (guint i = 0; i < cell->worker_list->len; i++)
     {
       const struct cell_worker *w = g_ptr_array_index (cell->worker_list, i);
-
       bool all_written = w->ends_taken == w->last_seen;
       int64_t left_ms = MAX (w->lease_over_ms - now_ms, 0);
 
       g_ptr_array_add (
-          records, cell_worker_entry (w, w->last_seen,
-                                      all_written ? left_ms : LEASE_UNKNOWN));
+          records,
+          cell_worker_entry (w, w->last_seen, all_written && !w->inherited,
+                             all_written ? left_ms : LEASE_UNKNOWN));
     }
   cell->fenced = true;
   return records;
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -74,7 +74,6 @@
   int64_t heard_ms;         /* when the owner that is watched last answered */
   uint32_t unheard;         /* calls to it in a row without a good answer */
   GPtrArray *yielded;       /* struct journal_entry *, from the owner before */
-  bool yielded_here_only;   /* and to no other node */
   int64_t foreign_lease_ms; /* see struct cell_options */
   char *claimed_from;       /* the owner's address when the claim began */
   GHashTable *asks;         /* token to struct local_ask */
--- a/src/node_takeover.c
+++ b/src/node_takeover.c
@@ -106,20 +106,20 @@
   int64_t now_ms = node_now_ms ();
   /* 421 comes from a process that was started since, and knows nothing. */
   bool has_stopped = reply->status != 0;
-  bool has_records
+  bool has_yielded
       = reply->status == 200 || reply->status == STATUS_YIELDED_BEFORE;
 
   if (h != NULL && h->phase == HOST_YIELDING)
     {
       h->call_out = false;
       claim (h,
-             has_records   ? "owner-yielded"
+             has_yielded   ? "owner-yielded"
              : has_stopped ? "not-the-owner"
                            : "owner-silent",
              has_stopped ? STOPPED_LEASE_MS : FOREIGN_LEASE_MS, now_ms);
-      if (has_records)
+      /* Another node that asked before may have been the owner since. */
+      if (reply->status == 200)
         h->yielded = peer_read_records (reply);
-      h->yielded_here_only = reply->status == 200;
     }
   host_call_destroy (call);
 }
@@ -453,7 +453,6 @@
     .early_ms = s->early_ms,
     .keep_state_ms = s->keep_state_ms,
     .foreign_lease_ms = h->foreign_lease_ms,
-    .trusts_leases = h->yielded != NULL && h->yielded_here_only,
   };
 
   h->cell = cell_new (&options, now_ms);
--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -154,7 +154,6 @@
                                   .stop_grace_ms = 900,
                                   .early_ms = 250,
                                   .keep_state_ms = 120000,
-                                  .trusts_leases = true,
                                   .foreign_lease_ms = foreign_lease_ms };
 
   w->journal_epoch = w->epoch;
--- a/tests/unit/test_cell_faults.c
+++ b/tests/unit/test_cell_faults.c
@@ -119,6 +119,34 @@
   world_destroy (w);
 }
 
+/* Whoever yields names the runs on each worker, so that one that does not
+   answer keeps nothing else from starting. */
+static void
+test_a_dark_worker_holds_up_its_own_runs_only (void)
+{
+  struct world *w = world_new (39);
+  const char *other = "00000000000000a2";
+  struct world_worker *dark;
+
+  world_run (w, 2000);
+  w->run_ms = 1000000;
+  world_submit (w, world_job (w, JOB, 1, 1));
+  world_run (w, 100);
+  dark = world_find_run (w, JOB ".0.0.0");
+  g_assert_nonnull (dark);
+  dark->reachable = false;
+  w->run_ms = 500;
+  world_submit (w, world_job (w, other, 2, 6));
+  while (world_state (w, other) != JOB_RUNNING)
+    world_run (w, 5);
+  world_run (w, 200);
+  world_take_over (w, true, 0);
+  world_run (w, 1700);
+  g_assert_cmpint (world_state (w, other), ==, JOB_COMPLETED);
+  world_assert_unbroken (w);
+  world_destroy (w);
+}
+
 /* No run is left on the workers and their leases are over, but their ends are
    in no journal: the next owner waits for them all the same. */
 static void
@@ -221,6 +249,8 @@
   g_test_add_func ("/cell/start-in-new-life",
                    test_a_start_in_a_new_life_is_no_lost_run);
   g_test_add_func ("/cell/unwritten-idle", test_unwritten_ends_outlive_leases);
+  g_test_add_func ("/cell/dark-worker",
+                   test_a_dark_worker_holds_up_its_own_runs_only);
   g_test_add_func ("/cell/fails-all",
                    test_a_worker_that_fails_all_fails_no_job);
   g_test_add_func ("/cell/well-again",
