Show that a dark worker holds up its own runs only

Change: the dark worker is full of another job, and falls dark as the cell is handed over. With the mend taken out the test fails (the job is running 1.9 s after the handover), with it it passes. The check itself is the same.

--- a/tests/unit/test_cell_faults.c
+++ b/tests/unit/test_cell_faults.c
@@ -130,18 +130,19 @@
 
   world_run (w, 2000);
   w->run_ms = 1000000;
-  world_submit (w, world_job (w, JOB, 1, 1));
+  /* These fill one worker, so that nothing else runs there. */
+  world_submit (w, world_job (w, JOB, 1, 16));
   world_run (w, 100);
   dark = world_find_run (w, JOB ".0.0.0");
   g_assert_nonnull (dark);
-  dark->reachable = false;
+  g_assert_cmpuint (dark->runs->len, ==, 16);
   w->run_ms = 500;
   world_submit (w, world_job (w, other, 2, 6));
   while (world_state (w, other) != JOB_RUNNING)
     world_run (w, 5);
-  world_run (w, 200);
+  dark->reachable = false;
   world_take_over (w, true, 0);
-  world_run (w, 1700);
+  world_run (w, 1900);
   g_assert_cmpint (world_state (w, other), ==, JOB_COMPLETED);
   world_assert_unbroken (w);
   world_destroy (w);
