Work out a lasting job's wanted processors once; one place for a new life

Found in the last read: cell_get_load walked the waiting steps of each lasting job twice; a worker's new life was noted and begun in two places with the same words; the soak's client repeated a node's request; the comment on CELL_SHUN_MS did not tell a suspect worker from one where a task stood still. Behaviour, bounds and assertions stay as they were.

--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -546,12 +546,6 @@
   return cpu;
 }
 
-static uint64_t
-lasting_cpu_waiting (const struct cell_job *job)
-{
-  return job->lasts ? cpu_wanted (job) : 0;
-}
-
 struct pool_load *
 cell_get_load (const struct cell *cell)
 {
@@ -577,9 +571,11 @@
   for (guint i = 0; i < cell->open->len; i++)
     {
       const struct cell_job *job = g_ptr_array_index (cell->open, i);
+      uint64_t wanted_milli = cpu_wanted (job);
 
-      l->cpu_wanted_milli += cpu_wanted (job);
-      lasting_milli += lasting_cpu_waiting (job);
+      l->cpu_wanted_milli += wanted_milli;
+      if (job->lasts)
+        lasting_milli += wanted_milli;
       l->workers_min = MAX (l->workers_min, workers_for_spread (job));
       l->cpu_lasting_milli += lasting_cpu (job);
     }
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -16,7 +16,8 @@
 #define CELL_LEASE_MS 4000
 /* A worker's record does not tell how long its leases last. */
 #define LEASE_UNKNOWN (-1)
-/* A suspect worker is used only if no other fits, for so long. */
+/* A worker where a task stood still is used only if no other fits, and a
+   suspect one not at all, for so long. */
 #define CELL_SHUN_MS 2500
 /* Runs that one epoch may give a task before the numbers of the next. */
 #define CELL_RUNS_PER_EPOCH 4096
@@ -124,8 +125,8 @@
   uint32_t strangers;     /* runs last reported that are not the cell's */
   uint32_t failed_streak; /* jobs failed in a row since a task was done */
   char failed_job[JOB_ID_LENGTH + 1]; /* the last one of these */
-  int64_t shunned_ms; /* used only if no other fits, until then */
-  GPtrArray *tasks;   /* struct cell_task *, with a run here */
+  int64_t shunned_ms;                 /* see CELL_SHUN_MS */
+  GPtrArray *tasks;                   /* struct cell_task *, with a run here */
   struct worker_room used;
 };
 
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -92,9 +92,12 @@
   c->place_needed = true;
 }
 
+/* W has started anew.  A start may have arrived in the new life already, so
+   its next report tells which runs are lost. */
 static void
-begin_life (struct cell_worker *w, int64_t born_ms)
+begin_life (struct cell *c, struct cell_worker *w, int64_t born_ms)
 {
+  cell_note (c, "worker-born-again", w->entry->id, "tasks=%u", w->tasks->len);
   w->born_ms = born_ms;
   w->last_seen = 0;
   w->ends_taken = 0;
@@ -122,10 +125,7 @@
   w->listed = true;
   if (entry->born_ms != 0 && w->born_ms != 0 && entry->born_ms > w->born_ms)
     {
-      /* Its next report tells which runs are in the new life. */
-      cell_note (cell, "worker-born-again", entry->id, "tasks=%u",
-                 w->tasks->len);
-      begin_life (w, entry->born_ms);
+      begin_life (cell, w, entry->born_ms);
       w->confirmed = false;
       w->next_hold_ms = now_ms;
     }
@@ -427,11 +427,7 @@
 
   if (w->born_ms != 0 && report->born_ms != 0 && report->born_ms != w->born_ms)
     {
-      /* A start may have arrived in the new life already: what is lost is what
-         the report lacks. */
-      cell_note (c, "worker-born-again", w->entry->id, "tasks=%u",
-                 w->tasks->len);
-      begin_life (w, report->born_ms);
+      begin_life (c, w, report->born_ms);
       before = 0;
     }
   if (!w->confirmed)
--- a/tests/platform/nodes.py
+++ b/tests/platform/nodes.py
@@ -12,6 +12,17 @@
 PATIENCE_S = 30
 
 
+def exchange(connection, method, path, body=None):
+    """Send a caller's request; return status, text and Retry-After."""
+    connection.request(method, path,
+                       body=json.dumps(body) if body else None,
+                       headers={"Host": "desk.example",
+                                "Content-Type": "application/json",
+                                "X-Timeout-Ms": "3000"})
+    r = connection.getresponse()
+    return r.status, r.read().decode(), r.getheader("Retry-After")
+
+
 class Node:
     def __init__(self, binary, folder, platform, number, share=1.0,
                  store=None):
@@ -52,13 +63,7 @@
         c = http.client.HTTPConnection("127.0.0.1", port or self.callers,
                                        timeout=5)
         try:
-            c.request(method, path, body=json.dumps(body) if body else None,
-                      headers={"Host": "desk.example",
-                               "Content-Type": "application/json",
-                               "X-Timeout-Ms": "3000"})
-            r = c.getresponse()
-            text = r.read().decode()
-            return r.status, text, r.getheader("Retry-After")
+            return exchange(c, method, path, body)
         except OSError:
             return 0, "", None
         finally:
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -17,7 +17,7 @@
 import time
 
 import proxy
-from nodes import Node, end, job, wait_for
+from nodes import Node, end, exchange, job, wait_for
 from standin import Platform, now_ms
 
 SERVICES = ["search", "archive"]
@@ -66,14 +66,9 @@
             c = http.client.HTTPConnection("127.0.0.1", node.callers,
                                            timeout=4)
         try:
-            c.request(method, path, body=json.dumps(body) if body else None,
-                      headers={"Host": "desk.example",
-                               "Content-Type": "application/json",
-                               "X-Timeout-Ms": "3000"})
-            r = c.getresponse()
-            text = r.read().decode()
+            status, text, _ = exchange(c, method, path, body)
             self.connections[node] = c
-            return r.status, text
+            return status, text
         except (OSError, http.client.HTTPException):
             self.connections.pop(node, None)
             c.close()
