Lock the block of ports of a test run

platform_whole_path failed once: a killed node's port was given to platform_reserve, whose node answered for it. Cause: a block of ports was chosen by the process ID alone, so two runs whose IDs differ by a multiple of the number of blocks shared one. Change: the block's first port stays bound as its lock, in tests/platform and in tests/scenario; who finds it bound takes the next block.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -450,23 +450,50 @@
         return sum(len(w.ended_runs) for w in self.workers)
 
 
-# Ports above the range that the system uses for outgoing connections.  Each
-# test process has a block of its own, chosen by its process ID, so that tests
-# which run at the same time don't collide.
+# Ports above the range that the system uses for outgoing connections.
 FIRST_PORT = 61000
 BLOCKS = 100
 BLOCK_PORTS = 45
-port_offsets = itertools.count()
 
 
-def free_port():
-    """Return a port that is free now, another one for each call."""
-    first = FIRST_PORT + os.getpid() % BLOCKS * BLOCK_PORTS
-    while True:
-        port = first + next(port_offsets) % BLOCK_PORTS
-        with socket.socket() as s:
+class PortBlock:
+    """A block of ports that no other test process uses meanwhile.  The block's
+    first port stays bound as its lock, so a port of the block is not given to
+    another test while the node that listens there is down."""
+
+    def __init__(self, preferred):
+        """Lock block number PREFERRED, or the next one that is not locked."""
+        for i in range(BLOCKS):
+            self.first = FIRST_PORT + (preferred + i) % BLOCKS * BLOCK_PORTS
+            self.lock = socket.socket()
             try:
-                s.bind(("127.0.0.1", port))
-                return port
+                self.lock.bind(("127.0.0.1", self.first))
+                break
             except OSError:
-                continue
+                self.lock.close()
+        else:
+            raise RuntimeError("every block of ports is locked; end other "
+                               "test processes")
+        self.offsets = itertools.cycle(range(1, BLOCK_PORTS))
+
+    def free_port(self):
+        """Return a port that is free now, another one for each call."""
+        while True:
+            port = self.first + next(self.offsets)
+            with socket.socket() as s:
+                try:
+                    s.bind(("127.0.0.1", port))
+                    return port
+                except OSError:
+                    continue
+
+
+own_block = None
+
+
+def free_port():
+    """Return a free port of this process's block."""
+    global own_block
+    if own_block is None:
+        own_block = PortBlock(os.getpid())
+    return own_block.free_port()
--- a/tests/scenario/nodes.c
+++ b/tests/scenario/nodes.c
@@ -5,15 +5,16 @@
 #include <unistd.h>
 
 #define CALL_TIMEOUT_S 20
-/* Each run takes its ports from a block chosen by its process ID, so that
-   concurrent runs don't compete for the same ports. */
+/* Each run takes its ports from a block of its own, so that concurrent runs
+   don't compete for the same ports.  The block's first port stays bound as its
+   lock: a port of a node that is down is not given to another run. */
 #define FIRST_PORT 10000
 #define PORT_BLOCKS 400
 #define PORTS_PER_BLOCK 55
 
-/* Whether PORT is free on loopback now. */
-static bool
-is_port_free (uint16_t port)
+/* Bind PORT on loopback; return the socket, or NULL if PORT is in use. */
+static GSocket *
+bind_port (uint16_t port)
 {
   GSocket *s = g_socket_new (G_SOCKET_FAMILY_IPV4, G_SOCKET_TYPE_STREAM,
                              G_SOCKET_PROTOCOL_TCP, NULL);
@@ -22,9 +23,38 @@
   bool is_bound = g_socket_bind (s, a, FALSE, NULL);
 
   g_object_unref (a);
-  g_socket_close (s, NULL);
+  if (!is_bound)
+    g_clear_object (&s);
+  return s;
+}
+
+/* Whether PORT is free on loopback now. */
+static bool
+is_port_free (uint16_t port)
+{
+  GSocket *s = bind_port (port);
+
+  if (s == NULL)
+    return false;
   g_object_unref (s);
-  return is_bound;
+  return true;
+}
+
+/* Lock a block of ports until this process ends; return its first port.  The
+   process ID chooses the block that is tried first. */
+static uint16_t
+lock_port_block (void)
+{
+  for (int i = 0; i < PORT_BLOCKS; i++)
+    {
+      uint16_t first
+          = (uint16_t)(FIRST_PORT
+                       + (getpid () + i) % PORT_BLOCKS * PORTS_PER_BLOCK);
+
+      if (bind_port (first) != NULL)
+        return first;
+    }
+  g_error ("every block of ports is locked: end other scenario runs");
 }
 
 /* Return a free port below the system's range for outgoing connections, so
@@ -34,13 +64,15 @@
 uint16_t
 find_free_port (void)
 {
+  static uint16_t first;
   static uint16_t ports_tried;
 
+  if (first == 0)
+    first = lock_port_block ();
   for (;;)
     {
       uint16_t port
-          = (uint16_t)(FIRST_PORT + getpid () % PORT_BLOCKS * PORTS_PER_BLOCK
-                       + ports_tried % PORTS_PER_BLOCK);
+          = (uint16_t)(first + 1 + ports_tried % (PORTS_PER_BLOCK - 1));
 
       ports_tried++;
       if (is_port_free (port))
