Pursue a request through a change of the cell's owner

Cause: a node asked an owner that was frozen or stopping once for 900 ms, more than the quarter of the caller's time that it had for all attempts, and answered 504 for a job that had reached no worker; callers do not try such requests again. A handover answered all open requests so. Change: pursuit.c decides, without I/O, when a request is sent again and to which owner: at once when a successor is known, with backoff to the same owner, for 80% of the caller's time, and for 30% while this node does not hear from the store and so would not learn of a successor. An attempt that may have been, or may be, carried out makes the request unclear, so that it is never reported as not done; reads stay refusals. test_pursuit plays a frozen owner, a released cell, a node without the store.

--- a/src/node_front.c
+++ b/src/node_front.c
@@ -1,16 +1,21 @@
 #include "node_state.h"
 
 #include "event_log.h"
+#include "pursuit.h"
 
 #include <string.h>
 
-/* Delay between two attempts to reach an owner. */
-#define RETRY_DELAY_MS 60
 /* Timeout of one attempt at another node. */
 #define ATTEMPT_TIMEOUT_MS 900
-/* A request that no owner answers fails after this share of the caller's
-   timeout, so that the caller has time to retry. */
-#define RETRY_TIME_PERCENT 25
+/* Share of the caller's timeout within which its request is pursued: what is
+   left is for the answer's way back. */
+#define CALLER_TIME_PERCENT 80
+/* The same for requests of the owner of the fleet, which sends them anew each
+   round. */
+#define FLEET_TIME_PERCENT 25
+/* A node that has had no answer from the store for longer would not learn of a
+   cell's new owner. */
+#define STORE_HEARD_MAX_MS 1500
 /* Retry delay that a caller is told. */
 #define RETRY_AFTER_MS 1000
 /* The routes count as fresh if the store has confirmed them within this
@@ -19,7 +24,8 @@
 /* A node that has had no answer from the store for longer is not ready. */
 #define STORE_SILENCE_MAX_MS 4000
 
-/* A request that has not been answered yet. */
+/* A request that has not been answered yet, or whose attempts have not all
+   ended. */
 struct pending_request
 {
   struct front *front;
@@ -30,11 +36,16 @@
   front_done done;
   void *data;
   int64_t begun_ms;
-  int64_t deadline_ms;
-  int64_t retry_ms;
-  bool is_in_progress;
-  bool is_unclear; /* an earlier attempt may have been executed */
-  uint32_t attempts;
+  struct pursuit *pursuit;
+  uint32_t open_attempts;
+  bool is_finished; /* DONE has been called */
+};
+
+/* The context of one attempt. */
+struct attempt
+{
+  struct pending_request *pending;
+  uint32_t number;
 };
 
 struct front
@@ -56,6 +67,7 @@
 static void
 pending_destroy (struct pending_request *p)
 {
+  pursuit_destroy (p->pursuit);
   g_free (p->service);
   g_free (p->subject);
   if (p->encoded != NULL)
@@ -117,22 +129,42 @@
   spec->advice.valid_ms = queue->advice_valid_ms;
 }
 
+static bool
+changes_state (enum front_verb verb)
+{
+  switch (verb)
+    {
+    case FRONT_SUBMIT:
+    case FRONT_CANCEL:
+    case FRONT_EMPTY_WORKER:
+    case FRONT_WORKER_ENDED:
+      return true;
+    case FRONT_GET_STATE:
+    case FRONT_COUNT_WAITING:
+      return false;
+    }
+  return true;
+}
+
 static void
 finish_request (struct pending_request *p, const struct front_answer *answer)
 {
   struct front_answer final = *answer;
 
-  if (final.result == FRONT_UNAVAILABLE && p->is_unclear)
+  if (final.result == FRONT_UNAVAILABLE && pursuit_is_unclear (p->pursuit)
+      && changes_state (p->request.verb))
     final.result = FRONT_UNCLEAR;
   if (final.result == FRONT_UNAVAILABLE)
     final.retry_after_ms = RETRY_AFTER_MS;
+  p->is_finished = true;
   g_ptr_array_remove_fast (p->front->pending, p);
   p->done (p->data, &final);
-  pending_destroy (p);
+  if (p->open_attempts == 0)
+    pending_destroy (p);
 }
 
 static void
-fail_request (struct pending_request *p, int64_t now_ms)
+give_up (struct pending_request *p, int64_t now_ms)
 {
   struct front_answer answer = { .result = FRONT_UNAVAILABLE };
 
@@ -140,90 +172,171 @@
   event_log (
       "ask-given-up", p->subject,
       "verb=%d service=%s tries=%u unclear=%d waited_ms=%" G_GINT64_FORMAT,
-      (int)p->request.verb, p->service, p->attempts, p->is_unclear,
-      now_ms - p->begun_ms);
+      (int)p->request.verb, p->service, pursuit_attempts (p->pursuit),
+      pursuit_is_unclear (p->pursuit), now_ms - p->begun_ms);
   finish_request (p, &answer);
 }
 
-static void
-schedule_retry (struct pending_request *p, int64_t now_ms)
+/* A job that the owner refuses is answered at once: the caller is told when to
+   come back.  Other requests are tried again. */
+static bool
+is_final (const struct pending_request *p, const struct front_answer *answer)
+{
+  switch (answer->result)
+    {
+    case FRONT_DONE:
+    case FRONT_NOT_FOUND:
+      return true;
+    case FRONT_UNAVAILABLE:
+      return p->request.verb == FRONT_SUBMIT
+             && !pursuit_is_unclear (p->pursuit);
+    case FRONT_UNCLEAR:
+      return false;
+    }
+  return false;
+}
+
+static struct attempt *
+attempt_new (struct pending_request *p, const char *owner, int64_t now_ms)
 {
-  p->is_in_progress = false;
-  p->retry_ms = now_ms + RETRY_DELAY_MS;
-  meters_add (p->front->node->meters, METER_FORWARDS_RETRIED, 1);
+  struct attempt *a = g_new0 (struct attempt, 1);
+
+  a->pending = p;
+  a->number = pursuit_begin_attempt (p->pursuit, owner, now_ms);
+  p->open_attempts++;
+  return a;
 }
 
-/* Finish or retry after an answer of the owner, here or at another node. */
+/* End ATTEMPT, whose answer is ANSWER, or NULL if it has none and the request
+   was not carried out unless IS_UNCLEAR.  Of several attempts the first that
+   has a final answer counts. */
 static void
-handle_answer (struct pending_request *p, const struct front_answer *answer)
+end_attempt (struct attempt *attempt, const struct front_answer *answer,
+             bool is_unclear)
 {
-  int64_t now_ms = node_now_ms ();
+  struct pending_request *p = attempt->pending;
 
-  p->is_in_progress = false;
-  if (answer->result == FRONT_UNAVAILABLE && now_ms < p->deadline_ms
-      && p->request.verb != FRONT_SUBMIT)
-    schedule_retry (p, now_ms);
-  else
-    finish_request (p, answer);
+  p->open_attempts--;
+  if (!p->is_finished)
+    {
+      is_unclear
+          = is_unclear || (answer != NULL && answer->result == FRONT_UNCLEAR);
+      pursuit_end_attempt (p->pursuit, attempt->number,
+                           is_unclear ? ATTEMPT_UNCLEAR : ATTEMPT_NOT_DONE,
+                           node_now_ms ());
+      if (answer != NULL && is_final (p, answer))
+        finish_request (p, answer);
+      else
+        meters_add (p->front->node->meters, METER_FORWARDS_RETRIED, 1);
+    }
+  else if (p->open_attempts == 0)
+    pending_destroy (p);
+  g_free (attempt);
 }
 
 static void
 on_local_answer (void *data, const struct front_answer *answer)
 {
-  handle_answer (data, answer);
+  end_attempt (data, answer, false);
 }
 
 static void
 on_peer_answer (void *data, const struct http_reply *reply)
 {
-  struct pending_request *p = data;
+  struct attempt *a = data;
+  enum front_verb verb = a->pending->request.verb;
   struct front_answer answer;
-  int64_t now_ms = node_now_ms ();
 
-  p->is_in_progress = false;
-  if (reply->status == 0 && reply->may_have_arrived
-      && p->request.verb == FRONT_SUBMIT)
-    p->is_unclear = true;
-  if (peer_read_answer (p->request.verb, reply, &answer))
-    {
-      handle_answer (p, &answer);
-      return;
-    }
-  if (now_ms >= p->deadline_ms)
-    fail_request (p, now_ms);
+  if (peer_read_answer (verb, reply, &answer))
+    end_attempt (a, &answer, false);
   else
-    schedule_retry (p, now_ms);
+    end_attempt (a, NULL, reply->status == 0 && reply->may_have_arrived);
 }
 
-static void
-try_request (struct pending_request *p, int64_t now_ms)
+/* Return the host of the request's cell if this node owns that, or NULL. */
+static struct cell_host *
+find_active_host (const struct pending_request *p)
 {
   struct node *n = p->front->node;
   struct cell_host *h = g_hash_table_lookup (n->hosts, p->service);
+
+  return h != NULL && h->phase == HOST_ACTIVE && !n->is_stopping ? h : NULL;
+}
+
+/* Return the address of the node that owns the request's cell, or NULL if no
+   owner is known. */
+static const char *
+find_owner (const struct pending_request *p)
+{
+  const struct node *n = p->front->node;
   const char *owner = owner_address (n, p->service);
+
+  if (find_active_host (p) != NULL)
+    return n->address;
+  if (owner == NULL || owner[0] == OWNER_RELEASED || owner[0] == OWNER_LOST
+      || strcmp (owner, n->address) == 0)
+    return NULL;
+  return owner;
+}
+
+static void
+send_attempt (struct pending_request *p, const char *owner, int64_t now_ms)
+{
+  struct node *n = p->front->node;
+  struct cell_host *h = find_active_host (p);
+  struct attempt *a = attempt_new (p, owner, now_ms);
   struct front_request request = p->request;
 
-  if (h != NULL && h->phase == HOST_ACTIVE && !n->is_stopping)
+  if (h != NULL)
     {
       if (request.verb == FRONT_SUBMIT)
         request.spec = job_spec_from_bytes (p->encoded);
-      p->is_in_progress = true;
-      p->attempts++;
-      host_handle_request (h, &request, on_local_answer, p, now_ms);
+      host_handle_request (h, &request, on_local_answer, a, now_ms);
       return;
     }
-  if (owner == NULL || owner[0] == OWNER_RELEASED || owner[0] == OWNER_LOST
-      || strcmp (owner, n->address) == 0)
-    {
-      schedule_retry (p, now_ms);
-      return;
-    }
-  p->is_in_progress = true;
-  p->attempts++;
   meters_add (n->meters, METER_FORWARDS, 1);
   peer_send (n, owner, &request,
-             MIN (ATTEMPT_TIMEOUT_MS, MAX (p->deadline_ms - now_ms, 100)),
-             on_peer_answer, p);
+             MIN (ATTEMPT_TIMEOUT_MS,
+                  MAX (pursuit_left_ms (p->pursuit, now_ms), 100)),
+             on_peer_answer, a);
+}
+
+/* Do what is due for P. */
+static void
+pursue (struct pending_request *p, int64_t now_ms)
+{
+  const char *owner = find_owner (p);
+  bool hears_store
+      = now_ms < p->front->node->store_heard_ms + STORE_HEARD_MAX_MS;
+
+  switch (pursuit_next (p->pursuit, owner, hears_store, now_ms))
+    {
+    case PURSUIT_SEND:
+      send_attempt (p, owner, now_ms);
+      break;
+    case PURSUIT_GIVE_UP:
+      give_up (p, now_ms);
+      break;
+    case PURSUIT_WAIT:
+      break;
+    }
+}
+
+static int64_t
+time_percent (enum front_verb verb)
+{
+  switch (verb)
+    {
+    case FRONT_SUBMIT:
+    case FRONT_GET_STATE:
+    case FRONT_CANCEL:
+    case FRONT_COUNT_WAITING:
+      return CALLER_TIME_PERCENT;
+    case FRONT_EMPTY_WORKER:
+    case FRONT_WORKER_ENDED:
+      return FLEET_TIME_PERCENT;
+    }
+  return FLEET_TIME_PERCENT;
 }
 
 void
@@ -242,7 +355,8 @@
   p->done = done;
   p->data = data;
   p->begun_ms = now_ms;
-  p->deadline_ms = now_ms + request->timeout_ms * RETRY_TIME_PERCENT / 100;
+  p->pursuit = pursuit_new (
+      request->timeout_ms * time_percent (request->verb) / 100, now_ms);
   if (request->spec != NULL)
     {
       p->encoded = job_spec_to_bytes (request->spec);
@@ -251,24 +365,14 @@
     }
   p->request.encoded = p->encoded;
   g_ptr_array_add (front->pending, p);
-  try_request (p, now_ms);
+  pursue (p, now_ms);
 }
 
 void
 front_tick (struct front *front, int64_t now_ms)
 {
+  /* An answer that comes at once removes its request, and only that one. */
   for (guint i = front->pending->len; i > 0; i--)
-    {
-      struct pending_request *p;
-
-      if (i > front->pending->len)
-        continue;
-      p = g_ptr_array_index (front->pending, i - 1);
-      if (p->is_in_progress)
-        continue;
-      if (now_ms >= p->deadline_ms)
-        fail_request (p, now_ms);
-      else if (now_ms >= p->retry_ms)
-        try_request (p, now_ms);
-    }
+    if (i <= front->pending->len)
+      pursue (g_ptr_array_index (front->pending, i - 1), now_ms);
 }
