--- a/src/fields.c
+++ b/src/fields.c
@@ -311,8 +311,8 @@
    parser recurses, so deep nesting would overflow its stack.  It also accepts
    comments, and a quotation mark in a comment could hide nesting from the
    count here, so characters that occur only in comments are refused. */
-static const char *
-find_unsafe_syntax (const char *text, gsize size)
+const char *
+fields_find_unsafe_syntax (const char *text, gsize size)
 {
   int depth = 0;
   bool in_string = false;
@@ -349,8 +349,8 @@
 
   if (text == NULL) /* the data of an empty GBytes */
     text = "";
-  reason
-      = find_unsafe_syntax (text, length < 0 ? strlen (text) : (gsize)length);
+  reason = fields_find_unsafe_syntax (text, length < 0 ? strlen (text)
+                                                       : (gsize)length);
   if (reason != NULL)
     {
       g_set_error (error, SHED_ERROR, ERROR_INVALID, "%s is not JSON: it %s",
--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -181,6 +181,32 @@
   g_free (status);
 }
 
+/* A message of nothing but opening brackets, as long as a caller's body may
+   be, must be refused; a parser that recurses would overflow its stack. */
+static void
+test_deep_nesting (void)
+{
+  static const char brackets[] = { '[', '{' };
+  gsize size = 262144;
+  char *text = g_malloc (size);
+
+  for (gsize i = 0; i < G_N_ELEMENTS (brackets); i++)
+    {
+      struct job_spec *spec = job_spec_new ("00000000000000a1");
+      GError *error = NULL;
+
+      memset (text, brackets[i], size);
+      g_assert_false (wire_read_job (text, size, spec, &error));
+      g_assert_nonnull (error);
+      g_clear_error (&error);
+      g_assert_null (wire_read_routes (text, size));
+      g_assert_null (wire_read_report (text, size));
+      g_assert_null (wire_read_worker ("i-1", text, size));
+      job_spec_destroy (spec);
+    }
+  g_free (text);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -192,5 +218,6 @@
   g_test_add_func ("/wire/report", test_report);
   g_test_add_func ("/wire/routes", test_routes);
   g_test_add_func ("/wire/waves", test_waves_and_machines);
+  g_test_add_func ("/wire/deep-nesting", test_deep_nesting);
   return g_test_run ();
 }
