--- a/tests/unit/test_wire.c
+++ b/tests/unit/test_wire.c
@@ -181,6 +181,17 @@
   g_free (status);
 }
 
+static void
+test_strings_are_escaped (void)
+{
+  GString *out = g_string_new (NULL);
+
+  wire_append_string (out, "the field \"spec\" \\ is\na line");
+  g_assert_cmpstr (out->str, ==,
+                   "\"the field \\\"spec\\\" \\\\ is\\u000aa line\"");
+  g_string_free (out, TRUE);
+}
+
 /* A message of nothing but opening brackets, as long as a caller's body may
    be, must be refused; a parser that recurses would overflow its stack. */
 static void
@@ -218,6 +229,7 @@
   g_test_add_func ("/wire/report", test_report);
   g_test_add_func ("/wire/routes", test_routes);
   g_test_add_func ("/wire/waves", test_waves_and_machines);
+  g_test_add_func ("/wire/strings", test_strings_are_escaped);
   g_test_add_func ("/wire/deep-nesting", test_deep_nesting);
   return g_test_run ();
 }
