Send no call whose time has passed while the process was paused

Cause: a call that waited for its turn when the process was paused was put on a connection after the pause, before its overdue timer ran: an order could leave on a permission that had run out. Change: a waiting call that has expired by the clock that counts suspended time is finished as certainly not sent. test_http_client /pause: before, the call counted as possibly sent.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -5,6 +5,7 @@
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <string.h>
+#include <time.h>
 
 /* Maximum number of connections of one lane to one address. */
 #define LANE_MAX_CONNECTIONS 3
@@ -17,6 +18,7 @@
 {
   struct lane *lane;
   struct connection *connection; /* NULL while the call waits for one */
+  int64_t expires_ms;
   char *method;
   char *path;
   char *names[HTTP_CALL_MAX_HEADERS];
@@ -149,6 +151,16 @@
     evhttp_add_header (out, p->names[i], p->values[i]);
 }
 
+static int64_t
+now_ms (void)
+{
+  struct timespec t;
+
+  /* Counts suspended time, too. */
+  clock_gettime (CLOCK_BOOTTIME, &t);
+  return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
+}
+
 static void
 send_on_connection (struct connection *c, struct pending_call *p)
 {
@@ -175,13 +187,19 @@
 static void
 send_waiting (struct lane *lane)
 {
+  static const struct http_reply expired = { .may_have_arrived = false };
+
   for (int i = 0; i < lane->n_connections; i++)
     {
       struct pending_call *p;
 
       if (lane->connections[i].call != NULL)
         continue;
-      p = g_queue_pop_head (&lane->waiting);
+      /* After a pause of the process the timers of waiting calls may be
+         overdue: what a call asks for may not be allowed any more. */
+      while ((p = g_queue_pop_head (&lane->waiting)) != NULL
+             && now_ms () >= p->expires_ms)
+        finish_call (p, &expired);
       if (p == NULL)
         return;
       send_on_connection (&lane->connections[i], p);
@@ -315,6 +333,7 @@
   struct timeval now = { 0, 0 };
 
   p->lane = lane;
+  p->expires_ms = now_ms () + wait_ms;
   p->timer = evtimer_new (client->base, on_timeout, p);
   evtimer_add (p->timer, &timeout);
   g_queue_push_tail (&lane->waiting, p);
--- a/src/node.c
+++ b/src/node.c
@@ -98,8 +98,8 @@
     event_log ("store-reached", n->settings->store,
                "started_ms=%" G_GINT64_FORMAT, now_ms - n->started_ms);
   else if (now_ms > n->store_heard_ms + STORE_OUTAGE_MIN_MS)
-    event_log ("store-back", n->settings->store,
-               "silent_ms=%" G_GINT64_FORMAT, now_ms - n->store_heard_ms);
+    event_log ("store-back", n->settings->store, "silent_ms=%" G_GINT64_FORMAT,
+               now_ms - n->store_heard_ms);
   if (now_ms > n->store_heard_ms + STORE_OUTAGE_MIN_MS)
     n->store_recovered_ms = now_ms;
   n->store_heard_ms = now_ms;
--- /dev/null
+++ b/tests/unit/test_http_client.c
@@ -0,0 +1,121 @@
+#include "http_client.h"
+
+#include <event2/buffer.h>
+#include <event2/http.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+/* The HTTP client in a process that is paused: what it sends afterwards. */
+
+#define CALL_TIMEOUT_MS 100
+#define PAUSE_MS 300
+
+struct fixture
+{
+  struct event_base *base;
+  struct evhttp *server;
+  struct http_client *client;
+  char *address;
+  guint served;
+  guint finished;
+  struct http_reply reply; /* the last one */
+};
+
+static void
+on_served (struct evhttp_request *request, void *data)
+{
+  ((struct fixture *)data)->served++;
+  evhttp_send_reply (request, 200, "OK", NULL);
+}
+
+static void
+on_reply (void *data, const struct http_reply *reply)
+{
+  struct fixture *f = data;
+
+  f->finished++;
+  f->reply = *reply;
+}
+
+static void
+set_up (struct fixture *f)
+{
+  struct evhttp_bound_socket *bound;
+  struct sockaddr_in address;
+  socklen_t size = sizeof address;
+
+  f->base = event_base_new ();
+  f->server = evhttp_new (f->base);
+  evhttp_set_gencb (f->server, on_served, f);
+  bound = evhttp_bind_socket_with_handle (f->server, "127.0.0.1", 0);
+  g_assert_nonnull (bound);
+  getsockname (evhttp_bound_socket_get_fd (bound), (struct sockaddr *)&address,
+               &size);
+  f->address = g_strdup_printf ("127.0.0.1:%u", ntohs (address.sin_port));
+  f->client = http_client_new (f->base);
+}
+
+static void
+tear_down (struct fixture *f)
+{
+  http_client_destroy (f->client);
+  evhttp_free (f->server);
+  event_base_free (f->base);
+  g_free (f->address);
+}
+
+static void
+send_call (struct fixture *f)
+{
+  struct http_call call
+      = { .method = "GET", .path = "/", .timeout_ms = CALL_TIMEOUT_MS };
+
+  http_client_send (f->client, f->address, &call, on_reply, f);
+}
+
+static void
+run_for_ms (struct fixture *f, int64_t for_ms)
+{
+  struct timeval delay = { for_ms / 1000, for_ms % 1000 * 1000 };
+
+  event_base_loopexit (f->base, &delay);
+  event_base_dispatch (f->base);
+}
+
+/* A call that was made just before a pause longer than its timeout is not sent
+   after it, on a new connection or on one that is open, and counts as
+   certainly not sent. */
+static void
+test_a_call_is_not_sent_after_a_pause (void)
+{
+  struct fixture f = { 0 };
+
+  set_up (&f);
+  for (guint i = 0; i < 2; i++)
+    {
+      guint served = f.served;
+
+      send_call (&f);
+      g_usleep (PAUSE_MS * 1000);
+      run_for_ms (&f, 200);
+      g_assert_cmpuint (f.served, ==, served);
+      g_assert_cmpint (f.reply.status, ==, 0);
+      g_assert_false (f.reply.may_have_arrived);
+      /* Open a connection for the second round. */
+      send_call (&f);
+      run_for_ms (&f, 80);
+      g_assert_cmpuint (f.served, ==, served + 1);
+      g_assert_cmpint (f.reply.status, ==, 200);
+    }
+  g_assert_cmpuint (f.finished, ==, 4);
+  tear_down (&f);
+}
+
+int
+main (int argc, char **argv)
+{
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/http-client/pause",
+                   test_a_call_is_not_sent_after_a_pause);
+  return g_test_run ();
+}
