--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -140,6 +140,22 @@
   add_job (c, spec, true, c->taken_over_ms);
 }
 
+void
+cell_job_load_unreadable (struct cell *c, const char *id)
+{
+  struct cell_job *job = g_hash_table_lookup (c->jobs, id);
+
+  cell_log_event (c, "journal-malformed", id, "outcome=job-failed");
+  if (job == NULL)
+    job = add_job (c, job_spec_new (id), true, c->taken_over_ms);
+  if (job->state < JOB_COMPLETED)
+    g_ptr_array_remove (c->open_jobs, job);
+  job->state = JOB_FAILED;
+  job->journaled_state = JOB_FAILED;
+  job->ended_ms = c->taken_over_ms;
+  cell_journal_job (c, job, true);
+}
+
 const struct job_step *
 cell_task_step (const struct cell_task *t)
 {
@@ -531,6 +547,17 @@
   GVariantIter *open;
   enum job_state state;
 
+  if (!g_variant_is_normal_form (v))
+    {
+      g_variant_unref (v);
+      cell_job_load_unreadable (c, id);
+      return;
+    }
+  if (job != NULL && job->state >= JOB_COMPLETED)
+    {
+      g_variant_unref (v); /* its specification could not be read */
+      return;
+    }
   g_variant_get (v, PROGRESS_TYPE, &state_number, &next, &done, &open);
   state = state_number < JOB_STATE_COUNT ? (enum job_state)state_number
                                          : JOB_PENDING;
--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -476,6 +476,15 @@
 
   if (w == NULL)
     w = cell_worker_add (c, id);
+  if (!g_variant_is_normal_form (v))
+    {
+      /* Nothing is known of it, so any run may be there. */
+      cell_log_event (c, "journal-malformed", id, "outcome=runs-unknown");
+      w->may_have_unseen_runs = true;
+      w->is_in_journal = true;
+      g_variant_unref (v);
+      return;
+    }
   while (w->tasks->len > 0)
     cell_task_reset (c, g_ptr_array_index (w->tasks, 0), c->taken_over_ms);
   g_free (w->entry->address);
@@ -513,7 +522,7 @@
       spec = job_spec_from_bytes (value);
       if (spec == NULL)
         {
-          cell_log_event (cell, "journal-malformed", key, "record skipped");
+          cell_job_load_unreadable (cell, key + 2);
           return;
         }
       cell_job_load (cell, spec);
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -218,6 +218,9 @@
 /* cell_jobs.c */
 void cell_job_destroy (gpointer p);
 void cell_job_load (struct cell *c, struct job_spec *spec);
+/* Load the job ID, of which the journal has a record that can't be read: it
+   fails, since running it again might run a task twice. */
+void cell_job_load_unreadable (struct cell *c, const char *id);
 const struct job_step *cell_task_step (const struct cell_task *t);
 char *cell_task_name (const struct cell_task *t);
 struct cell_task *cell_find_task (struct cell *c, const char *name);
--- a/tests/unit/test_fuzz.c
+++ b/tests/unit/test_fuzz.c
@@ -1,5 +1,6 @@
 #include "config.h"
 #include "fields.h"
+#include "mutation.h"
 #include "peer_message.h"
 #include "platform.h"
 #include "record.h"
@@ -16,8 +17,6 @@
 /* Number of mutated inputs for each valid input, and over HTTP. */
 #define ROUNDS 4000
 #define PLATFORM_ROUNDS 600
-/* Maximum number of mutations of one input. */
-#define MUTATIONS_MAX 6
 /* Nesting, or repetitions of a piece, in the tests of deep nesting. */
 #define DEEP_NESTING 200000
 /* Maximum growth of the peak memory.  The address sanitizer holds back up to
@@ -28,72 +27,6 @@
 #define GROWTH_MAX_KB (64 * 1024)
 #endif
 
-static GRand *random_source;
-
-static gsize
-random_below (gsize limit)
-{
-  return (gsize)g_rand_int_range (random_source, 0, (gint32)MAX (limit, 1));
-}
-
-static void
-apply_mutation (GByteArray *b)
-{
-  static const char *const fragments[]
-      = { "0",       "-1",       "99999999999999999999",
-          "1e308",   "\"\"",     "null",
-          "{}",      "[]",       "true",
-          "\\u0000", "\"",       ":",
-          ",",       "{",        "}",
-          "]",       "\xff\xfe", "/" };
-  gsize position = random_below (b->len);
-  gsize wanted_size = random_below (40) + 1;
-  gsize n = MIN (wanted_size, b->len - position);
-  const char *fragment;
-  GByteArray *rest;
-
-  switch (random_below (6))
-    {
-    case 0:
-      if (b->len > 0)
-        b->data[position] = (guint8)random_below (256);
-      break;
-    case 1:
-      if (b->len > 0)
-        b->data[position] ^= (guint8)(1U << random_below (8));
-      break;
-    case 2:
-      if (n > 0)
-        g_byte_array_remove_range (b, (guint)position, (guint)n);
-      break;
-    case 3:
-      g_byte_array_set_size (b, (guint)position);
-      break;
-    default:
-      fragment = fragments[random_below (G_N_ELEMENTS (fragments))];
-      rest = g_byte_array_new ();
-      g_byte_array_append (rest, b->data + position, b->len - (guint)position);
-      g_byte_array_set_size (b, (guint)position);
-      g_byte_array_append (b, (const guint8 *)fragment,
-                           (guint)strlen (fragment));
-      g_byte_array_append (b, rest->data, rest->len);
-      g_byte_array_unref (rest);
-      break;
-    }
-}
-
-static GByteArray *
-mutate (const void *data, gsize size)
-{
-  GByteArray *b = g_byte_array_new ();
-  gsize count = random_below (MUTATIONS_MAX) + 1;
-
-  g_byte_array_append (b, data, (guint)size);
-  for (gsize i = 0; i < count; i++)
-    apply_mutation (b);
-  return b;
-}
-
 static long
 peak_kb (void)
 {
@@ -163,13 +96,13 @@
   guint n_refused = 0;
   long before_kb;
 
-  random_source = g_rand_new_with_seed (seed);
+  mutation_seed (seed);
   g_assert_true (parse (text, strlen (text), &error));
   g_assert_no_error (error);
   before_kb = peak_kb ();
   for (int i = 0; i < ROUNDS; i++)
     {
-      GByteArray *b = mutate (text, strlen (text));
+      GByteArray *b = mutation_of (text, strlen (text));
 
       if (!parse ((const char *)b->data, b->len, &error))
         {
@@ -182,7 +115,6 @@
     }
   g_assert_cmpuint (n_refused, >, ROUNDS / 10);
   g_assert_cmpint (peak_kb () - before_kb, <, GROWTH_MAX_KB);
-  g_rand_free (random_source);
 }
 
 static char *
@@ -436,7 +368,7 @@
 {
   long before_kb = peak_kb ();
 
-  random_source = g_rand_new_with_seed (31);
+  mutation_seed (31);
   for (int kind = 0; kind < PEER_KIND_COUNT; kind++)
     {
       struct peer_message *p = make_peer_message ((enum peer_kind)kind);
@@ -446,7 +378,7 @@
 
       for (int i = 0; i < ROUNDS; i++)
         {
-          GByteArray *b = mutate (data, size);
+          GByteArray *b = mutation_of (data, size);
 
           check_peer_message (b);
           g_byte_array_unref (b);
@@ -455,7 +387,6 @@
       peer_message_destroy (p);
     }
   g_assert_cmpint (peak_kb () - before_kb, <, GROWTH_MAX_KB);
-  g_rand_free (random_source);
 }
 
 /* Answers of the platform, over HTTP. */
@@ -473,7 +404,7 @@
                      const char *path, GHashTable *query, gpointer data)
 {
   const struct platform_server *f = data;
-  GByteArray *b = mutate (f->text, strlen (f->text));
+  GByteArray *b = mutation_of (f->text, strlen (f->text));
 
   soup_server_message_set_status (message, 200, NULL);
   soup_server_message_set_response (message, "application/json",
@@ -513,7 +444,7 @@
   struct platform *p;
   GSList *uris;
 
-  random_source = g_rand_new_with_seed (41);
+  mutation_seed (41);
   soup_server_add_handler (f.server, NULL, on_platform_request, &f, NULL);
   g_assert_true (soup_server_listen_local (
       f.server, 0, SOUP_SERVER_LISTEN_IPV4_ONLY, NULL));
@@ -545,7 +476,6 @@
   g_object_unref (f.server);
   g_slist_free_full (uris, (GDestroyNotify)g_uri_unref);
   counters_destroy (counters);
-  g_rand_free (random_source);
 }
 
 int
