Leave slow tasks alone: a stall is judged by the task's own pace

Cause: a task without a new percent for 2.2 s counted as stalled, on a worker that had just answered again after a silence, too; one that takes over 220 s was stopped and started elsewhere for ever (9 starts in 30 s). Change: the limit is at least five times as long as one percent is expected to take, doubles with each stall of the task, and begins anew when a silent worker answers. test_cell_faults /slow-task.

--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -15,8 +15,12 @@
    long. */
 #define NO_ROOM_BACKOFF_MS 100
 /* A task without progress for so long, on a worker that answers, is stopped
-   and started again. */
+   and started again: at least this, and this many times as long as one percent
+   is expected to take.  It doubles with each stall of the task, so that a slow
+   task ends at last. */
 #define STALL_TIMEOUT_MS 2200
+#define STALL_FACTOR 5
+#define STALL_DOUBLINGS_MAX 5
 /* Tasks that are not long-running may go on for so long on a worker that is
    being emptied, so that their work is not lost. */
 #define EMPTYING_GRACE_MS 3500
@@ -109,6 +113,17 @@
   return missing;
 }
 
+static int64_t
+stall_timeout_ms (const struct cell_task *t)
+{
+  int64_t percent_ms = cell_task_step (t)->estimate_ms / 100;
+
+  if (t->percent > 0)
+    percent_ms = MAX (percent_ms, (t->progress_ms - t->phase_ms) / t->percent);
+  return MAX (STALL_TIMEOUT_MS, percent_ms * STALL_FACTOR)
+         << MIN (t->stalls, STALL_DOUBLINGS_MAX);
+}
+
 static bool
 has_stalled (const struct cell_task *t, int64_t now_ms)
 {
@@ -116,7 +131,7 @@
 
   return t->phase == TASK_RUNNING && !s->is_long_running && !s->is_gang
          && !s->is_best_effort && t->worker->is_confirmed
-         && now_ms > MAX (t->progress_ms, t->phase_ms) + STALL_TIMEOUT_MS;
+         && now_ms > MAX (t->progress_ms, t->phase_ms) + stall_timeout_ms (t);
 }
 
 void
@@ -137,6 +152,7 @@
                           "worker=%s percent=%u unmoved_ms=%" G_GINT64_FORMAT,
                           w->entry->id, t->percent, now_ms - t->progress_ms);
           g_free (name);
+          t->stalls++;
           g_free (t->avoid_worker);
           t->avoid_worker = g_strdup (w->entry->id);
           w->cooldown_until_ms = now_ms + CELL_COOLDOWN_MS;
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -52,6 +52,7 @@
   bool is_every_run_known;    /* no run of an earlier owner is unreported */
   int64_t retry_ms;           /* earliest time of the next start or stop */
   uint32_t percent;
+  uint32_t stalls;        /* times that it was stopped for lack of progress */
   int64_t progress_ms;    /* when percent or checkpoint last changed */
   int64_t reported_value; /* as in struct worker_run */
   uint32_t pace_percent;  /* processor share ordered for a best-effort task */
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -448,7 +448,13 @@
       previous_end = 0;
     }
   if (!w->is_confirmed)
-    w->may_receive_starts = false; /* until its new record is journaled */
+    {
+      w->may_receive_starts = false; /* until its new record is journaled */
+      /* Progress was not reported while the worker was silent. */
+      for (guint i = 0; i < w->tasks->len; i++)
+        ((struct cell_task *)g_ptr_array_index (w->tasks, i))->progress_ms
+            = now_ms;
+    }
   w->incarnation_start_ms = report->incarnation_start_ms;
   w->is_confirmed = true;
   w->clock_ms = report->clock_ms;
--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -11,7 +11,7 @@
 /* Time from a stop until the run has ended. */
 #define STOP_DURATION_MS 200
 /* Longer runs are those of long-running tasks. */
-#define LONG_RUNNING_MIN_MS 100000
+#define LONG_RUNNING_MIN_MS 460000
 /* By how much the workers' clocks are ahead of the owner's. */
 #define CLOCK_OFFSET_MS 5000
 /* Longest lease that a worker grants. */
--- a/tests/unit/test_cell_faults.c
+++ b/tests/unit/test_cell_faults.c
@@ -120,6 +120,37 @@
   world_destroy (w);
 }
 
+/* A task that takes minutes shows no new percent for seconds.  It is neither
+   stopped nor started again, also if its worker is silent now and then for
+   less than the lease that is left. */
+static void
+test_a_slow_task_is_left_alone (void)
+{
+  struct world *w = world_new (41);
+  struct job_spec *job = world_job (w, JOB, 1, 1);
+  struct world_worker *worker;
+
+  world_run (w, 2000);
+  w->run_ms = 300000; /* 1.5 to 4.5 s for each percent */
+  ((struct job_step *)g_ptr_array_index (job->steps, 0))->estimate_ms = 100000;
+  world_submit (w, job);
+  world_run (w, 30000);
+  worker = world_find_run (w, JOB ".0.0.0");
+  g_assert_nonnull (worker);
+  g_assert_cmpuint (w->starts, ==, 1);
+  for (int i = 0; i < 5; i++)
+    {
+      worker->reachable = false;
+      world_run (w, 1500);
+      worker->reachable = true;
+      world_run (w, 3000);
+    }
+  g_assert_cmpuint (w->starts, ==, 1);
+  g_assert_true (world_find_run (w, JOB ".0.0.0") == worker);
+  world_assert_no_violations (w);
+  world_destroy (w);
+}
+
 /* An owner that yields names the runs on each worker, so that an unreachable
    worker delays only the tasks of these runs. */
 static void
@@ -253,6 +284,7 @@
                    test_a_start_in_a_new_incarnation_is_no_lost_run);
   g_test_add_func ("/cell/unjournaled-expired",
                    test_unjournaled_ends_are_waited_for_after_leases_expire);
+  g_test_add_func ("/cell/slow-task", test_a_slow_task_is_left_alone);
   g_test_add_func ("/cell/unreachable-worker",
                    test_an_unreachable_worker_delays_only_its_own_runs);
   g_test_add_func ("/cell/failing-worker",
