--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -119,7 +119,6 @@
   job->is_stored = is_loaded;
   job->spec = spec;
   job->is_long_running = job_spec_is_long_running (spec);
-  job->turn = TURN_IN_TIME;
   job->added_ms = now_ms;
   job->deadline_ms = now_ms + spec->target_ms
                      + (int64_t)(spec->deadline_factor
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -43,6 +43,21 @@
 /* Idle workers are kept idle, so that their machines can be lent. */
 #define COST_IDLE_WORKER 1500
 
+static gint
+compare_placement_order (gconstpointer a, gconstpointer b)
+{
+  const struct cell_job *x = *(struct cell_job *const *)a;
+  const struct cell_job *y = *(struct cell_job *const *)b;
+
+  if (x->is_long_running != y->is_long_running)
+    return x->is_long_running ? -1 : 1;
+  if (x->spec->priority != y->spec->priority)
+    return x->spec->priority < y->spec->priority ? -1 : 1;
+  if (x->deadline_ms != y->deadline_ms)
+    return x->deadline_ms < y->deadline_ms ? -1 : 1;
+  return strcmp (x->spec->id, y->spec->id);
+}
+
 static bool
 accepts_starts (const struct cell *c, const struct cell_worker *w,
                 int64_t now_ms)
@@ -426,8 +441,8 @@
     }
 }
 
-bool
-cell_step_is_ready (const struct cell_occurrence *o, uint32_t step)
+static bool
+is_step_ready (const struct cell_occurrence *o, uint32_t step)
 {
   const struct job_step *s = g_ptr_array_index (o->job->spec->steps, step);
 
@@ -447,7 +462,7 @@
       struct cell_occurrence *o = g_ptr_array_index (job->occurrences, i);
 
       for (uint32_t k = 0; k < job->spec->steps->len; k++)
-        if (o->waiting[k] > 0 && cell_step_is_ready (o, k))
+        if (o->waiting[k] > 0 && is_step_ready (o, k))
           place_step (c, o, k, now_ms);
     }
 }
@@ -493,7 +508,9 @@
   c->last_placement_ms = now_ms;
   update_known_runs (c, now_ms);
   update_suspect_policy (c);
-  cell_queue_sort (c, now_ms);
+  if (c->has_unsorted_jobs)
+    g_ptr_array_sort (c->open_jobs, compare_placement_order);
+  c->has_unsorted_jobs = false;
   for (guint i = 0; i < c->open_jobs->len; i++)
     {
       struct cell_job *job = g_ptr_array_index (c->open_jobs, i);
@@ -517,8 +534,7 @@
         {
           const struct job_step *s = g_ptr_array_index (job->spec->steps, k);
 
-          if (o->waiting[k] > 0 && !s->is_best_effort
-              && cell_step_is_ready (o, k))
+          if (o->waiting[k] > 0 && !s->is_best_effort && is_step_ready (o, k))
             wanted += (uint64_t)o->waiting[k] * s->cpu_milli;
         }
     }
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -9,7 +9,6 @@
    cell_workers.c  leases and workers' reports
    cell_runs.c     orders about runs, and emptying a worker
    cell_place.c    which task starts on which worker
-   cell_queue.c    which jobs come first
    cell_journal.c  appends to the journal, and loading it. */
 
 /* Lease given with each hold and start.  A shorter lease frees the work of a
@@ -84,15 +83,6 @@
   uint32_t unfinished_steps;
 };
 
-/* Whose tasks start first, among jobs of one priority. */
-enum job_turn
-{
-  TURN_LAST_CHANCE,  /* late, and soon hopelessly so */
-  TURN_IN_TIME,      /* to end by its deadline */
-  TURN_STEPPED_BACK, /* late, or so large that others would be */
-  TURN_HOPELESS      /* too late to be of much use */
-};
-
 struct cell_job
 {
   struct job_spec *spec;
@@ -109,8 +99,6 @@
   bool is_in_append;     /* in the append in progress */
   int64_t added_ms;      /* accepted here, or the takeover */
   int64_t deadline_ms;   /* desired end, for the order of placement */
-  bool is_deadline_corrected;
-  enum job_turn turn; /* as last chosen */
   int64_t ended_ms;
   GArray *submit_tokens; /* uint64_t */
   GArray *cancel_tokens; /* uint64_t */
@@ -194,14 +182,11 @@
   GHashTable *jobs;     /* ID to struct cell_job * */
   GPtrArray *open_jobs; /* struct cell_job *, not ended, in placement order */
   bool has_unsorted_jobs; /* open_jobs has to be sorted first */
-  int64_t turns_chosen_ms;
-  uint64_t last_chance_work; /* that jobs with a last chance may still have,
-                                thousandths of a core times ms */
-  GHashTable *workers;       /* ID to struct cell_worker * */
-  GPtrArray *worker_list;    /* the same workers */
-  GQueue orders;             /* struct cell_order * */
-  bool needs_placement;      /* something changed since the last placement */
-  bool avoids_suspects;      /* few enough workers are suspect */
+  GHashTable *workers;    /* ID to struct cell_worker * */
+  GPtrArray *worker_list; /* the same workers */
+  GQueue orders;          /* struct cell_order * */
+  bool needs_placement;   /* something changed since the last placement */
+  bool avoids_suspects;   /* few enough workers are suspect */
   int64_t last_placement_ms;
   bool is_every_run_known; /* no worker may have unseen runs */
   int64_t unseen_runs_logged_ms;
@@ -295,17 +280,11 @@
 
 /* cell_place.c */
 void cell_place (struct cell *c, int64_t now_ms);
-/* Return whether all steps that STEP depends on are done. */
-bool cell_step_is_ready (const struct cell_occurrence *o, uint32_t step);
 /* Return whether some worker could start T now; record a shortage if none
    can. */
 bool cell_has_worker_for (struct cell *c, const struct cell_task *t,
                           int64_t now_ms);
 
-/* cell_queue.c */
-/* Sort open_jobs in the order in which their tasks are to start. */
-void cell_queue_sort (struct cell *c, int64_t now_ms);
-
 /* cell_journal.c */
 /* Have the next append hold the change of JOB or W; an urgent one is sent
    sooner. */
