Empty a quarter of a pool at a time for a wave; move excess straight on

Change: idle machines go first, of a pool's others a quarter at a time, and the pool gets as many machines in their place. test_upkeep /open-pool, test_sizing /emptied. Cause 2: a machine that a pool returned went to the standby pool and from there to the pool that grew: two orders of the 64 a second that the platform takes. Change: it goes straight there. test_sizing /excess.

--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -597,6 +597,8 @@
           = MAX (l->cpu_per_worker_milli, w->entry->capacity.cpu_milli);
       if (w->tasks->len == 0)
         g_ptr_array_add (l->idle, g_strdup (w->entry->id));
+      else if (w->is_emptying)
+        l->workers_emptying++;
     }
   for (guint i = 0; i < cell->open_jobs->len; i++)
     {
--- a/src/node_fleet.c
+++ b/src/node_fleet.c
@@ -643,6 +643,28 @@
     }
 }
 
+/* Mark the machines whose workers are idle, as the cells say. */
+static void
+mark_idle_machines (struct node *n)
+{
+  GHashTable *idle = g_hash_table_new (g_str_hash, g_str_equal);
+
+  for (guint i = 0; i < n->fleet.loads->len; i++)
+    {
+      const struct pool_load *l = g_ptr_array_index (n->fleet.loads, i);
+
+      for (guint k = 0; k < l->idle->len; k++)
+        g_hash_table_add (idle, g_ptr_array_index (l->idle, k));
+    }
+  for (guint i = 0; i < n->fleet.machines->len; i++)
+    {
+      struct machine *m = g_ptr_array_index (n->fleet.machines, i);
+
+      m->is_idle = g_hash_table_contains (idle, m->worker);
+    }
+  g_hash_table_unref (idle);
+}
+
 static void
 finish_round (struct node *n, int64_t now_ms)
 {
@@ -652,6 +674,7 @@
   n->fleet.is_round_running = false;
   n->fleet.next_round_ms = now_ms + ROUND_INTERVAL_MS;
   exclude_held_back (n, now_ms);
+  mark_idle_machines (n);
   execute_waves (n, reserved, now_ms);
   execute_moves (n, reserved, now_ms);
   g_hash_table_unref (reserved);
--- a/src/sizing.c
+++ b/src/sizing.c
@@ -29,7 +29,7 @@
   struct demand *demand;
 };
 
-#define LOAD_TYPE "(ttttuttas)"
+#define LOAD_TYPE "(ttttuuttas)"
 
 struct pool_load *
 pool_load_new (const char *service)
@@ -66,7 +66,8 @@
   v = g_variant_ref_sink (g_variant_new (
       LOAD_TYPE, load->cpu_per_worker_milli, load->cpu_used_milli,
       load->cpu_long_running_milli, load->cpu_wanted_milli, load->workers_min,
-      load->accepted_jobs, load->accepted_work_milli_s, &idle));
+      load->workers_emptying, load->accepted_jobs, load->accepted_work_milli_s,
+      &idle));
   bytes = g_variant_get_data_as_bytes (v);
   g_variant_unref (v);
   return bytes;
@@ -89,8 +90,8 @@
   l = pool_load_new (service);
   g_variant_get (v, LOAD_TYPE, &l->cpu_per_worker_milli, &l->cpu_used_milli,
                  &l->cpu_long_running_milli, &l->cpu_wanted_milli,
-                 &l->workers_min, &l->accepted_jobs, &l->accepted_work_milli_s,
-                 &idle);
+                 &l->workers_min, &l->workers_emptying, &l->accepted_jobs,
+                 &l->accepted_work_milli_s, &idle);
   while (g_variant_iter_next (idle, "&s", &id))
     g_ptr_array_add (l->idle, g_strdup (id));
   g_variant_iter_free (idle);
@@ -126,6 +127,7 @@
   uint32_t have; /* machines present or on their way */
   uint32_t need; /* machines that its load needs */
   uint64_t burst_milli;
+  bool may_return; /* it has had more than it needs for RETURN_DELAY_MS */
 };
 
 static uint32_t
@@ -154,7 +156,8 @@
                         ? 0
                         : (asked_milli + usable_milli - 1) / usable_milli;
 
-  needed = MAX (needed, l->workers_min) + POOL_SPARE_MACHINES;
+  needed = MAX (needed, l->workers_min) + l->workers_emptying
+           + POOL_SPARE_MACHINES;
   return (uint32_t)MAX (needed, POOL_MIN_MACHINES);
 }
 
@@ -204,26 +207,20 @@
   return NULL;
 }
 
-/* Return a machine from the standby pool or, if that has none, from the pool
-   with the largest excess, whose HAVE is counted down.  Return NULL if no pool
-   can give one. */
+/* Return an idle machine of the pool with the largest excess, whose HAVE is
+   counted down, or NULL.  With MUST_RETURN, only pools that would return it
+   now are asked. */
 static const struct machine *
-take_donated_machine (GArray *pools, const GPtrArray *machines,
-                      const char *standby, GHashTable *reserved)
+take_excess_machine (GArray *pools, const GPtrArray *machines,
+                     bool must_return, GHashTable *reserved)
 {
-  const struct machine *m
-      = standby != NULL
-            ? find_movable_machine (machines, standby, NULL, reserved)
-            : NULL;
   struct pool *best = NULL;
 
-  if (m != NULL)
-    return m;
   for (guint i = 0; i < pools->len; i++)
     {
       struct pool *p = &g_array_index (pools, struct pool, i);
 
-      if (p->have > p->need
+      if (p->have > p->need && (p->may_return || !must_return)
           && (best == NULL || p->have - p->need > best->have - best->need)
           && find_movable_machine (machines, p->load->service, p->load->idle,
                                    reserved)
@@ -237,6 +234,23 @@
                                reserved);
 }
 
+/* Return a machine for a pool that needs one, or NULL if no pool can give one:
+   rather one that would return to the standby pool now than one of that pool,
+   as this takes one order in place of two. */
+static const struct machine *
+take_donated_machine (GArray *pools, const GPtrArray *machines,
+                      const char *standby, GHashTable *reserved)
+{
+  const struct machine *m
+      = take_excess_machine (pools, machines, true, reserved);
+
+  if (m == NULL && standby != NULL)
+    m = find_movable_machine (machines, standby, NULL, reserved);
+  if (m == NULL)
+    m = take_excess_machine (pools, machines, false, reserved);
+  return m;
+}
+
 static void
 grow_pool (const struct sizing *s, GArray *pools, struct pool *p,
            const GPtrArray *machines, const char *standby,
@@ -296,6 +310,9 @@
       if (p.need >= p.have)
         find_pool_state (sizing, p.load->service, now_ms)->last_full_use_ms
             = now_ms;
+      p.may_return = now_ms > find_pool_state (sizing, p.load->service, now_ms)
+                                      ->last_full_use_ms
+                                  + RETURN_DELAY_MS;
       g_array_append_val (pools, p);
     }
   for (guint i = 0; i < pools->len; i++)
@@ -304,11 +321,8 @@
   for (guint i = 0; i < pools->len && standby != NULL; i++)
     {
       struct pool *p = &g_array_index (pools, struct pool, i);
-      int64_t last_full_use_ms
-          = find_pool_state (sizing, p->load->service, now_ms)
-                ->last_full_use_ms;
 
-      if (now_ms > last_full_use_ms + RETURN_DELAY_MS)
+      if (p->may_return)
         return_excess (sizing, p, machines, standby, reserved, moves);
     }
   g_array_unref (pools);
--- a/src/sizing.h
+++ b/src/sizing.h
@@ -24,6 +24,7 @@
   uint32_t workers_min;            /* needed even if fewer have the processors:
                                       a step's tasks are spread over workers, or
                                       a long-running task has found no place */
+  uint32_t workers_emptying;       /* closed for an upkeep and not empty yet */
   uint64_t accepted_jobs;         /* by its owner so far; without scheduled and
                                   long-running jobs */
   uint64_t accepted_work_milli_s; /* estimated work of these jobs */
--- a/src/upkeep.c
+++ b/src/upkeep.c
@@ -177,12 +177,54 @@
          || (begun_ms != NULL && now_ms < *begun_ms + down_ms);
 }
 
+/* Share of a pool's machines that are emptied at a time, and how many may be
+   in a small pool. */
+#define EMPTYING_MAX_PERCENT 25
+#define EMPTYING_MAX_SMALL_POOL 2
+
+static bool
+has_idle_worker (const struct machine *m)
+{
+  return m->is_idle || m->worker[0] == '\0';
+}
+
+/* Return how many machines of SERVICE's pool may be emptied at a time. */
+static uint32_t
+max_emptying (const GPtrArray *machines, const char *service)
+{
+  uint32_t n_up = 0;
+
+  for (guint i = 0; i < machines->len; i++)
+    {
+      const struct machine *m = g_ptr_array_index (machines, i);
+
+      if (m->state == MACHINE_UP && strcmp (m->service, service) == 0)
+        n_up++;
+    }
+  return MAX (n_up * EMPTYING_MAX_PERCENT / 100, EMPTYING_MAX_SMALL_POOL);
+}
+
+/* Count one more machine of SERVICE's pool that is emptied.  Return false if
+   the pool is at its limit. */
+static bool
+take_emptying_place (GHashTable *emptying, const GPtrArray *machines,
+                     const char *service)
+{
+  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (emptying, service));
+
+  if (n >= max_emptying (machines, service))
+    return false;
+  g_hash_table_insert (emptying, (gpointer)service, GUINT_TO_POINTER (n + 1));
+  return true;
+}
+
 static void
 plan_wave (const struct wave *w, const GPtrArray *machines, int64_t down_ms,
            int64_t now_ms, GArray *actions)
 {
   uint32_t n_down = 0;
   uint32_t n_not_begun = 0;
+  GHashTable *emptying = g_hash_table_new (g_str_hash, g_str_equal);
 
   for (guint i = 0; i < w->request->machines->len; i++)
     {
@@ -198,18 +240,23 @@
     }
   if (n_not_begun == 0 && n_down == 0)
     add_action (actions, UPKEEP_COMPLETE, w->request->number, NULL);
-  for (guint i = 0;
-       i < w->request->machines->len && n_down < w->request->max_down; i++)
-    {
-      const struct machine *m = machines_find (
-          machines, g_ptr_array_index (w->request->machines, i));
-
-      if (m == NULL || m->state != MACHINE_UP
-          || g_hash_table_contains (w->begun, m->name))
-        continue;
-      add_action (actions, UPKEEP_EMPTY_WORKER, w->request->number, m);
-      n_down++;
-    }
+  for (int must_be_idle = 1; must_be_idle >= 0; must_be_idle--)
+    for (guint i = 0;
+         i < w->request->machines->len && n_down < w->request->max_down; i++)
+      {
+        const struct machine *m = machines_find (
+            machines, g_ptr_array_index (w->request->machines, i));
+
+        if (m == NULL || m->state != MACHINE_UP
+            || g_hash_table_contains (w->begun, m->name)
+            || has_idle_worker (m) != must_be_idle
+            || (!must_be_idle
+                && !take_emptying_place (emptying, machines, m->service)))
+          continue;
+        add_action (actions, UPKEEP_EMPTY_WORKER, w->request->number, m);
+        n_down++;
+      }
+  g_hash_table_unref (emptying);
 }
 
 void
--- a/src/upkeep.h
+++ b/src/upkeep.h
@@ -5,7 +5,10 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Plans maintenance waves: which machine goes down for upkeep next.  Pure: no
+/* Plans maintenance waves: which machine goes down for upkeep next.  Machines
+   whose workers are idle go first.  Of a pool's other machines only some are
+   emptied at a time, so that their work finds room on the rest: a wave of many
+   machines would otherwise close most of a pool's workers at once.  Pure: no
    input or output; times are milliseconds of a steady clock. */
 
 enum machine_state
@@ -23,6 +26,7 @@
   char *service; /* service whose pool it is in */
   char *worker;  /* ID of the worker on it, or "" */
   enum machine_state state;
+  bool is_idle; /* its worker has no run, as far as is known */
 };
 
 /* Return an array of struct machine * that destroys them. */
--- a/tests/unit/test_sizing.c
+++ b/tests/unit/test_sizing.c
@@ -134,6 +134,44 @@
   tear_down (&f);
 }
 
+/* A machine that would return to the standby pool goes straight to the pool
+   that grows. */
+static void
+test_excess_goes_where_it_is_needed (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  g_ptr_array_add (f.loads, make_load ("search", 20000, 0, NULL));
+  g_ptr_array_add (f.loads, make_load ("archive", 1000, 0, "w-b3"));
+  assert_moves (plan (&f, "s1", 1000), "b3>search");
+  g_ptr_array_set_size (f.loads, 0);
+  g_ptr_array_add (f.loads, make_load ("search", 2000, 0, NULL));
+  g_ptr_array_add (f.loads, make_load ("archive", 1000, 0, "w-b3"));
+  assert_moves (plan (&f, "b3", 1100), "");
+  g_ptr_array_set_size (f.loads, 0);
+  g_ptr_array_add (f.loads, make_load ("search", 20000, 0, NULL));
+  g_ptr_array_add (f.loads, make_load ("archive", 1000, 0, "w-b3"));
+  assert_moves (plan (&f, NULL, 3700), "b3>search");
+  tear_down (&f);
+}
+
+/* While workers of a pool are emptied for their upkeep, it gets as many
+   machines in their place: their tasks find room elsewhere only there. */
+static void
+test_emptied_workers_are_replaced (void)
+{
+  struct fixture f;
+
+  set_up (&f);
+  g_ptr_array_add (f.loads, make_load ("search", 10000, 0, NULL));
+  g_ptr_array_add (f.loads, make_load ("archive", 20000, 0, NULL));
+  assert_moves (plan (&f, NULL, 1000), "");
+  ((struct pool_load *)g_ptr_array_index (f.loads, 0))->workers_emptying = 1;
+  assert_moves (plan (&f, NULL, 1250), "s1>search");
+  tear_down (&f);
+}
+
 static void
 test_pool_keeps_two_machines (void)
 {
@@ -227,6 +265,8 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/sizing/excess", test_excess_goes_where_it_is_needed);
+  g_test_add_func ("/sizing/emptied", test_emptied_workers_are_replaced);
   g_test_add_func ("/sizing/full",
                    test_full_pool_gets_standby_then_idle_machines);
   g_test_add_func ("/sizing/stays", test_busy_and_reserved_machines_stay);
--- a/tests/unit/test_upkeep.c
+++ b/tests/unit/test_upkeep.c
@@ -115,6 +115,42 @@
   upkeep_destroy (u);
 }
 
+/* A wave of a whole pool: idle machines go at once, of the others a quarter at
+   a time, so that the work of these finds room; another pool has its own
+   share. */
+static void
+test_a_wave_leaves_most_of_a_pool_open (void)
+{
+  struct upkeep *u = upkeep_new ();
+  GPtrArray *machines = machines_new ();
+  struct wave_request *r = wave_request_new (1);
+  char *planned;
+  char **names;
+
+  for (int i = 0; i < 40; i++)
+    {
+      struct machine *m = machines_add (machines);
+
+      m->name = g_strdup_printf ("m%d", i);
+      m->service = g_strdup (i < 24 ? "search" : "archive");
+      m->worker = g_strdup_printf ("i-%d", i);
+      m->state = MACHINE_UP;
+      m->is_idle = i >= 20 && i < 24;
+      g_ptr_array_add (r->machines, g_strdup (m->name));
+    }
+  r->max_down = 40;
+  upkeep_add_wave (u, r, 0);
+  planned = plan (u, machines, 100);
+  names = g_strsplit (planned, " ", -1);
+  /* 4 idle ones, 6 of 24 and 4 of 16. */
+  g_assert_cmpuint (g_strv_length (names), ==, 14);
+  g_assert_true (g_str_has_prefix (planned, "m20 m21 m22 m23 m0 m1 "));
+  g_strfreev (names);
+  g_free (planned);
+  g_ptr_array_unref (machines);
+  upkeep_destroy (u);
+}
+
 /* A machine that is no longer listed does not block the wave. */
 static void
 test_wave_skips_unlisted_machine (void)
@@ -136,6 +172,8 @@
   g_test_add_func ("/upkeep/cap", test_wave_stays_within_its_limit);
   g_test_add_func ("/upkeep/complete",
                    test_wave_completes_when_all_machines_are_up);
+  g_test_add_func ("/upkeep/open-pool",
+                   test_a_wave_leaves_most_of_a_pool_open);
   g_test_add_func ("/upkeep/gone", test_wave_skips_unlisted_machine);
   return g_test_run ();
 }
