Test a job in an append that is not refused, and a worker that has left

A job that is cancelled while the store is silent about its append must not be refused, as the append may have been done: without the guard is_in_append the test ends the process.

--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -150,7 +150,7 @@
 list_workers (struct world *w, struct cell *cell)
 {
   for (int i = 0; i < WORLD_WORKERS; i++)
-    if (w->workers[i].alive)
+    if (w->workers[i].alive && !w->workers[i].has_left)
       {
         struct worker_entry *e = make_entry (&w->workers[i]);
 
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -31,6 +31,7 @@
   char *id;
   bool alive;
   bool reachable;
+  bool has_left; /* it answers, but the list does not show it any more */
   bool is_failing_all_runs; /* every run that it starts fails at once */
   int64_t incarnation_start_ms;
   uint64_t fencing_epoch; /* calls with a lower epoch are refused */
--- a/tests/unit/test_cell_faults.c
+++ b/tests/unit/test_cell_faults.c
@@ -120,6 +120,37 @@
   world_destroy (w);
 }
 
+/* A worker that has left gets no work from an owner that finds it in the
+   journal only, although it still answers. */
+static void
+test_a_worker_that_has_left_is_not_used_again (void)
+{
+  struct world *w = world_new (42);
+
+  world_run (w, 2000);
+  w->run_ms = 300;
+  world_submit (w, world_job (w, JOB, 1, 90));
+  world_run (w, 100);
+  g_assert_cmpuint (w->workers[2].runs->len, >, 0);
+  world_run (w, 3000);
+  w->workers[2].has_left = true;
+  world_take_over (w, false, 0);
+  for (int i = 0; i < 3; i++)
+    {
+      char *id = g_strdup_printf ("%016x", 0xb0 + i);
+
+      world_submit (w, world_job (w, id, 1, 90));
+      world_run (w, 400);
+      g_assert_cmpuint (w->workers[2].runs->len, ==, 0);
+      g_free (id);
+    }
+  world_run (w, 3000);
+  g_assert_cmpuint (w->workers[2].runs->len, ==, 0);
+  g_assert_cmpint (world_state (w, "00000000000000b2"), ==, JOB_COMPLETED);
+  world_assert_no_violations (w);
+  world_destroy (w);
+}
+
 /* A task that takes minutes shows no new percent for seconds.  It is neither
    stopped nor started again, also if its worker is silent now and then for
    less than the lease that is left. */
@@ -284,6 +315,8 @@
                    test_a_start_in_a_new_incarnation_is_no_lost_run);
   g_test_add_func ("/cell/unjournaled-expired",
                    test_unjournaled_ends_are_waited_for_after_leases_expire);
+  g_test_add_func ("/cell/worker-left",
+                   test_a_worker_that_has_left_is_not_used_again);
   g_test_add_func ("/cell/slow-task", test_a_slow_task_is_left_alone);
   g_test_add_func ("/cell/unreachable-worker",
                    test_an_unreachable_worker_delays_only_its_own_runs);
--- a/tests/unit/test_cell_store.c
+++ b/tests/unit/test_cell_store.c
@@ -168,12 +168,40 @@
     }
 }
 
+/* A job that is cancelled while the store is silent about its append may be
+   stored: its submission is not refused, and it stays cancelled. */
+static void
+test_a_job_in_an_append_is_not_refused (void)
+{
+  struct world *w = world_new (5);
+  uint64_t token;
+
+  world_run (w, 2000);
+  w->faults.append_mute = 100;
+  token = world_submit (w, world_job (w, WORLD_JOB, 1, 2));
+  world_run (w, 100);
+  cell_cancel (w->cell, WORLD_JOB, 900001, w->now_ms);
+  world_run (w, 2000);
+  g_assert_cmpint (world_answer (w, token), !=, CELL_REFUSED);
+  w->faults.append_mute = 0;
+  world_run (w, 3000);
+  g_assert_cmpint (world_state (w, WORLD_JOB), ==, JOB_CANCELLED);
+  world_take_over (w, false, 0);
+  world_run (w, 3000);
+  g_assert_cmpint (world_state (w, WORLD_JOB), ==, JOB_CANCELLED);
+  g_assert_cmpuint (w->starts, ==, 0);
+  world_assert_no_violations (w);
+  world_destroy (w);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/cell-store/lost-answers",
                    test_lost_answers_hold_no_caller_up);
+  g_test_add_func ("/cell-store/in-append",
+                   test_a_job_in_an_append_is_not_refused);
   g_test_add_func ("/cell-store/late-appends",
                    test_late_appends_change_nothing);
   return g_test_run ();
