Share the machines out when the pools need more than there are

Ruled out: the order of jobs within a pool (tried before). Change: if all together need more machines than there are, each pool gets what its long-running tasks need and an even share of the rest; one that has two more than its share gives up busy machines whose workers run finite tasks only, once these have ended. test_sizing /shares.

--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -576,18 +576,56 @@
   return cpu;
 }
 
+/* Workers named at most as reclaimable. */
+#define RECLAIMABLE_MAX 32
+
+static bool
+has_long_running_task (const struct cell_worker *w)
+{
+  for (guint i = 0; i < w->tasks->len; i++)
+    if (cell_task_step (g_ptr_array_index (w->tasks, i))->is_long_running)
+      return true;
+  return false;
+}
+
+/* Those that are being emptied come first, then those with least work. */
+static gint
+compare_reclaimable (gconstpointer a, gconstpointer b)
+{
+  const struct cell_worker *x = *(struct cell_worker *const *)a;
+  const struct cell_worker *y = *(struct cell_worker *const *)b;
+
+  if (x->is_emptying != y->is_emptying)
+    return x->is_emptying ? -1 : 1;
+  if (x->used.cpu_milli != y->used.cpu_milli)
+    return x->used.cpu_milli < y->used.cpu_milli ? -1 : 1;
+  return strcmp (x->entry->id, y->entry->id);
+}
+
+static void
+name_reclaimable (struct pool_load *l, GPtrArray *busy)
+{
+  g_ptr_array_sort (busy, compare_reclaimable);
+  for (guint i = 0; i < busy->len && i < RECLAIMABLE_MAX; i++)
+    g_ptr_array_add (
+        l->reclaimable,
+        g_strdup (((const struct cell_worker *)g_ptr_array_index (busy, i))
+                      ->entry->id));
+}
+
 struct pool_load *
 cell_get_pool_load (const struct cell *cell)
 {
   struct pool_load *l = pool_load_new (cell->service);
   uint64_t startable_long_running_milli = 0;
   uint32_t n_listed = 0;
+  GPtrArray *busy = g_ptr_array_new (); /* with finite tasks only */
 
   l->accepted_jobs = cell->accepted_jobs;
   l->accepted_work_milli_s = cell->accepted_work_milli_s;
   for (guint i = 0; i < cell->worker_list->len; i++)
     {
-      const struct cell_worker *w = g_ptr_array_index (cell->worker_list, i);
+      struct cell_worker *w = g_ptr_array_index (cell->worker_list, i);
 
       l->cpu_used_milli += w->used.cpu_milli;
       if (!w->is_confirmed || !w->is_listed || w->entry->draining)
@@ -597,9 +635,13 @@
           = MAX (l->cpu_per_worker_milli, w->entry->capacity.cpu_milli);
       if (w->tasks->len == 0)
         g_ptr_array_add (l->idle, g_strdup (w->entry->id));
+      else if (!has_long_running_task (w))
+        g_ptr_array_add (busy, w);
       else if (w->is_emptying)
         l->workers_emptying++;
     }
+  name_reclaimable (l, busy);
+  g_ptr_array_unref (busy);
   for (guint i = 0; i < cell->open_jobs->len; i++)
     {
       const struct cell_job *job = g_ptr_array_index (cell->open_jobs, i);
--- a/src/sizing.c
+++ b/src/sizing.c
@@ -16,6 +16,9 @@
    Moving a machine away and back costs as much as about 2.4 s of a machine in
    a pool. */
 #define RETURN_DELAY_MS 2500
+/* A pool gives busy machines up only if it has this many more than its share,
+   as shares vary from round to round. */
+#define RECLAIM_MIN_EXCESS 2
 
 struct pool_state
 {
@@ -29,7 +32,7 @@
   struct demand *demand;
 };
 
-#define LOAD_TYPE "(ttttuuttas)"
+#define LOAD_TYPE "(ttttuuttasas)"
 
 struct pool_load *
 pool_load_new (const char *service)
@@ -38,6 +41,7 @@
 
   l->service = g_strdup (service);
   l->idle = g_ptr_array_new_with_free_func (g_free);
+  l->reclaimable = g_ptr_array_new_with_free_func (g_free);
   return l;
 }
 
@@ -50,25 +54,43 @@
     return;
   g_free (l->service);
   g_ptr_array_unref (l->idle);
+  g_ptr_array_unref (l->reclaimable);
   g_free (l);
 }
 
+static GVariant *
+strings_to_variant (const GPtrArray *strings)
+{
+  GVariantBuilder b;
+
+  g_variant_builder_init (&b, G_VARIANT_TYPE ("as"));
+  for (guint i = 0; i < strings->len; i++)
+    g_variant_builder_add (&b, "s", g_ptr_array_index (strings, i));
+  return g_variant_builder_end (&b);
+}
+
+/* Append the strings of ITER, which is freed, to STRINGS. */
+static void
+read_strings (GVariantIter *iter, GPtrArray *strings)
+{
+  const char *text;
+
+  while (g_variant_iter_next (iter, "&s", &text))
+    g_ptr_array_add (strings, g_strdup (text));
+  g_variant_iter_free (iter);
+}
+
 GBytes *
 pool_load_to_bytes (const struct pool_load *load)
 {
-  GVariantBuilder idle;
-  GVariant *v;
-  GBytes *bytes;
-
-  g_variant_builder_init (&idle, G_VARIANT_TYPE ("as"));
-  for (guint i = 0; i < load->idle->len; i++)
-    g_variant_builder_add (&idle, "s", g_ptr_array_index (load->idle, i));
-  v = g_variant_ref_sink (g_variant_new (
-      LOAD_TYPE, load->cpu_per_worker_milli, load->cpu_used_milli,
+  GVariant *v = g_variant_ref_sink (g_variant_new (
+      "(ttttuutt@as@as)", load->cpu_per_worker_milli, load->cpu_used_milli,
       load->cpu_long_running_milli, load->cpu_wanted_milli, load->workers_min,
       load->workers_emptying, load->accepted_jobs, load->accepted_work_milli_s,
-      &idle));
-  bytes = g_variant_get_data_as_bytes (v);
+      strings_to_variant (load->idle),
+      strings_to_variant (load->reclaimable)));
+  GBytes *bytes = g_variant_get_data_as_bytes (v);
+
   g_variant_unref (v);
   return bytes;
 }
@@ -79,8 +101,7 @@
   GVariant *v = g_variant_ref_sink (
       g_variant_new_from_bytes (G_VARIANT_TYPE (LOAD_TYPE), bytes, FALSE));
   struct pool_load *l;
-  GVariantIter *idle;
-  const char *id;
+  GVariantIter *idle, *reclaimable;
 
   if (!g_variant_is_normal_form (v))
     {
@@ -91,10 +112,9 @@
   g_variant_get (v, LOAD_TYPE, &l->cpu_per_worker_milli, &l->cpu_used_milli,
                  &l->cpu_long_running_milli, &l->cpu_wanted_milli,
                  &l->workers_min, &l->workers_emptying, &l->accepted_jobs,
-                 &l->accepted_work_milli_s, &idle);
-  while (g_variant_iter_next (idle, "&s", &id))
-    g_ptr_array_add (l->idle, g_strdup (id));
-  g_variant_iter_free (idle);
+                 &l->accepted_work_milli_s, &idle, &reclaimable);
+  read_strings (idle, l->idle);
+  read_strings (reclaimable, l->reclaimable);
   g_variant_unref (v);
   return l;
 }
@@ -125,8 +145,10 @@
 {
   const struct pool_load *load;
   uint32_t have; /* machines present or on their way */
-  uint32_t need; /* machines that its load needs */
+  uint32_t need; /* machines that its load needs, or its share of them */
   uint64_t burst_milli;
+  uint32_t floor;  /* of NEED: for long-running tasks */
+  uint32_t share;  /* while machines are shared out */
   bool may_return; /* it has had more than it needs for RETURN_DELAY_MS */
 };
 
@@ -161,6 +183,68 @@
   return (uint32_t)MAX (needed, POOL_MIN_MACHINES);
 }
 
+/* Return how many of the pool's machines its long-running tasks need. */
+static uint32_t
+machines_for_long_running (const struct pool_load *l)
+{
+  uint64_t usable_milli = l->cpu_per_worker_milli * POOL_FULL_PERCENT / 100;
+  uint64_t needed
+      = usable_milli == 0
+            ? 0
+            : (l->cpu_long_running_milli + usable_milli - 1) / usable_milli;
+
+  return (uint32_t)MAX (MAX (needed, l->workers_min), POOL_MIN_MACHINES);
+}
+
+/* If the pools need more than TOTAL machines, give each its floor and share
+   the rest out evenly: a pool that needs less than an even share leaves what
+   remains of it to the others. */
+static void
+share_out (GArray *pools, uint32_t total)
+{
+  uint32_t needed = 0, floors = 0, left;
+  uint32_t n_open;
+
+  for (guint i = 0; i < pools->len; i++)
+    {
+      struct pool *p = &g_array_index (pools, struct pool, i);
+
+      needed += p->need;
+      floors += p->floor;
+    }
+  if (needed <= total || floors >= total)
+    return;
+  left = total - floors;
+  /* Each round gives one machine to every pool that still needs one. */
+  for (guint i = 0; i < pools->len; i++)
+    {
+      struct pool *p = &g_array_index (pools, struct pool, i);
+
+      p->share = p->floor;
+    }
+  do
+    {
+      n_open = 0;
+      for (guint i = 0; i < pools->len && left > 0; i++)
+        {
+          struct pool *p = &g_array_index (pools, struct pool, i);
+
+          if (p->share >= p->need)
+            continue;
+          p->share++;
+          left--;
+          n_open++;
+        }
+    }
+  while (n_open > 0 && left > 0);
+  for (guint i = 0; i < pools->len; i++)
+    {
+      struct pool *p = &g_array_index (pools, struct pool, i);
+
+      p->need = p->share;
+    }
+}
+
 static struct pool_state *
 find_pool_state (struct sizing *s, const char *service, int64_t now_ms)
 {
@@ -234,9 +318,53 @@
                                reserved);
 }
 
+static const struct machine *
+find_machine_of_worker (const GPtrArray *machines, const char *worker)
+{
+  for (guint i = 0; i < machines->len; i++)
+    {
+      const struct machine *m = g_ptr_array_index (machines, i);
+
+      if (strcmp (m->worker, worker) == 0)
+        return m;
+    }
+  return NULL;
+}
+
+/* Return a busy machine of the pool that has most machines beyond its share,
+   whose HAVE is counted down, or NULL.  Its finite tasks are waited for. */
+static const struct machine *
+reclaim_machine (GArray *pools, const GPtrArray *machines,
+                 GHashTable *reserved)
+{
+  struct pool *best = NULL;
+
+  for (guint i = 0; i < pools->len; i++)
+    {
+      struct pool *p = &g_array_index (pools, struct pool, i);
+
+      if (p->have >= p->need + RECLAIM_MIN_EXCESS
+          && (best == NULL || p->have - p->need > best->have - best->need))
+        best = p;
+    }
+  for (guint i = 0; best != NULL && i < best->load->reclaimable->len; i++)
+    {
+      const struct machine *m = find_machine_of_worker (
+          machines, g_ptr_array_index (best->load->reclaimable, i));
+
+      if (m == NULL || m->state != MACHINE_UP
+          || strcmp (m->service, best->load->service) != 0
+          || g_hash_table_contains (reserved, m->name))
+        continue;
+      best->have--;
+      return m;
+    }
+  return NULL;
+}
+
 /* Return a machine for a pool that needs one, or NULL if no pool can give one:
    rather one that would return to the standby pool now than one of that pool,
-   as this takes one order in place of two. */
+   as this takes one order in place of two; a busy one last. */
 static const struct machine *
 take_donated_machine (GArray *pools, const GPtrArray *machines,
                       const char *standby, GHashTable *reserved)
@@ -248,6 +376,8 @@
     m = find_movable_machine (machines, standby, NULL, reserved);
   if (m == NULL)
     m = take_excess_machine (pools, machines, false, reserved);
+  if (m == NULL)
+    m = reclaim_machine (pools, machines, reserved);
   return m;
 }
 
@@ -291,6 +421,7 @@
              int64_t now_ms, GArray *moves)
 {
   GArray *pools = g_array_new (FALSE, FALSE, sizeof (struct pool));
+  uint32_t total = standby != NULL ? count_machines (machines, standby) : 0;
 
   for (guint i = 0; i < loads->len; i++)
     {
@@ -307,6 +438,8 @@
       p.have = count_machines (machines, p.load->service);
       p.burst_milli = demand_burst_milli (sizing->demand, p.load->service);
       p.need = machines_needed (p.load, p.burst_milli);
+      p.floor = MIN (machines_for_long_running (p.load), p.need);
+      total += p.have;
       if (p.need >= p.have)
         find_pool_state (sizing, p.load->service, now_ms)->last_full_use_ms
             = now_ms;
@@ -315,6 +448,7 @@
                                   + RETURN_DELAY_MS;
       g_array_append_val (pools, p);
     }
+  share_out (pools, total);
   for (guint i = 0; i < pools->len; i++)
     grow_pool (sizing, pools, &g_array_index (pools, struct pool, i), machines,
                standby, reserved, moves);
--- a/src/sizing.h
+++ b/src/sizing.h
@@ -9,9 +9,11 @@
 
 /* Sizes the pools of the services.  A pool whose work does not fit gets
    machines from the standby pool first and then from pools that have more than
-   they need.  Idle machines return to the standby pool, where they cost
-   nothing, after a delay.  Pure: no input or output; times are milliseconds of
-   a steady clock. */
+   they need.  If all pools together need more machines than there are, each
+   gets what its long-running tasks need, and the rest is shared out evenly, so
+   that a burst in one pool does not starve the others.  Idle machines return
+   to the standby pool, where they cost nothing, after a delay.  Pure: no input
+   or output; times are milliseconds of a steady clock. */
 
 /* The load of a service's pool as the owner of its cell reports it. */
 struct pool_load
@@ -29,6 +31,8 @@
                                   long-running jobs */
   uint64_t accepted_work_milli_s; /* estimated work of these jobs */
   GPtrArray *idle;                /* char *: IDs of workers without a run */
+  GPtrArray *reclaimable;         /* char *: IDs of workers that finite tasks
+                                     only run on, the best to empty first */
 };
 
 /* Return an empty load of SERVICE's pool, which the caller destroys. */
--- a/tests/unit/test_sizing.c
+++ b/tests/unit/test_sizing.c
@@ -134,6 +134,36 @@
   tear_down (&f);
 }
 
+/* A burst in one pool has taken every machine; another pool's work waits. They
+   get even shares, and the first gives busy machines up for that, but none
+   with long-running tasks. */
+static void
+test_pools_share_what_there_is (void)
+{
+  struct fixture f;
+  struct pool_load *greedy = make_load ("search", 160000, 400000, NULL);
+  struct pool_load *starved = make_load ("archive", 16000, 200000, NULL);
+  char *moves;
+
+  set_up (&f);
+  for (int i = 3; i <= 10; i++)
+    {
+      char *name = g_strdup_printf ("a%d", i);
+
+      add_machine (f.machines, name, "search", MACHINE_UP);
+      if (i > 4)
+        g_ptr_array_add (greedy->reclaimable, g_strconcat ("w-", name, NULL));
+      g_free (name);
+    }
+  g_ptr_array_add (f.loads, greedy);
+  g_ptr_array_add (f.loads, starved);
+  /* 14 machines: 7 for each pool, to within one. */
+  moves = plan (&f, NULL, 1000);
+  g_assert_cmpstr (moves, ==, "s1>archive a5>archive a6>archive");
+  g_free (moves);
+  tear_down (&f);
+}
+
 /* A machine that would return to the standby pool goes straight to the pool
    that grows. */
 static void
@@ -265,6 +295,7 @@
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/sizing/shares", test_pools_share_what_there_is);
   g_test_add_func ("/sizing/excess", test_excess_goes_where_it_is_needed);
   g_test_add_func ("/sizing/emptied", test_emptied_workers_are_replaced);
   g_test_add_func ("/sizing/full",
