--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -9,6 +9,7 @@
    cell_workers.c  leases and workers' reports
    cell_runs.c     orders about runs, and emptying a worker
    cell_place.c    which task starts on which worker
+   cell_load.c     how large the pool has to be
    cell_journal.c  appends to the journal, and loading it. */
 
 /* Lease given with each hold and start.  A shorter lease frees the work of a
@@ -280,6 +281,8 @@
 
 /* cell_place.c */
 void cell_place (struct cell *c, int64_t now_ms);
+/* Return whether all steps that STEP depends on are done. */
+bool cell_step_is_ready (const struct cell_occurrence *o, uint32_t step);
 /* Return whether some worker could start T now; record a shortage if none
    can. */
 bool cell_has_worker_for (struct cell *c, const struct cell_task *t,
