Leave a machine alone until its former owner's order can no longer arrive

Change: both spans are the lease, the two delays and the margin (order_window.c). test_order_window: 1,000 ms between the orders before, 3,000 or more now.

--- a/src/node_fleet.c
+++ b/src/node_fleet.c
@@ -1,6 +1,7 @@
 #include "node_state.h"
 
 #include "event_log.h"
+#include "order_window.h"
 #include "wire.h"
 #include "workers.h"
 
@@ -25,18 +26,12 @@
 #define RETRY_DELAY_MS 300
 /* Interval between rounds; each reads the list of machines. */
 #define ROUND_INTERVAL_MS 250
-/* Margin added to the holder lease between orders of two owners. */
-#define HOLDER_MARGIN_MS 400
 /* An owner that the store has not confirmed for this long sends no orders. */
 #define CONFIRMATION_MAX_AGE_MS 2400
 /* Delay with which the list of machines shows an upkeep. */
 #define LIST_LAG_MS 300
 /* Timeout of requests about a worker to the owner of its cell. */
 #define WORKER_REQUEST_TIMEOUT_MS 1000
-/* An order is sent only within this time after its worker was found empty;
-   otherwise the worker is emptied again.  Its cell keeps it empty for
-   CELL_EMPTYING_TIMEOUT_MS. */
-#define EMPTIED_MAX_AGE_MS 900
 
 enum fleet_stream
 {
@@ -150,12 +145,6 @@
 
 /* Becoming the owner. */
 
-static int64_t
-holder_gap_ms (const struct node *n)
-{
-  return n->settings->holder_lease_ms + HOLDER_MARGIN_MS;
-}
-
 static void
 set_machine_time (GHashTable *times, const char *machine, int64_t at_ms)
 {
@@ -180,7 +169,8 @@
       continue;
     else if (strcmp (e->key, ORDERED_KEY) == 0)
       set_machine_time (n->fleet.held_back_until, *name,
-                        now_ms + holder_gap_ms (n));
+                        now_ms
+                            + order_window_ms (n->settings->holder_lease_ms));
     else
       upkeep_mark_machine_begun (n->fleet.upkeep, wave, *name, now_ms);
   g_strfreev (names);
@@ -199,7 +189,8 @@
 
   g_hash_table_iter_init (&iter, n->fleet.ordered_at);
   while (g_hash_table_iter_next (&iter, &machine, &at_ms))
-    if (*(int64_t *)at_ms + holder_gap_ms (n) > now_ms)
+    if (*(int64_t *)at_ms + order_window_ms (n->settings->holder_lease_ms)
+        > now_ms)
       g_string_append_printf (text, "%s%s", text->len > 0 ? "," : "",
                               (const char *)machine);
     else
@@ -413,8 +404,8 @@
                                  .service = call->target,
                                  .wave = call->wave };
 
-  machine_order_send (n->client, n->settings->machines, &order, on_ordered,
-                      call);
+  machine_order_send (n->client, n->settings->machines, &order,
+                      ORDER_TIMEOUT_MS, on_ordered, call);
 }
 
 /* Send the orders of W, which is in the journal now, if the store has
@@ -429,7 +420,7 @@
       int64_t now_ms = node_now_ms ();
 
       if (is_confirmed_owner (n, now_ms)
-          && now_ms < call->emptied_ms + EMPTIED_MAX_AGE_MS)
+          && now_ms < call->emptied_ms + ORDER_EMPTIED_MAX_AGE_MS)
         {
           send_order (call);
           continue;
