--- a/src/node_front.c
+++ b/src/node_front.c
@@ -16,8 +16,6 @@
 /* A node that has had no answer from the store for longer would not learn of a
    cell's new owner. */
 #define STORE_HEARD_MAX_MS 1500
-/* A node that reaches the store hears from it at least this often. */
-#define STORE_USUAL_SILENCE_MS 700
 /* Retry delay that a caller is told. */
 #define RETRY_AFTER_MS 1000
 /* The routes count as fresh if the store has confirmed them within this
@@ -179,23 +177,18 @@
   finish_request (p, &answer);
 }
 
-/* Return whether ANSWER goes to the caller.  A job that the owner refuses is
-   answered at once, with a time to come back, unless only the owner has lost
-   the store: then another node takes the cell over.  Other requests are tried
-   again. */
+/* A job that the owner refuses is answered at once: the caller is told when to
+   come back.  Other requests are tried again. */
 static bool
 is_final (const struct pending_request *p, const struct front_answer *answer)
 {
-  bool is_store_lost = node_now_ms () >= p->front->node->store_heard_ms
-                                             + STORE_USUAL_SILENCE_MS;
-
   switch (answer->result)
     {
     case FRONT_DONE:
     case FRONT_NOT_FOUND:
       return true;
     case FRONT_UNAVAILABLE:
-      return p->request.verb == FRONT_SUBMIT && is_store_lost
+      return p->request.verb == FRONT_SUBMIT
              && !pursuit_is_unclear (p->pursuit);
     case FRONT_UNCLEAR:
       return false;
