--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -25,15 +25,15 @@
 #define APPEND_INTERVAL_MS 80
 /* Retry delay after an append that was refused or not answered. */
 #define APPEND_RETRY_DELAY_MS 150
-/* An append that has not been answered for HEDGE_FACTOR times the usual
-   latency is ordered again: the answer may be lost, and the store recognizes
-   the repetition by its sequence number.  Bounds of that delay, and the orders
-   that may be pending at once. */
+/* Appends are hedged: one that has not been answered for HEDGE_FACTOR times
+   the usual latency is ordered again, as the answer may be lost; the store
+   recognizes the repetition by its sequence number.  Bounds of that delay, and
+   the orders that may be pending at once. */
 #define HEDGE_FACTOR 4
 #define HEDGE_DELAY_MIN_MS 100
 #define HEDGE_DELAY_MAX_MS 600
 #define APPEND_CALLS_MAX 8
-/* Part of a new latency in the smoothed one: one in this. */
+/* A new latency counts as one part in this in the moving average. */
 #define LATENCY_SMOOTHING 4
 /* A job that could not be journaled within this time is refused, before the
    node that forwarded it gives the attempt up. */
@@ -197,8 +197,7 @@
   g_array_append_val (c->append.workers, f);
 }
 
-/* Return how long the next order of the append may go unanswered before it is
-   ordered again. */
+/* Return the timeout after which the append's next order is hedged. */
 static int64_t
 hedge_delay_ms (const struct cell *c)
 {
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -204,7 +204,7 @@
   uint64_t sequence;
   int64_t last_append_ms;
   int64_t append_failing_since_ms; /* 0 while appends succeed */
-  int64_t append_latency_ms;       /* of recent appends, smoothed */
+  int64_t append_latency_ms;       /* moving average */
   int64_t last_purge_ms;
 };
 
--- a/src/sizing.c
+++ b/src/sizing.c
@@ -196,9 +196,9 @@
   return (uint32_t)MAX (MAX (needed, l->workers_min), POOL_MIN_MACHINES);
 }
 
-/* If the pools need more than TOTAL machines, give each its floor and share
-   the rest out evenly: a pool that needs less than an even share leaves what
-   remains of it to the others. */
+/* If the pools need more than TOTAL machines, set the need of each to its
+   max-min fair share: its floor, and of the rest as much as any other pool
+   that needs as much. */
 static void
 share_out (GArray *pools, uint32_t total)
 {
