--- a/tests/unit/test_http_client.c
+++ b/tests/unit/test_http_client.c
@@ -41,7 +41,7 @@
 set_up (struct fixture *f)
 {
   struct evhttp_bound_socket *bound;
-  struct sockaddr_in address;
+  struct sockaddr_in address = { 0 };
   socklen_t size = sizeof address;
 
   f->base = event_base_new ();
