--- a/src/node_fleet.c
+++ b/src/node_fleet.c
@@ -156,8 +156,12 @@
    the machines whose upkeep has begun, under ORDERED_KEY those that were
    ordered last. */
 static void
-load_record (struct node *n, const struct journal_entry *e, int64_t now_ms)
+load_record (struct node *n, const struct journal_entry *e, bool was_own,
+             int64_t now_ms)
 {
+  int64_t lease_ms = n->settings->holder_lease_ms;
+  int64_t window_ms = was_own ? order_window_after_restart_ms (lease_ms)
+                              : order_window_ms (lease_ms);
   gsize size;
   const char *text = g_bytes_get_data (e->value, &size);
   char *copy = g_strndup (text, size);
@@ -168,9 +172,7 @@
     if (**name == '\0')
       continue;
     else if (strcmp (e->key, ORDERED_KEY) == 0)
-      set_machine_time (n->fleet.held_back_until, *name,
-                        now_ms
-                            + order_window_ms (n->settings->holder_lease_ms));
+      set_machine_time (n->fleet.held_back_until, *name, now_ms + window_ms);
     else
       upkeep_mark_machine_begun (n->fleet.upkeep, wave, *name, now_ms);
   g_strfreev (names);
@@ -200,7 +202,7 @@
 
 void
 fleet_begin (struct node *n, uint64_t epoch, const GPtrArray *records,
-             int64_t now_ms)
+             bool was_own, int64_t now_ms)
 {
   struct fleet_state *f = &n->fleet;
 
@@ -231,7 +233,7 @@
       const struct journal_entry *e = g_ptr_array_index (records, i);
 
       if (e->value != NULL)
-        load_record (n, e, now_ms);
+        load_record (n, e, was_own, now_ms);
     }
   event_log ("fleet-taken", "", "epoch=%" G_GUINT64_FORMAT, f->epoch);
 }
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -86,6 +86,7 @@
                                   owner, or NULL */
   int64_t foreign_lease_ms;    /* see struct cell_options */
   char *owner_at_claim;        /* the known owner when the claim began */
+  bool was_own;                /* it was this node, before its restart */
   GHashTable *requests;        /* token to struct local_request * */
   bool must_run;               /* run it before the event loop waits */
 };
@@ -301,9 +302,9 @@
 #define UPKEEP_STREAM "keyed.upkeep"
 /* Become the owner of the fleet under EPOCH.  RECORDS (struct journal_entry *)
    name the machines whose upkeep has begun and those that the previous owner
-   ordered last. */
+   ordered last; WAS_OWN tells that this was this node, before its restart. */
 void fleet_begin (struct node *n, uint64_t epoch, const GPtrArray *records,
-                  int64_t now_ms);
+                  bool was_own, int64_t now_ms);
 void fleet_end (struct node *n);
 void fleet_tick (struct node *n, int64_t now_ms);
 
--- a/src/node_takeover.c
+++ b/src/node_takeover.c
@@ -96,6 +96,7 @@
   h->owner_at_claim = g_strdup (known_owner (h));
   g_clear_pointer (&h->handover_entries, g_ptr_array_unref);
   h->foreign_lease_ms = foreign_lease_ms;
+  h->was_own = strcmp (cause, "own-before-restart") == 0;
   h->phase = HOST_CLAIMING;
   h->failed_calls = 0;
   h->next_call_ms = now_ms;
@@ -502,7 +503,7 @@
 activate (struct cell_host *h, int64_t now_ms)
 {
   if (host_is_fleet (h))
-    fleet_begin (h->node, h->epoch, h->journal_entries, now_ms);
+    fleet_begin (h->node, h->epoch, h->journal_entries, h->was_own, now_ms);
   else
     activate_cell (h, now_ms);
   g_clear_pointer (&h->journal_entries, g_ptr_array_unref);
--- a/src/order_window.h
+++ b/src/order_window.h
@@ -18,4 +18,8 @@
    that the journal names, and for how long it names them. */
 int64_t order_window_ms (int64_t holder_lease_ms);
 
+/* The same if the successor is the former owner after its restart: what the
+   process had not sent ended with it. */
+int64_t order_window_after_restart_ms (int64_t holder_lease_ms);
+
 #endif
--- a/tests/unit/test_order_window.c
+++ b/tests/unit/test_order_window.c
@@ -36,11 +36,21 @@
                          >=, HOLDER_LEASE_MS);
 }
 
+/* A process that ended had sent its last order by then. */
+static void
+test_a_restarted_owner_waits_for_the_lease (void)
+{
+  g_assert_cmpint (order_window_after_restart_ms (HOLDER_LEASE_MS), >=,
+                   HOLDER_LEASE_MS);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/order-window/two-owners",
                    test_orders_of_two_owners_are_a_lease_apart);
+  g_test_add_func ("/order-window/restart",
+                   test_a_restarted_owner_waits_for_the_lease);
   return g_test_run ();
 }
