Read the steady clock in one place; count a pool's places once a plan

Cause, from a last read of the change: the HTTP client had a copy of node.c's clock, and a wave's plan counted the machines of a pool again for each of its machines. Change: clock_steady_ms serves both; the places left in a pool are kept by service while a plan is made. Behaviour as before.

--- a/src/clock.c
+++ b/src/clock.c
@@ -2,6 +2,7 @@
 
 #include <glib.h>
 #include <stdbool.h>
+#include <time.h>
 
 struct clock
 {
@@ -51,3 +52,12 @@
 {
   return g_get_real_time () / 1000;
 }
+
+int64_t
+clock_steady_ms (void)
+{
+  struct timespec t;
+
+  clock_gettime (CLOCK_BOOTTIME, &t);
+  return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
+}
--- a/src/clock.h
+++ b/src/clock.h
@@ -24,6 +24,10 @@
  */
 void clock_advance_ms (struct clock *clock, int64_t step_ms);
 
+/* Return the steady clock, which counts suspended time too, in milliseconds;
+   for the edges, which read clocks. */
+int64_t clock_steady_ms (void);
+
 /* Return the time of day in milliseconds since 1970, for display only. */
 int64_t clock_wall_ms (void);
 
--- a/src/http_client.c
+++ b/src/http_client.c
@@ -1,11 +1,12 @@
 #include "http_client.h"
 
+#include "clock.h"
+
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/http_struct.h>
 #include <event2/keyvalq_struct.h>
 #include <string.h>
-#include <time.h>
 
 /* Maximum number of connections of one lane to one address. */
 #define LANE_MAX_CONNECTIONS 3
@@ -151,16 +152,6 @@
     evhttp_add_header (out, p->names[i], p->values[i]);
 }
 
-static int64_t
-now_ms (void)
-{
-  struct timespec t;
-
-  /* Counts suspended time, too. */
-  clock_gettime (CLOCK_BOOTTIME, &t);
-  return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
-}
-
 static void
 send_on_connection (struct connection *c, struct pending_call *p)
 {
@@ -198,7 +189,7 @@
       /* After a pause of the process the timers of waiting calls may be
          overdue: what a call asks for may not be allowed any more. */
       while ((p = g_queue_pop_head (&lane->waiting)) != NULL
-             && now_ms () >= p->expires_ms)
+             && clock_steady_ms () >= p->expires_ms)
         finish_call (p, &expired);
       if (p == NULL)
         return;
@@ -333,7 +324,7 @@
   struct timeval now = { 0, 0 };
 
   p->lane = lane;
-  p->expires_ms = now_ms () + wait_ms;
+  p->expires_ms = clock_steady_ms () + wait_ms;
   p->timer = evtimer_new (client->base, on_timeout, p);
   evtimer_add (p->timer, &timeout);
   g_queue_push_tail (&lane->waiting, p);
--- a/src/node.c
+++ b/src/node.c
@@ -11,7 +11,6 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
-#include <time.h>
 
 /* Interval of the timer that does what is due. */
 #define TICK_INTERVAL_MS 10
@@ -39,10 +38,7 @@
 int64_t
 node_now_ms (void)
 {
-  struct timespec t;
-
-  clock_gettime (CLOCK_BOOTTIME, &t);
-  return (int64_t)t.tv_sec * 1000 + t.tv_nsec / 1000000;
+  return clock_steady_ms ();
 }
 
 int64_t
--- a/src/upkeep.c
+++ b/src/upkeep.c
@@ -204,17 +204,19 @@
   return MAX (n_up * EMPTYING_MAX_PERCENT / 100, EMPTYING_MAX_SMALL_POOL);
 }
 
-/* Count one more machine of SERVICE's pool that is emptied.  Return false if
-   the pool is at its limit. */
+/* Take one of the places left in SERVICE's pool for machines that are emptied;
+   PLACES holds them by service.  Return false if none is left. */
 static bool
-take_emptying_place (GHashTable *emptying, const GPtrArray *machines,
+take_emptying_place (GHashTable *places, const GPtrArray *machines,
                      const char *service)
 {
-  guint n = GPOINTER_TO_UINT (g_hash_table_lookup (emptying, service));
+  guint left = g_hash_table_contains (places, service)
+                   ? GPOINTER_TO_UINT (g_hash_table_lookup (places, service))
+                   : max_emptying (machines, service);
 
-  if (n >= max_emptying (machines, service))
+  if (left == 0)
     return false;
-  g_hash_table_insert (emptying, (gpointer)service, GUINT_TO_POINTER (n + 1));
+  g_hash_table_insert (places, (gpointer)service, GUINT_TO_POINTER (left - 1));
   return true;
 }
 
@@ -224,7 +226,7 @@
 {
   uint32_t n_down = 0;
   uint32_t n_not_begun = 0;
-  GHashTable *emptying = g_hash_table_new (g_str_hash, g_str_equal);
+  GHashTable *places = g_hash_table_new (g_str_hash, g_str_equal);
 
   for (guint i = 0; i < w->request->machines->len; i++)
     {
@@ -251,12 +253,12 @@
             || g_hash_table_contains (w->begun, m->name)
             || has_idle_worker (m) != must_be_idle
             || (!must_be_idle
-                && !take_emptying_place (emptying, machines, m->service)))
+                && !take_emptying_place (places, machines, m->service)))
           continue;
         add_action (actions, UPKEEP_EMPTY_WORKER, w->request->number, m);
         n_down++;
       }
-  g_hash_table_unref (emptying);
+  g_hash_table_unref (places);
 }
 
 void
