--- a/review/lib/world.py
+++ b/review/lib/world.py
@@ -86,14 +86,14 @@
             r.update(end_ms=now_ms(), how=result, number=self.last_end_number)
 
     def acknowledge_ends(self, last_seen):
-        """An end is taken note of when last_seen reaches it, unless the lease
-        expired between the two."""
+        """Forget the ends up to LAST_SEEN.  An end is taken note of then,
+        unless the lease expired between the two."""
         for r in self.history:
             if r["end_ms"] is not None and r["noted_ms"] is None \
                     and 0 < r["number"] <= last_seen:
                 r["noted_ms"] = -1 if r["end_ms"] <= self.lease_expired_ms \
                     else now_ms()
-        super().acknowledge_ends(last_seen)
+        self.ends = [e for e in self.ends if e[0] > last_seen]
 
     def crash(self):
         with self.lock:
