Load the progress of a job with many open occurrences

Callers saw a scheduled job that had been accepted end as failed, with none of its tasks failed, after two changes of its cell's owner (LOST).

While a worker does not answer, the occurrences whose ends it holds stay open; the owner journals them, and the next one takes that record for a damaged one and fails the job.

Evidence: /cell-handover/many-open-occurrences-twice failed before: the job's state is 3 (failed) instead of 2 (completed), with 400 occurrences due every 25 ms, the store unreachable for 7 s and one worker silent at the first of the two handovers. It passes now, as do test_cell_handover, test_odd_records (20,000 occurrences of 1,000 tasks are still refused), test_fuzz_records and test_cell_seeds.

One rule now says how many occurrences may be open, and both the adding and the loading use it, so an owner journals nothing that its successor refuses. It keeps the bound on memory: twice JOB_MAX_TASKS tasks and 8,192 occurrences.

--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -8,6 +8,10 @@
    these ends.
  */
 #define MAX_OPEN_OCCURRENCES 64
+/* Maximum number including those that earlier owners started, whose ends the
+   journal lacks: an owner goes on for 8 s without the store, in which it can
+   start some thousands. */
+#define MAX_KNOWN_OCCURRENCES 8192
 /* Delay before a long-running task that ended is started again. */
 #define RESTART_DELAY_MS 100
 /* Delay before another task that failed is started again. */
@@ -125,6 +129,17 @@
   return MIN (occurrences_of_max_tasks (job), MAX_OPEN_OCCURRENCES);
 }
 
+/* Return whether N occurrences of JOB can be open, those that earlier owners
+   started included.  What an owner adds by this rule its successors load. */
+static bool
+can_have_open_occurrences (const struct cell_job *job, uint64_t n)
+{
+  uint32_t limit
+      = MIN (2 * occurrences_of_max_tasks (job), MAX_KNOWN_OCCURRENCES);
+
+  return n <= limit;
+}
+
 void
 cell_job_add_due_occurrences (struct cell *c, struct cell_job *job,
                               int64_t now_ms)
@@ -242,8 +257,9 @@
                          int64_t now_ms)
 {
   if (job->state >= JOB_COMPLETED || number >= job->spec->occurrences
-      || (int64_t)number - job->next_occurrence
-             > occurrences_of_max_tasks (job))
+      || number < job->next_occurrence
+      || !can_have_open_occurrences (job, (uint64_t)job->occurrences->len + 1
+                                              + number - job->next_occurrence))
     return;
   while (job->next_occurrence <= number)
     add_occurrence (c, job, job->next_occurrence++, now_ms);
@@ -598,8 +614,9 @@
   bool is_possible;
 
   g_variant_get (v, PROGRESS_TYPE, NULL, &next, &done, &open);
-  is_possible = next <= total && done <= total
-                && g_variant_iter_n_children (open) <= MAX_OPEN_OCCURRENCES;
+  is_possible
+      = next <= total && done <= total
+        && can_have_open_occurrences (job, g_variant_iter_n_children (open));
   while (g_variant_iter_next (open, "(u@ay@ay)", &number, NULL, NULL))
     is_possible = is_possible && number < total;
   g_variant_iter_free (open);
--- a/tests/unit/test_cell_handover.c
+++ b/tests/unit/test_cell_handover.c
@@ -134,24 +134,36 @@
   world_destroy (w);
 }
 
-/* More occurrences may be open than an owner adds by itself, if the journal
-   lacks the ends of earlier ones. */
-static void
-test_runs_beyond_the_limit_of_open_occurrences (void)
+/* Let a scheduled job start more occurrences than an owner adds by itself,
+   while the store is unreachable for AWAY_MS and so lacks the ends of earlier
+   ones, and let the owner change. */
+static struct world *
+world_with_many_open_occurrences (uint32_t seed, uint32_t occurrences,
+                                  int64_t away_ms)
 {
-  struct world *w = world_new (64);
+  struct world *w = world_new (seed);
   uint32_t starts;
 
   world_run (w, 2000);
   w->run_ms = 1000;
-  world_submit (w, scheduled_job (w, 200, 25, 500));
+  world_submit (w, scheduled_job (w, occurrences, 25, 500));
   world_run (w, 500);
   w->is_store_unreachable = true;
-  world_run (w, 2500);
+  world_run (w, away_ms);
   w->is_store_unreachable = false;
   starts = w->starts;
   g_assert_cmpuint (starts, >, 130);
   world_take_over (w, false, 0);
+  return w;
+}
+
+/* More occurrences may be open than an owner adds by itself, if the journal
+   lacks the ends of earlier ones. */
+static void
+test_runs_beyond_the_limit_of_open_occurrences (void)
+{
+  struct world *w = world_with_many_open_occurrences (64, 200, 2500);
+
   world_run (w, 20000);
   world_assert_no_violations (w);
   g_assert_cmpint (world_state (w, WORLD_JOB), ==, JOB_COMPLETED);
@@ -159,6 +171,25 @@
   world_destroy (w);
 }
 
+/* Guards against a scheduled job that fails because an owner refuses the
+   progress that its predecessor journaled: while a worker did not answer, that
+   one had more occurrences open than it adds by itself. */
+static void
+test_second_handover_beyond_the_limit_of_open_occurrences (void)
+{
+  struct world *w = world_with_many_open_occurrences (65, 400, 7000);
+
+  w->workers[0].reachable = false;
+  world_run (w, 1000);
+  world_take_over (w, false, 0);
+  w->workers[0].reachable = true;
+  world_run (w, 30000);
+  world_assert_no_violations (w);
+  g_assert_cmpint (world_state (w, WORLD_JOB), ==, JOB_COMPLETED);
+  g_assert_cmpuint (w->starts, ==, 800);
+  world_destroy (w);
+}
+
 #define FIRST_JOB 0xe00
 #define SEEDS 150
 #define ROUNDS 6
@@ -277,6 +308,8 @@
                    test_reported_ends_before_their_time);
   g_test_add_func ("/cell-handover/many-open-occurrences",
                    test_runs_beyond_the_limit_of_open_occurrences);
+  g_test_add_func ("/cell-handover/many-open-occurrences-twice",
+                   test_second_handover_beyond_the_limit_of_open_occurrences);
   g_test_add_func ("/cell-handover/seeds", test_handovers_of_scheduled_jobs);
   g_test_add_func ("/cell-handover/run-far-ahead",
                    test_a_run_far_ahead_opens_no_occurrences);
