Start a gang again only when the runs of all its tasks are known

A gang's task could run twice after a change of the cell's owner (TWICE).

Cause: a new owner starts a task of an earlier owner only once every earlier run of it is known. For a gang it asked this of the first task only. With the first task's run adopted and lost again (its worker restarted), the gang was started as a whole while another task's run went on at a worker that had not answered the new owner yet.

Evidence: /cell-handover/gang-unseen-member failed before (4 starts instead of 2, 2.5 s after the takeover, with one of two workers unreachable) and passes. test_cell, _faults, _store, _seeds, _partition, _stale_owner, _reports and test_odd_records pass.

The condition is now one function of a task, which gangs ask of all their tasks and other steps of each.

--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -440,12 +440,21 @@
   return c->confirmed_ms > t->run_over_ms;
 }
 
+/* Return whether no run of T can be going on, be it under an earlier owner or
+   a successor. */
 static bool
-is_last_gang_run_over (const struct cell *c, const struct cell_task *first,
-                       uint32_t count)
+is_every_run_over (const struct cell *c, const struct cell_task *t)
+{
+  return is_last_run_over (c, t)
+         && (c->is_every_run_known || t->is_every_run_known);
+}
+
+static bool
+is_every_gang_run_over (const struct cell *c, const struct cell_task *first,
+                        uint32_t count)
 {
   for (uint32_t i = 0; i < count; i++)
-    if (!is_last_run_over (c, &first[i]))
+    if (!is_every_run_over (c, &first[i]))
       return false;
   return true;
 }
@@ -458,8 +467,7 @@
   struct cell_task *first = &o->tasks[o->first_task[step]];
 
   if (o->waiting[step] < s->count || now_ms < first->retry_ms
-      || !is_last_gang_run_over (c, first, s->count)
-      || !(c->is_every_run_known || first->is_every_run_known)
+      || !is_every_gang_run_over (c, first, s->count)
       || !has_run_number (c, first))
     return;
   if (!s->prefers_same_rack)
@@ -496,9 +504,7 @@
       struct cell_worker *w;
 
       if (t->phase != TASK_WAITING || now_ms < t->retry_ms
-          || !is_last_run_over (c, t)
-          || !(c->is_every_run_known || t->is_every_run_known)
-          || !has_run_number (c, t))
+          || !is_every_run_over (c, t) || !has_run_number (c, t))
         continue;
       w = choose_worker (c, t, NULL, now_ms);
       if (w != NULL)
--- a/tests/unit/test_cell_handover.c
+++ b/tests/unit/test_cell_handover.c
@@ -190,6 +190,41 @@
   world_destroy (w);
 }
 
+/* Guards against a gang that starts again while one of its members may still
+   run at a worker that has not answered the new owner, as the run of the first
+   member is known. */
+static void
+test_gang_with_an_unseen_member (void)
+{
+  struct world *w = world_new (66);
+  struct job_spec *job = world_job (w, WORLD_JOB, 1, 2);
+  struct job_step *s = g_ptr_array_index (job->steps, 0);
+  struct world_worker *first, *second;
+
+  s->is_gang = true;
+  s->max_per_worker = 1;
+  world_run (w, 2000);
+  w->run_ms = 20000;
+  world_submit (w, job);
+  world_run (w, 1000);
+  first = world_find_run (w, WORLD_JOB ".0.0.0");
+  second = world_find_run (w, WORLD_JOB ".0.0.1");
+  g_assert_nonnull (first);
+  g_assert_nonnull (second);
+  second->reachable = false;
+  world_take_over (w, false, 0);
+  world_run (w, 500);
+  world_crash (w, first, true);
+  world_run (w, 2000);
+  g_assert_cmpuint (w->starts, ==, 2);
+  world_assert_no_violations (w);
+  second->reachable = true;
+  world_run (w, 90000);
+  world_assert_no_violations (w);
+  g_assert_cmpint (world_state (w, WORLD_JOB), ==, JOB_COMPLETED);
+  world_destroy (w);
+}
+
 #define FIRST_JOB 0xe00
 #define SEEDS 150
 #define ROUNDS 6
@@ -310,6 +345,8 @@
                    test_runs_beyond_the_limit_of_open_occurrences);
   g_test_add_func ("/cell-handover/many-open-occurrences-twice",
                    test_second_handover_beyond_the_limit_of_open_occurrences);
+  g_test_add_func ("/cell-handover/gang-unseen-member",
+                   test_gang_with_an_unseen_member);
   g_test_add_func ("/cell-handover/seeds", test_handovers_of_scheduled_jobs);
   g_test_add_func ("/cell-handover/run-far-ahead",
                    test_a_run_far_ahead_opens_no_occurrences);
