Take the end of a named run for no proof that the task has no later one

A task could run twice after a change of the cell's owner (TWICE).

If that owner is lost then, the next one loads the names, and when the first worker reports the end of a named run ("lapsed"), it took every run of the task for known. It started the task a third time beside the second run, whose worker had not answered yet.

Evidence: /cell-handover/end-of-an-earlier-run failed before (two runs at once, 30 ms after the takeover) and passes; test_cell, _faults, _store, _seeds, _partition, _stale_owner, _reports and test_odd_records pass.

The runs of a task now count as known when an earlier owner's run is reported as running, and when this owner starts one, since it does so only if all earlier ones are over.

--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -438,7 +438,6 @@
 
   if (t->phase == TASK_DONE)
     return;
-  t->is_every_run_known = t->is_every_run_known || is_current;
   if (end->result == END_DONE && !s->is_long_running)
     {
       /* The task is done, even if END is not of its current run. */
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -254,6 +254,7 @@
                   uint64_t run, int64_t now_ms)
 {
   t->run = run;
+  t->is_every_run_known = true;
   t->start_attempts = 0;
   t->percent = 0;
   t->progress_ms = now_ms;
--- a/tests/unit/test_cell_handover.c
+++ b/tests/unit/test_cell_handover.c
@@ -225,6 +225,55 @@
   world_destroy (w);
 }
 
+/* Let the only task of a job start a second time, at *SECOND, after its first
+   worker, *FIRST, has become silent, while the journal still names the first
+   run.  Then let that owner be lost. */
+static struct world *
+world_with_out_of_date_names (uint32_t seed, struct world_worker **first,
+                              struct world_worker **second)
+{
+  struct world *w = world_new (seed);
+
+  world_run (w, 2000);
+  w->run_ms = 40000;
+  world_submit (w, world_job (w, WORLD_JOB, 1, 1));
+  world_run (w, 1000);
+  *first = world_find_run (w, WORLD_JOB ".0.0.0");
+  g_assert_nonnull (*first);
+  (*first)->reachable = false;
+  world_run (w, 2000);
+  w->faults.append_refused = 100;
+  world_run (w, 3000);
+  g_assert_cmpuint (w->starts, ==, 2);
+  *second = world_find_run (w, WORLD_JOB ".0.0.0");
+  g_assert_nonnull (*second);
+  g_assert_true (*second != *first);
+  w->faults.append_refused = 0;
+  world_take_over (w, false, 0);
+  return w;
+}
+
+/* Guards against a task that starts again because an earlier run, which the
+   journal names, has ended: its last run may be at a worker that has not
+   answered the new owner. */
+static void
+test_end_of_a_named_run_before_the_last_one (void)
+{
+  struct world_worker *first, *second;
+  struct world *w = world_with_out_of_date_names (67, &first, &second);
+
+  first->reachable = true;
+  second->reachable = false;
+  world_run (w, 2500);
+  world_assert_no_violations (w);
+  g_assert_cmpuint (w->starts, ==, 2);
+  second->reachable = true;
+  world_run (w, 90000);
+  world_assert_no_violations (w);
+  g_assert_cmpint (world_state (w, WORLD_JOB), ==, JOB_COMPLETED);
+  world_destroy (w);
+}
+
 #define FIRST_JOB 0xe00
 #define SEEDS 150
 #define ROUNDS 6
@@ -347,6 +396,8 @@
                    test_second_handover_beyond_the_limit_of_open_occurrences);
   g_test_add_func ("/cell-handover/gang-unseen-member",
                    test_gang_with_an_unseen_member);
+  g_test_add_func ("/cell-handover/end-of-an-earlier-run",
+                   test_end_of_a_named_run_before_the_last_one);
   g_test_add_func ("/cell-handover/seeds", test_handovers_of_scheduled_jobs);
   g_test_add_func ("/cell-handover/run-far-ahead",
                    test_a_run_far_ahead_opens_no_occurrences);
