Adopt the last run of a task whose named run's worker has restarted

A run of a task was stopped as an unknown one, and the task started again, after a change of the cell's owner: its work was thrown away, and with a slow stop both runs could go on at the same time for up to stop_grace_ms (not shown).

The new owner takes a reported run with a higher number for the last one only while the named run's worker has not answered. A worker that has restarted answers, but its report proves nothing until the store has confirmed the owner since; in that time the last run was refused.

Evidence: /cell-handover/named-run-restarted-worker failed before (3 starts instead of 2 with each of 31 durations of the store's outage) and passes; test_cell, _faults, _store, _seeds, _partition, _stale_owner, _reports and test_odd_records pass.

A named run that no worker has reported now gives way to a higher run, whether its worker has answered or not.

--- a/src/cell_reports.c
+++ b/src/cell_reports.c
@@ -29,8 +29,10 @@
 
   if (job->state >= JOB_COMPLETED || t->runs_given > 0)
     return false;
-  /* A higher run number was given only after the lower run was over. */
-  if (t->phase == TASK_RUNNING && !t->worker->is_confirmed && r->run > t->run)
+  /* A higher run number was given only after the lower run was over, which the
+     journal names and no worker has reported. */
+  if (t->phase == TASK_RUNNING && r->run > t->run
+      && (!t->worker->is_confirmed || !t->is_every_run_known))
     cell_task_reset (c, t, now_ms);
   if (t->phase != TASK_WAITING)
     return false;
--- a/tests/unit/test_cell_handover.c
+++ b/tests/unit/test_cell_handover.c
@@ -274,6 +274,35 @@
   world_destroy (w);
 }
 
+/* Guards against a task that starts again while its last run is being stopped
+   as an unknown one: the journal names an earlier run, and that one's worker
+   has restarted. */
+static void
+test_named_run_of_a_restarted_worker (void)
+{
+  for (int64_t away_ms = 0; away_ms <= 1500; away_ms += 50)
+    {
+      struct world_worker *first, *second;
+      struct world *w = world_with_out_of_date_names (68, &first, &second);
+
+      first->reachable = true;
+      second->reachable = false;
+      w->is_store_unreachable = true;
+      world_crash (w, first, true);
+      world_run (w, 200);
+      second->reachable = true;
+      world_run (w, away_ms);
+      w->is_store_unreachable = false;
+      world_run (w, 4000);
+      world_assert_no_violations (w);
+      g_assert_cmpuint (w->starts, ==, 2);
+      world_run (w, 90000);
+      world_assert_no_violations (w);
+      g_assert_cmpint (world_state (w, WORLD_JOB), ==, JOB_COMPLETED);
+      world_destroy (w);
+    }
+}
+
 #define FIRST_JOB 0xe00
 #define SEEDS 150
 #define ROUNDS 6
@@ -398,6 +427,8 @@
                    test_gang_with_an_unseen_member);
   g_test_add_func ("/cell-handover/end-of-an-earlier-run",
                    test_end_of_a_named_run_before_the_last_one);
+  g_test_add_func ("/cell-handover/named-run-restarted-worker",
+                   test_named_run_of_a_restarted_worker);
   g_test_add_func ("/cell-handover/seeds", test_handovers_of_scheduled_jobs);
   g_test_add_func ("/cell-handover/run-far-ahead",
                    test_a_run_far_ahead_opens_no_occurrences);
