Load the last run of a task that two records name

A task ran twice after an owner had handed its cell over (TWICE).

Nobody waited for the last run, and the task started again if that worker did not answer at once.

A named run with a higher number now replaces a lower one: numbers rise, and a higher one is given only after the lower run is over.

--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -462,7 +462,12 @@
 {
   struct cell_task *t = cell_find_started_task (c, name, c->taken_over_ms);
 
-  if (t == NULL || t->phase != TASK_WAITING)
+  if (t == NULL)
+    return;
+  /* Another record, which may be older, names an earlier run. */
+  if (t->phase == TASK_RUNNING && run > t->run)
+    cell_task_reset (c, t, c->taken_over_ms);
+  if (t->phase != TASK_WAITING)
     return;
   t->run = run;
   cell_worker_assign_task (w, t);
--- a/tests/unit/test_cell_handover.c
+++ b/tests/unit/test_cell_handover.c
@@ -225,15 +225,19 @@
   world_destroy (w);
 }
 
-/* Let the only task of a job start a second time, at *SECOND, after its first
-   worker, *FIRST, has become silent, while the journal still names the first
-   run.  Then let that owner be lost. */
+/* Let the only task of a job start a second time, at *SECOND, which the owner
+   lists first, after its first worker, *FIRST, has become silent, while the
+   journal still names the first run.  With LOSES_OWNER let that owner be lost
+   then. */
 static struct world *
-world_with_out_of_date_names (uint32_t seed, struct world_worker **first,
+world_with_out_of_date_names (uint32_t seed, bool loses_owner,
+                              struct world_worker **first,
                               struct world_worker **second)
 {
   struct world *w = world_new (seed);
 
+  *second = &w->workers[0];
+  (*second)->reachable = false;
   world_run (w, 2000);
   w->run_ms = 40000;
   world_submit (w, world_job (w, WORLD_JOB, 1, 1));
@@ -241,15 +245,15 @@
   *first = world_find_run (w, WORLD_JOB ".0.0.0");
   g_assert_nonnull (*first);
   (*first)->reachable = false;
+  (*second)->reachable = true;
   world_run (w, 2000);
   w->faults.append_refused = 100;
   world_run (w, 3000);
   g_assert_cmpuint (w->starts, ==, 2);
-  *second = world_find_run (w, WORLD_JOB ".0.0.0");
-  g_assert_nonnull (*second);
-  g_assert_true (*second != *first);
+  g_assert_true (world_find_run (w, WORLD_JOB ".0.0.0") == *second);
   w->faults.append_refused = 0;
-  world_take_over (w, false, 0);
+  if (loses_owner)
+    world_take_over (w, false, 0);
   return w;
 }
 
@@ -260,7 +264,7 @@
 test_end_of_a_named_run_before_the_last_one (void)
 {
   struct world_worker *first, *second;
-  struct world *w = world_with_out_of_date_names (67, &first, &second);
+  struct world *w = world_with_out_of_date_names (67, true, &first, &second);
 
   first->reachable = true;
   second->reachable = false;
@@ -283,7 +287,8 @@
   for (int64_t away_ms = 0; away_ms <= 1500; away_ms += 50)
     {
       struct world_worker *first, *second;
-      struct world *w = world_with_out_of_date_names (68, &first, &second);
+      struct world *w
+          = world_with_out_of_date_names (68, true, &first, &second);
 
       first->reachable = true;
       second->reachable = false;
@@ -303,6 +308,28 @@
     }
 }
 
+/* Guards against a task that starts again because a handed-over record was
+   dropped: the journal still named the task's earlier run on another worker.
+ */
+static void
+test_handed_over_name_beside_an_older_one (void)
+{
+  struct world_worker *first, *second;
+  struct world *w = world_with_out_of_date_names (69, false, &first, &second);
+
+  second->reachable = false;
+  world_take_over (w, true, 0);
+  first->reachable = true;
+  world_run (w, 3000);
+  world_assert_no_violations (w);
+  g_assert_cmpuint (w->starts, ==, 2);
+  second->reachable = true;
+  world_run (w, 90000);
+  world_assert_no_violations (w);
+  g_assert_cmpint (world_state (w, WORLD_JOB), ==, JOB_COMPLETED);
+  world_destroy (w);
+}
+
 #define FIRST_JOB 0xe00
 #define SEEDS 150
 #define ROUNDS 6
@@ -429,6 +456,8 @@
                    test_end_of_a_named_run_before_the_last_one);
   g_test_add_func ("/cell-handover/named-run-restarted-worker",
                    test_named_run_of_a_restarted_worker);
+  g_test_add_func ("/cell-handover/older-name",
+                   test_handed_over_name_beside_an_older_one);
   g_test_add_func ("/cell-handover/seeds", test_handovers_of_scheduled_jobs);
   g_test_add_func ("/cell-handover/run-far-ahead",
                    test_a_run_far_ahead_opens_no_occurrences);
