Play jobs of all kinds through seeded changes of the owner

The unit tests' world judged runs at the same time, after an acknowledged end and beyond the attempts.

--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -24,6 +24,9 @@
 /* The leases of an owner that has stopped have expired after this. */
 #define STOPPED_OWNER_LEASE_MS 4400
 
+/* An occurrence may start this early. */
+#define EARLY_MS 250
+
 /* Duration of a run on a worker that fails every run. */
 #define FAILING_RUN_MS 30
 
@@ -206,7 +209,7 @@
           .workers_admit = w->room == 0,
           .hold_max_ms = LEASE_MAX_MS,
           .stop_grace_ms = 900,
-          .early_ms = 250,
+          .early_ms = EARLY_MS,
           .keep_state_ms = 120000,
           .stopped_owner_lease_ms = STOPPED_OWNER_LEASE_MS,
           .silent_owner_lease_ms
@@ -265,6 +268,10 @@
   w->pending_appends = g_ptr_array_new_with_free_func (pending_append_free);
   w->done_tasks
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  w->ended_done
+      = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
+  w->specs = g_hash_table_new_full (g_str_hash, g_str_equal, g_free,
+                                    (GDestroyNotify)job_spec_destroy);
   w->failures = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   w->answers = g_hash_table_new (g_direct_hash, g_direct_equal);
   w->violations = g_string_new (NULL);
@@ -306,6 +313,8 @@
   g_ptr_array_unref (w->pending_holds);
   g_ptr_array_unref (w->pending_appends);
   g_hash_table_unref (w->done_tasks);
+  g_hash_table_unref (w->ended_done);
+  g_hash_table_unref (w->specs);
   g_hash_table_unref (w->failures);
   g_hash_table_unref (w->answers);
   g_string_free (w->violations, TRUE);
@@ -368,6 +377,47 @@
   return false;
 }
 
+static const struct job_spec *
+find_spec (const struct world *w, const char *task, struct task_name *name)
+{
+  return task_name_parse (task, name)
+             ? g_hash_table_lookup (w->specs, name->job)
+             : NULL;
+}
+
+static bool
+is_in_gang (const struct world *w, const char *task)
+{
+  struct task_name n;
+  const struct job_spec *spec = find_spec (w, task, &n);
+
+  return spec != NULL
+         && ((const struct job_step *)g_ptr_array_index (spec->steps, n.step))
+                ->is_gang;
+}
+
+/* Return whether A and B are tasks of one occurrence of a step. */
+static bool
+are_of_one_step (const char *a, const char *b)
+{
+  gsize length = (gsize)(strrchr (a, '.') - a) + 1;
+
+  return strncmp (a, b, length) == 0;
+}
+
+/* The runs of a gang end together.  One that ends as done stands for all. */
+static void
+break_gang (struct world *w, const char *task)
+{
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    for (guint k = 0; k < w->workers[i].runs->len; k++)
+      {
+        struct world_run *r = g_ptr_array_index (w->workers[i].runs, k);
+
+        r->is_broken = r->is_broken || are_of_one_step (task, r->task);
+      }
+}
+
 static void
 record_end (struct world *w, struct world_worker *k, struct world_run *r,
             enum run_end result)
@@ -379,13 +429,57 @@
                           .checkpoint = g_strdup ("") };
 
   g_array_append_val (k->ends, e);
+  if (result == END_DONE)
+    g_hash_table_add (w->ended_done, g_strdup (r->task));
+  if (is_in_gang (w, r->task))
+    break_gang (w, r->task);
   g_ptr_array_remove (k->runs, r);
 }
 
+static bool
+has_ended_done (const struct world *w, const struct job_spec *spec,
+                const struct task_name *name, uint32_t step)
+{
+  const struct job_step *s = g_ptr_array_index (spec->steps, step);
+  uint32_t done = 0;
+
+  for (uint32_t i = 0; i < s->count; i++)
+    {
+      char *task = g_strdup_printf ("%s.%u.%u.%u", name->job, name->occurrence,
+                                    step, i);
+
+      done += g_hash_table_contains (w->ended_done, task);
+      g_free (task);
+    }
+  return done == s->count || (s->is_gang && done > 0);
+}
+
+static void
+check_order (struct world *w, const char *task)
+{
+  struct task_name n;
+  const struct job_spec *spec = find_spec (w, task, &n);
+  const struct job_step *s;
+
+  if (spec == NULL)
+    return;
+  if (spec->occurrences > 0
+      && w->now_ms + EARLY_MS < spec->first_occurrence_ms
+                                    + (int64_t)n.occurrence * spec->interval_ms
+                                    - w->wall_ahead_max_ms)
+    record_violation (w, "early", task);
+  s = g_ptr_array_index (spec->steps, n.step);
+  for (guint i = 0; i < s->depends_on->len; i++)
+    if (!has_ended_done (w, spec, &n,
+                         g_array_index (s->depends_on, uint32_t, i)))
+      record_violation (w, "before-its-steps", task);
+}
+
 /* Check the rules of cell_world.h for a new run of TASK. */
 static void
 check_start_rules (struct world *w, const char *task)
 {
+  check_order (w, task);
   if (world_find_run (w, task) != NULL)
     record_violation (w, "two-runs", task);
   if (g_hash_table_contains (w->done_tasks, task))
@@ -468,6 +562,8 @@
       else if (k->is_failing_all_runs
                && w->now_ms >= r->begun_ms + FAILING_RUN_MS)
         record_end (w, k, r, END_FAILED);
+      else if (r->is_broken)
+        record_end (w, k, r, END_GANG_MEMBER_ENDED);
       else if (w->now_ms >= r->ends_ms)
         record_end (w, k, r,
                     fault_occurs (w, w->faults.task_fails) ? END_FAILED
@@ -883,6 +979,7 @@
   for (int64_t end_ms = w->now_ms + for_ms; w->now_ms < end_ms;)
     {
       w->now_ms += TICK_MS;
+      w->wall_ahead_max_ms = MAX (w->wall_ahead_max_ms, w->wall_ahead_ms);
       for (int i = 0; i < WORLD_WORKERS; i++)
         if (w->workers[i].alive)
           end_due_runs (w, &w->workers[i]);
@@ -1008,7 +1105,11 @@
 world_submit (struct world *w, struct job_spec *spec)
 {
   static uint64_t token;
+  GBytes *bytes = job_spec_to_bytes (spec);
 
+  g_hash_table_replace (w->specs, g_strdup (spec->id),
+                        job_spec_from_bytes (bytes));
+  g_bytes_unref (bytes);
   cell_submit (w->cell, spec, ++token, w->now_ms);
   return token;
 }
@@ -1032,6 +1133,13 @@
 void
 world_crash (struct world *w, struct world_worker *worker, bool restarts)
 {
+  for (guint i = 0; i < worker->runs->len; i++)
+    {
+      const struct world_run *r = g_ptr_array_index (worker->runs, i);
+
+      if (is_in_gang (w, r->task))
+        break_gang (w, r->task);
+    }
   start_incarnation (w, worker);
   worker->alive = restarts;
   /* Starts still pending for the previous incarnation are lost with it. */
@@ -1052,6 +1160,12 @@
   }
 }
 
+void
+world_grant_longest_lease (struct world *w, struct world_worker *worker)
+{
+  extend_leases (w, worker, G_MAXINT64);
+}
+
 void
 world_assert_all_ended (const struct world *w, uint32_t seed, int first,
                         int count)
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -11,7 +11,8 @@
    leases and lists of ended runs, a journal with epochs, and owners that
    succeed each other.  At each start of a run it checks that the task has no
    other run, that none of its runs has ended as done and been acknowledged
-   before the worker's leases expired, and that it has attempts left. */
+   before the worker's leases expired, that it has attempts left, and that its
+   time has come and the steps before its own are done. */
 
 #define WORLD_WORKERS 6
 /* ID of the job that most tests submit. */
@@ -24,6 +25,7 @@
   int64_t begun_ms;
   int64_t ends_ms;
   int64_t stop_ms; /* when it ends as stopped; 0 if no stop was ordered */
+  bool is_broken;  /* it ends, as another run of its gang has ended */
 };
 
 struct world_worker
@@ -71,8 +73,9 @@
   GHashTable *journal; /* key to GBytes * */
   uint64_t journal_epoch;
   uint64_t journal_sequence;
-  int64_t confirmed_ms;  /* when the store last confirmed the owner */
-  int64_t wall_ahead_ms; /* of the owner's Unix time */
+  int64_t confirmed_ms;      /* when the store last confirmed the owner */
+  int64_t wall_ahead_ms;     /* of the owner's Unix time */
+  int64_t wall_ahead_max_ms; /* of any owner so far */
   bool is_store_unreachable;
   bool is_stale_owner_cut_from_store;
   struct world_faults faults;
@@ -81,6 +84,8 @@
   GPtrArray *pending_holds;   /* struct pending_hold * */
   GPtrArray *pending_appends; /* struct pending_append * */
   GHashTable *done_tasks;     /* tasks with an acknowledged end END_DONE */
+  GHashTable *ended_done;     /* tasks with an end END_DONE, seen or not */
+  GHashTable *specs;          /* ID to struct job_spec *, of world_submit */
   GHashTable *failures;       /* task to number of acknowledged failures */
   uint32_t max_attempts;
   uint32_t room;  /* runs that fit on a worker.  If set, the workers of owners
@@ -134,6 +139,9 @@
    runs. */
 void world_crash (struct world *w, struct world_worker *worker, bool restarts);
 
+/* Let WORKER grant the longest lease now. */
+void world_grant_longest_lease (struct world *w, struct world_worker *worker);
+
 /* Show WORKER in the list under another service; with RESTARTS as a new
    incarnation. */
 void world_reassign (struct world *w, struct world_worker *worker,
