Count the longest lease of a worker that has restarted

A task could run twice after a change of the cell's owner (TWICE), if its worker had restarted about then and became unreachable soon after.

Cause: a worker that answers a new owner refuses its predecessors from then on, and the leases that they gave count as over 4.4 s later. A call with a deadline on the clock of the worker's former incarnation gives the longest lease instead, 6 s, when a predecessor has not noticed the restart. An owner that notices a restart of a worker counts that for its own calls, but did not for those of earlier owners.

An owner that noticed the restart and was then lost itself within 6 s is not covered: its record does not tell when the worker restarted.

--- a/src/cell_reports.c
+++ b/src/cell_reports.c
@@ -241,10 +241,14 @@
     }
   if (w->may_have_earlier_leases)
     {
-      /* It refuses the calls of earlier owners from now on. */
+      /* It refuses the calls of earlier owners from now on.  If it has
+         restarted, the last one may have had a deadline on its former clock.
+       */
       w->may_have_earlier_leases = false;
-      w->lease_expiry_ms = MAX (w->lease_expiry_ms,
-                                now_ms + c->options.stopped_owner_lease_ms);
+      w->lease_expiry_ms = MAX (
+          w->lease_expiry_ms,
+          w->restarted_ms != 0 ? cell_longest_lease_until_ms (c, now_ms)
+                               : now_ms + c->options.stopped_owner_lease_ms);
     }
   w->is_confirmed = true;
   w->has_ended = false;
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -313,6 +313,8 @@
    successor can have extended them. */
 bool cell_worker_leases_expired (const struct cell *c,
                                  const struct cell_worker *w);
+/* Return when the longest lease that a worker grants now has expired. */
+int64_t cell_longest_lease_until_ms (const struct cell *c, int64_t now_ms);
 /* Return the deadline, on W's clock, of a lease given now, and update
    lease_expiry_ms.  The clock must be known. */
 int64_t cell_lease_deadline (struct cell_worker *w, int64_t now_ms);
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -105,6 +105,12 @@
          + LEASE_MARGIN_MS;
 }
 
+int64_t
+cell_longest_lease_until_ms (const struct cell *c, int64_t now_ms)
+{
+  return lease_end_ms (c->options.hold_max_ms, 0, now_ms);
+}
+
 /* W has started or restarted.  The new incarnation may have received a start
    already, so its next report decides which runs are lost.  A deadline on the
    clock of the former one has given it the longest lease. */
@@ -129,8 +135,8 @@
   w->failed_streak = 0;
   w->clock_reported_ms = 0;
   if (w->lease_expiry_ms > now_ms)
-    w->lease_expiry_ms = MAX (
-        w->lease_expiry_ms, lease_end_ms (c->options.hold_max_ms, 0, now_ms));
+    w->lease_expiry_ms
+        = MAX (w->lease_expiry_ms, cell_longest_lease_until_ms (c, now_ms));
 }
 
 void
--- a/tests/unit/test_cell_handover.c
+++ b/tests/unit/test_cell_handover.c
@@ -330,6 +330,35 @@
   world_destroy (w);
 }
 
+/* Guards against a task that starts again before its lease is over: its worker
+   had restarted, and an earlier owner's last call, with a deadline on the
+   former clock, gave it the longest lease. */
+static void
+test_lease_on_the_clock_before_a_restart (void)
+{
+  struct world *w = world_new (70);
+  struct world_worker *worker = &w->workers[0];
+
+  for (int i = 1; i < WORLD_WORKERS; i++)
+    w->workers[i].alive = false;
+  world_run (w, 2000);
+  w->run_ms = 40000;
+  world_submit (w, world_job (w, WORLD_JOB, 1, 1));
+  world_run (w, 1000);
+  g_assert_true (world_find_run (w, WORLD_JOB ".0.0.0") == worker);
+  world_take_over (w, false, 0);
+  world_crash (w, worker, true);
+  world_grant_longest_lease (w, worker);
+  world_run (w, 600);
+  g_assert_true (world_find_run (w, WORLD_JOB ".0.0.0") == worker);
+  world_crash (w, &w->workers[1], true);
+  worker->reachable = false;
+  world_run (w, 9000);
+  world_assert_no_violations (w);
+  g_assert_cmpuint (w->starts, ==, 3);
+  world_destroy (w);
+}
+
 #define FIRST_JOB 0xe00
 #define SEEDS 150
 #define ROUNDS 6
@@ -458,6 +487,8 @@
                    test_named_run_of_a_restarted_worker);
   g_test_add_func ("/cell-handover/older-name",
                    test_handed_over_name_beside_an_older_one);
+  g_test_add_func ("/cell-handover/former-clock",
+                   test_lease_on_the_clock_before_a_restart);
   g_test_add_func ("/cell-handover/seeds", test_handovers_of_scheduled_jobs);
   g_test_add_func ("/cell-handover/run-far-ahead",
                    test_a_run_far_ahead_opens_no_occurrences);
