--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -10,6 +10,7 @@
 
 FAULT_DURATION_S = (0.3, 4.0)
 PARTITION_DURATION_S = (2.0, 10.0)
+ANSWER_DELAY_S = (0.05, 0.5)
 STOP_TIMEOUT_S = 7  # the setting stop_s is 6 s
 # Time until a new node handles signals: before that, SIGTERM itself ends the
 # process.
@@ -39,6 +40,8 @@
             self.slow_store_of_node,
             self.partition, self.partition, self.partition, self.partition,
             self.stop_store, self.slow_store, self.lose_answers]
+        if soak.reroutes:
+            self.kinds += [self.reroute_queue] * 5 + [self.delay_answers] * 2
 
     def log(self, description):
         self.count += 1
@@ -222,6 +225,35 @@
     def delay_calls(self):
         return self.set_platform_fault("calls_late", 0.2)
 
+    def delay_answers(self):
+        """Let a worker take a while for each answer."""
+        w = self.rng.choice(self.platform.workers)
+        delay_s = self.rng.uniform(*ANSWER_DELAY_S)
+        self.log("%s answers after %d ms" % (w.id, 1000 * delay_s))
+        w.answer_delay_s = delay_s
+
+        def end_fault():
+            w.answer_delay_s = 0
+        return end_fault
+
+    # Configuration.
+
+    def reroute_queue(self):
+        """Publish a configuration that sends a queue to another service, in
+        most cases by another route."""
+        route = self.rng.choice(self.platform.routes)
+        queue = route["path_prefix"].strip("/")
+        service = self.rng.choice([s for s in self.platform.services
+                                   if s != route["backend"]])
+        name = route["name"] if self.rng.random() < 0.3 \
+            else "q-%d" % self.platform.version
+        self.log("queue %s goes to %s as %s" % (queue, service, name))
+        if service not in self.soak.queue_services[queue]:
+            self.soak.queue_services[queue].append(service)
+        self.platform.routes[self.platform.routes.index(route)] = dict(
+            route, name=name, backend=service)
+        self.platform.publish_configuration()
+
     # The store.
 
     def stop_store(self):
