Log which named runs a new owner waits for, and which cells of a queue were asked

`runs-named` now tells for each record of a worker how many runs it named and how many the new owner waits for, `queue-moved` how many cells of a queue that was sent elsewhere were asked, and under which configuration.

--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -455,25 +455,45 @@
 
 /* Load RUN of task NAME, which may still be on W: its owner could not reach W.
    The task may have been started elsewhere after that record, so its
-   is_every_run_known stays as it is. */
-static void
+   is_every_run_known stays as it is.  Return false if the run is not waited
+   for. */
+static bool
 load_named_run (struct cell *c, struct cell_worker *w, const char *name,
                 uint64_t run)
 {
   struct cell_task *t = cell_find_started_task (c, name, c->taken_over_ms);
 
   if (t == NULL)
-    return;
+    return false;
   /* Another record, which may be older, names an earlier run. */
   if (t->phase == TASK_RUNNING && run > t->run)
     cell_task_reset (c, t, c->taken_over_ms);
   if (t->phase != TASK_WAITING)
-    return;
+    return false;
   t->run = run;
   cell_worker_assign_task (w, t);
   cell_task_set_phase (t, TASK_RUNNING, c->taken_over_ms);
   t->progress_ms = c->taken_over_ms;
   t->occurrence->job->has_started = true;
+  return true;
+}
+
+/* Load the runs that a record of W names. */
+static void
+load_named_runs (struct cell *c, struct cell_worker *w, GVariantIter *runs)
+{
+  uint32_t n_named = 0, n_loaded = 0;
+  const char *name;
+  uint64_t run;
+
+  while (g_variant_iter_next (runs, "(&st)", &name, &run))
+    {
+      n_named++;
+      n_loaded += load_named_run (c, w, name, run);
+    }
+  if (n_named > 0)
+    cell_log_event (c, "runs-named", w->entry->id, "named=%u loaded=%u",
+                    n_named, n_loaded);
 }
 
 /* Load a worker's record.  A later record of the same worker replaces it,
@@ -487,10 +507,8 @@
   struct cell_worker *w = g_hash_table_lookup (c->workers, id);
   gboolean names_runs, is_emptying;
   GVariantIter *runs;
-  const char *name;
   int64_t incarnation_start_ms;
   uint64_t ends;
-  uint64_t run;
 
   if (w == NULL)
     w = cell_worker_add (c, id);
@@ -524,8 +542,7 @@
       w->emptying_until_ms = c->taken_over_ms + CELL_EMPTYING_TIMEOUT_MS;
       w->emptying_since_ms = c->taken_over_ms;
     }
-  while (g_variant_iter_next (runs, "(&st)", &name, &run))
-    load_named_run (c, w, name, run);
+  load_named_runs (c, w, runs);
   g_variant_iter_free (runs);
   g_variant_unref (v);
 }
--- a/src/node_queues.c
+++ b/src/node_queues.c
@@ -22,6 +22,7 @@
   GPtrArray *services; /* char *, cells to ask in turn */
   guint next;
   int64_t deadline_ms;
+  int64_t routes_version;     /* of the configuration that it came under */
   struct front_answer answer; /* so far */
   front_done done;
   void *data;
@@ -39,6 +40,10 @@
 static void
 finish (struct queue_request *r)
 {
+  if (r->services->len > 1)
+    event_log ("queue-moved", r->subject,
+               "cells=%u asked=%u version=%" G_GINT64_FORMAT, r->services->len,
+               r->next, r->routes_version);
   r->done (r->data, &r->answer);
   queue_request_destroy (r);
 }
@@ -152,6 +157,7 @@
 
   r->front = front;
   r->request = *request;
+  r->routes_version = front_routes (front)->version;
   /* The names of the queue may differ from home to home. */
   r->subject = is_count ? queue_homes_text (q) : g_strdup (request->subject);
   r->services = g_ptr_array_new_with_free_func (g_free);
