Play partitions and late calls under jobs of all kinds

test_cell_kinds had no partition with a successor on the other side, and no start or append that is carried out late. A second series of seeds has both.

--- a/tests/unit/test_cell_kinds.c
+++ b/tests/unit/test_cell_kinds.c
@@ -17,6 +17,8 @@
 #define FIRST_JOB 0xf00
 #define JOBS 10
 #define ROUNDS 12
+/* An owner acts for at most this long after the store last confirmed it. */
+#define UNCONFIRMED_OWNER_MS 8000
 
 static struct job_step *
 first_step (const struct job_spec *job)
@@ -135,8 +137,36 @@
     w->workers[i].reachable = true;
 }
 
+/* Partition the owner and some workers from the rest, let successors take over
+   on the other side, and heal the partition. */
 static void
-run_seed (uint32_t seed)
+play_partition (struct world *w)
+{
+  int32_t alone_ms = g_rand_int_range (w->rand, 200, 4000);
+
+  w->faults.append_refused = 0;
+  w->is_store_unreachable = false;
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    w->workers[i].reachable = true;
+  world_partition (w, g_rand_int_range (w->rand, 1, 1 << WORLD_WORKERS));
+  world_run (w, alone_ms);
+  if (g_rand_int_range (w->rand, 0, 4) > 0)
+    world_take_over (w, false, UNCONFIRMED_OWNER_MS - alone_ms);
+  world_run (w, g_rand_int_range (w->rand, 200, 6000));
+  if (g_rand_int_range (w->rand, 0, 3) == 0)
+    world_crash (w, &w->workers[g_rand_int_range (w->rand, 0, WORLD_WORKERS)],
+                 true);
+  if (g_rand_int_range (w->rand, 0, 3) == 0)
+    {
+      world_take_over (w, g_rand_int_range (w->rand, 0, 2), 0);
+      world_run (w, g_rand_int_range (w->rand, 10, 2000));
+    }
+  world_heal_partition (w);
+  world_run (w, g_rand_int_range (w->rand, 10, 3000));
+}
+
+static void
+run_seed (uint32_t seed, bool has_partitions)
 {
   struct world *w = world_new (seed);
   int submitted = 0;
@@ -144,11 +174,21 @@
   w->run_ms = g_rand_int_range (w->rand, 300, 12000);
   w->max_attempts = 200;
   w->faults = (struct world_faults){ .append_lost = 3, .start_lost = 3 };
+  if (has_partitions)
+    w->faults = (struct world_faults){ .append_lost = 3,
+                                       .append_mute = 3,
+                                       .append_late = 3,
+                                       .start_lost = 3,
+                                       .start_late = 4,
+                                       .task_fails = 2 };
   world_run (w, 500);
   for (int i = 0; i < ROUNDS; i++)
     {
       submit_jobs (w, &submitted);
-      play_round (w);
+      if (has_partitions && g_rand_int_range (w->rand, 0, 3) == 0)
+        play_partition (w);
+      else
+        play_round (w);
     }
   clear_faults (w);
   world_run (w, 200000);
@@ -160,9 +200,16 @@
 test_seeds (void)
 {
   for (gsize i = 0; i < G_N_ELEMENTS (regression_seeds); i++)
-    run_seed (regression_seeds[i]);
+    run_seed (regression_seeds[i], false);
   for (uint32_t seed = 1; seed <= SEEDS; seed++)
-    run_seed (seed);
+    run_seed (seed, false);
+}
+
+static void
+test_partitions (void)
+{
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    run_seed (seed, true);
 }
 
 int
@@ -170,10 +217,16 @@
 {
   if (argc == 3 && strcmp (argv[1], "--seed") == 0)
     {
-      run_seed ((uint32_t)strtoul (argv[2], NULL, 10));
+      run_seed ((uint32_t)strtoul (argv[2], NULL, 10), false);
+      return 0;
+    }
+  if (argc == 3 && strcmp (argv[1], "--seed-partitions") == 0)
+    {
+      run_seed ((uint32_t)strtoul (argv[2], NULL, 10), true);
       return 0;
     }
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/cell-kinds/seeds", test_seeds);
+  g_test_add_func ("/cell-kinds/partitions", test_partitions);
   return g_test_run ();
 }
