--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -17,11 +17,6 @@
 /* Delay before another task that failed is started again. */
 #define FAILED_RETRY_DELAY_MS 20
 
-/* A job's progress in the journal: its state, the number of its next
-   occurrence, the count of those done and, for each open one, its number, a
-   bit for each task that is done and the failures of each task. */
-#define PROGRESS_TYPE "(yuua(uayay))"
-
 static void
 occurrence_destroy (gpointer p)
 {
@@ -59,9 +54,9 @@
   g_free (job);
 }
 
-static struct cell_occurrence *
-add_occurrence (struct cell *c, struct cell_job *job, uint32_t number,
-                int64_t now_ms)
+struct cell_occurrence *
+cell_job_add_occurrence (struct cell *c, struct cell_job *job, uint32_t number,
+                         int64_t now_ms)
 {
   struct cell_occurrence *o = g_new0 (struct cell_occurrence, 1);
   guint n = job->spec->steps->len;
@@ -129,10 +124,8 @@
   return MIN (occurrences_of_max_tasks (job), MAX_OPEN_OCCURRENCES);
 }
 
-/* Return whether N occurrences of JOB can be open, those that earlier owners
-   started included.  What an owner adds by this rule its successors load. */
-static bool
-can_have_open_occurrences (const struct cell_job *job, uint64_t n)
+bool
+cell_job_can_have_open (const struct cell_job *job, uint64_t n)
 {
   uint32_t limit
       = MIN (2 * occurrences_of_max_tasks (job), MAX_KNOWN_OCCURRENCES);
@@ -153,11 +146,13 @@
   while (job->next_occurrence < job->spec->occurrences
          && is_due (c, job, job->next_occurrence)
          && job->occurrences->len < max_open_occurrences (job))
-    add_occurrence (c, job, job->next_occurrence++, now_ms)->is_due = true;
+    cell_job_add_occurrence (c, job, job->next_occurrence++, now_ms)->is_due
+        = true;
 }
 
-static struct cell_job *
-add_job (struct cell *c, struct job_spec *spec, bool is_loaded, int64_t now_ms)
+struct cell_job *
+cell_job_add (struct cell *c, struct job_spec *spec, bool is_loaded,
+              int64_t now_ms)
 {
   struct cell_job *job = g_new0 (struct cell_job, 1);
 
@@ -173,7 +168,7 @@
   job->submit_tokens = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   job->cancel_tokens = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   if (spec->occurrences == 0)
-    add_occurrence (c, job, 0, now_ms)->is_due = true;
+    cell_job_add_occurrence (c, job, 0, now_ms)->is_due = true;
   g_hash_table_insert (c->jobs, spec->id, job);
   g_ptr_array_add (c->open_jobs, job);
   c->has_unsorted_jobs = true;
@@ -183,7 +178,7 @@
 void
 cell_job_load (struct cell *c, struct job_spec *spec)
 {
-  add_job (c, spec, true, c->taken_over_ms);
+  cell_job_add (c, spec, true, c->taken_over_ms);
 }
 
 void
@@ -193,7 +188,7 @@
 
   cell_log_event (c, "journal-malformed", id, "outcome=job-failed");
   if (job == NULL)
-    job = add_job (c, job_spec_new (id), true, c->taken_over_ms);
+    job = cell_job_add (c, job_spec_new (id), true, c->taken_over_ms);
   if (job->state < JOB_COMPLETED)
     g_ptr_array_remove (c->open_jobs, job);
   job->state = JOB_FAILED;
@@ -215,8 +210,8 @@
                           t->occurrence->number, t->step, t->index);
 }
 
-static struct cell_occurrence *
-find_occurrence (struct cell_job *job, uint32_t number)
+struct cell_occurrence *
+cell_job_find_occurrence (struct cell_job *job, uint32_t number)
 {
   for (guint i = 0; i < job->occurrences->len; i++)
     {
@@ -241,7 +236,7 @@
   job = g_hash_table_lookup (c->jobs, n.job);
   if (job == NULL || n.step >= job->spec->steps->len)
     return NULL;
-  o = find_occurrence (job, n.occurrence);
+  o = cell_job_find_occurrence (job, n.occurrence);
   s = g_ptr_array_index (job->spec->steps, n.step);
   if (o == NULL || n.index >= s->count)
     return NULL;
@@ -258,11 +253,11 @@
 {
   if (job->state >= JOB_COMPLETED || number >= job->spec->occurrences
       || number < job->next_occurrence
-      || !can_have_open_occurrences (job, (uint64_t)job->occurrences->len + 1
-                                              + number - job->next_occurrence))
+      || !cell_job_can_have_open (job, (uint64_t)job->occurrences->len + 1
+                                           + number - job->next_occurrence))
     return;
   while (job->next_occurrence <= number)
-    add_occurrence (c, job, job->next_occurrence++, now_ms);
+    cell_job_add_occurrence (c, job, job->next_occurrence++, now_ms);
 }
 
 struct cell_task *
@@ -484,7 +479,7 @@
     }
   if (job == NULL)
     {
-      job = add_job (cell, spec, false, now_ms);
+      job = cell_job_add (cell, spec, false, now_ms);
       if (!job->is_long_running && spec->occurrences == 0)
         {
           cell->accepted_jobs++;
@@ -522,166 +517,6 @@
   cell_journal_job (cell, job, true);
 }
 
-/* Encoding of progress for the journal. */
-
-static GVariant *
-occurrence_progress (const struct cell_occurrence *o)
-{
-  gsize size = (o->n_tasks + 7) / 8;
-  uint8_t *done = g_malloc0 (size);
-  uint8_t *failures = g_malloc0 (o->n_tasks);
-  bool any_failed = false;
-  GVariant *v;
-
-  for (uint32_t i = 0; i < o->n_tasks; i++)
-    {
-      if (o->tasks[i].phase == TASK_DONE)
-        done[i / 8] |= (uint8_t)(1U << (i % 8));
-      failures[i] = (uint8_t)MIN (o->tasks[i].failures, 255);
-      any_failed = any_failed || failures[i] != 0;
-    }
-  v = g_variant_new (
-      "(u@ay@ay)", o->number,
-      g_variant_new_fixed_array (G_VARIANT_TYPE_BYTE, done, size, 1),
-      g_variant_new_fixed_array (G_VARIANT_TYPE_BYTE, failures,
-                                 any_failed ? o->n_tasks : 0, 1));
-  g_free (done);
-  g_free (failures);
-  return v;
-}
-
-GBytes *
-cell_job_progress (const struct cell_job *job)
-{
-  GVariantBuilder open;
-  GVariant *v;
-  GBytes *bytes;
-
-  g_variant_builder_init (&open, G_VARIANT_TYPE ("a(uayay)"));
-  if (job->state < JOB_COMPLETED)
-    for (guint i = 0; i < job->occurrences->len; i++)
-      g_variant_builder_add_value (
-          &open,
-          occurrence_progress (g_ptr_array_index (job->occurrences, i)));
-  v = g_variant_ref_sink (g_variant_new (PROGRESS_TYPE, (guchar)job->state,
-                                         job->next_occurrence,
-                                         job->done_occurrences, &open));
-  bytes = g_variant_get_data_as_bytes (v);
-  g_variant_unref (v);
-  return bytes;
-}
-
-static void
-load_occurrence (struct cell *c, struct cell_job *job, GVariant *v)
-{
-  struct cell_occurrence *o;
-  GVariant *done_bits, *failure_counts;
-  uint32_t number;
-  gsize n_done, n_failures;
-  const uint8_t *done, *failures;
-
-  g_variant_get (v, "(u@ay@ay)", &number, &done_bits, &failure_counts);
-  done = g_variant_get_fixed_array (done_bits, &n_done, 1);
-  failures = g_variant_get_fixed_array (failure_counts, &n_failures, 1);
-  o = find_occurrence (job, number);
-  if (o == NULL)
-    o = add_occurrence (c, job, number, c->taken_over_ms);
-  for (uint32_t i = 0; i < o->n_tasks; i++)
-    {
-      if (i < n_failures)
-        o->tasks[i].failures = failures[i];
-      if (i / 8 >= n_done || !(done[i / 8] & (1U << (i % 8)))
-          || o->tasks[i].phase == TASK_DONE)
-        continue;
-      cell_task_set_phase (&o->tasks[i], TASK_DONE, c->taken_over_ms);
-      if (--o->unfinished[o->tasks[i].step] == 0)
-        o->unfinished_steps--;
-      job->has_started = true;
-    }
-  g_variant_unref (done_bits);
-  g_variant_unref (failure_counts);
-}
-
-/* Return whether JOB can have the progress V: each occurrence takes memory for
-   all its tasks. */
-static bool
-can_have_progress (const struct cell_job *job, GVariant *v)
-{
-  uint32_t total = MAX (job->spec->occurrences, 1);
-  uint32_t next, done, number;
-  GVariantIter *open;
-  bool is_possible;
-
-  g_variant_get (v, PROGRESS_TYPE, NULL, &next, &done, &open);
-  is_possible
-      = next <= total && done <= total
-        && can_have_open_occurrences (job, g_variant_iter_n_children (open));
-  while (g_variant_iter_next (open, "(u@ay@ay)", &number, NULL, NULL))
-    is_possible = is_possible && number < total;
-  g_variant_iter_free (open);
-  return is_possible;
-}
-
-static void
-load_occurrences (struct cell *c, struct cell_job *job, GVariantIter *open)
-{
-  GVariant *progress;
-
-  while ((progress = g_variant_iter_next_value (open)) != NULL)
-    {
-      load_occurrence (c, job, progress);
-      g_variant_unref (progress);
-    }
-}
-
-void
-cell_job_load_progress (struct cell *c, const char *id, GBytes *bytes)
-{
-  struct cell_job *job = g_hash_table_lookup (c->jobs, id);
-  GVariant *v = g_variant_ref_sink (
-      g_variant_new_from_bytes (G_VARIANT_TYPE (PROGRESS_TYPE), bytes, FALSE));
-  guchar state_number;
-  uint32_t next, done;
-  GVariantIter *open;
-  enum job_state state;
-
-  if (!g_variant_is_normal_form (v)
-      || (job != NULL && job->state < JOB_COMPLETED
-          && !can_have_progress (job, v)))
-    {
-      g_variant_unref (v);
-      cell_job_load_unreadable (c, id);
-      return;
-    }
-  if (job != NULL && job->state >= JOB_COMPLETED)
-    {
-      g_variant_unref (v); /* its specification could not be read */
-      return;
-    }
-  g_variant_get (v, PROGRESS_TYPE, &state_number, &next, &done, &open);
-  state = state_number < JOB_STATE_COUNT ? (enum job_state)state_number
-                                         : JOB_PENDING;
-  /* Of a job that has ended the journal keeps the state, but not the
-     specification. */
-  if (job == NULL && state >= JOB_COMPLETED)
-    job = add_job (c, job_spec_new (id), true, c->taken_over_ms);
-  if (job != NULL)
-    {
-      job->next_occurrence = next;
-      job->done_occurrences = done;
-      load_occurrences (c, job, open);
-      job->state = state;
-      job->journaled_state = state;
-      if (state >= JOB_COMPLETED)
-        {
-          g_ptr_array_remove (c->open_jobs, job);
-          job->ended_ms = c->taken_over_ms;
-        }
-    }
-  g_variant_iter_free (open);
-  g_variant_unref (v);
-}
-
 static bool
 has_assigned_task (const struct cell_job *job)
 {
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -6,6 +6,7 @@
 /* The state of a cell, shared by the files that implement it:
    cell.c          creation, timers, orders
    cell_jobs.c     jobs, their tasks and how they end
+   cell_progress.c jobs' progress in the journal
    cell_workers.c  workers' incarnations, leases and holds
    cell_reports.c  workers' reports
    cell_runs.c     orders about runs, and emptying a worker
@@ -246,6 +247,20 @@
 
 /* cell_jobs.c */
 void cell_job_destroy (gpointer p);
+/* Add the job SPEC, which the cell owns from now on; with IS_LOADED from the
+   journal. */
+struct cell_job *cell_job_add (struct cell *c, struct job_spec *spec,
+                               bool is_loaded, int64_t now_ms);
+/* Return whether N occurrences of JOB can be open, those that earlier owners
+   started included.  What an owner adds by this rule its successors load. */
+bool cell_job_can_have_open (const struct cell_job *job, uint64_t n);
+struct cell_occurrence *cell_job_add_occurrence (struct cell *c,
+                                                 struct cell_job *job,
+                                                 uint32_t number,
+                                                 int64_t now_ms);
+/* Return the open occurrence NUMBER of JOB, or NULL. */
+struct cell_occurrence *cell_job_find_occurrence (struct cell_job *job,
+                                                  uint32_t number);
 void cell_job_load (struct cell *c, struct job_spec *spec);
 /* Load the job ID, of which the journal has a record that can't be read: it
    fails, since running it again might run a task twice. */
@@ -273,11 +288,13 @@
 /* Let the occurrences of JOB start that are due, and add missing ones. */
 void cell_job_add_due_occurrences (struct cell *c, struct cell_job *job,
                                    int64_t now_ms);
-GBytes *cell_job_progress (const struct cell_job *job);
-void cell_job_load_progress (struct cell *c, const char *id, GBytes *bytes);
 /* Forget jobs that ended more than keep_state_ms ago. */
 void cell_jobs_purge_ended (struct cell *c, int64_t now_ms);
 
+/* cell_progress.c */
+GBytes *cell_job_progress (const struct cell_job *job);
+void cell_job_load_progress (struct cell *c, const char *id, GBytes *bytes);
+
 /* cell_workers.c */
 void cell_worker_destroy (gpointer p);
 struct cell_worker *cell_worker_add (struct cell *c, const char *id);
