Deny no job by a view that the store has not confirmed

Callers of a node that did not hear from the store were answered 410 to the state and to the cancelling of a job that was accepted and ran.

Cause: a node asks the cells of the services that its configuration and its list of homes name. Cut off from the store, it knows neither a configuration that has sent the queue elsewhere nor the new home, but still reaches the former cell, whose owner truly says that it does not have the job.

Without a confirmation of the routes and of the homes within 2.2 s before the request, "no such job" is answered 503 with a time to come back. A job was visible 3 s before a caller may rely on it, so a node that was confirmed then knows its home.

--- a/src/node_front.c
+++ b/src/node_front.c
@@ -18,8 +18,8 @@
 #define STORE_HEARD_MAX_MS 1500
 /* Retry delay that a caller is told. */
 #define RETRY_AFTER_MS 1000
-/* The routes count as fresh if the store has confirmed them within this
-   time. */
+/* The routes, and the homes of queues, count as fresh if the store has
+   confirmed them within this time. */
 #define ROUTES_MAX_AGE_MS 2200
 /* A node that has had no answer from the store for longer is not ready. */
 #define STORE_SILENCE_MAX_MS 4000
@@ -107,6 +107,13 @@
          < front->node->config_follower.confirmed_ms + ROUTES_MAX_AGE_MS;
 }
 
+bool
+front_homes_are_fresh (const struct front *front)
+{
+  return node_now_ms ()
+         < front->node->owner_follower.confirmed_ms + ROUTES_MAX_AGE_MS;
+}
+
 bool
 front_is_ready (const struct front *front)
 {
--- a/src/node_queues.c
+++ b/src/node_queues.c
@@ -12,6 +12,8 @@
 #define RETRY_DELAY_MS 300
 /* Retry delay of a caller whose request came before the homes were read. */
 #define HOMES_RETRY_AFTER_MS 1000
+/* The same if the node's view of the queue's cells may be out of date. */
+#define STALE_VIEW_RETRY_AFTER_MS 1000
 
 /* A request about a queue that has former homes. */
 struct queue_request
@@ -23,6 +25,7 @@
   guint next;
   int64_t deadline_ms;
   int64_t routes_version;     /* of the configuration that it came under */
+  bool has_fresh_view;        /* that one and the homes were fresh then */
   struct front_answer answer; /* so far */
   front_done done;
   void *data;
@@ -44,6 +47,11 @@
     event_log ("queue-moved", r->subject,
                "cells=%u asked=%u version=%" G_GINT64_FORMAT, r->services->len,
                r->next, r->routes_version);
+  /* The queue may have been sent elsewhere, and another cell have the job. */
+  if (r->answer.result == FRONT_NOT_FOUND && !r->has_fresh_view)
+    r->answer
+        = (struct front_answer){ .result = FRONT_UNAVAILABLE,
+                                 .retry_after_ms = STALE_VIEW_RETRY_AFTER_MS };
   r->done (r->data, &r->answer);
   queue_request_destroy (r);
 }
@@ -158,6 +166,8 @@
   r->front = front;
   r->request = *request;
   r->routes_version = front_routes (front)->version;
+  r->has_fresh_view
+      = front_routes_are_fresh (front) && front_homes_are_fresh (front);
   /* The names of the queue may differ from home to home. */
   r->subject = is_count ? queue_homes_text (q) : g_strdup (request->subject);
   r->services = g_ptr_array_new_with_free_func (g_free);
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -277,6 +277,8 @@
 void front_tick (struct front *front, int64_t now_ms);
 /* Return the homes of all queues, or NULL before they have been read. */
 const struct queue_homes *front_homes (const struct front *front);
+/* Return whether the store has recently confirmed that they are all. */
+bool front_homes_are_fresh (const struct front *front);
 
 /* node_queues.c */
 /* Return whether HOST's cell has the job of SPEC or may accept it. */
