Count a run that is being stopped against its step's limit on a worker

Cause: if an earlier run of a task is reported as done while a later one runs, the later one is stopped, and the task gives up its place on that worker at once. The limit was counted by the tasks that are placed there, so the next task of the step could start while the run was being stopped.

A worker that may have runs which are not in its tasks, because one was given up or it has reported one, now gets no start of a step with a limit.

--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -55,13 +55,20 @@
   return strcmp (x->spec->id, y->spec->id);
 }
 
+/* Return whether W may have runs that are not in its tasks. */
+static bool
+may_have_other_runs (const struct cell_worker *w, int64_t now_ms)
+{
+  return w->unknown_runs > 0 || now_ms < w->superfluous_until_ms;
+}
+
 static bool
 accepts_starts (const struct cell *c, const struct cell_worker *w,
                 int64_t now_ms)
 {
-  /* The resources that unknown runs use are not known; a worker with admission
+  /* The resources that other runs use are not known; a worker with admission
      control checks for itself. */
-  if (!c->options.workers_admit && w->unknown_runs > 0)
+  if (!c->options.workers_admit && may_have_other_runs (w, now_ms))
     return false;
   return w->is_confirmed && w->may_receive_starts && !w->entry->draining
          && cell_worker_is_incarnation_listed (w)
@@ -159,7 +166,9 @@
     return false;
   if (is_avoided (c, w) && !may_probe (t, w, now_ms))
     return false;
-  return s->max_per_worker == 0 || count_on_worker (w, t) < s->max_per_worker;
+  return s->max_per_worker == 0
+         || (count_on_worker (w, t) < s->max_per_worker
+             && !may_have_other_runs (w, now_ms));
 }
 
 static int64_t
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -99,10 +99,9 @@
 
   cell_send_stop (c, w, name, t->run);
   g_free (name);
-  if (!c->options.workers_admit)
-    w->blocked_until_ms
-        = MAX (w->blocked_until_ms,
-               now_ms + c->options.stop_grace_ms + STOP_MARGIN_MS);
+  w->superfluous_until_ms
+      = MAX (w->superfluous_until_ms,
+             now_ms + c->options.stop_grace_ms + STOP_MARGIN_MS);
 }
 
 static bool
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -149,6 +149,9 @@
   bool has_pending_hold;
   int64_t next_hold_ms;
   int64_t blocked_until_ms; /* no start before this time */
+  int64_t
+      superfluous_until_ms; /* until then a run that a task has given up may
+                               be there without having been reported so */
   bool is_emptying;
   bool is_emptying_journaled; /* the next owner would go on emptying it */
   int64_t emptying_until_ms;  /* unless the request is repeated */
@@ -356,8 +359,9 @@
                             int64_t now_ms);
 void cell_stop_task (struct cell *c, struct cell_task *t, int64_t now_ms);
 /* Stop the current run of T, which an earlier run has done.  T gives up the
-   run's room, but its worker gets no start before it has reported the run, if
-   it does not check its room itself. */
+   run's room, but until the run is over its worker gets no start of a step
+   that limits its tasks on a worker, and none at all if it does not check its
+   room itself. */
 void cell_stop_superfluous_run (struct cell *c, const struct cell_task *t,
                                 int64_t now_ms);
 void cell_send_stop (struct cell *c, const struct cell_worker *w,
--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -475,11 +475,33 @@
       record_violation (w, "before-its-steps", task);
 }
 
-/* Check the rules of cell_world.h for a new run of TASK. */
+/* Check that K has fewer runs of TASK's step than the step allows there. */
 static void
-check_start_rules (struct world *w, const char *task)
+check_limit (struct world *w, const struct world_worker *k, const char *task)
+{
+  struct task_name n;
+  const struct job_spec *spec = find_spec (w, task, &n);
+  const struct job_step *s;
+  uint32_t runs = 0;
+
+  if (spec == NULL)
+    return;
+  s = g_ptr_array_index (spec->steps, n.step);
+  for (guint i = 0; i < k->runs->len; i++)
+    runs += are_of_one_step (
+        task,
+        ((const struct world_run *)g_ptr_array_index (k->runs, i))->task);
+  if (s->max_per_worker > 0 && runs >= s->max_per_worker)
+    record_violation (w, "too-many-on-worker", task);
+}
+
+/* Check the rules of cell_world.h for a new run of TASK on K. */
+static void
+check_start_rules (struct world *w, const struct world_worker *k,
+                   const char *task)
 {
   check_order (w, task);
+  check_limit (w, k, task);
   if (world_find_run (w, task) != NULL)
     record_violation (w, "two-runs", task);
   if (g_hash_table_contains (w->done_tasks, task))
@@ -505,7 +527,7 @@
     return RUN_ACCEPTED;
   if (has_ended (k, task, run))
     return RUN_SUPERSEDED;
-  check_start_rules (w, task);
+  check_start_rules (w, k, task);
   if (w->room > 0 && k->runs->len >= w->room)
     record_violation (w, "no-room", task);
   w->starts++;
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -11,8 +11,9 @@
    leases and lists of ended runs, a journal with epochs, and owners that
    succeed each other.  At each start of a run it checks that the task has no
    other run, that none of its runs has ended as done and been acknowledged
-   before the worker's leases expired, that it has attempts left, and that its
-   time has come and the steps before its own are done. */
+   before the worker's leases expired, that it has attempts left, that its time
+   has come and the steps before its own are done, and that the worker has no
+   more runs of its step than that allows. */
 
 #define WORLD_WORKERS 6
 /* ID of the job that most tests submit. */
--- a/tests/unit/test_cell_kinds.c
+++ b/tests/unit/test_cell_kinds.c
@@ -10,10 +10,11 @@
 
 #define SEEDS 150
 /* Seeds above that range which failed: by a run that a handed-over record
-   named beside an older record, and by a lease on a restarted worker's former
-   clock.
+   named beside an older record; by a lease on a restarted worker's former
+   clock; by a run that was still being stopped where its step allows no other.
  */
-static const uint32_t regression_seeds[] = { 731, 1094, 1659, 1856 };
+static const uint32_t regression_seeds[]
+    = { 731, 1094, 1659, 1856, 171, 748, 926, 1488, 1501 };
 #define FIRST_JOB 0xf00
 #define JOBS 10
 #define ROUNDS 12
