--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -149,9 +149,9 @@
   bool has_pending_hold;
   int64_t next_hold_ms;
   int64_t blocked_until_ms; /* no start before this time */
-  int64_t
-      superfluous_until_ms; /* until then a run that a task has given up may
-                               be there without having been reported so */
+  /* Until then a run that its task has given up may be there, though the
+     worker has not reported it as unknown. */
+  int64_t superfluous_until_ms;
   bool is_emptying;
   bool is_emptying_journaled; /* the next owner would go on emptying it */
   int64_t emptying_until_ms;  /* unless the request is repeated */
