Probe for free ports of a test as the programs bind them

Cause: a port is probed by a bind without SO_REUSEADDR, which fails while a connection of an earlier test on that port is in TIME_WAIT. Nodes and stand-ins set that option, so the port is free for them. Evidence: after a connection on port 61320 that its listener has closed, ports.py prints [43, 44] before and [44, 44] after; with a socket that listens on 61321 it still prints [43, 44], so ports that are really in use are still left out. The test itself is unchanged.

--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -767,6 +767,9 @@
         while True:
             port = self.first + next(self.offsets)
             with socket.socket() as s:
+                # As nodes and stand-ins bind: connections in TIME_WAIT from
+                # an earlier test keep no port.
+                s.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
                 try:
                     s.bind(("127.0.0.1", port))
                     return port
