--- a/tests/unit/test_cell_kinds.c
+++ b/tests/unit/test_cell_kinds.c
@@ -129,15 +129,22 @@
   world_run (w, g_rand_int_range (w->rand, 10, 1500));
 }
 
+/* Let the owner reach the store and all workers. */
 static void
-clear_faults (struct world *w)
+restore_links (struct world *w)
 {
-  w->faults = (struct world_faults){ 0 };
   w->is_store_unreachable = false;
   for (int i = 0; i < WORLD_WORKERS; i++)
     w->workers[i].reachable = true;
 }
 
+static void
+clear_faults (struct world *w)
+{
+  w->faults = (struct world_faults){ 0 };
+  restore_links (w);
+}
+
 /* Partition the owner and some workers from the rest, let successors take over
    on the other side, and heal the partition. */
 static void
@@ -146,9 +153,7 @@
   int32_t alone_ms = g_rand_int_range (w->rand, 200, 4000);
 
   w->faults.append_refused = 0;
-  w->is_store_unreachable = false;
-  for (int i = 0; i < WORLD_WORKERS; i++)
-    w->workers[i].reachable = true;
+  restore_links (w);
   world_partition (w, g_rand_int_range (w->rand, 1, 1 << WORLD_WORKERS));
   world_run (w, alone_ms);
   if (g_rand_int_range (w->rand, 0, 4) > 0)
