--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -230,10 +230,10 @@
         w = self.rng.choice(self.platform.workers)
         delay_s = self.rng.uniform(*ANSWER_DELAY_S)
         self.log("%s answers after %d ms" % (w.id, 1000 * delay_s))
-        w.answer_delay_s = delay_s
+        w.call_delay_s = delay_s
 
         def end_fault():
-            w.answer_delay_s = 0
+            w.call_delay_s = 0
         return end_fault
 
     # Configuration.
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -269,7 +269,7 @@
         self.clock_zero_ms = 0
         self.clock_rate = 1.0
         self.has_own_clock = False   # starts at 0 in each life, and runs slow
-        self.answer_delay_s = 0
+        self.call_delay_s = 0
         self.fencing_token = 0
         self.lease_deadline_ms = 0   # on the test's clock
         self.acknowledged_end = 0
@@ -662,7 +662,7 @@
                             self.call_late,
                             [worker, life, calls[path], fields]).start()
             raise ConnectionError("the call is carried out late")
-        time.sleep(worker.answer_delay_s)
+        time.sleep(worker.call_delay_s)
         answer = calls[path](fields)
         if worker.incarnation_start_ms != life or not worker.is_up:
             raise ConnectionError("the worker has crashed")
