--- /dev/null
+++ b/src/cell_candidates.c
@@ -0,0 +1,142 @@
+#include "cell_place.h"
+
+#include <string.h>
+
+/* Candidates: which workers may run a task. */
+
+/* Tickets are not used within this margin before they expire. */
+#define TICKET_MARGIN_MS 300
+/* A worker may be missing from the list for so long and still get tasks: its
+   entry may be late while the store recovers. */
+#define UNLISTED_GRACE_MS 2500
+/* Suspect workers are avoided only while they are at most this share of all;
+   above it, the jobs are more likely at fault than the workers. */
+#define SUSPECT_MAX_PERCENT 34
+
+/* Return whether W may have runs that are not in its tasks. */
+static bool
+cell_may_have_other_runs (const struct cell_worker *w, int64_t now_ms)
+{
+  return w->unknown_runs > 0 || now_ms < w->superfluous_until_ms;
+}
+
+static bool
+accepts_starts (const struct cell *c, const struct cell_worker *w,
+                int64_t now_ms)
+{
+  /* The resources that other runs use are not known; a worker with admission
+     control checks for itself. */
+  if (!c->options.workers_admit && cell_may_have_other_runs (w, now_ms))
+    return false;
+  return w->is_confirmed && w->may_receive_starts && !w->entry->draining
+         && cell_worker_is_incarnation_listed (w)
+         && (w->is_listed || now_ms < w->unlisted_ms + UNLISTED_GRACE_MS)
+         && now_ms >= w->blocked_until_ms && !w->is_emptying
+         && w->clock_reported_ms != 0;
+}
+
+bool
+cell_has_room (const struct cell_worker *w, const struct job_step *s)
+{
+  const struct worker_resources *room = &w->entry->capacity;
+
+  return (s->is_best_effort
+          || w->used.cpu_milli + s->cpu_milli <= room->cpu_milli)
+         && w->used.memory_mb + s->memory_mb <= room->memory_mb
+         && w->used.gpus + s->gpus <= room->gpus;
+}
+
+uint32_t
+cell_count_on_worker (const struct cell_worker *w, const struct cell_task *t)
+{
+  uint32_t n = 0;
+
+  for (guint i = 0; i < w->tasks->len; i++)
+    {
+      const struct cell_task *other = g_ptr_array_index (w->tasks, i);
+
+      if (other->occurrence == t->occurrence && other->step == t->step)
+        n++;
+    }
+  return n;
+}
+
+uint32_t
+cell_count_on_rack (const struct cell *c, const struct cell_worker *w,
+                    const struct cell_task *t)
+{
+  const struct cell_occurrence *o = t->occurrence;
+  uint32_t n = 0;
+
+  for (uint32_t i = 0; i < cell_task_step (t)->count; i++)
+    {
+      const struct cell_task *other = &o->tasks[o->first_task[t->step] + i];
+
+      if (other->worker != NULL
+          && strcmp (other->worker->entry->rack, w->entry->rack) == 0)
+        n++;
+    }
+  return n;
+}
+
+bool
+cell_has_ticket (const struct cell_task *t, const struct cell_worker *w,
+                 int64_t now_ms)
+{
+  GHashTable *tickets = t->occurrence->tickets[t->step];
+  struct step_ticket *ticket;
+
+  if (!t->occurrence->job->spec->advice.is_needed)
+    return true;
+  if (tickets == NULL)
+    return false;
+  ticket = g_hash_table_lookup (tickets, w->entry->id);
+  return ticket != NULL && now_ms < ticket->expires_ms - TICKET_MARGIN_MS;
+}
+
+bool
+cell_is_avoided (const struct cell *c, const struct cell_worker *w)
+{
+  return c->avoids_suspects && cell_worker_is_suspect (w);
+}
+
+/* A suspect worker gets one task at a time as a probe, beside long-running
+   ones that have lasted, and only one that has not failed yet: otherwise it
+   would use up the attempts of as many tasks as it has capacity for. */
+static bool
+may_probe (const struct cell_task *t, const struct cell_worker *w,
+           int64_t now_ms)
+{
+  for (guint i = 0; i < w->tasks->len; i++)
+    if (!cell_task_has_lasted (g_ptr_array_index (w->tasks, i), now_ms))
+      return false;
+  return now_ms >= w->cooldown_until_ms && t->failures == 0;
+}
+
+bool
+cell_may_run_on (const struct cell *c, const struct cell_task *t,
+                 const struct cell_worker *w, int64_t now_ms)
+{
+  const struct job_step *s = cell_task_step (t);
+
+  if (!accepts_starts (c, w, now_ms)
+      || (s->label[0] != '\0' && !worker_entry_has_label (w->entry, s->label)))
+    return false;
+  if (cell_is_avoided (c, w) && !may_probe (t, w, now_ms))
+    return false;
+  return s->max_per_worker == 0
+         || (cell_count_on_worker (w, t) < s->max_per_worker
+             && !cell_may_have_other_runs (w, now_ms));
+}
+
+void
+cell_update_suspect_policy (struct cell *c)
+{
+  uint32_t suspects = 0;
+
+  for (guint i = 0; i < c->worker_list->len; i++)
+    if (cell_worker_is_suspect (g_ptr_array_index (c->worker_list, i)))
+      suspects++;
+  c->avoids_suspects
+      = suspects * 100 <= c->worker_list->len * SUSPECT_MAX_PERCENT;
+}
--- /dev/null
+++ b/src/cell_choice.c
@@ -0,0 +1,111 @@
+#include "cell_place.h"
+
+#include <string.h>
+
+/* Choice: which candidate a task gets, and which tasks make room for it. */
+
+/* Penalties of a worker as the place of a task, added to its processor use in
+   permille. */
+#define COST_COOLDOWN 100000
+#define COST_FAILED_THERE 50000
+#define COST_OTHER_RACK 4000
+#define COST_SAME_WORKER 1200
+#define COST_SAME_RACK 250
+/* Idle workers are kept idle, so that their machines can be lent. */
+#define COST_IDLE_WORKER 1500
+
+static int64_t
+placement_cost (const struct cell *c, const struct cell_task *t,
+                const struct cell_worker *w, int64_t now_ms)
+{
+  const struct job_step *s = cell_task_step (t);
+  int64_t cost = (int64_t)w->used.cpu_milli * 1000
+                 / MAX (w->entry->capacity.cpu_milli, 1);
+
+  if (w->tasks->len == 0)
+    cost += COST_IDLE_WORKER;
+  if (now_ms < w->cooldown_until_ms
+      || (s->is_long_running && cell_is_avoided (c, w)))
+    cost += COST_COOLDOWN;
+  if (g_strcmp0 (t->avoid_worker, w->entry->id) == 0)
+    cost += COST_FAILED_THERE;
+  if (s->preferred_rack[0] != '\0'
+      && strcmp (s->preferred_rack, w->entry->rack) != 0)
+    cost += COST_OTHER_RACK;
+  if (s->is_long_running)
+    cost += (int64_t)cell_count_on_worker (w, t) * COST_SAME_WORKER
+            + (int64_t)cell_count_on_rack (c, w, t) * COST_SAME_RACK;
+  return cost;
+}
+
+struct cell_worker *
+cell_choose_worker (const struct cell *c, const struct cell_task *t,
+                    const char *rack, int64_t now_ms)
+{
+  struct cell_worker *best = NULL;
+  int64_t best_cost = 0;
+
+  for (guint i = 0; i < c->worker_list->len; i++)
+    {
+      struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
+      int64_t cost;
+
+      if ((rack != NULL && strcmp (w->entry->rack, rack) != 0)
+          || !cell_has_room (w, cell_task_step (t))
+          || !cell_may_run_on (c, t, w, now_ms)
+          || !cell_has_ticket (t, w, now_ms))
+        continue;
+      cost = placement_cost (c, t, w, now_ms);
+      if (best == NULL || cost < best_cost)
+        {
+          best = w;
+          best_cost = cost;
+        }
+    }
+  return best;
+}
+
+bool
+cell_has_worker_for (struct cell *c, const struct cell_task *t, int64_t now_ms)
+{
+  const struct cell_worker *w = cell_choose_worker (c, t, NULL, now_ms);
+
+  if (w != NULL && !cell_is_avoided (c, w))
+    return true;
+  c->last_shortage_ms = now_ms;
+  return false;
+}
+
+void
+cell_preempt_for (struct cell *c, struct cell_task *t, int64_t now_ms)
+{
+  struct cell_worker *best = NULL;
+  const struct job_step *s = cell_task_step (t);
+  uint32_t freed = 0;
+
+  for (guint i = 0; i < c->worker_list->len; i++)
+    {
+      struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
+
+      if (cell_may_run_on (c, t, w, now_ms) && now_ms >= w->cooldown_until_ms
+          && !cell_is_avoided (c, w)
+          && (best == NULL
+              || cell_count_on_rack (c, w, t)
+                     < cell_count_on_rack (c, best, t)))
+        best = w;
+    }
+  if (best == NULL)
+    return;
+  for (guint i = best->tasks->len; i > 0 && freed < s->cpu_milli; i--)
+    {
+      struct cell_task *other = g_ptr_array_index (best->tasks, i - 1);
+      const struct job_step *o = cell_task_step (other);
+
+      if (other->phase == TASK_STOPPING)
+        freed += o->cpu_milli;
+      if (other->phase != TASK_RUNNING || o->is_long_running || o->is_gang)
+        continue;
+      freed += o->cpu_milli;
+      cell_stop_task (c, other, now_ms);
+    }
+}
--- /dev/null
+++ b/src/cell_order.c
@@ -0,0 +1,28 @@
+#include "cell_place.h"
+
+#include <string.h>
+
+/* Order: which job is placed first. */
+
+static gint
+compare_jobs (gconstpointer a, gconstpointer b)
+{
+  const struct cell_job *x = *(struct cell_job *const *)a;
+  const struct cell_job *y = *(struct cell_job *const *)b;
+
+  if (x->is_long_running != y->is_long_running)
+    return x->is_long_running ? -1 : 1;
+  if (x->spec->priority != y->spec->priority)
+    return x->spec->priority < y->spec->priority ? -1 : 1;
+  if (x->deadline_ms != y->deadline_ms)
+    return x->deadline_ms < y->deadline_ms ? -1 : 1;
+  return strcmp (x->spec->id, y->spec->id);
+}
+
+void
+cell_order_jobs (struct cell *c, int64_t now_ms)
+{
+  if (c->has_unsorted_jobs)
+    g_ptr_array_sort (c->open_jobs, compare_jobs);
+  c->has_unsorted_jobs = false;
+}
--- /dev/null
+++ b/src/cell_place.h
@@ -0,0 +1,55 @@
+#ifndef CELL_PLACE_H
+#define CELL_PLACE_H
+
+#include "cell_state.h"
+
+/* Placement, shared by the files that implement it:
+   cell_candidates.c  which workers may run a task
+   cell_advice.c      which workers a queue's policy allows
+   cell_order.c       which job goes first
+   cell_choice.c      which candidate a task gets
+   cell_place.c       starts of tasks and gangs. */
+
+/* cell_candidates.c */
+/* Return whether W has room for a task of S beside what is assigned to it. */
+bool cell_has_room (const struct cell_worker *w, const struct job_step *s);
+/* Return how many tasks of T's step are on W. */
+uint32_t cell_count_on_worker (const struct cell_worker *w,
+                               const struct cell_task *t);
+/* Return how many tasks of T's step are on workers of W's rack. */
+uint32_t cell_count_on_rack (const struct cell *c, const struct cell_worker *w,
+                             const struct cell_task *t);
+/* Return whether W may run T by the advice received, if its queue needs
+   advice. */
+bool cell_has_ticket (const struct cell_task *t, const struct cell_worker *w,
+                      int64_t now_ms);
+/* Return whether W is suspect, and few enough workers are. */
+bool cell_is_avoided (const struct cell *c, const struct cell_worker *w);
+/* Return whether W may run T, room and advice aside. */
+bool cell_may_run_on (const struct cell *c, const struct cell_task *t,
+                      const struct cell_worker *w, int64_t now_ms);
+/* Decide whether suspect workers are avoided in the next placement. */
+void cell_update_suspect_policy (struct cell *c);
+
+/* cell_advice.c */
+/* Ask for advice on STEP, each time for other workers until all have been
+   asked for: the policy may allow only some of the last. */
+void cell_ask_advice (struct cell *c, struct cell_occurrence *o, uint32_t step,
+                      int64_t now_ms);
+
+/* cell_order.c */
+/* Sort the open jobs, those to place first at the front. */
+void cell_order_jobs (struct cell *c, int64_t now_ms);
+
+/* cell_choice.c */
+/* Return the best worker that can start T now, or NULL; only one of RACK
+   unless that is NULL. */
+struct cell_worker *cell_choose_worker (const struct cell *c,
+                                        const struct cell_task *t,
+                                        const char *rack, int64_t now_ms);
+/* Stop other tasks to make room for T, which is long-running, on the worker
+   whose rack holds the fewest tasks of T's step.  Long-running tasks and gangs
+   are not preempted. */
+void cell_preempt_for (struct cell *c, struct cell_task *t, int64_t now_ms);
+
+#endif
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -10,7 +10,8 @@
    cell_workers.c  workers' incarnations, leases and holds
    cell_reports.c  workers' reports
    cell_runs.c     orders about runs, and emptying a worker
-   cell_place.c    which task starts on which worker
+   cell_place.c    which task starts on which worker, with the files that
+                   cell_place.h names
    cell_load.c     how large the pool has to be
    cell_owners.c   earlier owners, and how long their leases last
    cell_journal.c  appends to the journal, and loading it. */
--- a/src/front.h
+++ b/src/front.h
@@ -77,6 +77,10 @@
 /* Return whether the store has recently confirmed the routes as the newest. */
 bool front_routes_are_fresh (const struct front *front);
 
+/* Return whether keys of the routes in force still authenticate callers: where
+   revocation is strict, only while the routes have been confirmed recently. */
+bool front_keys_are_valid (const struct front *front);
+
 /* Return whether the load balancer should send this node new connections. */
 bool front_is_ready (const struct front *front);
 
@@ -84,7 +88,9 @@
    after the answer. */
 bool front_is_stopping (const struct front *front);
 
-/* Copy the queue's name, service, priority, limits and target into SPEC. */
-void front_fill_spec (struct job_spec *spec, const struct queue_route *queue);
+/* Copy the queue's name, service, priority, limits and target into SPEC, and
+   the name of ACCOUNT, which may be NULL. */
+void front_fill_spec (struct job_spec *spec, const struct queue_route *queue,
+                      const struct client_account *account);
 
 #endif
--- a/src/job.c
+++ b/src/job.c
@@ -7,6 +7,9 @@
 
 #define STEP_TYPE "(uuuuxaubbbbbbsssuxu)"
 #define SPEC_TYPE "(ssssxxxuuudxbxa" STEP_TYPE ")"
+/* A job of a client account.  Jobs without one keep the type that earlier
+   releases read. */
+#define ACCOUNT_SPEC_TYPE "(s" SPEC_TYPE ")"
 
 struct job_step *
 job_step_new (void)
@@ -42,6 +45,7 @@
   g_strlcpy (s->id, id, sizeof s->id);
   s->queue = g_strdup ("");
   s->service = g_strdup ("");
+  s->account = g_strdup ("");
   s->payload = g_strdup ("");
   s->max_attempts = 1;
   s->deadline_factor = 1;
@@ -56,6 +60,7 @@
     return;
   g_free (spec->queue);
   g_free (spec->service);
+  g_free (spec->account);
   g_free (spec->payload);
   g_ptr_array_unref (spec->steps);
   g_free (spec);
@@ -309,28 +314,28 @@
   for (guint i = 0; i < spec->steps->len; i++)
     g_variant_builder_add_value (
         &steps, step_to_variant (g_ptr_array_index (spec->steps, i)));
-  v = g_variant_ref_sink (g_variant_new (
-      SPEC_TYPE, spec->id, spec->queue, spec->service, spec->payload,
-      spec->accepted_ms, spec->first_occurrence_ms, spec->interval_ms,
-      spec->occurrences, spec->priority, spec->max_attempts,
-      spec->deadline_factor, spec->target_ms, spec->advice.is_needed,
-      spec->advice.valid_ms, &steps));
+  v = g_variant_new (SPEC_TYPE, spec->id, spec->queue, spec->service,
+                     spec->payload, spec->accepted_ms,
+                     spec->first_occurrence_ms, spec->interval_ms,
+                     spec->occurrences, spec->priority, spec->max_attempts,
+                     spec->deadline_factor, spec->target_ms,
+                     spec->advice.is_needed, spec->advice.valid_ms, &steps);
+  if (spec->account[0] != '\0')
+    v = g_variant_new ("(s@" SPEC_TYPE ")", spec->account, v);
+  v = g_variant_ref_sink (v);
   bytes = g_variant_get_data_as_bytes (v);
   g_variant_unref (v);
   return bytes;
 }
 
-struct job_spec *
-job_spec_from_bytes (GBytes *bytes)
+static struct job_spec *
+spec_from_variant (GVariant *v)
 {
-  GVariant *v = g_variant_ref_sink (
-      g_variant_new_from_bytes (G_VARIANT_TYPE (SPEC_TYPE), bytes, FALSE));
   struct job_spec *s = g_new0 (struct job_spec, 1);
   const char *id;
   GVariantIter *steps;
   GVariant *step;
   gboolean needs_advice;
-  bool is_whole = g_variant_is_normal_form (v);
 
   g_variant_get (v, "(&ssssxxxuuudxbxa" STEP_TYPE ")", &id, &s->queue,
                  &s->service, &s->payload, &s->accepted_ms,
@@ -346,6 +351,26 @@
       g_variant_unref (step);
     }
   g_variant_iter_free (steps);
+  return s;
+}
+
+/* Return the job that BYTES hold in the form TYPE, or NULL. */
+static struct job_spec *
+spec_from_bytes_of_type (GBytes *bytes, const char *type)
+{
+  bool has_account = strcmp (type, ACCOUNT_SPEC_TYPE) == 0;
+  GVariant *v = g_variant_ref_sink (
+      g_variant_new_from_bytes (G_VARIANT_TYPE (type), bytes, FALSE));
+  GVariant *inner
+      = has_account ? g_variant_get_child_value (v, 1) : g_variant_ref (v);
+  struct job_spec *s = spec_from_variant (inner);
+  bool is_whole = g_variant_is_normal_form (v);
+
+  if (has_account)
+    g_variant_get_child (v, 0, "s", &s->account);
+  else
+    s->account = g_strdup ("");
+  g_variant_unref (inner);
   g_variant_unref (v);
   if (is_whole && job_id_is_valid (s->id) && job_spec_check (s, NULL))
     return s;
@@ -353,6 +378,14 @@
   return NULL;
 }
 
+struct job_spec *
+job_spec_from_bytes (GBytes *bytes)
+{
+  struct job_spec *s = spec_from_bytes_of_type (bytes, SPEC_TYPE);
+
+  return s != NULL ? s : spec_from_bytes_of_type (bytes, ACCOUNT_SPEC_TYPE);
+}
+
 const char *
 job_state_name (enum job_state state)
 {
--- a/src/job.h
+++ b/src/job.h
@@ -58,6 +58,7 @@
   char id[JOB_ID_LENGTH + 1];
   char *queue;         /* name of the queue that accepted it */
   char *service;       /* service whose workers run it */
+  char *account;       /* name of the client account, or "" */
   char *payload;       /* passed unchanged to each task */
   int64_t accepted_ms; /* Unix time */
   /* Unix time of the first occurrence; 0: at once. */
--- a/src/meters.c
+++ b/src/meters.c
@@ -9,6 +9,7 @@
   [METER_JOBS_CANCELLED] = "jobs_cancelled",
   [METER_REQUESTS_INVALID] = "requests_invalid",
   [METER_REQUESTS_NO_QUEUE] = "requests_no_queue",
+  [METER_REQUESTS_NO_ACCOUNT] = "requests_no_account",
   [METER_STARTS] = "starts",
   [METER_STARTS_NO_ANSWER] = "starts_retried{reason=\"no-answer\"}",
   [METER_STARTS_NO_ROOM] = "starts_retried{reason=\"no-room\"}",
--- a/src/meters.h
+++ b/src/meters.h
@@ -17,7 +17,8 @@
   METER_JOBS_CANCELLED,
   METER_REQUESTS_INVALID,
   METER_REQUESTS_NO_QUEUE,
-  METER_STARTS, /* orders to a worker to start a run */
+  METER_REQUESTS_NO_ACCOUNT, /* without a key of an account */
+  METER_STARTS,              /* orders to a worker to start a run */
   METER_STARTS_NO_ANSWER,
   METER_STARTS_NO_ROOM, /* the worker had no free resources */
   METER_STARTS_REFUSED,
--- a/src/node_front.c
+++ b/src/node_front.c
@@ -107,6 +107,16 @@
          < front->node->config_follower.confirmed_ms + ROUTES_MAX_AGE_MS;
 }
 
+bool
+front_keys_are_valid (const struct front *front)
+{
+  const struct node *n = front->node;
+
+  return !n->settings->strict_revoke
+         || node_now_ms ()
+                < n->config_follower.confirmed_ms + n->settings->revoke_ms;
+}
+
 bool
 front_homes_are_fresh (const struct front *front)
 {
@@ -130,8 +140,11 @@
 }
 
 void
-front_fill_spec (struct job_spec *spec, const struct queue_route *queue)
+front_fill_spec (struct job_spec *spec, const struct queue_route *queue,
+                 const struct client_account *account)
 {
+  g_free (spec->account);
+  spec->account = g_strdup (account != NULL ? account->name : "");
   g_free (spec->queue);
   spec->queue = g_strdup (queue->name);
   g_free (spec->service);
--- a/src/node_settings.c
+++ b/src/node_settings.c
@@ -46,8 +46,14 @@
       = (int64_t)(fields_double (f, "keep_state_s", 0, 86400, -1) * 1000);
   s->holder_lease_ms = fields_int (f, "holder_lease_ms", 0, HOUR_MS, -1);
   s->upkeep_ms = (int64_t)(fields_double (f, "upkeep_s", 0, 3600, 0) * 1000);
+  s->strict_revoke = fields_bool (f, "strict_revoke", false);
+  s->revoke_ms = fields_int (f, "revoke_ms", 0, HOUR_MS, 5000);
   s->machine_orders_per_s
       = fields_double (f, "machine_orders_per_s", 1, 1000000, 24);
+  s->far_rack_factor = fields_double (f, "far_rack_factor", 1, 1000, 1);
+  s->memory_mb = (uint32_t)fields_int (f, "memory_mb", 16, 1 << 30, 160);
+  s->max_descriptors
+      = (uint32_t)fields_int (f, "max_descriptors", 64, 1 << 30, 4096);
   s->processor_share = fields_double (f, "processor_share", 0, 1024, 1);
   if (fields_close (f, error))
     return s;
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -3,6 +3,7 @@
 
 #include <glib.h>
 #include <json-glib/json-glib.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 /* The settings of a node that schedules jobs, read from a JSON file that is
@@ -30,7 +31,14 @@
   int64_t holder_lease_ms;     /* between orders of two holders for a
                                   machine */
   int64_t upkeep_ms;           /* how long a machine is down for upkeep */
+  bool strict_revoke; /* refuse keys of a configuration that has not been
+                         confirmed for revoke_ms */
+  int64_t revoke_ms;
   double machine_orders_per_s; /* most that the platform accepts */
+  double far_rack_factor;      /* how much longer a task takes away from the
+                                  rack of its data */
+  uint32_t memory_mb;          /* memory that the process may use */
+  uint32_t max_descriptors;    /* descriptors that it may have open */
   double processor_share;      /* cores that the node may use */
 };
 
--- a/src/routes.c
+++ b/src/routes.c
@@ -40,6 +40,7 @@
     return;
   g_ptr_array_unref (routes->queues);
   g_ptr_array_unref (routes->services);
+  accounts_destroy (routes->accounts);
   g_free (routes);
 }
 
--- a/src/routes.h
+++ b/src/routes.h
@@ -1,6 +1,8 @@
 #ifndef ROUTES_H
 #define ROUTES_H
 
+#include "accounts.h"
+
 #include <glib.h>
 #include <stdbool.h>
 #include <stdint.h>
@@ -20,6 +22,7 @@
   uint32_t priority; /* 0 comes first */
   uint32_t max_attempts;
   double deadline_factor; /* factor on the longest chain of steps */
+  bool is_public;         /* its callers need no key */
   bool advice_needed;
   int64_t
       advice_valid_ms; /* how long an answer of the advice service is valid */
@@ -35,8 +38,9 @@
 struct routes
 {
   int64_t version;
-  GPtrArray *queues;   /* struct queue_route * */
-  GPtrArray *services; /* struct service_entry *, by name */
+  GPtrArray *queues;         /* struct queue_route * */
+  GPtrArray *services;       /* struct service_entry *, by name */
+  struct accounts *accounts; /* or NULL if callers need no keys */
   uint64_t max_header_bytes;
   uint64_t max_body_bytes;
   int64_t header_timeout_ms;
