--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -392,6 +392,11 @@
 bool cell_has_worker_for (struct cell *c, const struct cell_task *t,
                           int64_t now_ms);
 
+/* cell_run_times.c */
+/* Return how long one task of S, a step of JOB, is expected to run, in ms. */
+int64_t cell_expected_run_ms (const struct cell *c, const struct cell_job *job,
+                              const struct job_step *s);
+
 /* cell_journal.c */
 /* Have the next append hold the change of JOB or W; an urgent one is sent
    sooner. */
