Let nodes of the reserve send an owner's starts and stops in a burst

Change: beyond 300 orders a second the owner hands starts and stops in batches to nodes of the reserve, one relay a worker; what a relay has not answered within 250 ms the owner sends itself.

--- a/src/cell.c
+++ b/src/cell.c
@@ -250,6 +250,12 @@
   return g_hash_table_contains (cell->jobs, id);
 }
 
+bool
+cell_has_open_jobs (const struct cell *cell)
+{
+  return cell->open_jobs->len > 0;
+}
+
 uint32_t
 cell_count_waiting_jobs (const struct cell *cell, const char *queue)
 {
--- a/src/cell.h
+++ b/src/cell.h
@@ -207,6 +207,9 @@
 /* Return whether the job ID has been accepted or is about to be. */
 bool cell_has_job (const struct cell *cell, const char *id);
 
+/* Return whether the cell has a job that has not ended. */
+bool cell_has_open_jobs (const struct cell *cell);
+
 /* Return how many accepted jobs of QUEUE have started no task yet. */
 uint32_t cell_count_waiting_jobs (const struct cell *cell, const char *queue);
 
--- a/src/meters.c
+++ b/src/meters.c
@@ -14,6 +14,7 @@
   [METER_STARTS_NO_ANSWER] = "starts_retried{reason=\"no-answer\"}",
   [METER_STARTS_NO_ROOM] = "starts_retried{reason=\"no-room\"}",
   [METER_STARTS_REFUSED] = "starts_retried{reason=\"refused\"}",
+  [METER_ORDERS_RELAYED] = "orders_relayed",
   [METER_STOPS] = "stops",
   [METER_HOLDS] = "holds",
   [METER_HOLDS_NO_ANSWER] = "holds_retried{reason=\"no-answer\"}",
--- a/src/meters.h
+++ b/src/meters.h
@@ -22,8 +22,9 @@
   METER_STARTS_NO_ANSWER,
   METER_STARTS_NO_ROOM, /* the worker had no free resources */
   METER_STARTS_REFUSED,
-  METER_STOPS, /* orders to a worker to stop a run */
-  METER_HOLDS, /* orders to a worker to extend leases and report */
+  METER_ORDERS_RELAYED, /* starts and stops that another node sent */
+  METER_STOPS,          /* orders to a worker to stop a run */
+  METER_HOLDS,          /* orders to a worker to extend leases and report */
   METER_HOLDS_NO_ANSWER,
   METER_PACES, /* orders to a worker about the pace of a run */
   METER_ADVICE_CALLS,
--- a/src/node.c
+++ b/src/node.c
@@ -5,7 +5,7 @@
 #include "event_log.h"
 #include "exit_status.h"
 #include "ingress.h"
-#include "node_state.h"
+#include "node_relay.h"
 
 #include <event2/buffer.h>
 #include <signal.h>
@@ -153,6 +153,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     host_run (value, now_ms);
   front_tick (n->front, now_ms);
+  order_relay_tick (n->relay, now_ms);
   if (n->routes != NULL && n->routes->version != n->applied_limits_version)
     {
       n->applied_limits_version = n->routes->version;
@@ -261,6 +262,7 @@
   directory_start (n);
   owner_start (n);
   n->front = front_new (n);
+  n->relay = order_relay_new (n);
   n->peer_server = peers_listen (n);
   if (n->peer_server == NULL)
     {
@@ -296,6 +298,7 @@
     evhttp_free (n->metrics_server);
   http_client_destroy (n->client);
   front_destroy (n->front);
+  order_relay_destroy (n->relay);
   store_destroy (n->store);
   owner_clear (n);
   directory_clear (n);
--- a/src/node_host.c
+++ b/src/node_host.c
@@ -1,7 +1,7 @@
 #include "node_host.h"
 
 #include "event_log.h"
-#include "workers.h"
+#include "node_relay.h"
 
 #include <string.h>
 
@@ -383,13 +383,15 @@
     {
     case ORDER_START:
       meters_add (n->meters, METER_STARTS, 1);
-      worker_start (n->client, r, h->epoch, on_started,
-                    host_call_new (h, r->worker, r->task, r->run, now_ms));
+      order_relay_send (n->relay, o->kind, r, h->epoch, on_started,
+                        host_call_new (h, r->worker, r->task, r->run, now_ms),
+                        now_ms);
       break;
     case ORDER_STOP:
       meters_add (n->meters, METER_STOPS, 1);
-      worker_stop (n->client, r, h->epoch, on_stopped,
-                   host_call_new (h, r->worker, r->task, r->run, now_ms));
+      order_relay_send (n->relay, o->kind, r, h->epoch, on_stopped,
+                        host_call_new (h, r->worker, r->task, r->run, now_ms),
+                        now_ms);
       break;
     case ORDER_PACE:
       meters_add (n->meters, METER_PACES, 1);
@@ -452,6 +454,7 @@
       execute_order (host, o, now_ms);
       cell_order_destroy (o);
     }
+  order_relay_flush (host->node->relay);
   if (cell_is_fenced (host->cell))
     host_step_down (host, now_ms);
   else if (cell_needs_epoch (host->cell))
--- a/src/node_owner.c
+++ b/src/node_owner.c
@@ -12,7 +12,6 @@
    previous owner. */
 
 #define OWNER_GROUP "burdockshed"
-#define RESERVE_GROUP "burdockshed-reserve"
 /* Cores that the owner of a busy cell needs: a cell of 60 workers starts some
    1300 tasks a second in a burst, at 0.3 ms each.  A node with fewer cores is
    in the reserve: it owns a cell only while no other node does. */
--- a/src/node_peers.c
+++ b/src/node_peers.c
@@ -1,6 +1,7 @@
 #include "node_state.h"
 
 #include "event_log.h"
+#include "node_relay.h"
 
 #include <event2/buffer.h>
 #include <event2/keyvalq_struct.h>
@@ -411,6 +412,11 @@
       serve_successor (h, path, request);
       return;
     }
+  if (g_str_has_prefix (path, RELAY_PATH))
+    {
+      order_relay_serve (n, request);
+      return;
+    }
   if (h != NULL && (h->phase != HOST_ACTIVE || n->is_stopping))
     h = NULL;
   if (serve_cell_call (n, request, path, service, h))
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -26,7 +26,8 @@
    node_front.c      routes callers' requests to the owner, here or elsewhere
    node_queues.c     asks all cells that may have a queue's jobs
    node_peers.c      HTTP requests between nodes
-   node_fleet.c      maintenance waves and pool sizes.
+   node_fleet.c      maintenance waves and pool sizes
+   node_relay.c      orders that other nodes send to workers.
    Fields that end in `_ms` are times or durations of node_now_ms, unless they
    say otherwise. */
 
@@ -176,6 +177,7 @@
   uint64_t last_token;
   struct fleet_state fleet;
   struct front *front;
+  struct order_relay *relay;
   struct ingress *ingress;
   struct evhttp *peer_server;
   struct evhttp *metrics_server;
@@ -222,6 +224,8 @@
 /* Reserved name, in place of a service, of the cell whose owner manages the
    machines of all services. */
 #define FLEET_SERVICE "fleet"
+/* The group of the nodes in the reserve. */
+#define RESERVE_GROUP "burdockshed-reserve"
 #define OWNERS_STREAM "keyed.cells"
 void owner_start (struct node *n);
 void owner_tick (struct node *n, int64_t now_ms);
--- /dev/null
+++ b/src/relay_message.c
@@ -0,0 +1,90 @@
+#include "relay_message.h"
+
+/* Whether it is a start, the epoch, worker, address, task, run, deadline,
+   payload, checkpoint and ticket. */
+#define ORDERS_TYPE "a(btssstxsss)"
+
+struct relayed_order *
+relayed_order_new (enum cell_order_kind kind, uint64_t epoch,
+                   const struct run_order *run)
+{
+  struct relayed_order *o = g_new0 (struct relayed_order, 1);
+
+  o->kind = kind;
+  o->epoch = epoch;
+  o->run.worker = g_strdup (run->worker);
+  o->run.address = g_strdup (run->address);
+  o->run.task = g_strdup (run->task);
+  o->run.run = run->run;
+  o->run.deadline_ms = run->deadline_ms;
+  o->run.payload = g_strdup (run->payload != NULL ? run->payload : "");
+  o->run.checkpoint
+      = g_strdup (run->checkpoint != NULL ? run->checkpoint : "");
+  o->run.ticket = g_strdup (run->ticket != NULL ? run->ticket : "");
+  return o;
+}
+
+void
+relayed_order_destroy (gpointer order)
+{
+  struct relayed_order *o = order;
+
+  g_free (o->run.worker);
+  g_free (o->run.address);
+  g_free (o->run.task);
+  g_free (o->run.payload);
+  g_free (o->run.checkpoint);
+  g_free (o->run.ticket);
+  g_free (o);
+}
+
+GBytes *
+relay_orders_to_bytes (const GPtrArray *orders)
+{
+  GVariantBuilder b;
+  GVariant *v;
+  GBytes *bytes;
+
+  g_variant_builder_init (&b, G_VARIANT_TYPE (ORDERS_TYPE));
+  for (guint i = 0; i < orders->len; i++)
+    {
+      const struct relayed_order *o = g_ptr_array_index (orders, i);
+      const struct run_order *r = &o->run;
+
+      g_variant_builder_add (&b, "(btssstxsss)", o->kind == ORDER_START,
+                             o->epoch, r->worker, r->address, r->task, r->run,
+                             r->deadline_ms, r->payload, r->checkpoint,
+                             r->ticket);
+    }
+  v = g_variant_ref_sink (g_variant_builder_end (&b));
+  bytes = g_variant_get_data_as_bytes (v);
+  g_variant_unref (v);
+  return bytes;
+}
+
+GPtrArray *
+relay_orders_from_bytes (GBytes *bytes)
+{
+  GVariant *v = g_variant_ref_sink (
+      g_variant_new_from_bytes (G_VARIANT_TYPE (ORDERS_TYPE), bytes, FALSE));
+  GPtrArray *orders = NULL;
+  GVariantIter iter;
+  gboolean is_start;
+  uint64_t epoch;
+  struct run_order r = { NULL };
+
+  if (g_variant_is_normal_form (v))
+    {
+      orders = g_ptr_array_new_with_free_func (relayed_order_destroy);
+      g_variant_iter_init (&iter, v);
+      while (g_variant_iter_next (&iter, "(bt&s&s&stx&s&s&s)", &is_start,
+                                  &epoch, &r.worker, &r.address, &r.task,
+                                  &r.run, &r.deadline_ms, &r.payload,
+                                  &r.checkpoint, &r.ticket))
+        g_ptr_array_add (
+            orders, relayed_order_new (is_start ? ORDER_START : ORDER_STOP,
+                                       epoch, &r));
+    }
+  g_variant_unref (v);
+  return orders;
+}
