Read the platform's JSON with Jansson; spare work in a full cell

Change: platform/ reads JSON with Jansson, numbers that a double can't hold are replaced before; a placement remembers amounts for which no worker has room; all workers are gone through every 5 ms, not after each answer.

--- a/src/cell.c
+++ b/src/cell.c
@@ -7,6 +7,10 @@
 /* Minimum interval between two placements, so that many ends that are reported
    at once cause a single one. */
 #define PLACE_INTERVAL_MS 10
+/* Minimum interval between two passes over all workers and their tasks.  The
+   cell is ticked after each answer, some thousands of times a second in a
+   burst. */
+#define WORKERS_INTERVAL_MS 5
 /* Interval at which ended jobs are checked for those to be forgotten. */
 #define PURGE_INTERVAL_MS 5000
 
@@ -177,8 +181,12 @@
   if (!cell->is_active)
     return;
   cell_owners_tick (cell, now_ms);
-  if (cell->may_start)
-    cell_workers_tick (cell, now_ms);
+  if (cell->may_start
+      && now_ms >= cell->last_workers_tick_ms + WORKERS_INTERVAL_MS)
+    {
+      cell->last_workers_tick_ms = now_ms;
+      cell_workers_tick (cell, now_ms);
+    }
   if (cell->may_start && now_ms >= cell->last_placement_ms + PLACE_INTERVAL_MS)
     cell_place (cell, now_ms);
   if (now_ms >= cell->last_purge_ms + PURGE_INTERVAL_MS)
--- a/src/cell_candidates.c
+++ b/src/cell_candidates.c
@@ -20,9 +20,9 @@
   return w->unknown_runs > 0 || now_ms < w->superfluous_until_ms;
 }
 
-static bool
-accepts_starts (const struct cell *c, const struct cell_worker *w,
-                int64_t now_ms)
+bool
+cell_accepts_starts (const struct cell *c, const struct cell_worker *w,
+                     int64_t now_ms)
 {
   /* The resources that other runs use are not known; a worker with admission
      control checks for itself. */
@@ -119,7 +119,7 @@
 {
   const struct job_step *s = cell_task_step (t);
 
-  if (!accepts_starts (c, w, now_ms)
+  if (!cell_accepts_starts (c, w, now_ms)
       || (s->label[0] != '\0' && !worker_entry_has_label (w->entry, s->label)))
     return false;
   if (cell_is_avoided (c, w) && !may_probe (t, w, now_ms))
--- a/src/cell_choice.c
+++ b/src/cell_choice.c
@@ -38,21 +38,54 @@
   return cost;
 }
 
+/* Return whether some worker of C may have room for a task of S.  Room only
+   shrinks during a placement, so what was too large stays so.  Without this, a
+   full cell of 200 workers with 900 waiting jobs takes 0.6 ms a placement. */
+static bool
+may_have_room (const struct cell *c, const struct job_step *s)
+{
+  for (uint32_t i = 0; i < c->n_no_room; i++)
+    {
+      const struct worker_resources *r = &c->no_room[i];
+
+      if (s->cpu_milli >= r->cpu_milli && s->memory_mb >= r->memory_mb
+          && s->gpus >= r->gpus)
+        return false;
+    }
+  return true;
+}
+
+static void
+note_no_room (struct cell *c, const struct job_step *s)
+{
+  if (s->is_best_effort)
+    return;
+  c->no_room[c->n_no_room % CELL_NO_ROOM_MAX]
+      = (struct worker_resources){ s->cpu_milli, s->memory_mb, s->gpus };
+  c->n_no_room = MIN (c->n_no_room + 1, CELL_NO_ROOM_MAX);
+}
+
 struct cell_worker *
-cell_choose_worker (const struct cell *c, const struct cell_task *t,
+cell_choose_worker (struct cell *c, const struct cell_task *t,
                     const char *rack, int64_t now_ms)
 {
+  const struct job_step *s = cell_task_step (t);
   struct cell_worker *best = NULL;
   int64_t best_cost = 0;
+  bool has_room = false;
 
+  if (c->is_placing && !s->is_best_effort && !may_have_room (c, s))
+    return NULL;
   for (guint i = 0; i < c->worker_list->len; i++)
     {
       struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
       int64_t cost;
 
       if ((rack != NULL && strcmp (w->entry->rack, rack) != 0)
-          || !cell_has_room (w, cell_task_step (t))
-          || !cell_may_run_on (c, t, w, now_ms)
+          || !cell_has_room (w, s) || !cell_accepts_starts (c, w, now_ms))
+        continue;
+      has_room = true;
+      if (!cell_may_run_on (c, t, w, now_ms)
           || !cell_has_ticket (t, w, now_ms))
         continue;
       cost = placement_cost (c, t, w, now_ms);
@@ -62,6 +95,8 @@
           best_cost = cost;
         }
     }
+  if (!has_room && rack == NULL && c->is_placing)
+    note_no_room (c, s);
   return best;
 }
 
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -78,6 +78,8 @@
       cell_worker_assign_task (w, t);
     }
   fits = placed == s->count;
+  if (!fits)
+    c->n_no_room = 0; /* the tasks assigned above give their room back */
   if (fits)
     run = run_number (c, ++first->runs_given);
   for (uint32_t i = 0; i < placed; i++)
@@ -242,6 +244,8 @@
     return;
   c->needs_placement = false;
   c->last_placement_ms = now_ms;
+  c->n_no_room = 0;
+  c->is_placing = true;
   update_known_runs (c, now_ms);
   cell_update_suspect_policy (c);
   cell_order_jobs (c, now_ms);
@@ -252,4 +256,5 @@
       if (job->is_stored)
         place_job (c, job, now_ms);
     }
+  c->is_placing = false;
 }
--- a/src/cell_place.h
+++ b/src/cell_place.h
@@ -25,6 +25,9 @@
                       int64_t now_ms);
 /* Return whether W is suspect, and few enough workers are. */
 bool cell_is_avoided (const struct cell *c, const struct cell_worker *w);
+/* Return whether W takes starts at all. */
+bool cell_accepts_starts (const struct cell *c, const struct cell_worker *w,
+                          int64_t now_ms);
 /* Return whether W may run T, room and advice aside. */
 bool cell_may_run_on (const struct cell *c, const struct cell_task *t,
                       const struct cell_worker *w, int64_t now_ms);
@@ -44,7 +47,7 @@
 /* cell_choice.c */
 /* Return the best worker that can start T now, or NULL; only one of RACK
    unless that is NULL. */
-struct cell_worker *cell_choose_worker (const struct cell *c,
+struct cell_worker *cell_choose_worker (struct cell *c,
                                         const struct cell_task *t,
                                         const char *rack, int64_t now_ms);
 /* Stop other tasks to make room for T, which is long-running, on the worker
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -34,6 +34,9 @@
    begin above them.  An owner that has used them up needs a new epoch. */
 #define CELL_RUNS_PER_EPOCH 4096
 
+/* Amounts of resources remembered as too large for every worker. */
+#define CELL_NO_ROOM_MAX 8
+
 enum task_phase
 {
   TASK_WAITING,
@@ -219,6 +222,11 @@
   bool needs_epoch;       /* a task has no run number left */
   bool avoids_suspects;   /* few enough workers are suspect */
   int64_t last_placement_ms;
+  int64_t last_workers_tick_ms;
+  /* Resources of tasks that no worker had room for in this placement. */
+  struct worker_resources no_room[CELL_NO_ROOM_MAX];
+  uint32_t n_no_room;
+  bool is_placing;
   bool is_every_run_known; /* no worker may have unseen runs */
   int64_t unseen_runs_logged_ms;
   uint64_t accepted_jobs; /* accepted; neither long-running nor repeated */
--- a/src/json_text.c
+++ b/src/json_text.c
@@ -10,6 +10,8 @@
 
 static const char largest_number[] = "9223372036854775807";
 #define LARGEST_NUMBER_DIGITS (sizeof largest_number - 1)
+/* As short as the shortest number that a double can't hold. */
+#define LARGE_DOUBLE "1e308"
 
 /* Return whether C may occur outside a string in JSON. */
 static bool
@@ -51,6 +53,24 @@
              || memcmp (token, largest_number, length) > 0);
 }
 
+/* Return whether TOKEN is a number with an exponent that a double can't
+   hold. */
+static bool
+is_infinite (const char *token, gsize length)
+{
+  char *copy;
+  double value;
+
+  if (!g_ascii_isdigit (token[0])
+      || (memchr (token, 'e', length) == NULL
+          && memchr (token, 'E', length) == NULL))
+    return false;
+  copy = g_strndup (token, length);
+  value = g_ascii_strtod (copy, NULL);
+  g_free (copy);
+  return value > G_MAXDOUBLE;
+}
+
 /* Return why TOKEN, a number or a word, can't be read, or NULL. */
 static const char *
 find_unsafe_token (const char *token, gsize length)
@@ -176,6 +196,14 @@
   return NULL;
 }
 
+/* Overwrite TOKEN by NUMBER, which is not longer, and blanks. */
+static void
+replace_token (char *token, gsize length, const char *number)
+{
+  memset (token, ' ', length);
+  memcpy (token, number, strlen (number));
+}
+
 void
 json_text_repair_numbers (char *text, gsize size)
 {
@@ -191,10 +219,10 @@
       else if (g_ascii_isalnum (text[i]))
         {
           length = token_length (text + i, size - i);
-          if (!is_too_large (text + i, length))
-            continue;
-          memset (text + i, ' ', length);
-          memcpy (text + i, largest_number, LARGEST_NUMBER_DIGITS);
+          if (is_too_large (text + i, length))
+            replace_token (text + i, length, largest_number);
+          else if (is_infinite (text + i, length))
+            replace_token (text + i, length, LARGE_DOUBLE);
         }
     }
 }
--- a/src/json_text.h
+++ b/src/json_text.h
@@ -13,7 +13,7 @@
 const char *json_text_find_unsafe (const char *text, gsize size);
 
 /* Replace in TEXT each whole number of more than 64 bits by the nearest one
-   that fits. */
+   that fits, and each number that a double can't hold by a large one. */
 void json_text_repair_numbers (char *text, gsize size);
 
 /* Return a copy of TEXT, whose size is stored in *SIZE, in which U+FFFD stands
--- a/tests/unit/test_fuzz_records.c
+++ b/tests/unit/test_fuzz_records.c
@@ -216,18 +216,18 @@
   for (int i = 0; i < 10 * rounds; i++)
     {
       GByteArray *b = mutation_of (text, strlen (text));
-      JsonObject *whole = json_read_object (b->data, b->len);
-      JsonObject *repaired = json_read_list (b->data, b->len);
+      json_t *whole = json_read_object (b->data, b->len);
+      json_t *repaired = json_read_list (b->data, b->len);
 
       g_assert_true (whole == NULL || repaired != NULL);
       if (repaired != NULL)
         {
           g_assert_true (g_utf8_validate (
               json_read_string (repaired, "key", ""), -1, NULL));
-          json_object_unref (repaired);
+          json_decref (repaired);
         }
       if (whole != NULL)
-        json_object_unref (whole);
+        json_decref (whole);
       g_byte_array_unref (b);
     }
 }
--- a/tests/unit/test_odd_records.c
+++ b/tests/unit/test_odd_records.c
@@ -13,12 +13,12 @@
 static int64_t
 int_in (const char *text)
 {
-  JsonObject *o = READ (json_read_object, text);
+  json_t *o = READ (json_read_object, text);
   int64_t value;
 
   g_assert_nonnull (o);
   value = json_read_int (o, "a", -7);
-  json_object_unref (o);
+  json_decref (o);
   return value;
 }
 
@@ -70,7 +70,7 @@
 
   for (gsize i = 0; i < G_N_ELEMENTS (texts); i++)
     {
-      JsonObject *o = READ (json_read_list, texts[i]);
+      json_t *o = READ (json_read_list, texts[i]);
 
       g_assert_null (READ (json_read_object, texts[i]));
       g_assert_nonnull (o);
@@ -78,7 +78,7 @@
           g_utf8_validate (json_read_string (o, "a", ""), -1, NULL));
       g_assert_nonnull (
           strstr (json_read_string (o, "a", ""), "\xef\xbf\xbd"));
-      json_object_unref (o);
+      json_decref (o);
     }
 }
 
@@ -87,16 +87,16 @@
 {
   static const char text[] = "{\"a\":\"\\ud83d\\ude00 \\\\u0000 \\\\\","
                              "\"b\":\"\\u00e9\"}";
-  JsonObject *o = READ (json_read_object, text);
+  json_t *o = READ (json_read_object, text);
 
   g_assert_nonnull (o);
   g_assert_cmpstr (json_read_string (o, "a", ""), ==,
                    "\xf0\x9f\x98\x80 \\u0000 \\");
-  json_object_unref (o);
+  json_decref (o);
   o = READ (json_read_list, text);
   g_assert_cmpstr (json_read_string (o, "a", ""), ==,
                    "\xf0\x9f\x98\x80 \\u0000 \\");
-  json_object_unref (o);
+  json_decref (o);
 }
 
 /* Values that stand for every number of a message, one after the other. */
