Limit accounts' tasks to the allotments of a cell

An account's use over all cells must stay within its cap, and a cell had no notion of an account. The cell counts what each account uses, takes allotments from the ledger, and places by them; shares, load of the pool and metrics follow the accounts. Measured: test_cell*, test_job, test_wire, test_odd*, test_fuzz* pass.

--- a/src/cell.c
+++ b/src/cell.c
@@ -1,6 +1,6 @@
 #include "cell.h"
 
-#include "cell_state.h"
+#include "cell_accounts.h"
 
 #include <string.h>
 
@@ -77,6 +77,7 @@
   c->options.listed_owner = c->listed_owner;
   c->earlier_owners = cell_owners_new ();
   c->taken_over_ms = now_ms;
+  c->accounts = cell_accounts_new ();
   c->jobs = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                    cell_job_destroy);
   c->open_jobs = g_ptr_array_new ();
@@ -105,6 +106,7 @@
   g_ptr_array_unref (cell->worker_list);
   g_hash_table_unref (cell->jobs);
   g_hash_table_unref (cell->workers);
+  cell_accounts_destroy (cell->accounts);
   g_ptr_array_unref (cell->earlier_owners);
   g_free (cell->service);
   g_free (cell->address);
--- a/src/cell.h
+++ b/src/cell.h
@@ -1,6 +1,8 @@
 #ifndef CELL_H
 #define CELL_H
 
+#include "account_report.h"
+#include "accounts.h"
 #include "job.h"
 #include "sizing.h"
 #include "worker.h"
@@ -282,6 +284,17 @@
    owner's own; the caller frees the array. */
 GPtrArray *cell_yield (struct cell *cell, int64_t now_ms);
 
+/* Tell the cell the accounts in force; it copies what it needs.  NULL: there
+   are none. */
+void cell_set_accounts (struct cell *cell, const struct accounts *accounts,
+                        int64_t now_ms);
+
+/* Apply CALL if it names the cell's latest report, and return the next report,
+   which the caller destroys. */
+struct account_report *
+cell_exchange_allotments (struct cell *cell, const struct allotment_call *call,
+                          int64_t now_ms);
+
 /* Do what is due.  WALL_MS is the best known Unix time.  MAY_START tells
    whether this node is still sure enough of its ownership to start tasks and
    extend leases. */
@@ -318,6 +331,11 @@
 
 void cell_get_stats (const struct cell *cell, struct cell_stats *figures);
 
+/* Append the metrics of at most CELL_METRICS_ACCOUNTS accounts to OUT, as
+   `name{label="value"} number` lines; none if no accounts are configured. */
+#define CELL_METRICS_ACCOUNTS 256
+void cell_render_accounts (struct cell *cell, GString *out);
+
 /* Return the load of the cell's pool, for sizing; the caller destroys it. */
 struct pool_load *cell_get_pool_load (const struct cell *cell);
 
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -1,4 +1,4 @@
-#include "cell_state.h"
+#include "cell_accounts.h"
 
 #include <string.h>
 
@@ -159,6 +159,7 @@
   job->is_loaded = is_loaded;
   job->is_stored = is_loaded;
   job->spec = spec;
+  job->account = cell_account_get (c, spec->account, now_ms);
   job->is_long_running = job_spec_is_long_running (spec);
   job->added_ms = now_ms;
   job->deadline_ms = now_ms + spec->target_ms
@@ -439,7 +440,10 @@
       if (!is_current && t->worker != NULL)
         cell_stop_superfluous_run (c, t, now_ms);
       if (s->is_gang)
-        finish_gang (c, t, now_ms);
+        {
+          cell_account_give_up_gang (c, t, now_ms);
+          finish_gang (c, t, now_ms);
+        }
       else
         finish_task (c, t, now_ms);
       return;
@@ -517,8 +521,8 @@
   cell_journal_job (cell, job, true);
 }
 
-static bool
-has_assigned_task (const struct cell_job *job)
+bool
+cell_job_has_assigned_task (const struct cell_job *job)
 {
   for (guint i = 0; i < job->occurrences->len; i++)
     {
@@ -543,9 +547,13 @@
     {
       struct cell_job *job = value;
 
+      if (job->is_spec_kept && !job->is_in_append
+          && !cell_account_needs_spec (c, job))
+        cell_journal_job (c, job, false); /* drops the specification */
       if (job->journaled_state < JOB_COMPLETED || job->is_change_queued
+          || job->is_spec_kept
           || now_ms < job->ended_ms + c->options.keep_state_ms
-          || c->append.entries != NULL || has_assigned_task (job))
+          || c->append.entries != NULL || cell_job_has_assigned_task (job))
         continue;
       cell_journal_drop (c, g_strconcat ("p:", job->spec->id, NULL));
       g_hash_table_iter_remove (&iter);
--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -1,4 +1,4 @@
-#include "cell_state.h"
+#include "cell_accounts.h"
 
 #include <string.h>
 
@@ -138,8 +138,11 @@
     size += add_entry (c, "j:", job->spec->id, job_spec_to_bytes (job->spec));
   if (job->is_stored || job->state != JOB_PENDING)
     size += add_entry (c, "p:", job->spec->id, cell_job_progress (job));
-  /* Once a job has ended only its state is needed. */
-  if (job->is_stored && job->state >= JOB_COMPLETED)
+  /* Once a job has ended only its state is needed, but by its specification a
+     next owner counts the runs that are still being stopped. */
+  job->is_spec_kept = job->state >= JOB_COMPLETED
+                      && (!job->is_stored || cell_account_needs_spec (c, job));
+  if (job->state >= JOB_COMPLETED && !job->is_spec_kept)
     add_entry (c, "j:", job->spec->id, NULL);
   g_array_append_val (c->append.jobs, f);
   return size;
@@ -168,6 +171,8 @@
       g_variant_builder_add (&runs, "(st)", name, t->run);
       g_free (name);
     }
+  if (names_runs)
+    cell_account_name_other_runs (w, &runs);
   return g_variant_new (WORKER_TYPE, w->entry->address,
                         w->incarnation_start_ms, ends, names_runs,
                         w->is_emptying, lease_remaining_ms, &runs);
@@ -489,7 +494,10 @@
   while (g_variant_iter_next (runs, "(&st)", &name, &run))
     {
       n_named++;
-      n_loaded += load_named_run (c, w, name, run);
+      if (load_named_run (c, w, name, run))
+        n_loaded++;
+      else
+        cell_account_add_other_run (c, w, name, run, c->taken_over_ms);
     }
   if (n_named > 0)
     cell_log_event (c, "runs-named", w->entry->id, "named=%u loaded=%u",
@@ -523,6 +531,7 @@
     }
   while (w->tasks->len > 0)
     cell_task_reset (c, g_ptr_array_index (w->tasks, 0), c->taken_over_ms);
+  cell_account_clear_other_runs (w);
   g_free (w->entry->address);
   g_variant_get (v, WORKER_TYPE, &w->entry->address, &incarnation_start_ms,
                  &ends, &names_runs, &is_emptying, &w->lease_remaining_ms,
--- a/src/cell_load.c
+++ b/src/cell_load.c
@@ -1,4 +1,4 @@
-#include "cell_state.h"
+#include "cell_accounts.h"
 
 #include <string.h>
 
@@ -10,8 +10,10 @@
 /* Workers named at most as reclaimable. */
 #define RECLAIMABLE_MAX 32
 
+/* Return what the waiting tasks of JOB need that could start, except for those
+   that its account's allotment does not allow: no machine helps them. */
 static uint64_t
-startable_cpu (const struct cell_job *job)
+startable_cpu (const struct cell *c, const struct cell_job *job)
 {
   uint64_t wanted = 0;
 
@@ -26,7 +28,9 @@
 
           if (o->waiting[k] > 0 && !s->is_best_effort
               && cell_step_is_ready (o, k))
-            wanted += (uint64_t)o->waiting[k] * s->cpu_milli;
+            wanted += (uint64_t)cell_account_count_allowed (c, job, k,
+                                                            o->waiting[k])
+                      * s->cpu_milli;
         }
     }
   return wanted;
@@ -50,13 +54,39 @@
   return most;
 }
 
-/* Return the processor demand of all long-running tasks of JOB, whether they
-   run or not; best-effort tasks reserve none. */
 static uint64_t
-long_running_cpu (const struct cell_job *job)
+running_long_running_cpu (const struct cell_job *job)
 {
   uint64_t cpu = 0;
 
+  for (guint i = 0; job->is_long_running && i < job->occurrences->len; i++)
+    {
+      const struct cell_occurrence *o
+          = g_ptr_array_index (job->occurrences, i);
+
+      for (uint32_t k = 0; k < o->n_tasks; k++)
+        {
+          const struct job_step *s = cell_task_step (&o->tasks[k]);
+
+          if (o->tasks[k].worker != NULL && s->is_long_running
+              && !s->is_best_effort)
+            cpu += s->cpu_milli;
+        }
+    }
+  return cpu;
+}
+
+/* Return the processor demand of the long-running tasks of JOB, whether they
+   run or not, but those that an allotment limits only if they run;
+   best-effort tasks reserve none. */
+static uint64_t
+long_running_cpu (const struct cell *c, const struct cell_job *job)
+{
+  uint64_t cpu = 0;
+
+  if (cell_account_is_limited (c, job->account))
+    return running_long_running_cpu (job);
+
   for (guint i = 0; job->is_long_running && i < job->spec->steps->len; i++)
     {
       const struct job_step *s = g_ptr_array_index (job->spec->steps, i);
@@ -130,16 +160,19 @@
     }
   name_reclaimable (l, busy);
   g_ptr_array_unref (busy);
+  cell_accounts_begin_count (cell);
   for (guint i = 0; i < cell->open_jobs->len; i++)
     {
       const struct cell_job *job = g_ptr_array_index (cell->open_jobs, i);
-      uint64_t wanted_milli = startable_cpu (job);
+      uint64_t wanted_milli = startable_cpu (cell, job);
 
       l->cpu_wanted_milli += wanted_milli;
       if (job->is_long_running)
         startable_long_running_milli += wanted_milli;
+      if (job->is_long_running && cell_account_is_limited (cell, job->account))
+        l->cpu_long_running_milli += wanted_milli;
       l->workers_min = MAX (l->workers_min, workers_needed_for_spread (job));
-      l->cpu_long_running_milli += long_running_cpu (job);
+      l->cpu_long_running_milli += long_running_cpu (cell, job);
     }
   /* A long-running task has found no worker, even if the pool's total capacity
      would be enough. */
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -1,5 +1,7 @@
 #include "cell_place.h"
 
+#include "cell_accounts.h"
+
 #include <string.h>
 
 /* Placement: starts waiting tasks, alone or as gangs. */
@@ -130,11 +132,13 @@
 
   if (o->waiting[step] < s->count || now_ms < first->retry_ms
       || !is_every_gang_run_over (c, first, s->count)
-      || !has_run_number (c, first))
+      || !has_run_number (c, first)
+      || !cell_account_allows (c, o->job, step, s->count, now_ms))
     return;
   if (!s->prefers_same_rack)
     {
-      try_place_gang (c, o, step, NULL, now_ms);
+      if (!try_place_gang (c, o, step, NULL, now_ms))
+        cell_accounts_note_shortage (c);
       return;
     }
   for (guint i = 0; i < c->worker_list->len; i++)
@@ -146,6 +150,7 @@
         if (try_place_gang (c, o, step, w->entry->rack, now_ms))
           return;
     }
+  cell_accounts_note_shortage (c);
 }
 
 static void
@@ -168,12 +173,15 @@
       if (t->phase != TASK_WAITING || now_ms < t->retry_ms
           || !is_every_run_over (c, t) || !has_run_number (c, t))
         continue;
+      if (!cell_account_allows (c, o->job, step, 1, now_ms))
+        break;
       w = cell_choose_worker (c, t, NULL, now_ms);
       if (w != NULL)
         {
           assign_and_start (c, t, w, run_number (c, ++t->runs_given), now_ms);
           continue;
         }
+      cell_accounts_note_shortage (c);
       if (s->is_long_running)
         c->last_shortage_ms = now_ms;
       if (s->is_long_running && !s->is_best_effort
@@ -244,12 +252,17 @@
   c->last_placement_ms = now_ms;
   update_known_runs (c, now_ms);
   cell_update_suspect_policy (c);
+  cell_accounts_begin_placement (c, now_ms);
   cell_order_jobs (c, now_ms);
-  for (guint i = 0; i < c->open_jobs->len; i++)
+  for (guint i = 0; i < c->open_jobs->len;)
     {
       struct cell_job *job = g_ptr_array_index (c->open_jobs, i);
 
+      if (job->is_stored && cell_account_fail_impossible (c, job, now_ms))
+        continue; /* it is no longer open */
       if (job->is_stored)
         place_job (c, job, now_ms);
+      i++;
     }
+  cell_accounts_end_placement (c, now_ms);
 }
--- a/src/cell_progress.c
+++ b/src/cell_progress.c
@@ -155,6 +155,7 @@
       job->journaled_state = state;
       if (state >= JOB_COMPLETED)
         {
+          job->is_spec_kept = job->spec->steps->len > 0;
           g_ptr_array_remove (c->open_jobs, job);
           job->ended_ms = c->taken_over_ms;
         }
--- a/src/cell_reports.c
+++ b/src/cell_reports.c
@@ -1,4 +1,4 @@
-#include "cell_state.h"
+#include "cell_accounts.h"
 
 #include <string.h>
 
@@ -77,9 +77,13 @@
       if (must_stop)
         cell_send_stop (c, w, r->task, r->run);
       w->unknown_runs++;
+      cell_account_add_other_run (c, w, r->task, r->run, now_ms);
       return;
     }
   t->is_every_run_known = true;
+  /* A record of W has named it, and its job has ended. */
+  if (t->occurrence->job->state >= JOB_COMPLETED)
+    cell_stop_task (c, t, now_ms);
   if (t->phase == TASK_STARTING && !t->has_pending_call)
     cell_task_set_phase (t, TASK_RUNNING, now_ms);
   if (r->percent != t->percent)
@@ -129,6 +133,7 @@
   struct task_name name;
 
   w->last_processed_end = e->number;
+  cell_account_other_run_ended (w, e->task, e->run);
   if (e->result == END_FAILED && task_name_parse (e->task, &name))
     cell_worker_count_failure (c, w, name.job, now_ms);
   if (e->result == END_DONE)
@@ -290,7 +295,10 @@
   process_missing_runs (c, w, report, sent_ms, now_ms);
   w->had_tasks = w->tasks->len > 0;
   if (is_conclusive (c, w, report))
-    w->may_have_unseen_runs = false;
+    {
+      w->may_have_unseen_runs = false;
+      cell_account_check_other_runs (w, report, sent_ms);
+    }
   cell_pace_best_effort (c, w, now_ms);
   if (w->last_processed_end != previous_end
       || (!w->may_receive_starts && w->is_listed))
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -1,4 +1,4 @@
-#include "cell_state.h"
+#include "cell_accounts.h"
 
 #include <string.h>
 
@@ -96,12 +96,16 @@
 {
   struct cell_worker *w = t->worker;
   char *name = cell_task_name (t);
+  int64_t until_ms = now_ms + c->options.stop_grace_ms + STOP_MARGIN_MS;
+  /* A start of it that is still under way has the last lease's deadline. */
+  bool may_start = t->phase == TASK_STARTING || t->start_attempts > 1;
 
   cell_send_stop (c, w, name, t->run);
+  cell_account_add_other_run (c, w, name, t->run,
+                              may_start ? MAX (until_ms, w->lease_expiry_ms)
+                                        : until_ms);
   g_free (name);
-  w->superfluous_until_ms
-      = MAX (w->superfluous_until_ms,
-             now_ms + c->options.stop_grace_ms + STOP_MARGIN_MS);
+  w->superfluous_until_ms = MAX (w->superfluous_until_ms, until_ms);
 }
 
 static bool
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -13,6 +13,7 @@
    cell_place.c    which task starts on which worker, with the files that
                    cell_place.h names
    cell_load.c     how large the pool has to be
+   cell_accounts.c what client accounts use and may use, see cell_accounts.h
    cell_owners.c   earlier owners, and how long their leases last
    cell_journal.c  appends to the journal, and loading it. */
 
@@ -98,6 +99,7 @@
 struct cell_job
 {
   struct job_spec *spec;
+  struct cell_account *account;
   GPtrArray *occurrences; /* struct cell_occurrence *, not done yet */
   uint32_t next_occurrence;
   uint32_t done_occurrences;
@@ -109,6 +111,9 @@
   bool has_started;
   bool is_change_queued; /* in changed_jobs of the cell */
   bool is_in_append;     /* in the append in progress */
+  bool is_spec_kept;     /* it has ended, but the journal still has its
+                            specification */
+  bool is_held_back;     /* a task has not fitted its account's allotment */
   int64_t added_ms;      /* accepted here, or the takeover */
   int64_t deadline_ms;   /* desired end, for the order of placement */
   int64_t ended_ms;
@@ -166,6 +171,8 @@
   int64_t cooldown_until_ms;          /* see CELL_COOLDOWN_MS */
   GPtrArray *tasks;                   /* struct cell_task *, with a run here */
   struct worker_resources used;
+  GPtrArray *other_runs; /* struct cell_other_run *, of accounts' jobs; NULL
+                            before the first one */
 };
 
 /* The append in progress. */
@@ -209,6 +216,7 @@
   bool is_active;            /* the journal has been loaded */
   bool is_fenced; /* a higher epoch has been met, or the cell has yielded */
   int64_t taken_over_ms;
+  struct cell_accounts *accounts;
   GHashTable *jobs;     /* ID to struct cell_job * */
   GPtrArray *open_jobs; /* struct cell_job *, not ended, in placement order */
   bool has_unsorted_jobs; /* open_jobs has to be sorted first */
@@ -292,6 +300,8 @@
 /* Let the occurrences of JOB start that are due, and add missing ones. */
 void cell_job_add_due_occurrences (struct cell *c, struct cell_job *job,
                                    int64_t now_ms);
+/* Return whether a task of JOB is on a worker. */
+bool cell_job_has_assigned_task (const struct cell_job *job);
 /* Forget jobs that ended more than keep_state_ms ago. */
 void cell_jobs_purge_ended (struct cell *c, int64_t now_ms);
 
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -1,4 +1,4 @@
-#include "cell_state.h"
+#include "cell_accounts.h"
 
 #include <string.h>
 
@@ -21,6 +21,7 @@
 
   for (guint i = 0; i < w->tasks->len; i++)
     ((struct cell_task *)g_ptr_array_index (w->tasks, i))->worker = NULL;
+  cell_account_clear_other_runs (w);
   worker_entry_destroy (w->entry);
   g_ptr_array_unref (w->tasks);
   g_free (w);
@@ -47,6 +48,7 @@
 
   t->worker = w;
   g_ptr_array_add (w->tasks, t);
+  cell_account_add_task (t);
   if (!s->is_best_effort)
     w->used.cpu_milli += s->cpu_milli;
   w->used.memory_mb += s->memory_mb;
@@ -61,6 +63,7 @@
   if (!g_ptr_array_remove_fast (w->tasks, t))
     return;
   t->worker = NULL;
+  cell_account_remove_task (t);
   if (!s->is_best_effort)
     w->used.cpu_milli -= s->cpu_milli;
   w->used.memory_mb -= s->memory_mb;
@@ -92,6 +95,7 @@
       t->run_over_ms = over_ms;
     }
   w->may_have_unseen_runs = false;
+  cell_account_clear_other_runs (w);
   c->needs_placement = true;
 }
 
@@ -345,7 +349,9 @@
 {
   bool is_lost = !w->is_confirmed && cell_worker_leases_expired (c, w);
 
-  if (is_lost && (w->tasks->len > 0 || w->may_have_unseen_runs))
+  if (is_lost
+      && (w->tasks->len > 0 || w->may_have_unseen_runs
+          || w->other_runs != NULL))
     reset_lost_tasks (c, w, w->has_ended ? "worker-ended" : "lease-over",
                       cell_worker_leases_until_ms (c, w), now_ms);
   if (is_lost && w->is_in_journal && w->tasks->len == 0)
--- a/src/node.c
+++ b/src/node.c
@@ -224,6 +224,7 @@
                               h->service, stats.jobs_open, h->service,
                               stats.tasks_running, h->service,
                               stats.tasks_waiting, h->service, stats.workers);
+      cell_render_accounts (h->cell, text);
     }
   evbuffer_add (body, text->str, text->len);
   evhttp_add_header (evhttp_request_get_output_headers (request),
