Play a ledger and judge quotas in the simulated surroundings of a cell

A cell that lets an account exceed what it holds had no test. The world learns accounts, plays the ledger's exchanges, and checks each start and each reported use against what really runs.

--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -1,5 +1,7 @@
 #include "cell_world.h"
 
+#include "account_use.h"
+
 #include <string.h>
 
 /* Step of virtual time. */
@@ -19,6 +21,8 @@
 #define CLOCK_OFFSET_MS 5000
 /* Longest lease that a worker grants. */
 #define LEASE_MAX_MS 6000
+/* Interval between two exchanges of the ledger with the owner. */
+#define EXCHANGE_INTERVAL_MS 200
 /* An owner that the store does not confirm goes on acting for this long. */
 #define UNCONFIRMED_OWNER_MS 8000
 /* The leases of an owner that has stopped have expired after this. */
@@ -254,6 +258,15 @@
   g_free (call);
 }
 
+static void
+free_grant (gpointer p)
+{
+  struct allotment *a = p;
+
+  g_free (a->account);
+  g_free (a);
+}
+
 struct world *
 world_new (uint32_t seed)
 {
@@ -274,6 +287,8 @@
                                     (GDestroyNotify)job_spec_destroy);
   w->failures = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, NULL);
   w->answers = g_hash_table_new (g_direct_hash, g_direct_equal);
+  w->grants = g_ptr_array_new_with_free_func (free_grant);
+  w->events = g_string_new (NULL);
   w->violations = g_string_new (NULL);
   w->max_attempts = 3;
   w->run_ms = 500;
@@ -317,6 +332,10 @@
   g_hash_table_unref (w->specs);
   g_hash_table_unref (w->failures);
   g_hash_table_unref (w->answers);
+  accounts_destroy (w->accounts);
+  g_ptr_array_unref (w->grants);
+  account_report_destroy (w->report);
+  g_string_free (w->events, TRUE);
   g_string_free (w->violations, TRUE);
   g_rand_free (w->rand);
   g_free (w);
@@ -495,6 +514,151 @@
     record_violation (w, "too-many-on-worker", task);
 }
 
+struct job_spec *
+world_of_account (struct job_spec *spec, const char *name)
+{
+  g_free (spec->account);
+  spec->account = g_strdup (name);
+  return spec;
+}
+
+/* Return the account of TASK, and add what a run of it uses to *USED. */
+static const char *
+add_use (const struct world *w, const char *task, struct account_amount *used)
+{
+  struct task_name n;
+  const struct job_spec *spec = find_spec (w, task, &n);
+  const struct job_step *s;
+
+  if (spec == NULL)
+    return "";
+  s = g_ptr_array_index (spec->steps, n.step);
+  *used = amount_add (
+      *used, (struct account_amount){ s->cpu_milli, s->memory_mb, s->gpus });
+  return spec->account;
+}
+
+struct account_amount
+world_real_use (const struct world *w, const char *name)
+{
+  struct account_amount sum = { 0 };
+
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    for (guint k = 0; w->workers[i].alive && k < w->workers[i].runs->len; k++)
+      {
+        const struct world_run *r = g_ptr_array_index (w->workers[i].runs, k);
+        struct account_amount with_run = sum;
+
+        if (strcmp (add_use (w, r->task, &with_run), name) == 0)
+          sum = with_run;
+      }
+  return sum;
+}
+
+static const struct account_row *
+find_row (const struct account_report *report, const char *name)
+{
+  for (guint i = 0; report != NULL && i < report->rows->len; i++)
+    {
+      const struct account_row *r = g_ptr_array_index (report->rows, i);
+
+      if (strcmp (r->account, name) == 0)
+        return r;
+    }
+  return NULL;
+}
+
+/* Check that a start of TASK keeps its account within what its cell holds. */
+static void
+check_quota (struct world *w, const char *task)
+{
+  struct account_amount extra = { 0 };
+  const char *name = add_use (w, task, &extra);
+  const struct account_row *row = find_row (w->report, name);
+
+  /* A cap is in force only while the account is configured. */
+  if (w->accounts == NULL || accounts_find (w->accounts, name) == NULL)
+    return;
+  if (row == NULL || !amount_fits (world_real_use (w, name), extra, row->held))
+    record_violation (w, "quota", task);
+}
+
+/* Let the ledger call the owner, and check that the reported use covers what
+   really runs. */
+static void
+exchange (struct world *w)
+{
+  struct allotment_call *call = allotment_call_new ();
+
+  call->ledger_epoch = 1;
+  if (w->report != NULL)
+    {
+      call->cell_epoch = w->report->cell_epoch;
+      call->report = w->report->number;
+    }
+  for (guint i = 0; i < w->grants->len; i++)
+    {
+      const struct allotment *a = g_ptr_array_index (w->grants, i);
+
+      allotment_call_add (call, a->account, a->limit);
+    }
+  account_report_destroy (w->report);
+  w->report = cell_exchange_allotments (w->cell, call, w->now_ms);
+  allotment_call_destroy (call);
+  for (guint i = 0; i < w->report->rows->len; i++)
+    {
+      const struct account_row *r = g_ptr_array_index (w->report->rows, i);
+
+      if (!amount_fits (world_real_use (w, r->account),
+                        (struct account_amount){ 0 }, r->used))
+        record_violation (w, "use", r->account);
+    }
+  w->next_exchange_ms = w->now_ms + EXCHANGE_INTERVAL_MS;
+}
+
+void
+world_apply_accounts (struct world *w)
+{
+  cell_set_accounts (w->cell, w->accounts, w->now_ms);
+  exchange (w);
+}
+
+void
+world_set_account (struct world *w, const char *name,
+                   struct account_amount cap, uint32_t weight)
+{
+  struct client_account *a;
+
+  if (w->accounts == NULL)
+    w->accounts = accounts_new ();
+  a = accounts_add (w->accounts, name);
+  a->cap = cap;
+  a->weight = weight;
+  world_apply_accounts (w);
+}
+
+void
+world_grant (struct world *w, const char *name, struct account_amount limit)
+{
+  struct allotment *a = NULL;
+
+  for (guint i = 0; i < w->grants->len; i++)
+    if (strcmp (
+            ((struct allotment *)g_ptr_array_index (w->grants, i))->account,
+            name)
+        == 0)
+      a = g_ptr_array_index (w->grants, i);
+  if (a == NULL)
+    {
+      a = g_new0 (struct allotment, 1);
+      a->account = g_strdup (name);
+      g_ptr_array_add (w->grants, a);
+    }
+  a->limit = limit;
+  exchange (w); /* the first one may only get a report to name */
+  exchange (w);
+}
+
 /* Check the rules of cell_world.h for a new run of TASK on K. */
 static void
 check_start_rules (struct world *w, const struct world_worker *k,
@@ -502,6 +666,7 @@
 {
   check_order (w, task);
   check_limit (w, k, task);
+  check_quota (w, task);
   if (world_find_run (w, task) != NULL)
     record_violation (w, "two-runs", task);
   if (g_hash_table_contains (w->done_tasks, task))
@@ -893,7 +1058,11 @@
           break;
         case ORDER_PACE:
         case ORDER_ASK_ADVICE:
+          break;
         case ORDER_LOG_EVENT:
+          if (strstr (o->u.event.detail, "account=") != NULL)
+            g_string_append_printf (w->events, "%s %s %s\n", o->u.event.event,
+                                    o->u.event.subject, o->u.event.detail);
           break;
         }
       cell_order_destroy (o);
@@ -1015,6 +1184,8 @@
           carry_out_orders (w, w->stale_owner);
         }
       confirm_owner (w);
+      if (w->accounts != NULL && w->now_ms >= w->next_exchange_ms)
+        exchange (w);
       cell_tick (w->cell, w->now_ms + w->wall_ahead_ms, true, w->now_ms);
       carry_out_orders (w, w->cell);
     }
@@ -1091,6 +1262,8 @@
       g_ptr_array_unref (records);
     }
   list_workers (w, w->cell);
+  if (w->accounts != NULL)
+    cell_set_accounts (w->cell, w->accounts, w->now_ms);
   w->confirmed_ms = w->now_ms;
   cell_confirmed (w->cell, w->now_ms);
   cell_activate (w->cell, w->now_ms);
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -13,7 +13,10 @@
    other run, that none of its runs has ended as done and been acknowledged
    before the worker's leases expired, that it has attempts left, that its time
    has come and the steps before its own are done, and that the worker has no
-   more runs of its step than that allows. */
+   more runs of its step than that allows.  If there are client accounts, it
+   plays their ledger, and checks at each start that what really runs of an
+   account is within what the owner last reported to hold, and at each report
+   that the owner's use covers it. */
 
 #define WORLD_WORKERS 6
 /* ID of the job that most tests submit. */
@@ -96,6 +99,11 @@
   int64_t startup_ms;  /* from the start of a long-running task until it is at
                           work */
   GHashTable *answers; /* token to enum cell_answer, plus 1 */
+  struct accounts *accounts;     /* NULL: none are configured */
+  GPtrArray *grants;             /* struct allotment *, of the ledger */
+  struct account_report *report; /* the owner's latest, or NULL */
+  int64_t next_exchange_ms;
+  GString *events;     /* logged about accounts: "EVENT JOB DETAIL" lines */
   GString *violations; /* violated rules, one a line */
   uint32_t starts;     /* runs started so far */
 };
@@ -167,6 +175,24 @@
 void world_assert_all_ended (const struct world *w, uint32_t seed, int first,
                              int count);
 
+/* Configure the account NAME with CAP and WEIGHT; a second call changes it. */
+void world_set_account (struct world *w, const char *name,
+                        struct account_amount cap, uint32_t weight);
+
+/* Tell the owner the accounts in force, and let it report to the ledger. */
+void world_apply_accounts (struct world *w);
+
+/* Let the ledger grant LIMIT to the account NAME at once, and from then on to
+   each new owner. */
+void world_grant (struct world *w, const char *name,
+                  struct account_amount limit);
+
+/* Return SPEC as a job of the account NAME. */
+struct job_spec *world_of_account (struct job_spec *spec, const char *name);
+
+/* Return what really runs of the account NAME on all workers. */
+struct account_amount world_real_use (const struct world *w, const char *name);
+
 /* Fail the test if a rule was violated. */
 void world_assert_no_violations (const struct world *w);
 
--- /dev/null
+++ b/tests/unit/test_cell_accounts.c
@@ -0,0 +1,547 @@
+#include "account_use.h"
+#include "cell_accounts.h"
+#include "cell_world.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Client accounts in a cell: caps, allotments, shares.  A task of world_job
+   uses 1000 thousandths of a core and 500 MB. */
+
+#define SEEDS 120
+#define FIRST_JOB 0xd00
+#define JOBS 14
+#define ROUNDS 30
+
+static const struct account_amount no_cap = { 0, 0, 0 };
+
+static struct account_amount
+tasks (uint32_t n)
+{
+  return (struct account_amount){ n * UINT64_C (1000), n * UINT64_C (500), 0 };
+}
+
+static struct job_spec *
+job_of (const struct world *w, const char *id, uint32_t count,
+        const char *account)
+{
+  return world_of_account (world_job (w, id, 1, count), account);
+}
+
+static struct job_step *
+first_step (struct job_spec *spec)
+{
+  return g_ptr_array_index (spec->steps, 0);
+}
+
+static guint
+count_real (const struct world *w, const char *account)
+{
+  return (guint)(world_real_use (w, account).cpu_milli / 1000);
+}
+
+/* Guards against tasks that start without an allotment, or beyond it in one of
+   the resources, be they finite, long-running or scheduled. */
+static void
+test_tasks_start_within_the_allotment (void)
+{
+  for (int kind = 0; kind < 3; kind++)
+    {
+      struct world *w = world_new (1);
+      struct job_spec *spec = job_of (w, WORLD_JOB, 8, "a");
+
+      w->run_ms = 500000;
+      world_set_account (w, "a", no_cap, 1);
+      first_step (spec)->is_long_running = kind == 1;
+      spec->occurrences = kind == 2;
+      spec->first_occurrence_ms = kind == 2 ? 1 : 0;
+      world_submit (w, spec);
+      world_run (w, 1000);
+      g_assert_cmpuint (count_real (w, "a"), ==, 0);
+      world_grant (w, "a", (struct account_amount){ 8000, 1700, 0 });
+      world_run (w, 1000);
+      g_assert_cmpuint (count_real (w, "a"), ==, 3); /* by memory */
+      world_assert_no_violations (w);
+      world_destroy (w);
+    }
+}
+
+/* Guards against a part of a gang that starts, or waits, as only a part of it
+   fits the allotment. */
+static void
+test_gang_starts_whole (void)
+{
+  struct world *w = world_new (1);
+  struct job_spec *spec = job_of (w, WORLD_JOB, 4, "a");
+
+  w->run_ms = 500000;
+  world_set_account (w, "a", no_cap, 1);
+  first_step (spec)->is_gang = true;
+  world_submit (w, spec);
+  world_grant (w, "a", tasks (3));
+  world_run (w, 500);
+  g_assert_cmpuint (count_real (w, "a"), ==, 0);
+  world_grant (w, "a", tasks (4));
+  world_run (w, 500);
+  g_assert_cmpuint (count_real (w, "a"), ==, 4);
+  world_destroy (w);
+}
+
+/* Guards against an account at its allotment that holds back the jobs after
+   its own, and against a wait that the log does not tell. */
+static void
+test_other_accounts_go_on (void)
+{
+  struct world *w = world_new (1);
+
+  world_set_account (w, "a", tasks (50), 1);
+  world_set_account (w, "b", tasks (50), 1);
+  world_grant (w, "a", tasks (1));
+  world_grant (w, "b", tasks (9));
+  world_submit (w, job_of (w, "0000000000000001", 4, "a"));
+  world_submit (w, job_of (w, "0000000000000002", 4, "b"));
+  world_submit (w, job_of (w, "0000000000000003", 4, ""));
+  world_run (w, 1000);
+  g_assert_cmpint (world_state (w, "0000000000000002"), ==, JOB_COMPLETED);
+  g_assert_cmpint (world_state (w, "0000000000000003"), ==, JOB_COMPLETED);
+  g_assert_nonnull (
+      strstr (w->events->str, "account-waits 0000000000000001 account=a"));
+  g_assert_null (strstr (w->events->str, "account-fits"));
+  world_run (w, 4000);
+  g_assert_nonnull (strstr (w->events->str, "account-fits 0000000000000001"));
+  world_assert_all_ended (w, 1, 1, 3);
+  world_destroy (w);
+}
+
+/* Guards against starts under allotments of the former cap, also by a call of
+   the ledger that was under way, and against runs that a lower cap stops. */
+static void
+test_lower_cap_scales_at_once (void)
+{
+  struct world *w = world_new (1);
+  struct allotment_call *call = allotment_call_new ();
+
+  w->run_ms = 500000;
+  world_set_account (w, "a", tasks (20), 1);
+  world_grant (w, "a", tasks (10));
+  world_submit (w, job_of (w, WORLD_JOB, 4, "a"));
+  world_run (w, 500);
+  call->ledger_epoch = 1;
+  call->cell_epoch = w->report->cell_epoch;
+  call->report = w->report->number;
+  allotment_call_add (call, "a", tasks (10));
+  accounts_add (w->accounts, "a")->cap = tasks (12);
+  cell_set_accounts (w->cell, w->accounts, w->now_ms);
+  account_report_destroy (w->report);
+  w->report = cell_exchange_allotments (w->cell, call, w->now_ms);
+  g_assert_cmpuint (
+      ((struct account_row *)g_ptr_array_index (w->report->rows, 0))
+          ->held.cpu_milli,
+      ==, 6000);
+  world_grant (w, "a", tasks (6));
+  world_submit (w, job_of (w, "0000000000000002", 9, "a"));
+  world_run (w, 500);
+  g_assert_cmpuint (count_real (w, "a"), ==, 6);
+  world_set_account (w, "a", tasks (1), 1);
+  world_run (w, 500);
+  g_assert_cmpuint (count_real (w, "a"), ==, 6);
+  world_assert_no_violations (w);
+  allotment_call_destroy (call);
+  world_destroy (w);
+}
+
+/* Guards against rounding up, overflow, and cells that together keep more than
+   the first cap of an account that had none. */
+static void
+test_rescaling (void)
+{
+  struct account_amount none = AMOUNT_UNLIMITED;
+  struct account_amount a = account_rescale (
+      (struct account_amount){ 7, G_MAXUINT64, 5 }, tasks (1),
+      (struct account_amount){ 3, G_MAXUINT64, 5 },
+      (struct account_amount){ 2, 4000, 9 });
+
+  g_assert_cmpuint (a.cpu_milli, ==, 4);
+  g_assert_cmpuint (a.memory_mb, ==, 500);
+  g_assert_cmpuint (a.gpus, ==, 5);
+  g_assert_cmpuint (amount_add (none, tasks (1)).cpu_milli, ==, G_MAXUINT64);
+  g_assert_true (amount_fits (none, tasks (1), none));
+}
+
+/* Guards against a job that waits for ever, as its account's cap is below one
+   of its tasks or below its gang, and against a failure of one that fits. */
+static void
+test_impossible_jobs_fail (void)
+{
+  struct world *w = world_new (1);
+  struct job_spec *gang = job_of (w, "0000000000000002", 4, "a");
+
+  world_set_account (w, "a", (struct account_amount){ 3000, 1200, 0 }, 1);
+  world_grant (w, "a", tasks (2));
+  first_step (gang)->is_gang = true;
+  world_submit (w, job_of (w, "0000000000000001", 4, "a"));
+  world_submit (w, gang);
+  world_run (w, 200);
+  g_assert_cmpint (world_state (w, "0000000000000002"), ==, JOB_FAILED);
+  g_assert_nonnull (strstr (w->events->str, "job-impossible 0000000000000002 "
+                                            "reason=gang-exceeds-cap"));
+  world_run (w, 4000);
+  g_assert_cmpint (world_state (w, "0000000000000001"), ==, JOB_COMPLETED);
+  world_set_account (w, "a", (struct account_amount){ 0, 499, 0 }, 1);
+  world_submit (w, job_of (w, "0000000000000003", 1, "a"));
+  world_run (w, 200);
+  g_assert_cmpint (world_state (w, "0000000000000003"), ==, JOB_FAILED);
+  world_destroy (w);
+}
+
+static uint64_t
+held_after (struct world *w, uint64_t ledger_epoch, uint64_t cell_epoch,
+            uint64_t report, uint32_t n)
+{
+  struct allotment_call *call = allotment_call_new ();
+  struct account_report *answer;
+  uint64_t held;
+
+  call->ledger_epoch = ledger_epoch;
+  call->cell_epoch = cell_epoch;
+  call->report = report;
+  allotment_call_add (call, "a", tasks (n));
+  answer = cell_exchange_allotments (w->cell, call, w->now_ms);
+  held = ((struct account_row *)g_ptr_array_index (answer->rows, 0))
+             ->held.cpu_milli
+         / 1000;
+  account_report_destroy (answer);
+  allotment_call_destroy (call);
+  return held;
+}
+
+/* Guards against allotments of a ledger that has been replaced, or that knows
+   an earlier report or owner. */
+static void
+test_outdated_calls_are_not_applied (void)
+{
+  struct world *w = world_new (1);
+  uint64_t n;
+
+  world_set_account (w, "a", no_cap, 1);
+  n = w->report->number;
+  g_assert_cmpuint (held_after (w, 5, 0, n, 1), ==, 0);
+  g_assert_cmpuint (held_after (w, 5, w->epoch, n + 1, 2), ==, 2);
+  g_assert_cmpuint (held_after (w, 5, w->epoch, n + 1, 3), ==, 2);
+  g_assert_cmpuint (held_after (w, 4, w->epoch, n + 3, 4), ==, 2);
+  g_assert_cmpuint (held_after (w, 5, w->epoch + 1, n + 4, 5), ==, 2);
+  g_assert_cmpuint (held_after (w, 6, w->epoch, n + 5, 6), ==, 6);
+  world_destroy (w);
+}
+
+/* Guards against jobs that never end, as their account was removed, and
+   against limits where no accounts are configured any more. */
+static void
+test_removed_accounts_go_on (void)
+{
+  struct world *w = world_new (1);
+
+  world_set_account (w, "a", tasks (50), 1);
+  world_grant (w, "a", tasks (2));
+  world_submit (w, job_of (w, "0000000000000001", 8, "a"));
+  world_submit (w, job_of (w, "0000000000000002", 4, "never-known"));
+  world_run (w, 500);
+  g_ptr_array_set_size (w->grants, 0);
+  accounts_destroy (w->accounts);
+  w->accounts = accounts_new ();
+  world_apply_accounts (w);
+  world_run (w, 8000);
+  g_assert_cmpint (world_state (w, "0000000000000001"), ==, JOB_COMPLETED);
+  g_assert_cmpint (world_state (w, "0000000000000002"), ==, JOB_PENDING);
+  world_run (w, 10000);
+  g_assert_cmpint (world_state (w, "0000000000000002"), ==, JOB_COMPLETED);
+  world_submit (w, job_of (w, "0000000000000003", 8, "b"));
+  cell_set_accounts (w->cell, NULL, w->now_ms);
+  world_run (w, 1500);
+  g_assert_cmpint (world_state (w, "0000000000000003"), ==, JOB_COMPLETED);
+  world_assert_no_violations (w);
+  world_destroy (w);
+}
+
+/* Load: an account's jobs, accepted first, fill the cell for long.  The former
+   order, by deadline alone, lets all of them go before a second account's. */
+static void
+test_full_cell_is_shared_by_weight (void)
+{
+  struct world *w = world_new (1);
+
+  world_set_account (w, "a", no_cap, 1);
+  world_set_account (w, "b", no_cap, 3);
+  world_grant (w, "a", AMOUNT_UNLIMITED);
+  world_grant (w, "b", AMOUNT_UNLIMITED);
+  for (int i = 0; i < 80; i++)
+    {
+      char *id = g_strdup_printf ("%016x", i);
+
+      world_submit (w, job_of (w, id, 20, i < 40 ? "a" : "b"));
+      g_free (id);
+      if (i == 39)
+        world_run (w, 1000);
+    }
+  g_assert_cmpuint (count_real (w, "a"), >, 90); /* of 96 that fit */
+  world_run (w, 2000);
+  g_assert_cmpuint (count_real (w, "b"), >, 60);
+  g_assert_cmpuint (count_real (w, "a"), >, 15);
+  world_destroy (w);
+}
+
+/* Guards against a share that is judged by the processors alone, and against a
+   division by a resource that the cell has none of. */
+static void
+test_dominant_share (void)
+{
+  struct account_amount capacity = { 16000, 8000, 0 };
+
+  g_assert_false (account_is_over_share (tasks (4), capacity, 1, 4));
+  g_assert_true (account_is_over_share (tasks (5), capacity, 1, 4));
+  g_assert_true (account_is_over_share (
+      (struct account_amount){ 100, 2001, 0 }, capacity, 1, 4));
+  g_assert_false (account_is_over_share (
+      (struct account_amount){ 100, 2000, 3 }, capacity, 1, 4));
+}
+
+/* Guards against machines that are moved to the pool for work that no machine
+   can start. */
+static void
+test_load_has_only_what_is_allowed (void)
+{
+  struct world *w = world_new (1);
+  struct job_spec *service = job_of (w, "0000000000000002", 3, "a");
+  struct pool_load *l;
+
+  w->run_ms = 500000;
+  world_set_account (w, "a", no_cap, 1);
+  world_grant (w, "a", tasks (2));
+  world_submit (w, job_of (w, "0000000000000001", 5, "a"));
+  world_run (w, 300);
+  first_step (service)->is_long_running = true;
+  world_submit (w, service);
+  world_submit (w, job_of (w, "0000000000000003", 200, ""));
+  world_run (w, 300);
+  l = cell_get_pool_load (w->cell);
+  g_assert_cmpuint (l->cpu_used_milli, ==, 96000);
+  g_assert_cmpuint (l->cpu_wanted_milli, ==, (200 - 94) * 1000);
+  g_assert_cmpuint (l->cpu_long_running_milli, ==, 0);
+  pool_load_destroy (l);
+  world_destroy (w);
+}
+
+/* Guards against metrics whose number grows with the accounts, and against
+   names that break their lines. */
+static void
+test_metrics_are_bounded (void)
+{
+  struct world *w = world_new (1);
+  GString *text = g_string_new (NULL);
+  guint n = 0;
+
+  cell_render_accounts (w->cell, text);
+  g_assert_cmpuint (text->len, ==, 0);
+  for (int i = 0; i < 300; i++)
+    {
+      char *name = g_strdup_printf ("a\"%d\n", i);
+
+      world_set_account (w, name, no_cap, 1);
+      g_free (name);
+    }
+  cell_render_accounts (w->cell, text);
+  for (const char *p = text->str; (p = strstr (p, "_cpu_milli{")) != NULL; p++)
+    n++;
+  g_assert_cmpuint (n, ==, 2 * CELL_METRICS_ACCOUNTS);
+  g_assert_nonnull (strstr (text->str, "account=\"a\\\"255\\n\"} 0\n"));
+  g_string_free (text, TRUE);
+  world_destroy (w);
+}
+
+/* Check the running totals of the accounts against sums from scratch. */
+static void
+check_totals (const struct world *w, uint32_t seed)
+{
+  for (char name[] = "a"; name[0] <= 'c'; name[0]++)
+    {
+      struct account_amount sum = { 0 };
+      struct account_amount others = { 0 };
+      struct cell_account *a = cell_account_get (w->cell, name, w->now_ms);
+
+      for (guint i = 0; i < w->cell->worker_list->len; i++)
+        {
+          const struct cell_worker *k
+              = g_ptr_array_index (w->cell->worker_list, i);
+
+          for (guint j = 0; j < k->tasks->len; j++)
+            {
+              const struct cell_task *t = g_ptr_array_index (k->tasks, j);
+
+              if (t->occurrence->job->account == a)
+                sum = amount_add (sum, cell_step_amount (cell_task_step (t)));
+            }
+          for (guint j = 0; k->other_runs != NULL && j < k->other_runs->len;
+               j++)
+            {
+              const struct cell_other_run *r
+                  = g_ptr_array_index (k->other_runs, j);
+
+              if (r->account == a)
+                others = amount_add (others, r->amount);
+            }
+        }
+      if (memcmp (&sum, &a->assigned, sizeof sum) != 0
+          || memcmp (&others, &a->others, sizeof others) != 0)
+        g_error ("seed %u: total of %s at %" G_GINT64_FORMAT, seed, name,
+                 w->now_ms);
+    }
+}
+
+static void
+submit_some (struct world *w, int *submitted)
+{
+  for (int i = 0; i < 2 && *submitted < JOBS; i++)
+    {
+      char *id = g_strdup_printf ("%016x", FIRST_JOB + *submitted);
+      char account[] = { (char)('a' + *submitted % 3), '\0' };
+      struct job_spec *spec = world_of_account (
+          world_job (w, id, 1 + *submitted % 2, 4), account);
+
+      first_step (spec)->is_gang = *submitted % 5 == 2;
+      first_step (spec)->is_best_effort = *submitted % 5 == 3;
+      first_step (spec)->max_per_worker = *submitted % 4 == 1;
+      if (*submitted % 7 == 4)
+        {
+          spec->occurrences = 3;
+          spec->first_occurrence_ms = w->now_ms + 500;
+          spec->interval_ms = 700;
+        }
+      world_submit (w, spec);
+      ++*submitted;
+      g_free (id);
+    }
+}
+
+static void
+inject_fault (struct world *w)
+{
+  struct world_worker *worker
+      = &w->workers[g_rand_int_range (w->rand, 0, WORLD_WORKERS)];
+  char account[] = { (char)g_rand_int_range (w->rand, 'a', 'd'), '\0' };
+  uint32_t n = (uint32_t)g_rand_int_range (w->rand, 4, 12);
+  char *id;
+
+  switch (g_rand_int_range (w->rand, 0, 10))
+    {
+    case 0:
+      world_take_over (w, false, 0);
+      break;
+    case 1:
+      world_take_over (w, true, 0);
+      break;
+    case 2:
+      world_take_over (w, false, g_rand_int_range (w->rand, 500, 8000));
+      break;
+    case 3:
+    case 4:
+      worker->reachable = false;
+      break;
+    case 5:
+      world_crash (w, worker, true);
+      break;
+    case 6:
+      w->is_store_unreachable = true;
+      break;
+    case 7:
+      world_set_account (w, account, tasks (n), 1);
+      break;
+    case 8:
+      id = g_strdup_printf ("%016x",
+                            FIRST_JOB + g_rand_int_range (w->rand, 0, JOBS));
+      cell_cancel (w->cell, id, 0, w->now_ms);
+      g_free (id);
+      break;
+    default:
+      world_grant (w, account, tasks (n));
+    }
+}
+
+static void
+run_seed (uint32_t seed)
+{
+  struct world *w = world_new (seed);
+  int submitted = 0;
+
+  w->run_ms = 1200;
+  w->faults = (struct world_faults){ .start_lost = 5,
+                                     .start_late = 5,
+                                     .append_lost = 5,
+                                     .append_refused = 5,
+                                     .task_fails = 3 };
+  for (char name[] = "a"; name[0] <= 'c'; name[0]++)
+    {
+      world_set_account (w, name, tasks (8), 1);
+      world_grant (w, name, tasks (6));
+    }
+  for (int i = 0; i < ROUNDS; i++)
+    {
+      submit_some (w, &submitted);
+      inject_fault (w);
+      for (int n = g_rand_int_range (w->rand, 1, 30); n > 0; n--)
+        {
+          world_run (w, 50);
+          check_totals (w, seed);
+        }
+      if (g_rand_int_range (w->rand, 0, 3) > 0)
+        continue;
+      w->is_store_unreachable = false;
+      for (int k = 0; k < WORLD_WORKERS; k++)
+        w->workers[k].reachable = true;
+    }
+  w->is_store_unreachable = false;
+  w->faults = (struct world_faults){ 0 };
+  for (int k = 0; k < WORLD_WORKERS; k++)
+    w->workers[k].reachable = true;
+  for (char name[] = "a"; name[0] <= 'c'; name[0]++)
+    world_grant (w, name, tasks (12));
+  world_run (w, 45000);
+  world_assert_all_ended (w, seed, FIRST_JOB, submitted);
+  check_totals (w, seed);
+  world_destroy (w);
+}
+
+/* Guards against an account that really runs more than its cell holds or
+   reports as used, and against totals that drift, while owners are replaced,
+   workers unreachable, starts lost or late, and caps and allotments change. */
+static void
+test_seeds (void)
+{
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    run_seed (seed);
+}
+
+int
+main (int argc, char **argv)
+{
+  if (argc == 3 && strcmp (argv[1], "--seed") == 0)
+    {
+      run_seed ((uint32_t)strtoul (argv[2], NULL, 10));
+      return 0;
+    }
+  g_test_init (&argc, &argv, NULL);
+  g_test_add_func ("/accounts/allotment",
+                   test_tasks_start_within_the_allotment);
+  g_test_add_func ("/accounts/gang", test_gang_starts_whole);
+  g_test_add_func ("/accounts/others", test_other_accounts_go_on);
+  g_test_add_func ("/accounts/lower-cap", test_lower_cap_scales_at_once);
+  g_test_add_func ("/accounts/rescaling", test_rescaling);
+  g_test_add_func ("/accounts/impossible", test_impossible_jobs_fail);
+  g_test_add_func ("/accounts/outdated", test_outdated_calls_are_not_applied);
+  g_test_add_func ("/accounts/removed", test_removed_accounts_go_on);
+  g_test_add_func ("/accounts/share", test_full_cell_is_shared_by_weight);
+  g_test_add_func ("/accounts/dominant-share", test_dominant_share);
+  g_test_add_func ("/accounts/load", test_load_has_only_what_is_allowed);
+  g_test_add_func ("/accounts/metrics", test_metrics_are_bounded);
+  g_test_add_func ("/accounts/seeds", test_seeds);
+  return g_test_run ();
+}
