--- a/tests/unit/test_cell_accounts.c
+++ b/tests/unit/test_cell_accounts.c
@@ -358,6 +358,84 @@
   world_destroy (w);
 }
 
+/* Guards against a run that a new owner does not count, as its job has ended
+   and the journal keeps only the state of such a job; and against
+   specifications that the journal keeps for ever. */
+static void
+test_runs_of_ended_jobs_count_after_takeover (void)
+{
+  for (int is_reported = 0; is_reported < 2; is_reported++)
+    {
+      struct world *w = world_new (1);
+      struct world_worker *k;
+
+      w->run_ms = 500000;
+      world_set_account (w, "a", no_cap, 1);
+      world_grant (w, "a", tasks (4));
+      world_submit (w, job_of (w, WORLD_JOB, 3, "a"));
+      world_run (w, 300);
+      k = world_find_run (w, WORLD_JOB ".0.0.0");
+      k->reachable = false;
+      world_run (w, is_reported ? 1500 : 100);
+      cell_cancel (w->cell, WORLD_JOB, 0, w->now_ms);
+      world_run (w, 300);
+      world_take_over (w, false, 0);
+      world_grant (w, "a", tasks (4));
+      g_assert_cmpuint (count_real (w, "a"), >, 0);
+      world_run (w, 30000);
+      g_assert_cmpint (world_state (w, WORLD_JOB), ==, JOB_CANCELLED);
+      g_assert_cmpuint (
+          ((struct account_row *)g_ptr_array_index (w->report->rows, 0))
+              ->used.cpu_milli,
+          ==, 0);
+      g_assert_false (g_hash_table_contains (w->journal, "j:" WORLD_JOB));
+      world_assert_no_violations (w);
+      world_destroy (w);
+    }
+}
+
+/* Guards against a second run of a task that is done, on a worker that does
+   not answer, which the cell or its next owner does not count.  DELAY_MS
+   varies when the workers change places within their intervals of holds. */
+static void
+play_given_up_run (int64_t delay_ms)
+{
+  struct world *w = world_new (1);
+  struct world_worker *first, *second;
+
+  world_set_account (w, "a", no_cap, 1);
+  world_grant (w, "a", tasks (4));
+  world_submit (w, job_of (w, WORLD_JOB, 1, "a"));
+  world_run (w, 100);
+  first = world_find_run (w, WORLD_JOB ".0.0.0");
+  first->reachable = false;
+  w->run_ms = 500000;
+  world_run (w, 6000 + delay_ms);
+  second = world_find_run (w, WORLD_JOB ".0.0.0");
+  g_assert_true (second != NULL && second != first);
+  second->reachable = false;
+  first->reachable = true;
+  world_run (w, 1500);
+  g_assert_cmpint (world_state (w, WORLD_JOB), ==, JOB_COMPLETED);
+  world_take_over (w, false, 0);
+  world_grant (w, "a", tasks (4));
+  g_assert_cmpuint (count_real (w, "a"), ==, 1);
+  world_run (w, 20000);
+  g_assert_cmpuint (
+      ((struct account_row *)g_ptr_array_index (w->report->rows, 0))
+          ->used.cpu_milli,
+      ==, 0);
+  world_assert_no_violations (w);
+  world_destroy (w);
+}
+
+static void
+test_given_up_runs_count (void)
+{
+  for (int64_t delay_ms = 0; delay_ms < 1000; delay_ms += 100)
+    play_given_up_run (delay_ms);
+}
+
 /* Check the running totals of the accounts against sums from scratch. */
 static void
 check_totals (const struct world *w, uint32_t seed)
@@ -431,7 +509,7 @@
   uint32_t n = (uint32_t)g_rand_int_range (w->rand, 4, 12);
   char *id;
 
-  switch (g_rand_int_range (w->rand, 0, 10))
+  switch (g_rand_int_range (w->rand, 0, 11))
     {
     case 0:
       world_take_over (w, false, 0);
@@ -453,9 +531,14 @@
       w->is_store_unreachable = true;
       break;
     case 7:
-      world_set_account (w, account, tasks (n), 1);
+      world_heal_partition (w);
+      world_partition (w, (uint32_t)g_rand_int_range (w->rand, 0, 64));
+      world_take_over (w, false, 8000);
       break;
     case 8:
+      world_set_account (w, account, tasks (n), 1);
+      break;
+    case 9:
       id = g_strdup_printf ("%016x",
                             FIRST_JOB + g_rand_int_range (w->rand, 0, JOBS));
       cell_cancel (w->cell, id, 0, w->now_ms);
@@ -494,11 +577,11 @@
         }
       if (g_rand_int_range (w->rand, 0, 3) > 0)
         continue;
-      w->is_store_unreachable = false;
+      world_heal_partition (w);
       for (int k = 0; k < WORLD_WORKERS; k++)
         w->workers[k].reachable = true;
     }
-  w->is_store_unreachable = false;
+  world_heal_partition (w);
   w->faults = (struct world_faults){ 0 };
   for (int k = 0; k < WORLD_WORKERS; k++)
     w->workers[k].reachable = true;
@@ -542,6 +625,9 @@
   g_test_add_func ("/accounts/dominant-share", test_dominant_share);
   g_test_add_func ("/accounts/load", test_load_has_only_what_is_allowed);
   g_test_add_func ("/accounts/metrics", test_metrics_are_bounded);
+  g_test_add_func ("/accounts/ended-jobs",
+                   test_runs_of_ended_jobs_count_after_takeover);
+  g_test_add_func ("/accounts/given-up-runs", test_given_up_runs_count);
   g_test_add_func ("/accounts/seeds", test_seeds);
   return g_test_run ();
 }
--- a/tests/unit/test_job.c
+++ b/tests/unit/test_job.c
@@ -59,6 +59,60 @@
   job_spec_destroy (spec);
 }
 
+/* Guards against a new owner that does not know whose job it has loaded. */
+static void
+test_account_is_encoded (void)
+{
+  struct job_spec *spec = make_two_step_job ();
+  GBytes *bytes;
+  struct job_spec *copy;
+
+  g_free (spec->account);
+  spec->account = g_strdup ("a \"name\"");
+  spec->priority = 7;
+  bytes = job_spec_to_bytes (spec);
+  copy = job_spec_from_bytes (bytes);
+  g_assert_nonnull (copy);
+  g_assert_cmpstr (copy->account, ==, "a \"name\"");
+  g_assert_cmpstr (copy->id, ==, spec->id);
+  g_assert_cmpuint (copy->priority, ==, 7);
+  g_assert_cmpuint (copy->steps->len, ==, 2);
+  job_spec_destroy (copy);
+  g_bytes_unref (bytes);
+  job_spec_destroy (spec);
+}
+
+/* Guards against journals and nodes of a release without accounts that this
+   one can't read, and against jobs without an account that they can't read.
+   The text is make_two_step_job with the queue "q" and the priority 2, as
+   encoded by commit 6328d7b. */
+static void
+test_earlier_encoding_is_kept (void)
+{
+  static const char earlier[]
+      = "MDAwMDAwMDAwMDAwMDBhMQBxAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA"
+        "AAAAIAAAABAAAAAAAAAAAAAAAAAPA/AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAwAA"
+        "APQBAAAAAAAAAAAAAJABAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAC"
+        "EgHxgDAAAA9AEAAAAAAAAAAAAAkQEAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA"
+        "AAAAAAAAAAAAAAAAAAAlJCMcOHgVFBMR";
+  gsize size;
+  guchar *data = g_base64_decode (earlier, &size);
+  GBytes *bytes = g_bytes_new_take (data, size);
+  struct job_spec *spec = job_spec_from_bytes (bytes);
+  GBytes *again;
+
+  g_assert_nonnull (spec);
+  g_assert_cmpstr (spec->account, ==, "");
+  g_assert_cmpstr (spec->queue, ==, "q");
+  g_assert_cmpuint (spec->priority, ==, 2);
+  g_assert_cmpint (job_spec_critical_path_ms (spec), ==, 801);
+  again = job_spec_to_bytes (spec);
+  g_assert_true (g_bytes_equal (bytes, again));
+  g_bytes_unref (again);
+  g_bytes_unref (bytes);
+  job_spec_destroy (spec);
+}
+
 static void
 assert_invalid (struct job_spec *spec)
 {
@@ -154,6 +208,8 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/job/encoding", test_encoding_round_trip);
+  g_test_add_func ("/job/account", test_account_is_encoded);
+  g_test_add_func ("/job/earlier-encoding", test_earlier_encoding_is_kept);
   g_test_add_func ("/job/refused", test_invalid_jobs_are_refused);
   g_test_add_func ("/job/garbage", test_malformed_bytes_are_refused);
   g_test_add_func ("/job/names", test_ids_and_task_names);
