--- a/src/cell_accounts.c
+++ b/src/cell_accounts.c
@@ -105,6 +105,8 @@
     {
       struct cell_account *a = g_ptr_array_index (s->list, i);
 
+      if (accounts == NULL)
+        a->allotment = (struct account_amount){ 0 };
       if (!a->is_configured || accounts == NULL
           || accounts_find (accounts, a->name) != NULL)
         continue;
--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -3,7 +3,8 @@
 #include <string.h>
 
 /* The journal holds these records by key:
-   "j:JOB"     the specification of a job that has not ended
+   "j:JOB"     the specification of a job that has not ended, or that may have
+               runs which count for its account
    "p:JOB"     the progress or the final state of a job
    "o:EPOCH"   the address of an owner, see cell_owners.c
    "w:WORKER"  the last end of a worker's runs that was processed, and what
--- a/tests/unit/test_cell.c
+++ b/tests/unit/test_cell.c
@@ -106,6 +106,24 @@
   world_destroy (w);
 }
 
+/* Guards against a job that runs though it was cancelled in the append that
+   journaled it: its specification outlasted the record of its end. */
+static void
+test_a_job_cancelled_at_once_leaves_no_record (void)
+{
+  struct world *w = world_new (1);
+  uint64_t token = world_submit (w, world_job (w, JOB, 1, 1)) + 1000;
+
+  cell_cancel (w->cell, JOB, token, w->now_ms);
+  world_run (w, 130000);
+  g_assert_cmpint (world_answer (w, token), ==, CELL_STORED);
+  g_assert_false (g_hash_table_contains (w->journal, "j:" JOB));
+  world_take_over (w, false, 0);
+  world_run (w, 3000);
+  g_assert_cmpuint (w->starts, ==, 0);
+  world_destroy (w);
+}
+
 static void
 test_a_cancelled_job_stays_cancelled_over_a_takeover (void)
 {
@@ -513,6 +531,8 @@
                    test_jobs_are_accepted_once_the_store_is_back);
   g_test_add_func ("/cell/unknown-outcome",
                    test_an_append_with_unknown_outcome_is_retried);
+  g_test_add_func ("/cell/cancelled-at-once",
+                   test_a_job_cancelled_at_once_leaves_no_record);
   g_test_add_func ("/cell/cancelled",
                    test_a_cancelled_job_stays_cancelled_over_a_takeover);
   g_test_add_func ("/cell/adopt", test_a_new_owner_adopts_runs);
