Count no workers for the spread of tasks that an allotment holds back

A service whose account has no allotment left kept the pool at the width of its spread, though none of its tasks could start. The pool's load counts such a step's running tasks only. Measured: /accounts/load checks workers_min; it passes.

--- a/src/cell_load.c
+++ b/src/cell_load.c
@@ -36,10 +36,29 @@
   return wanted;
 }
 
+/* Return how many tasks of STEP of JOB run or, with COUNTS_WAITING, may. */
+static uint32_t
+tasks_of_step (const struct cell_job *job, guint step, bool counts_waiting)
+{
+  const struct job_step *s = g_ptr_array_index (job->spec->steps, step);
+  uint32_t n = 0;
+
+  if (counts_waiting)
+    return s->count;
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      const struct cell_occurrence *o
+          = g_ptr_array_index (job->occurrences, i);
+
+      n += o->unfinished[step] - o->waiting[step];
+    }
+  return n;
+}
+
 /* Return the number of workers that the long-running steps of JOB need for
    their limit of tasks on one worker; the steps may share workers. */
 static uint32_t
-workers_needed_for_spread (const struct cell_job *job)
+workers_needed_for_spread (const struct cell_job *job, bool counts_waiting)
 {
   uint32_t most = 0;
 
@@ -48,8 +67,9 @@
       const struct job_step *s = g_ptr_array_index (job->spec->steps, i);
 
       if (s->is_long_running && s->max_per_worker > 0)
-        most = MAX (most,
-                    (s->count + s->max_per_worker - 1) / s->max_per_worker);
+        most = MAX (most, (tasks_of_step (job, i, counts_waiting)
+                           + s->max_per_worker - 1)
+                              / s->max_per_worker);
     }
   return most;
 }
@@ -171,7 +191,11 @@
         startable_long_running_milli += wanted_milli;
       if (job->is_long_running && cell_account_is_limited (cell, job->account))
         l->cpu_long_running_milli += wanted_milli;
-      l->workers_min = MAX (l->workers_min, workers_needed_for_spread (job));
+      l->workers_min = MAX (
+          l->workers_min,
+          workers_needed_for_spread (
+              job, wanted_milli > 0
+                       || !cell_account_is_limited (cell, job->account)));
       l->cpu_long_running_milli += long_running_cpu (cell, job);
     }
   /* A long-running task has found no worker, even if the pool's total capacity
--- a/tests/unit/test_cell_accounts.c
+++ b/tests/unit/test_cell_accounts.c
@@ -320,6 +320,7 @@
   world_submit (w, job_of (w, "0000000000000001", 5, "a"));
   world_run (w, 300);
   first_step (service)->is_long_running = true;
+  first_step (service)->max_per_worker = 1;
   world_submit (w, service);
   world_submit (w, job_of (w, "0000000000000003", 200, ""));
   world_run (w, 300);
@@ -327,6 +328,7 @@
   g_assert_cmpuint (l->cpu_used_milli, ==, 96000);
   g_assert_cmpuint (l->cpu_wanted_milli, ==, (200 - 94) * 1000);
   g_assert_cmpuint (l->cpu_long_running_milli, ==, 0);
+  g_assert_cmpuint (l->workers_min, ==, 0);
   pool_load_destroy (l);
   world_destroy (w);
 }
