Decode a job only in the form that its bytes have

A job with an account was first read in the form without one, where its bytes may read as a long list of steps. The form is checked before anything is decoded.

--- a/src/job.c
+++ b/src/job.c
@@ -361,18 +361,24 @@
   bool has_account = strcmp (type, ACCOUNT_SPEC_TYPE) == 0;
   GVariant *v = g_variant_ref_sink (
       g_variant_new_from_bytes (G_VARIANT_TYPE (type), bytes, FALSE));
-  GVariant *inner
-      = has_account ? g_variant_get_child_value (v, 1) : g_variant_ref (v);
-  struct job_spec *s = spec_from_variant (inner);
-  bool is_whole = g_variant_is_normal_form (v);
+  GVariant *inner;
+  struct job_spec *s;
 
+  /* Bytes of the other form may read as a long list of steps. */
+  if (!g_variant_is_normal_form (v))
+    {
+      g_variant_unref (v);
+      return NULL;
+    }
+  inner = has_account ? g_variant_get_child_value (v, 1) : g_variant_ref (v);
+  s = spec_from_variant (inner);
   if (has_account)
     g_variant_get_child (v, 0, "s", &s->account);
   else
     s->account = g_strdup ("");
   g_variant_unref (inner);
   g_variant_unref (v);
-  if (is_whole && job_id_is_valid (s->id) && job_spec_check (s, NULL))
+  if (job_id_is_valid (s->id) && job_spec_check (s, NULL))
     return s;
   job_spec_destroy (s);
   return NULL;
