Grant a removed account nothing of its own once it is configured again

What a removed account was allotted is no part of a later cap, and the load of its pool counted no machine for the one task that it may start.

--- a/src/cell_account_figures.c
+++ b/src/cell_account_figures.c
@@ -12,6 +12,7 @@
       struct cell_account *a = g_ptr_array_index (c->accounts->list, i);
 
       a->budget = amount_subtract (a->allotment, cell_account_use (a));
+      a->may_start_one = cell_account_may_start_one (a, c->last_placement_ms);
     }
 }
 
@@ -28,6 +29,11 @@
   allowed = amount_count_fitting (a->budget, cell_step_amount (s), count);
   if (s->is_gang && allowed < count)
     allowed = 0;
+  if (allowed == 0 && a->may_start_one)
+    {
+      a->may_start_one = false;
+      return s->is_gang ? count : 1;
+    }
   a->budget = amount_subtract (a->budget,
                                amount_times (cell_step_amount (s), allowed));
   return allowed;
--- a/src/cell_accounts.c
+++ b/src/cell_accounts.c
@@ -80,6 +80,9 @@
   struct cell_account *a = cell_account_get (c, account->name, now_ms);
   struct account_amount cap = account_cap_limit (account->cap);
 
+  /* What it was allotted as a removed account is no part of the cap. */
+  if (!a->is_configured)
+    a->allotment = (struct account_amount){ 0 };
   if (!amount_fits (a->cap, (struct account_amount){ 0 }, cap))
     {
       a->allotment
@@ -343,13 +346,13 @@
     }
 }
 
-/* Return whether the configuration has certainly no longer A. */
-static bool
-is_removed (const struct cell_account *a, int64_t now_ms)
+bool
+cell_account_may_start_one (const struct cell_account *a, int64_t now_ms)
 {
   return !a->is_configured
          && (a->unconfigured_ms == G_MININT64
-             || now_ms > a->unconfigured_ms + UNCONFIGURED_AFTER_MS);
+             || now_ms > a->unconfigured_ms + UNCONFIGURED_AFTER_MS)
+         && amount_is_zero (cell_account_use (a));
 }
 
 static void
@@ -381,7 +384,7 @@
   needed = amount_times (
       cell_step_amount (g_ptr_array_index (job->spec->steps, step)), count);
   if (amount_fits (used, needed, a->allotment)
-      || (is_removed (a, now_ms) && amount_is_zero (used)))
+      || cell_account_may_start_one (a, now_ms))
     return true;
   note_held_back (c, job, needed);
   return false;
--- a/src/cell_accounts.h
+++ b/src/cell_accounts.h
@@ -24,6 +24,7 @@
   struct account_amount unseen;   /* bound of unseen runs of earlier owners */
   struct account_amount wanted;   /* of ready waiting tasks, as last summed */
   struct account_amount budget;   /* left for tasks in a count of the load */
+  bool may_start_one;             /* in that count, beyond the budget */
   uint32_t waiting_tasks;         /* as last summed */
   bool is_over_share;
   bool is_held_back;        /* a task did not fit the allotment */
@@ -48,8 +49,8 @@
 {
   bool is_on; /* accounts are configured */
   GHashTable *by_name;
-  GPtrArray *list; /* struct cell_account *; the first one is for jobs without
-                      an account, then in the order of their appearance */
+  GPtrArray *list; /* struct cell_account *, in the order of their appearance
+                    */
   double mean_weight;
   uint64_t ledger_epoch;   /* highest seen */
   uint64_t report;         /* number of the latest report */
@@ -70,6 +71,9 @@
 /* Return whether A needs an allotment. */
 bool cell_account_is_limited (const struct cell *c,
                               const struct cell_account *a);
+/* Return whether A was removed from the configuration and uses nothing, so
+   that it may start one task or gang. */
+bool cell_account_may_start_one (const struct cell_account *a, int64_t now_ms);
 /* Return whether tasks of A run or wait, the latter as last summed. */
 bool cell_account_has_work (const struct cell_account *a);
 /* Sum for each account what its waiting tasks need that could start. */
--- a/tests/unit/test_cell_accounts.c
+++ b/tests/unit/test_cell_accounts.c
@@ -234,8 +234,9 @@
   world_destroy (w);
 }
 
-/* Guards against jobs that never end, as their account was removed, and
-   against limits where no accounts are configured any more. */
+/* Guards against jobs that never end, as their account was removed, against
+   allotments from then once it is configured again, and against limits where
+   no accounts are configured any more. */
 static void
 test_removed_accounts_go_on (void)
 {
@@ -255,7 +256,17 @@
   g_assert_cmpint (world_state (w, "0000000000000002"), ==, JOB_PENDING);
   world_run (w, 10000);
   g_assert_cmpint (world_state (w, "0000000000000002"), ==, JOB_COMPLETED);
+  world_submit (w, job_of (w, "0000000000000004", 1, "a"));
+  w->run_ms = 60000;
+  world_run (w, 200);
+  g_assert_cmpuint (count_real (w, "a"), ==, 1);
+  world_set_account (w, "a", tasks (50), 1);
+  world_crash (w, world_find_run (w, "0000000000000004.0.0.0"), true);
+  world_run (w, 2000);
+  g_assert_cmpuint (count_real (w, "a"), ==, 0);
+  w->run_ms = 500;
   world_submit (w, job_of (w, "0000000000000003", 8, "b"));
+  g_clear_pointer (&w->accounts, accounts_destroy);
   cell_set_accounts (w->cell, NULL, w->now_ms);
   world_run (w, 1500);
   g_assert_cmpint (world_state (w, "0000000000000003"), ==, JOB_COMPLETED);
