Let an owner whose processor is taken away hand its cells over at once

A busy owner started 100 tasks between two appends, and callers were refused after 800 ms. Change: an owner whose event loop runs fewer than 6 times a second, late at least twice, releases its cells and leaves the group for 6 s; a placement starts at most 48 tasks.

--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -13,6 +13,10 @@
 #define PREEMPT_DELAY_MS 400
 /* Minimum interval between two preemptions for the same task. */
 #define PREEMPT_INTERVAL_MS 500
+/* Maximum number of starts in a placement.  More would keep the event loop of
+   a busy owner from accepting jobs: callers were refused after 800 ms while
+   it started 100 tasks every 100 ms. */
+#define PLACEMENT_MAX_STARTS 48
 /* Minimum interval between two "cell-unsettled" events. */
 #define UNSEEN_RUNS_LOG_INTERVAL_MS 1000
 
@@ -55,6 +59,7 @@
   t->is_stop_acknowledged = false;
   cell_worker_assign_task (w, t);
   cell_task_set_phase (t, TASK_STARTING, now_ms);
+  c->starts_left -= MIN (c->starts_left, 1);
   cell_send_start (c, t, now_ms);
 }
 
@@ -167,7 +172,8 @@
       place_gang (c, o, step, now_ms);
       return;
     }
-  for (uint32_t i = 0; i < s->count && o->waiting[step] > 0; i++)
+  for (uint32_t i = 0;
+       i < s->count && o->waiting[step] > 0 && c->starts_left > 0; i++)
     {
       struct cell_task *t = &o->tasks[o->first_task[step] + i];
       struct cell_worker *w;
@@ -258,7 +264,8 @@
   cell_update_suspect_policy (c);
   cell_accounts_begin_placement (c, now_ms);
   cell_order_jobs (c, now_ms);
-  for (guint i = 0; i < c->open_jobs->len;)
+  c->starts_left = PLACEMENT_MAX_STARTS;
+  for (guint i = 0; i < c->open_jobs->len && c->starts_left > 0;)
     {
       struct cell_job *job = g_ptr_array_index (c->open_jobs, i);
 
@@ -269,5 +276,6 @@
       i++;
     }
   c->is_placing = false;
+  c->needs_placement = c->needs_placement || c->starts_left == 0;
   cell_accounts_end_placement (c, now_ms);
 }
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -235,6 +235,7 @@
   struct worker_resources no_room[CELL_NO_ROOM_MAX];
   uint32_t n_no_room;
   bool is_placing;
+  uint32_t starts_left;    /* in this placement */
   bool is_every_run_known; /* no worker may have unseen runs */
   int64_t unseen_runs_logged_ms;
   uint64_t accepted_jobs; /* accepted; neither long-running nor repeated */
--- a/src/node.c
+++ b/src/node.c
@@ -145,6 +145,7 @@
   if (n->last_tick_ms != 0 && now_ms > n->last_tick_ms + LOOP_PAUSE_MIN_MS)
     event_log ("paused", n->address, "for_ms=%" G_GINT64_FORMAT,
                now_ms - n->last_tick_ms);
+  owner_count_tick (n, now_ms);
   n->last_tick_ms = now_ms;
   update_wall_offset (n, now_ms);
   directory_tick (n, now_ms);
--- a/src/node_owner.c
+++ b/src/node_owner.c
@@ -36,6 +36,20 @@
    its part, once the membership has been stable for MEMBERSHIP_STABLE_MS. */
 #define CELLS_TARGET 2
 #define MEMBERSHIP_STABLE_MS 3000
+/* An owner whose event loop has run fewer than LOOP_MIN_TICKS times in
+   LOOP_WINDOW_MS is too slow for its cells: its processor is taken away, as
+   one that is merely busy runs it ten times as often.  Callers of its cells
+   would be timed out until a watching node gets no answer any more. */
+#define LOOP_WINDOW_MS 1000
+#define LOOP_MIN_TICKS 6
+/* A tick after such an interval is late.  A single late one is a pause of the
+   process, which is over. */
+#define LATE_TICK_MS 100
+#define LATE_TICKS_MIN 2
+/* How long such a node takes no cells, and at least how long it then keeps
+   those that it takes: if all nodes are slow, cells must not go round. */
+#define SLOW_LEAVE_MS 6000
+#define SLOW_KEEP_MS 20000
 
 bool
 owner_is_reserve (const struct node *n)
@@ -223,6 +237,13 @@
 {
   struct owner_state *o = &n->ownership;
 
+  if (o->has_left && o->return_ms != 0 && now_ms >= o->return_ms
+      && !n->is_stopping)
+    {
+      o->has_left = false;
+      o->return_ms = 0;
+      o->generation = 0;
+    }
   if (!o->has_left)
     release_surplus_cell (n, now_ms);
   if (o->has_left || o->is_joining || now_ms < o->next_join_ms)
@@ -261,6 +282,44 @@
   store_leave (n->store, member_group (n), n->address, on_left, n);
 }
 
+static bool
+owns_cell (const struct node *n)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, n->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    if (((const struct cell_host *)value)->phase == HOST_ACTIVE)
+      return true;
+  return false;
+}
+
+void
+owner_count_tick (struct node *n, int64_t now_ms)
+{
+  struct owner_state *o = &n->ownership;
+  uint32_t ticks = ++o->window_ticks;
+  uint32_t late_ticks;
+
+  if (now_ms > n->last_tick_ms + LATE_TICK_MS)
+    o->window_late_ticks++;
+  if (now_ms < o->window_begin_ms + LOOP_WINDOW_MS)
+    return;
+  late_ticks = o->window_late_ticks;
+  o->window_begin_ms = now_ms;
+  o->window_ticks = 0;
+  o->window_late_ticks = 0;
+  if (late_ticks < LATE_TICKS_MIN || ticks >= LOOP_MIN_TICKS || o->has_left
+      || !owns_cell (n) || now_ms < o->keep_until_ms)
+    return;
+  event_log ("owner-slow", n->address, "ticks=%u late=%u window_ms=%d", ticks,
+             late_ticks, LOOP_WINDOW_MS);
+  owner_leave (n);
+  o->return_ms = now_ms + SLOW_LEAVE_MS;
+  o->keep_until_ms = o->return_ms + SLOW_KEEP_MS;
+}
+
 void
 owner_clear (struct node *n)
 {
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -109,6 +109,11 @@
   int64_t next_join_ms;
   bool is_joining;
   bool has_left;
+  int64_t return_ms;       /* when to join again, if it left as it was slow */
+  int64_t keep_until_ms;   /* it does not leave as slow before then */
+  int64_t window_begin_ms; /* of the ticks counted to notice that */
+  uint32_t window_ticks;
+  uint32_t window_late_ticks;
   GArray *parts;      /* uint32_t, this node's */
   GHashTable *owners; /* service to "IP:PORT", see owner_record */
   /* Service to GPtrArray of struct journal_entry *, for the next owner. */
@@ -231,6 +236,9 @@
 void owner_tick (struct node *n, int64_t now_ms);
 /* Release all cells and leave the group. */
 void owner_leave (struct node *n);
+/* Count a tick of the event loop.  If ticks are so late that this node can't
+   serve its cells, release them to other nodes for a while. */
+void owner_count_tick (struct node *n, int64_t now_ms);
 void owner_clear (struct node *n);
 /* Watch the cells of this node's parts, and stop watching all others. */
 void owner_update_hosts (struct node *n, int64_t now_ms);
