Divide the accounts' caps among the cells by a ledger at the fleet's owner

Cause: each cell has its own owner and starts tasks in parallel, so nothing kept an account within its cap over all cells. Messages carry the configuration's version, and allotments change only where all versions are equal: otherwise a cell with the old, higher cap could get what another has given up for the lower one. The cell's side is a placeholder.

--- a/src/account_report.c
+++ b/src/account_report.c
@@ -2,9 +2,9 @@
 
 #define AMOUNT_TYPE "(ttt)"
 #define ROW_TYPE "(s" AMOUNT_TYPE AMOUNT_TYPE AMOUNT_TYPE ")"
-#define REPORT_TYPE "(tta" ROW_TYPE ")"
+#define REPORT_TYPE "(ttxa" ROW_TYPE ")"
 #define ALLOTMENT_TYPE "(s" AMOUNT_TYPE ")"
-#define CALL_TYPE "(ttta" ALLOTMENT_TYPE ")"
+#define CALL_TYPE "(tttxa" ALLOTMENT_TYPE ")"
 
 static void
 row_destroy (gpointer p)
@@ -101,8 +101,9 @@
           r->account, amount_to_variant (r->held), amount_to_variant (r->used),
           amount_to_variant (r->wanted));
     }
-  return variant_to_bytes (
-      g_variant_new (REPORT_TYPE, report->cell_epoch, report->number, &rows));
+  return variant_to_bytes (g_variant_new (REPORT_TYPE, report->cell_epoch,
+                                          report->number,
+                                          report->config_version, &rows));
 }
 
 struct account_report *
@@ -117,7 +118,8 @@
   if (v == NULL)
     return NULL;
   report = account_report_new ();
-  g_variant_get (v, REPORT_TYPE, &report->cell_epoch, &report->number, &rows);
+  g_variant_get (v, REPORT_TYPE, &report->cell_epoch, &report->number,
+                 &report->config_version, &rows);
   while (g_variant_iter_next (
       rows, "(&s@" AMOUNT_TYPE "@" AMOUNT_TYPE "@" AMOUNT_TYPE ")", &name,
       &held, &used, &wanted))
@@ -188,7 +190,7 @@
     }
   return variant_to_bytes (g_variant_new (CALL_TYPE, call->ledger_epoch,
                                           call->cell_epoch, call->report,
-                                          &allotments));
+                                          call->config_version, &allotments));
 }
 
 struct allotment_call *
@@ -204,7 +206,7 @@
     return NULL;
   call = allotment_call_new ();
   g_variant_get (v, CALL_TYPE, &call->ledger_epoch, &call->cell_epoch,
-                 &call->report, &allotments);
+                 &call->report, &call->config_version, &allotments);
   while (
       g_variant_iter_next (allotments, "(&s@" AMOUNT_TYPE ")", &name, &limit))
     allotment_call_add (call, name, amount_from_variant (limit));
--- a/src/account_report.h
+++ b/src/account_report.h
@@ -28,7 +28,8 @@
 {
   uint64_t cell_epoch;
   uint64_t number;
-  GPtrArray *rows; /* struct account_row * */
+  int64_t config_version; /* of the configuration whose caps the cell uses */
+  GPtrArray *rows;        /* struct account_row * */
 };
 
 /* The part of an account's cap that a cell may use. */
@@ -40,12 +41,14 @@
 
 /* A call of the ledger to a cell.  The cell applies the allotments only if
    CELL_EPOCH and REPORT name its latest report and LEDGER_EPOCH is not below
-   the highest that it has seen. */
+   the highest that it has seen.  The cell's node passes on only allotments of
+   its own version of the configuration. */
 struct allotment_call
 {
   uint64_t ledger_epoch;
   uint64_t cell_epoch; /* 0 before the ledger has had a report */
   uint64_t report;
+  int64_t config_version;
   GPtrArray *allotments; /* struct allotment *; an account that is not named
                             keeps its allotment */
 };
--- a/src/cell.h
+++ b/src/cell.h
@@ -1,6 +1,8 @@
 #ifndef CELL_H
 #define CELL_H
 
+#include "account_report.h"
+#include "accounts.h"
 #include "job.h"
 #include "sizing.h"
 #include "worker.h"
@@ -318,6 +320,17 @@
 
 void cell_get_stats (const struct cell *cell, struct cell_stats *figures);
 
+/* Tell the cell the accounts in force; it copies what it needs.  NULL: there
+   are none. */
+void cell_set_accounts (struct cell *cell, const struct accounts *accounts,
+                        int64_t now_ms);
+
+/* Apply CALL if it names the cell's latest report, and return the next report,
+   which the caller destroys. */
+struct account_report *
+cell_exchange_allotments (struct cell *cell, const struct allotment_call *call,
+                          int64_t now_ms);
+
 /* Return the load of the cell's pool, for sizing; the caller destroys it. */
 struct pool_load *cell_get_pool_load (const struct cell *cell);
 
--- a/src/node_directory.c
+++ b/src/node_directory.c
@@ -145,6 +145,25 @@
 
 /* Configuration and waves. */
 
+/* Tell the cells that are owned here the accounts in force. */
+static void
+update_accounts (struct node *n, int64_t now_ms)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  g_hash_table_iter_init (&iter, n->hosts);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      struct cell_host *h = value;
+
+      if (h->cell == NULL)
+        continue;
+      cell_set_accounts (h->cell, n->routes->accounts, now_ms);
+      node_schedule_run (n, h);
+    }
+}
+
 static void
 apply_routes (struct node *n, GBytes *value)
 {
@@ -170,6 +189,7 @@
              r->queues->len, r->services->len);
   routes_destroy (n->routes);
   n->routes = r;
+  update_accounts (n, node_now_ms ());
   owner_update_hosts (n, node_now_ms ());
 }
 
--- a/src/node_fleet.c
+++ b/src/node_fleet.c
@@ -70,6 +70,7 @@
     return;
   event_log ("fleet-left", "", "epoch=%" G_GUINT64_FORMAT, f->epoch);
   f->epoch = 0;
+  node_ledger_end (n);
   g_queue_clear_full (&f->writes, write_destroy);
   g_clear_pointer (&f->upkeep, upkeep_destroy);
   g_clear_pointer (&f->machines, g_ptr_array_unref);
@@ -88,10 +89,8 @@
   return epoch != 0 && f->epoch == epoch;
 }
 
-/* Return whether the store has confirmed recently that this node owns the
-   fleet. */
-static bool
-is_confirmed_owner (const struct node *n, int64_t now_ms)
+bool
+fleet_is_confirmed (const struct node *n, int64_t now_ms)
 {
   const struct cell_host *h = g_hash_table_lookup (n->hosts, FLEET_SERVICE);
 
@@ -201,6 +200,7 @@
       if (e->value != NULL)
         load_record (n, e, was_own, now_ms);
     }
+  node_ledger_begin (n, now_ms);
   event_log ("fleet-taken", "", "epoch=%" G_GUINT64_FORMAT, f->epoch);
 }
 
@@ -403,7 +403,7 @@
 
       int64_t now_ms = node_now_ms ();
 
-      if (is_confirmed_owner (n, now_ms)
+      if (fleet_is_confirmed (n, now_ms)
           && now_ms < call->emptied_ms + ORDER_EMPTIED_MAX_AGE_MS)
         {
           send_order (call);
@@ -449,7 +449,7 @@
   bool is_current = is_current_epoch (f, call->epoch);
 
   if (is_current && answer->result == FRONT_DONE && answer->number == 1
-      && is_confirmed_owner (call->node, node_now_ms ()))
+      && fleet_is_confirmed (call->node, node_now_ms ()))
     {
       call->emptied_ms = node_now_ms ();
       g_ptr_array_add (f->ready_calls, call);
@@ -757,7 +757,10 @@
 {
   struct fleet_state *f = &n->fleet;
 
-  if (f->epoch == 0 || n->is_stopping || n->settings->machines[0] == '\0')
+  if (f->epoch == 0 || n->is_stopping)
+    return;
+  node_ledger_tick (n, now_ms);
+  if (n->settings->machines[0] == '\0')
     return;
   journal_ready_orders (n);
   write_next (n);
@@ -765,7 +768,7 @@
     return;
   add_waves (n);
   if (f->is_round_running || f->orders_pending > 0 || now_ms < f->next_round_ms
-      || now_ms < f->orders_allowed_ms || !is_confirmed_owner (n, now_ms))
+      || now_ms < f->orders_allowed_ms || !fleet_is_confirmed (n, now_ms))
     return;
   f->is_round_running = true;
   machines_read (n->client, n->settings->machines, on_machines,
--- a/src/node_peers.c
+++ b/src/node_peers.c
@@ -15,6 +15,7 @@
 #define WORKERS_PATH "/v1/workers/"
 #define CELLS_PATH "/v1/cells/"
 #define LOAD_PATH "/v1/load/"
+#define ACCOUNTS_PATH "/v1/accounts/"
 #define SUCCESSOR_PATH "/v1/successor/"
 /* Query parameter with the routes_version of a request. */
 #define VERSION_PARAMETER "version"
@@ -166,10 +167,12 @@
   g_free (subject);
 }
 
+/* Send a call about the cell of SERVICE.  BODY is that of a POST, or NULL for
+   one that says nothing. */
 static void
-send_cell_call (struct node *n, const char *address, const char *method,
-                const char *prefix, const char *service,
-                http_reply_callback done, void *data)
+send_cell_call_with (struct node *n, const char *address, const char *method,
+                     const char *prefix, const char *service, GBytes *body,
+                     http_reply_callback done, void *data)
 {
   char *name = g_uri_escape_string (service, NULL, FALSE);
   char *path = g_strconcat (prefix, name, "?service=", name, NULL);
@@ -178,7 +181,12 @@
                             .timeout_ms = PROBE_TIMEOUT_MS,
                             .lane = LANE_LONG_POLLS };
 
-  if (strcmp (method, "POST") == 0)
+  if (body != NULL)
+    {
+      call.content_type = "application/octet-stream";
+      call.body = g_bytes_get_data (body, &call.body_bytes);
+    }
+  else if (strcmp (method, "POST") == 0)
     {
       call.body = "-";
       call.body_bytes = 1;
@@ -188,6 +196,26 @@
   g_free (name);
 }
 
+static void
+send_cell_call (struct node *n, const char *address, const char *method,
+                const char *prefix, const char *service,
+                http_reply_callback done, void *data)
+{
+  send_cell_call_with (n, address, method, prefix, service, NULL, done, data);
+}
+
+void
+peer_send_allotments (struct node *n, const char *address, const char *service,
+                      const struct allotment_call *call,
+                      http_reply_callback done, void *data)
+{
+  GBytes *body = allotment_call_to_bytes (call);
+
+  send_cell_call_with (n, address, "POST", ACCOUNTS_PATH, service, body, done,
+                       data);
+  g_bytes_unref (body);
+}
+
 void
 peer_probe (struct node *n, const char *address, const char *service,
             http_reply_callback done, void *data)
@@ -326,6 +354,49 @@
   pool_load_destroy (load);
 }
 
+/* Return the body of REQUEST, which the caller unrefs, or NULL if it has none
+   or is too long. */
+static GBytes *
+read_body (struct evhttp_request *request)
+{
+  struct evbuffer *in = evhttp_request_get_input_buffer (request);
+  gsize size = evbuffer_get_length (in);
+
+  if (size == 0 || size > BODY_MAX_BYTES)
+    return NULL;
+  return g_bytes_new (evbuffer_pullup (in, -1), size);
+}
+
+/* Answer a call of the ledger with the cell's report. */
+static void
+serve_allotments (struct cell_host *h, struct evhttp_request *request)
+{
+  GBytes *bytes = read_body (request);
+  struct allotment_call *call
+      = bytes != NULL ? allotment_call_from_bytes (bytes) : NULL;
+
+  if (call == NULL)
+    evhttp_send_reply (request, 400, "malformed allotments", NULL);
+  else
+    {
+      struct account_report *report
+          = host_exchange_allotments (h, call, node_now_ms ());
+      GBytes *encoded = account_report_to_bytes (report);
+      struct evbuffer *body = evbuffer_new ();
+      gsize size;
+      const void *data = g_bytes_get_data (encoded, &size);
+
+      evbuffer_add (body, data, size);
+      evhttp_send_reply (request, 200, "report", body);
+      evbuffer_free (body);
+      g_bytes_unref (encoded);
+      account_report_destroy (report);
+    }
+  allotment_call_destroy (call);
+  if (bytes != NULL)
+    g_bytes_unref (bytes);
+}
+
 static bool
 parse_verb (const char *path, enum evhttp_cmd_type method,
             enum front_verb *verb, const char **subject)
@@ -351,14 +422,11 @@
 static struct job_spec *
 read_spec (struct evhttp_request *request)
 {
-  struct evbuffer *in = evhttp_request_get_input_buffer (request);
-  gsize size = evbuffer_get_length (in);
-  GBytes *bytes;
+  GBytes *bytes = read_body (request);
   struct job_spec *spec;
 
-  if (size == 0 || size > BODY_MAX_BYTES)
+  if (bytes == NULL)
     return NULL;
-  bytes = g_bytes_new (evbuffer_pullup (in, -1), size);
   spec = job_spec_from_bytes (bytes);
   g_bytes_unref (bytes);
   return spec;
@@ -376,8 +444,8 @@
   evhttp_send_reply (request, 200, "stopped", NULL);
 }
 
-/* Serve a probe, yield or load call for the cell of OWNED, which is NULL if
-   this node does not own it.  Return false if it is another call. */
+/* Serve a probe, yield, load or allotment call for the cell of OWNED, which is
+   NULL if this node does not own it.  Return false if it is another call. */
 static bool
 serve_cell_call (struct node *n, struct evhttp_request *request,
                  const char *path, const char *service,
@@ -392,6 +460,9 @@
   else if (owned != NULL && owned->cell != NULL
            && g_str_has_prefix (path, LOAD_PATH))
     serve_load (owned, request);
+  else if (owned != NULL && owned->cell != NULL && is_post
+           && g_str_has_prefix (path, ACCOUNTS_PATH))
+    serve_allotments (owned, request);
   else
     return false;
   return true;
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -4,6 +4,7 @@
 #include "cell.h"
 #include "front.h"
 #include "http_client.h"
+#include "ledger.h"
 #include "meters.h"
 #include "node_settings.h"
 #include "order_window.h"
@@ -26,7 +27,8 @@
    node_front.c      routes callers' requests to the owner, here or elsewhere
    node_queues.c     asks all cells that may have a queue's jobs
    node_peers.c      HTTP requests between nodes
-   node_fleet.c      maintenance waves and pool sizes.
+   node_fleet.c      maintenance waves and pool sizes
+   node_ledger.c     the messages of the ledger of accounts' caps.
    Fields that end in `_ms` are times or durations of node_now_ms, unless they
    say otherwise. */
 
@@ -129,6 +131,10 @@
 struct fleet_state
 {
   uint64_t epoch;              /* 0 while another node owns the fleet */
+  struct ledger *ledger;       /* NULL while another node owns the fleet */
+  int64_t ledger_version;      /* of the routes that the ledger knows, or 0 */
+  bool may_raise;              /* the ledger may, as last logged */
+  GHashTable *silent_cells;    /* services whose silence has been logged */
   int64_t orders_allowed_ms;   /* no orders before then; 0 for none */
   struct order_log *order_log; /* of machines */
   int64_t next_write_ms;
@@ -321,6 +327,12 @@
    answer is 200 once the other node does not act under a lower epoch. */
 void peer_stop_owner (struct node *n, const char *address, const char *service,
                       uint64_t epoch, http_reply_callback done, void *data);
+/* Send CALL of the ledger to ADDRESS, which owns the cell of SERVICE.  The
+   answer is 200 with an encoded struct account_report. */
+void peer_send_allotments (struct node *n, const char *address,
+                           const char *service,
+                           const struct allotment_call *call,
+                           http_reply_callback done, void *data);
 /* Return the struct journal_entry * in the answer to peer_request_yield; the
    caller unrefs the array. */
 GPtrArray *peer_read_records (const struct http_reply *reply);
@@ -338,5 +350,22 @@
                   bool was_own, int64_t now_ms);
 void fleet_end (struct node *n);
 void fleet_tick (struct node *n, int64_t now_ms);
+/* Return whether the store has confirmed recently that this node owns the
+   fleet. */
+bool fleet_is_confirmed (const struct node *n, int64_t now_ms);
+
+/* node_ledger.c */
+/* Begin and end the ledger with the ownership of the fleet. */
+void node_ledger_begin (struct node *n, int64_t now_ms);
+void node_ledger_end (struct node *n);
+/* Send the calls that are due, if the store has confirmed the ownership
+   recently and the configuration has accounts. */
+void node_ledger_tick (struct node *n, int64_t now_ms);
+/* Let HOST's cell, which has to be active here, answer CALL.  Its allotments
+   are left out if they are of another version of the configuration.  The
+   caller destroys the report. */
+struct account_report *host_exchange_allotments (struct cell_host *host,
+                                                 struct allotment_call *call,
+                                                 int64_t now_ms);
 
 #endif
--- a/src/node_takeover.c
+++ b/src/node_takeover.c
@@ -576,6 +576,7 @@
                h->owner_at_claim);
   add_listed_workers (h, now_ms);
   cell_confirmed (h->cell, h->confirmed_ms);
+  cell_set_accounts (h->cell, h->node->routes->accounts, now_ms);
   cell_activate (h->cell, now_ms);
 }
 
