--- a/src/account_use.c
+++ b/src/account_use.c
@@ -105,27 +105,27 @@
   };
 }
 
-static uint64_t
-rescale (uint64_t allotment, uint64_t used, uint64_t former, uint64_t current)
+struct account_amount
+account_revoke_lowered (struct account_amount allotment,
+                        struct account_amount former,
+                        struct account_amount current)
 {
-  if (current >= former)
-    return allotment;
-  if (former == G_MAXUINT64)
-    return MIN (allotment, used);
-  return (uint64_t)((__extension__(unsigned __int128) allotment) * current
-                    / former);
+  return (struct account_amount){
+    current.cpu_milli < former.cpu_milli ? 0 : allotment.cpu_milli,
+    current.memory_mb < former.memory_mb ? 0 : allotment.memory_mb,
+    current.gpus < former.gpus ? 0 : allotment.gpus
+  };
 }
 
 struct account_amount
-account_rescale (struct account_amount allotment, struct account_amount used,
-                 struct account_amount former, struct account_amount current)
+account_limit (struct account_amount allotment, struct account_amount cap)
 {
+  const uint64_t none = G_MAXUINT64;
+
   return (struct account_amount){
-    rescale (allotment.cpu_milli, used.cpu_milli, former.cpu_milli,
-             current.cpu_milli),
-    rescale (allotment.memory_mb, used.memory_mb, former.memory_mb,
-             current.memory_mb),
-    rescale (allotment.gpus, used.gpus, former.gpus, current.gpus)
+    cap.cpu_milli == none ? none : allotment.cpu_milli,
+    cap.memory_mb == none ? none : allotment.memory_mb,
+    cap.gpus == none ? none : allotment.gpus
   };
 }
 
--- a/src/account_use.h
+++ b/src/account_use.h
@@ -36,15 +36,17 @@
 /* Return the limit of a cap: 0 means no limit. */
 struct account_amount account_cap_limit (struct account_amount cap);
 
-/* Return ALLOTMENT, of which USED is in use, after the cap has changed from
-   FORMER to CURRENT.  A lower cap scales it down, rounded down, so that the
-   cells' allotments stay within the new cap together.  Where there was no
-   limit before, the allotments of several cells are not bounded together, and
-   only what is used stays. */
-struct account_amount account_rescale (struct account_amount allotment,
-                                       struct account_amount used,
-                                       struct account_amount former,
-                                       struct account_amount current);
+/* Return ALLOTMENT after the cap has changed from FORMER to CURRENT: of a
+   resource whose cap is lower nothing is left until the ledger grants it anew.
+   A part of it would not do: runs of other cells may still exceed theirs. */
+struct account_amount account_revoke_lowered (struct account_amount allotment,
+                                              struct account_amount former,
+                                              struct account_amount current);
+
+/* Return what a cell with ALLOTMENT may use under CAP: a resource without a
+   cap needs no allotment. */
+struct account_amount account_limit (struct account_amount allotment,
+                                     struct account_amount cap);
 
 /* Return whether the dominant share of USED, the largest of its fractions of
    CAPACITY, exceeds WEIGHT / WEIGHT_SUM. */
--- a/src/cell_account_figures.c
+++ b/src/cell_account_figures.c
@@ -11,7 +11,8 @@
     {
       struct cell_account *a = g_ptr_array_index (c->accounts->list, i);
 
-      a->budget = amount_subtract (a->allotment, cell_account_use (a));
+      a->budget
+          = amount_subtract (cell_account_limit (a), cell_account_use (a));
       a->may_start_one = cell_account_may_start_one (a, c->last_placement_ms);
     }
 }
--- a/src/cell_accounts.c
+++ b/src/cell_accounts.c
@@ -71,6 +71,13 @@
   return c->accounts->is_on && a->name[0] != '\0';
 }
 
+struct account_amount
+cell_account_limit (const struct cell_account *a)
+{
+  return a->is_configured ? account_limit (a->allotment, a->cap)
+                          : a->allotment;
+}
+
 /* Configuration and the ledger's calls. */
 
 static void
@@ -85,8 +92,7 @@
     a->allotment = (struct account_amount){ 0 };
   if (!amount_fits (a->cap, (struct account_amount){ 0 }, cap))
     {
-      a->allotment
-          = account_rescale (a->allotment, cell_account_use (a), a->cap, cap);
+      a->allotment = account_revoke_lowered (a->allotment, a->cap, cap);
       c->accounts->is_report_outdated = true;
     }
   a->cap = cap;
@@ -383,7 +389,7 @@
   used = cell_account_use (a);
   needed = amount_times (
       cell_step_amount (g_ptr_array_index (job->spec->steps, step)), count);
-  if (amount_fits (used, needed, a->allotment)
+  if (amount_fits (used, needed, cell_account_limit (a))
       || cell_account_may_start_one (a, now_ms))
     return true;
   note_held_back (c, job, needed);
--- a/src/cell_accounts.h
+++ b/src/cell_accounts.h
@@ -71,6 +71,8 @@
 /* Return whether A needs an allotment. */
 bool cell_account_is_limited (const struct cell *c,
                               const struct cell_account *a);
+/* Return what the cell may use of A. */
+struct account_amount cell_account_limit (const struct cell_account *a);
 /* Return whether A was removed from the configuration and uses nothing, so
    that it may start one task or gang. */
 bool cell_account_may_start_one (const struct cell_account *a, int64_t now_ms);
