--- a/tests/platform/nodes.py
+++ b/tests/platform/nodes.py
@@ -28,7 +28,7 @@
     """A node process; its settings and its log are in DIRECTORY."""
 
     def __init__(self, binary, directory, platform, number,
-                 processor_share=1.0, store=None):
+                 processor_share=1.0, store=None, more_settings=None):
         self.number = number
         self.callers_port = free_port()
         self.readiness_port = free_port()
@@ -49,7 +49,8 @@
                 "worker_lease_max_ms": 6000, "stop_grace_ms": 900,
                 "early_ms": 250, "keep_state_s": 120,
                 "holder_lease_ms": 3000, "upkeep_s": 2,
-                "processor_share": processor_share}, f)
+                "processor_share": processor_share,
+                **(more_settings or {})}, f)
         self.log_file = open(
             os.path.join(directory, "node-%d.log" % number), "ab")
         self.start()
