Bound what clients' connections hold, at every listener

Cause: evhttp fills a connection's input while the answer before is not taken, without a bound, parses heads of any age, and accepts connections until the descriptors end.

Change: one module, http_server, runs the listeners for callers, readiness, other nodes and metrics. Callers' requests that are open, and other nodes', are bounded; one too many gets 503 before anything is passed on.

--- a/src/meters.c
+++ b/src/meters.c
@@ -32,6 +32,13 @@
   [METER_UPKEEPS] = "upkeeps",
   [METER_MOVES] = "moves",
   [METER_MACHINE_ORDERS_RETRIED] = "machine_orders_retried",
+  [METER_CLIENTS_CLOSED_MEMORY] = "clients_closed{reason=\"memory\"}",
+  [METER_CLIENTS_CLOSED_CONNECTIONS]
+  = "clients_closed{reason=\"connections\"}",
+  [METER_CLIENTS_CLOSED_SOURCE] = "clients_closed{reason=\"source\"}",
+  [METER_CLIENTS_CLOSED_SLOW_HEAD] = "clients_closed{reason=\"slow-head\"}",
+  [METER_CLIENTS_REFUSED] = "clients_refused",
+  [METER_REQUESTS_REFUSED_OPEN] = "requests_refused{reason=\"open\"}",
 };
 
 static const char *const histogram_names[HISTOGRAM_COUNT] = {
--- a/src/meters.h
+++ b/src/meters.h
@@ -40,6 +40,12 @@
   METER_UPKEEPS, /* upkeep orders for machines, done or refused for good */
   METER_MOVES,   /* orders to move a machine, done or refused for good */
   METER_MACHINE_ORDERS_RETRIED,
+  METER_CLIENTS_CLOSED_MEMORY,      /* connections held too much memory */
+  METER_CLIENTS_CLOSED_CONNECTIONS, /* for room for a new connection */
+  METER_CLIENTS_CLOSED_SOURCE,      /* the same, of its address */
+  METER_CLIENTS_CLOSED_SLOW_HEAD,   /* a head took too long */
+  METER_CLIENTS_REFUSED,            /* connections that found no room */
+  METER_REQUESTS_REFUSED_OPEN,      /* too many requests were open */
   METER_COUNT
 };
 
--- a/src/node.c
+++ b/src/node.c
@@ -11,6 +11,7 @@
 #include <signal.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/resource.h>
 
 /* Interval of the timer that does what is due. */
 #define TICK_INTERVAL_MS 10
@@ -32,6 +33,19 @@
    answers in about 4 ms; when it is slow, in about 300 ms. */
 #define STORE_TIMEOUT_MS 300
 #define STORE_TIMEOUT_MAX_MS 2400
+/* How the connections from clients are shared out: the callers' listener gets
+   most, the readiness check and the metrics have one client each.  No listener
+   gets less than the minimum. */
+#define CALLERS_PERCENT 75
+#define PEERS_PERCENT 19
+#define READINESS_PERCENT 3
+#define METRICS_PERCENT 3
+#define MIN_CONNECTIONS 8
+/* Limits of a request for the counters, a GET without a body. */
+#define METRICS_HEADER_BYTES 16384
+#define METRICS_BODY_BYTES 4096
+#define METRICS_HEAD_TIMEOUT_MS 3000
+#define METRICS_IDLE_MS 15000
 /* Time without a tick that is logged as a pause of the process. */
 #define LOOP_PAUSE_MIN_MS 700
 
@@ -233,14 +247,80 @@
   g_string_free (text, TRUE);
 }
 
+/* Return the number of descriptors that the process may have open.  Raises the
+   soft limit of the system to the setting if it can. */
+static uint32_t
+descriptor_limit (const struct node_settings *s)
+{
+  struct rlimit limit;
+
+  if (getrlimit (RLIMIT_NOFILE, &limit) != 0)
+    return s->max_descriptors;
+  if (limit.rlim_cur < s->max_descriptors)
+    {
+      limit.rlim_cur = MIN ((rlim_t)s->max_descriptors, limit.rlim_max);
+      setrlimit (RLIMIT_NOFILE, &limit);
+      getrlimit (RLIMIT_NOFILE, &limit);
+    }
+  return (uint32_t)MIN ((rlim_t)s->max_descriptors, limit.rlim_cur);
+}
+
+/* Return PERCENT of the connections that clients may have. */
+static uint32_t
+connection_share (const struct node *n, uint32_t percent)
+{
+  uint64_t all = (uint64_t)descriptor_limit (n->settings)
+                 * n->settings->connections_percent / 100;
+
+  return (uint32_t)MAX (all * percent / 100, MIN_CONNECTIONS);
+}
+
+static void
+start_http_server (struct node *n)
+{
+  const struct http_server_limits limits
+      = { .memory_bytes = (uint64_t)n->settings->memory_mb * 1024 * 1024
+                          * n->settings->buffer_percent / 100,
+          .source_percent = n->settings->source_percent };
+
+  n->http_server = http_server_new (n->base, n->meters, &limits);
+}
+
+static bool
+start_ingress (struct node *n, GError **error)
+{
+  const struct node_settings *s = n->settings;
+  const struct ingress_options options
+      = { .callers = s->callers,
+          .readiness = s->readiness,
+          .max_caller_connections = connection_share (n, CALLERS_PERCENT),
+          .max_readiness_connections = connection_share (n, READINESS_PERCENT),
+          .max_open_requests = s->max_open_requests,
+          .max_request_bytes
+          = (uint64_t)s->memory_mb * 1024 * 1024 * s->request_percent / 100 };
+
+  n->ingress
+      = ingress_new (n->http_server, n->front, n->meters, &options, error);
+  return n->ingress != NULL;
+}
+
 static void
 listen_metrics (struct node *n)
 {
-  n->metrics_server = evhttp_new (n->base);
-  evhttp_set_gencb (n->metrics_server, serve_metrics, n);
-  if (evhttp_bind_socket (n->metrics_server, n->settings->ip,
-                          n->settings->metrics_port)
-      != 0)
+  const struct http_listener_options options
+      = { .name = "metrics",
+          .ip = n->settings->ip,
+          .port = n->settings->metrics_port,
+          .max_connections = connection_share (n, METRICS_PERCENT),
+          .request = { .header_bytes = METRICS_HEADER_BYTES,
+                       .body_bytes = METRICS_BODY_BYTES,
+                       .head_timeout_ms = METRICS_HEAD_TIMEOUT_MS,
+                       .idle_timeout_ms = METRICS_IDLE_MS },
+          .serve = serve_metrics,
+          .data = n };
+
+  n->metrics_listener = http_server_listen (n->http_server, &options);
+  if (n->metrics_listener == NULL)
     event_log ("metrics-off", n->address, "port=%u cause=taken",
                n->settings->metrics_port);
 }
@@ -261,17 +341,16 @@
   directory_start (n);
   owner_start (n);
   n->front = front_new (n);
-  n->peer_server = peers_listen (n);
-  if (n->peer_server == NULL)
+  start_http_server (n);
+  n->peer_listener = peers_listen (n, connection_share (n, PEERS_PERCENT));
+  if (n->peer_listener == NULL)
     {
       g_set_error (error, SHED_ERROR, ERROR_UNREACHABLE,
                    "can't listen at %s; free the port or change peer_port",
                    n->address);
       return false;
     }
-  n->ingress = ingress_new (n->base, n->front, n->meters, n->settings->callers,
-                            n->settings->readiness, error);
-  if (n->ingress == NULL)
+  if (!start_ingress (n, error))
     return false;
   listen_metrics (n);
   n->run_event = event_new (n->base, -1, 0, run_marked_hosts, n);
@@ -290,10 +369,9 @@
   if (n->run_event != NULL)
     event_free (n->run_event);
   ingress_destroy (n->ingress);
-  if (n->peer_server != NULL)
-    evhttp_free (n->peer_server);
-  if (n->metrics_server != NULL)
-    evhttp_free (n->metrics_server);
+  http_listener_destroy (n->peer_listener);
+  http_listener_destroy (n->metrics_listener);
+  http_server_destroy (n->http_server);
   http_client_destroy (n->client);
   front_destroy (n->front);
   store_destroy (n->store);
--- a/src/node_peers.c
+++ b/src/node_peers.c
@@ -24,10 +24,17 @@
 #define PROBE_TIMEOUT_MS 500
 /* Maximum size of a request; a job of some 1000 tasks takes 100 KB. */
 #define BODY_MAX_BYTES (4 * 1024 * 1024)
+/* Limits of other nodes' requests: the path holds a queue's escaped host and
+   prefix.  Nodes send a head at once, and keep connections open between the
+   requests that callers bring. */
+#define HEADER_MAX_BYTES 32768
+#define HEAD_TIMEOUT_MS 3000
+#define IDLE_TIMEOUT_MS 50000
 
 /* The context of a request from another node. */
 struct peer_request
 {
+  struct node *node;
   struct evhttp_request *request;
   enum front_verb verb;
 };
@@ -63,6 +70,7 @@
   evhttp_send_reply (context->request, status_of_result (answer->result),
                      "answered", body);
   evbuffer_free (body);
+  context->node->open_peer_requests--;
   g_free (context);
 }
 
@@ -426,6 +434,13 @@
       evhttp_send_reply (request, 400, "unknown call", NULL);
       return;
     }
+  /* As of any refusal with this status, nothing was carried out. */
+  if (n->open_peer_requests >= n->settings->max_open_requests)
+    {
+      meters_add (n->meters, METER_REQUESTS_REFUSED_OPEN, 1);
+      evhttp_send_reply (request, 503, "too many requests", NULL);
+      return;
+    }
   if (received.verb == FRONT_SUBMIT)
     {
       received.spec = read_spec (request);
@@ -445,8 +460,10 @@
         }
     }
   context = g_new0 (struct peer_request, 1);
+  context->node = n;
   context->request = request;
   context->verb = received.verb;
+  n->open_peer_requests++;
   host_handle_request (h, &received, send_answer, context, node_now_ms ());
 }
 
@@ -473,18 +490,20 @@
   g_free (path);
 }
 
-struct evhttp *
-peers_listen (struct node *n)
+struct http_listener *
+peers_listen (struct node *n, uint32_t max_connections)
 {
-  struct evhttp *server = evhttp_new (n->base);
-
-  evhttp_set_allowed_methods (server, EVHTTP_REQ_GET | EVHTTP_REQ_POST
-                                          | EVHTTP_REQ_DELETE);
-  evhttp_set_max_body_size (server, BODY_MAX_BYTES);
-  evhttp_set_gencb (server, on_request, n);
-  if (evhttp_bind_socket (server, n->settings->ip, n->settings->peer_port)
-      == 0)
-    return server;
-  evhttp_free (server);
-  return NULL;
+  const struct http_listener_options options
+      = { .name = "peers",
+          .ip = n->settings->ip,
+          .port = n->settings->peer_port,
+          .max_connections = max_connections,
+          .request = { .header_bytes = HEADER_MAX_BYTES,
+                       .body_bytes = BODY_MAX_BYTES,
+                       .head_timeout_ms = HEAD_TIMEOUT_MS,
+                       .idle_timeout_ms = IDLE_TIMEOUT_MS },
+          .serve = on_request,
+          .data = n };
+
+  return http_server_listen (n->http_server, &options);
 }
--- a/src/node_settings.c
+++ b/src/node_settings.c
@@ -55,6 +55,13 @@
   s->max_descriptors
       = (uint32_t)fields_int (f, "max_descriptors", 64, 1 << 30, 4096);
   s->processor_share = fields_double (f, "processor_share", 0, 1024, 1);
+  s->connections_percent
+      = (uint32_t)fields_int (f, "connections_percent", 1, 90, 50);
+  s->source_percent = (uint32_t)fields_int (f, "source_percent", 1, 100, 75);
+  s->buffer_percent = (uint32_t)fields_int (f, "buffer_percent", 1, 90, 25);
+  s->request_percent = (uint32_t)fields_int (f, "request_percent", 1, 90, 20);
+  s->max_open_requests
+      = (uint32_t)fields_int (f, "max_open_requests", 1, 1 << 30, 4096);
   if (fields_close (f, error))
     return s;
   node_settings_destroy (s);
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -40,6 +40,13 @@
   uint32_t memory_mb;          /* memory that the process may use */
   uint32_t max_descriptors;    /* descriptors that it may have open */
   double processor_share;      /* cores that the node may use */
+  /* Bounds of what clients' connections and requests take; see
+     docs/design/uncontrolled-clients.md. */
+  uint32_t connections_percent; /* of max_descriptors */
+  uint32_t source_percent;      /* of a listener's connections */
+  uint32_t buffer_percent;      /* of memory_mb, for connections */
+  uint32_t request_percent;     /* of memory_mb, for open requests */
+  uint32_t max_open_requests;   /* of callers */
 };
 
 /* Read the settings at ROOT.  Return NULL with ERROR set if any is missing or
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -4,6 +4,7 @@
 #include "cell.h"
 #include "front.h"
 #include "http_client.h"
+#include "http_server.h"
 #include "meters.h"
 #include "node_settings.h"
 #include "order_window.h"
@@ -177,9 +178,11 @@
   struct fleet_state fleet;
   struct front *front;
   struct ingress *ingress;
-  struct evhttp *peer_server;
-  struct evhttp *metrics_server;
-  char *address; /* "IP:PORT" for the other nodes */
+  struct http_server *http_server;
+  struct http_listener *peer_listener;
+  struct http_listener *metrics_listener;
+  uint32_t open_peer_requests; /* passed to a cell and not answered */
+  char *address;               /* "IP:PORT" for the other nodes */
   struct event *tick_timer;
   struct event *run_event; /* runs the hosts that must run */
   bool is_stopping;
@@ -293,9 +296,9 @@
 void host_record_homes (struct cell_host *host, int64_t now_ms);
 
 /* node_peers.c */
-/* Return the server for other nodes' requests, or NULL if the node's address
-   is in use. */
-struct evhttp *peers_listen (struct node *n);
+/* Listen for other nodes' requests.  Return NULL if the node's address is in
+   use. */
+struct http_listener *peers_listen (struct node *n, uint32_t max_connections);
 /* Forward a request to the owner at ADDRESS; see peer_read_answer. */
 void peer_send (struct node *n, const char *address,
                 const struct front_request *request, int64_t timeout_ms,
