--- a/tests/unit/test_http_server.c
+++ b/tests/unit/test_http_server.c
@@ -95,6 +95,7 @@
 exchange (struct fixture *f, int fd, const char *text, gsize size, guint n)
 {
   int64_t end_us = g_get_monotonic_time () + RUN_MAX_MS * 1000;
+  static const char answer[] = "HTTP/1.1 200";
   GString *answers = g_string_new (NULL);
   guint count = 0;
 
@@ -115,10 +116,10 @@
         break;
       if (got > 0)
         g_string_append_len (answers, piece, got);
-      count = 0;
-      for (const char *at = answers->str;
-           (at = strstr (at, "HTTP/1.1 200")) != NULL; at++)
-        count++;
+      for (const char *at; (at = strstr (answers->str, answer)) != NULL;
+           count++)
+        g_string_erase (answers, 0,
+                        at - answers->str + (gssize)strlen (answer));
     }
   g_string_free (answers, TRUE);
   return count;
