--- a/src/http_server.c
+++ b/src/http_server.c
@@ -16,6 +16,9 @@
 /* How long a listener accepts nothing after the system had no descriptor or
    memory for a connection.  It would try again without a pause otherwise. */
 #define ACCEPT_PAUSE_MS 100
+/* Connections that are closed for one reason form a series until none has been
+   closed for so long. */
+#define SERIES_GAP_MS 60000
 /* Once memory is short, connections are closed until this share of the bound
    is in use, so that not every further byte closes one. */
 #define SHED_TO_PERCENT 90
@@ -41,13 +44,16 @@
   return server->held_bytes;
 }
 
-/* Log the first connection that LISTENER closes for REASON; the meter counts
-   them all. */
+/* Log the first connection of a series that LISTENER closes for REASON; the
+   meter counts them all. */
 static void
 count_closed (struct http_listener *l, enum meter reason, const char *name)
 {
+  int64_t last_ms = l->last_closed_ms[reason];
+
   meters_add (l->server->meters, reason, 1);
-  if (l->n_closed[reason]++ == 0)
+  l->last_closed_ms[reason] = clock_steady_ms ();
+  if (last_ms == 0 || clock_steady_ms () > last_ms + SERIES_GAP_MS)
     event_log ("client-closed", l->options.name,
                "cause=%s connections=%u held_bytes=%" G_GUINT64_FORMAT, name,
                l->n_connections, l->server->held_bytes);
--- a/src/http_server_state.h
+++ b/src/http_server_state.h
@@ -38,7 +38,7 @@
   uint32_t n_connections;
   bool is_full; /* accepts nothing until do_work */
   uint64_t held_bytes;
-  uint64_t n_closed[METER_COUNT]; /* by reason */
+  int64_t last_closed_ms[METER_COUNT]; /* by reason; 0 for never */
 };
 
 struct http_connection
