Make room for a body only once its head has been parsed

Cause: a client that sends requests ahead without bodies also got input room for a body, as its input was full while a request was being read.

Change: the room grows only once the head has been parsed, which for a request without a body is when it is passed on. A unit test sends bodies much longer than the longest head, as one read then brings more than a head.

--- a/src/http_connection.c
+++ b/src/http_connection.c
@@ -86,9 +86,10 @@
     {
       c->parsed_bytes += info->n_deleted;
       scan_input (c, input, info->n_added);
-      /* The input is as full as a head allows and the head is not all of it:
-         a body follows. */
-      if (!c->has_wide_input && info->n_added > 0
+      /* The head has been parsed and the input fills up: a body follows.
+         Requests without one are passed on once their head is parsed. */
+      if (!c->has_wide_input && c->head.is_complete && c->parsed_bytes > 0
+          && info->n_added > 0
           && c->input_bytes >= c->limits.header_bytes + HEAD_MARGIN_BYTES)
         {
           c->wants_wide_input = true;
--- a/tests/unit/test_http_server.c
+++ b/tests/unit/test_http_server.c
@@ -153,6 +153,31 @@
   tear_down (&f);
 }
 
+/* A body that is many times longer than the longest head must arrive whole,
+   also if one read brings more than the head. */
+static void
+test_short_heads (void)
+{
+  const struct http_request_limits limits = { 512, BODY_BYTES, 3000, 15000 };
+  struct fixture f;
+  GString *text = g_string_new ("POST / HTTP/1.1\r\nHost: a\r\n"
+                                "Content-Length: 262144\r\n\r\n");
+  gsize head_bytes = text->len;
+  int fd;
+
+  set_up (&f, 4 * 1024 * 1024, 8);
+  http_listener_set_limits (f.listener, &limits);
+  fd = connect_client (&f);
+  g_string_set_size (text, head_bytes + BODY_BYTES);
+  memset (text->str + head_bytes, 'b', BODY_BYTES);
+  for (int i = 0; i < 3; i++)
+    g_assert_cmpuint (exchange (&f, fd, text->str, text->len, 1), ==, 1);
+  g_assert_cmpuint (f.last_body_bytes, ==, BODY_BYTES);
+  close (fd);
+  g_string_free (text, TRUE);
+  tear_down (&f);
+}
+
 /* Clients that never finish their bodies take all the memory that connections
    may hold.  A request that was passed on before must keep its connection and
    get its answer. */
@@ -260,6 +285,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/http_server/within_limits", test_within_limits);
+  g_test_add_func ("/http_server/short_heads", test_short_heads);
   g_test_add_func ("/http_server/under_pressure", test_answer_under_pressure);
   g_test_add_func ("/http_server/new_client", test_room_for_new_client);
   g_test_add_func ("/http_server/no_descriptors", test_no_descriptors);
