Learn the run times of tasks, and set deadlines by them

Cause: declared estimates are off by up to 90%, and jobs are ordered by deadlines that were computed from them. Change: run_times keeps the last 64 values of up to 512 keys (a step's image, or queue and step), at most 15 minutes old. A cell learns from the ends of runs that began without a checkpoint on workers that are not suspect; once 8 are known, their median replaces the estimate in deadlines and stall detection.

--- a/src/cell.c
+++ b/src/cell.c
@@ -1,6 +1,7 @@
 #include "cell.h"
 
 #include "cell_state.h"
+#include "run_times.h"
 
 #include <string.h>
 
@@ -87,6 +88,8 @@
   c->changed_workers = g_ptr_array_new ();
   c->dropped_keys = g_ptr_array_new_with_free_func (g_free);
   c->sequence = CELL_OWNER_SEQUENCE + 1;
+  c->ticked_ms = now_ms;
+  c->run_times = run_times_new ();
   g_queue_init (&c->orders);
   return c;
 }
@@ -106,6 +109,7 @@
   g_hash_table_unref (cell->jobs);
   g_hash_table_unref (cell->workers);
   g_ptr_array_unref (cell->earlier_owners);
+  run_times_destroy (cell->run_times);
   g_free (cell->service);
   g_free (cell->address);
   g_free (cell->listed_owner);
@@ -174,6 +178,7 @@
 {
   cell->may_start = may_start && !cell->is_fenced;
   cell->wall_ms = wall_ms;
+  cell->ticked_ms = now_ms;
   if (!cell->is_active)
     return;
   cell_owners_tick (cell, now_ms);
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -163,7 +163,7 @@
   job->added_ms = now_ms;
   job->deadline_ms = now_ms + spec->target_ms
                      + (int64_t)(spec->deadline_factor
-                                 * (double)job_spec_critical_path_ms (spec));
+                                 * (double)cell_expected_path_ms (c, spec));
   job->occurrences = g_ptr_array_new_with_free_func (occurrence_destroy);
   job->submit_tokens = g_array_new (FALSE, FALSE, sizeof (uint64_t));
   job->cancel_tokens = g_array_new (FALSE, FALSE, sizeof (uint64_t));
@@ -298,6 +298,7 @@
   t->is_stop_acknowledged = false;
   t->start_attempts = 0;
   t->percent = 0;
+  t->begun_ms = 0;
   t->pace_percent = 100;
   if (t->phase != TASK_DONE)
     cell_task_set_phase (t, TASK_WAITING, now_ms);
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -48,6 +48,7 @@
   t->is_every_run_known = true;
   t->start_attempts = 0;
   t->percent = 0;
+  t->begun_ms = 0;
   t->progress_ms = now_ms;
   t->pace_percent = 100;
   t->is_stop_acknowledged = false;
--- a/src/cell_reports.c
+++ b/src/cell_reports.c
@@ -129,6 +129,8 @@
   struct task_name name;
 
   w->last_processed_end = e->number;
+  if (t != NULL)
+    cell_learn_from_end (c, w, t, e, now_ms);
   if (e->result == END_FAILED && task_name_parse (e->task, &name))
     cell_worker_count_failure (c, w, name.job, now_ms);
   if (e->result == END_DONE)
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -128,9 +128,10 @@
 }
 
 static int64_t
-stall_timeout_ms (const struct cell_task *t)
+stall_timeout_ms (const struct cell *c, const struct cell_task *t)
 {
-  int64_t percent_ms = cell_task_step (t)->estimate_ms / 100;
+  int64_t percent_ms
+      = cell_expected_run_ms (c, t->occurrence->job, cell_task_step (t)) / 100;
 
   if (t->percent > 0)
     percent_ms = MAX (percent_ms, (t->progress_ms - t->phase_ms) / t->percent);
@@ -139,13 +140,15 @@
 }
 
 static bool
-has_stalled (const struct cell_task *t, int64_t now_ms)
+has_stalled (const struct cell *c, const struct cell_task *t, int64_t now_ms)
 {
   const struct job_step *s = cell_task_step (t);
 
   return t->phase == TASK_RUNNING && !s->is_long_running && !s->is_gang
          && !s->is_best_effort && t->worker->is_confirmed
-         && now_ms > MAX (t->progress_ms, t->phase_ms) + stall_timeout_ms (t);
+         && now_ms > MAX (t->progress_ms, t->phase_ms) + STALL_TIMEOUT_MS
+         && now_ms
+                > MAX (t->progress_ms, t->phase_ms) + stall_timeout_ms (c, t);
 }
 
 void
@@ -158,7 +161,7 @@
       if (t->phase == TASK_STOPPING && !t->has_pending_call
           && !t->is_stop_acknowledged && now_ms >= t->retry_ms)
         send_stop (c, t, now_ms);
-      else if (has_stalled (t, now_ms))
+      else if (has_stalled (c, t, now_ms))
         {
           char *name = cell_task_name (t);
 
@@ -322,6 +325,9 @@
     case RUN_SUPERSEDED:
       cell_task_set_phase (t, TASK_RUNNING, now_ms);
       t->progress_ms = now_ms;
+      if (answer == RUN_ACCEPTED && t->start_attempts == 1
+          && t->checkpoint == NULL)
+        t->begun_ms = now_ms;
       t->occurrence->job->has_started = true;
       send_hold_soon (w, now_ms);
       break;
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -10,6 +10,7 @@
    cell_workers.c  workers' incarnations, leases and holds
    cell_reports.c  workers' reports
    cell_runs.c     orders about runs, and emptying a worker
+   cell_run_times.c  learned run times
    cell_place.c    which task starts on which worker, with the files that
                    cell_place.h names
    cell_load.c     how large the pool has to be
@@ -61,8 +62,10 @@
   int64_t run_over_ms; /* when its last run was known to be over; 0 for none */
   int64_t retry_ms;    /* earliest time of the next start or stop */
   uint32_t percent;
-  uint32_t stalls;        /* times that it was stopped for lack of progress */
-  int64_t progress_ms;    /* when percent or checkpoint last changed */
+  uint32_t stalls;     /* times that it was stopped for lack of progress */
+  int64_t progress_ms; /* when percent or checkpoint last changed */
+  int64_t begun_ms;    /* when its run began; 0 if that is not known, or if the
+                          run resumed from a checkpoint */
   int64_t reported_value; /* as in struct worker_run */
   uint32_t pace_percent;  /* processor share ordered for a best-effort task */
   int64_t adjusted_ms;    /* when the pace last changed, or when preemption for
@@ -238,6 +241,8 @@
   int64_t append_failing_since_ms; /* 0 while appends succeed */
   int64_t append_latency_ms;       /* moving average */
   int64_t last_purge_ms;
+  int64_t ticked_ms;           /* time of the last tick */
+  struct run_times *run_times; /* learned, see cell_run_times.c */
 };
 
 /* cell.c */
@@ -396,6 +401,20 @@
 /* Return how long one task of S, a step of JOB, is expected to run, in ms. */
 int64_t cell_expected_run_ms (const struct cell *c, const struct cell_job *job,
                               const struct job_step *s);
+/* Return the learned quantile PERCENT of the run times of S, a step of SPEC,
+   in ms, or -1 if too few are known. */
+int64_t cell_learned_run_ms (const struct cell *c, const struct job_spec *spec,
+                             const struct job_step *s, uint32_t percent);
+/* Return the length in ms of SPEC's critical path by the expected run times.
+ */
+int64_t cell_expected_path_ms (const struct cell *c,
+                               const struct job_spec *spec);
+/* Learn from END of T's current run on W, if it is that.  Runs that resumed
+   from a checkpoint, and those on suspect workers, show nothing of their
+   step. */
+void cell_learn_from_end (struct cell *c, const struct cell_worker *w,
+                          const struct cell_task *t,
+                          const struct worker_end *end, int64_t now_ms);
 
 /* cell_journal.c */
 /* Have the next append hold the change of JOB or W; an urgent one is sent
--- a/src/job.c
+++ b/src/job.c
@@ -106,9 +106,11 @@
 #define PATH_IN_PROGRESS (-2)
 
 /* Return the length in ms of the longest path that ends with STEP, or -1 if
-   STEP depends on itself.  PATH_MS holds the lengths computed so far. */
+   STEP depends on itself.  TASK_MS is as in job_spec_longest_path_ms; PATH_MS
+   holds the lengths computed so far. */
 static int64_t
-path_to_step_ms (const struct job_spec *spec, guint step, int64_t *path_ms)
+path_to_step_ms (const struct job_spec *spec, guint step,
+                 const int64_t *task_ms, int64_t *path_ms)
 {
   const struct job_step *s = g_ptr_array_index (spec->steps, step);
   int64_t longest_ms = 0;
@@ -121,20 +123,21 @@
   for (guint i = 0; i < s->depends_on->len; i++)
     {
       uint32_t dependency = g_array_index (s->depends_on, uint32_t, i);
-      int64_t length_ms = path_to_step_ms (spec, dependency, path_ms);
+      int64_t length_ms = path_to_step_ms (spec, dependency, task_ms, path_ms);
 
       if (length_ms < 0)
         return -1;
       longest_ms = MAX (longest_ms, length_ms);
     }
-  path_ms[step] = longest_ms + MAX (s->estimate_ms, 0);
+  path_ms[step]
+      = longest_ms + MAX (task_ms != NULL ? task_ms[step] : s->estimate_ms, 0);
   return path_ms[step];
 }
 
 /* Return the length of the critical path in ms, or -1 if the steps form a
    cycle. */
 static int64_t
-critical_path_ms (const struct job_spec *spec)
+critical_path_ms (const struct job_spec *spec, const int64_t *task_ms)
 {
   int64_t path_ms[JOB_MAX_STEPS];
   int64_t longest_ms = 0;
@@ -143,7 +146,7 @@
     path_ms[i] = PATH_NOT_COMPUTED;
   for (guint i = 0; i < spec->steps->len; i++)
     {
-      int64_t length_ms = path_to_step_ms (spec, i, path_ms);
+      int64_t length_ms = path_to_step_ms (spec, i, task_ms, path_ms);
 
       if (length_ms < 0)
         return -1;
@@ -217,7 +220,7 @@
     }
   if (!times_are_valid (spec, error))
     return false;
-  if (critical_path_ms (spec) < 0)
+  if (critical_path_ms (spec, NULL) < 0)
     {
       g_set_error (
           error, SHED_ERROR, ERROR_INVALID,
@@ -230,7 +233,13 @@
 int64_t
 job_spec_critical_path_ms (const struct job_spec *spec)
 {
-  return MAX (critical_path_ms (spec), 0);
+  return MAX (critical_path_ms (spec, NULL), 0);
+}
+
+int64_t
+job_spec_longest_path_ms (const struct job_spec *spec, const int64_t *task_ms)
+{
+  return MAX (critical_path_ms (spec, task_ms), 0);
 }
 
 uint64_t
--- a/src/job.h
+++ b/src/job.h
@@ -102,6 +102,10 @@
    dependent steps, each counted with the estimate of one task.  Return 0 if
    the steps form a cycle. */
 int64_t job_spec_critical_path_ms (const struct job_spec *spec);
+/* Return the same where a task of step I takes TASK_MS[I], not its estimate.
+ */
+int64_t job_spec_longest_path_ms (const struct job_spec *spec,
+                                  const int64_t *task_ms);
 
 /* Return the estimated processor time of all steps in millicore-seconds.
    Long-running and best-effort steps are left out. */
--- /dev/null
+++ b/src/run_times.c
@@ -0,0 +1,152 @@
+#include "run_times.h"
+
+#include <glib.h>
+#include <stdlib.h>
+
+/* Each key has a ring of its last values and a sorted copy, which is made when
+   a quantile is asked for: 0.75 KB a key, 0.4 MB in all.  Debian packages no
+   histogram library for C; one HDR histogram of two digits up to an hour would
+   take 15 KB a key and has no way to forget old values. */
+
+struct value
+{
+  int32_t ms;
+  int32_t at_s;
+};
+
+struct key_times
+{
+  char *key;
+  GList link; /* in the list of keys by use; its data is this */
+  struct value values[RUN_TIMES_VALUES];
+  uint32_t n_values;
+  uint32_t next; /* place of the next value */
+  int32_t sorted_ms[RUN_TIMES_VALUES];
+  uint32_t n_sorted;
+  int64_t sorted_until_ms; /* when the next value gets too old; 0 if the
+                              sorted copy is out of date */
+};
+
+struct run_times
+{
+  GHashTable *keys; /* key to struct key_times * */
+  GQueue by_use;    /* struct key_times *, the last used first */
+};
+
+static void
+key_times_free (gpointer p)
+{
+  struct key_times *k = p;
+
+  g_free (k->key);
+  g_free (k);
+}
+
+struct run_times *
+run_times_new (void)
+{
+  struct run_times *r = g_new0 (struct run_times, 1);
+
+  r->keys
+      = g_hash_table_new_full (g_str_hash, g_str_equal, NULL, key_times_free);
+  g_queue_init (&r->by_use);
+  return r;
+}
+
+void
+run_times_destroy (struct run_times *r)
+{
+  if (r == NULL)
+    return;
+  g_hash_table_unref (r->keys);
+  g_free (r);
+}
+
+static struct key_times *
+find_key (struct run_times *r, const char *key)
+{
+  struct key_times *k = g_hash_table_lookup (r->keys, key);
+
+  if (k == NULL)
+    return NULL;
+  g_queue_unlink (&r->by_use, &k->link);
+  g_queue_push_head_link (&r->by_use, &k->link);
+  return k;
+}
+
+static struct key_times *
+add_key (struct run_times *r, const char *key)
+{
+  struct key_times *k = g_new0 (struct key_times, 1);
+
+  if (g_hash_table_size (r->keys) >= RUN_TIMES_KEYS)
+    {
+      struct key_times *oldest = g_queue_peek_tail (&r->by_use);
+
+      g_queue_unlink (&r->by_use, &oldest->link);
+      g_hash_table_remove (r->keys, oldest->key);
+    }
+  k->key = g_strdup (key);
+  k->link.data = k;
+  g_hash_table_insert (r->keys, k->key, k);
+  g_queue_push_head_link (&r->by_use, &k->link);
+  return k;
+}
+
+void
+run_times_add (struct run_times *r, const char *key, int64_t value_ms,
+               int64_t now_ms)
+{
+  struct key_times *k = find_key (r, key);
+
+  if (k == NULL)
+    k = add_key (r, key);
+  k->values[k->next].ms = (int32_t)CLAMP (value_ms, 0, G_MAXINT32);
+  k->values[k->next].at_s = (int32_t)(now_ms / 1000);
+  k->next = (k->next + 1) % RUN_TIMES_VALUES;
+  k->n_values = MIN (k->n_values + 1, RUN_TIMES_VALUES);
+  k->sorted_until_ms = 0;
+}
+
+static int
+compare_ms (const void *a, const void *b)
+{
+  int32_t x = *(const int32_t *)a, y = *(const int32_t *)b;
+
+  return (x > y) - (x < y);
+}
+
+static void
+sort_values (struct key_times *k, int64_t now_ms)
+{
+  int64_t until_ms = INT64_MAX;
+
+  k->n_sorted = 0;
+  for (uint32_t i = 0; i < k->n_values; i++)
+    {
+      int64_t old_ms
+          = (int64_t)k->values[i].at_s * 1000 + RUN_TIMES_MAX_AGE_MS;
+
+      if (now_ms >= old_ms)
+        continue;
+      k->sorted_ms[k->n_sorted++] = k->values[i].ms;
+      until_ms = MIN (until_ms, old_ms);
+    }
+  qsort (k->sorted_ms, k->n_sorted, sizeof k->sorted_ms[0], compare_ms);
+  k->sorted_until_ms = until_ms;
+}
+
+int64_t
+run_times_quantile_ms (struct run_times *r, const char *key, uint32_t percent,
+                       int64_t now_ms)
+{
+  struct key_times *k = find_key (r, key);
+
+  if (k == NULL)
+    return -1;
+  if (now_ms >= k->sorted_until_ms)
+    sort_values (k, now_ms);
+  if (k->n_sorted < RUN_TIMES_MIN_VALUES)
+    return -1;
+  return k->sorted_ms[(k->n_sorted - 1) * MIN (percent, 100) / 100];
+}
