Keep work from slow workers and from those that fail a part of it

Cause: a worker that took several times as long as its peers got as much work as they did, and one that failed every other task was never suspect, as no three jobs in a row failed there. Change: a worker's last 16 run times, by the learned median of their step, are compared with the median worker's: above twice it is used last, above four times for one task at a time. A worker is also suspect if 6 of its last 16 ends were failures, of different jobs, and its part of failures is three times its peers'. A slow worker that has timed nothing for 5 s is probed.

--- a/src/cell_candidates.c
+++ b/src/cell_candidates.c
@@ -9,7 +9,7 @@
 /* A worker may be missing from the list for so long and still get tasks: its
    entry may be late while the store recovers. */
 #define UNLISTED_GRACE_MS 2500
-/* Suspect workers are avoided only while they are at most this share of all;
+/* Suspect and very slow workers are avoided only while they are at most this share of all;
    above it, the jobs are more likely at fault than the workers. */
 #define SUSPECT_MAX_PERCENT 34
 
@@ -97,10 +97,11 @@
 bool
 cell_is_avoided (const struct cell *c, const struct cell_worker *w)
 {
-  return c->avoids_suspects && cell_worker_is_suspect (w);
+  return c->avoids_suspects
+         && (cell_worker_is_suspect (w) || cell_worker_is_very_slow (w));
 }
 
-/* A suspect worker gets one task at a time as a probe, beside long-running
+/* An avoided worker gets one task at a time as a probe, beside long-running
    ones that have lasted, and only one that has not failed yet: otherwise it
    would use up the attempts of as many tasks as it has capacity for. */
 static bool
@@ -130,13 +131,18 @@
 }
 
 void
-cell_update_suspect_policy (struct cell *c)
+cell_update_suspect_policy (struct cell *c, int64_t now_ms)
 {
   uint32_t suspects = 0;
 
+  cell_compare_workers (c, now_ms);
   for (guint i = 0; i < c->worker_list->len; i++)
-    if (cell_worker_is_suspect (g_ptr_array_index (c->worker_list, i)))
-      suspects++;
+    {
+      const struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
+
+      if (cell_worker_is_suspect (w) || cell_worker_is_very_slow (w))
+        suspects++;
+    }
   c->avoids_suspects
       = suspects * 100 <= c->worker_list->len * SUSPECT_MAX_PERCENT;
 }
--- a/src/cell_choice.c
+++ b/src/cell_choice.c
@@ -9,6 +9,8 @@
 #define COST_COOLDOWN 100000
 #define COST_FAILED_THERE 50000
 #define COST_OTHER_RACK 4000
+/* Only if no other worker has room: even an idle one is cheaper. */
+#define COST_SLOW_WORKER 8000
 #define COST_SAME_WORKER 1200
 #define COST_SAME_RACK 250
 /* Idle workers are kept idle, so that their machines can be lent. */
@@ -27,6 +29,8 @@
   if (now_ms < w->cooldown_until_ms
       || (s->is_long_running && cell_is_avoided (c, w)))
     cost += COST_COOLDOWN;
+  if (cell_worker_is_slow (w) && !cell_worker_needs_speed_probe (w, now_ms))
+    cost += COST_SLOW_WORKER;
   if (g_strcmp0 (t->avoid_worker, w->entry->id) == 0)
     cost += COST_FAILED_THERE;
   if (s->preferred_rack[0] != '\0'
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -244,7 +244,7 @@
   c->needs_placement = false;
   c->last_placement_ms = now_ms;
   update_known_runs (c, now_ms);
-  cell_update_suspect_policy (c);
+  cell_update_suspect_policy (c, now_ms);
   cell_order_jobs (c, now_ms);
   for (guint i = 0; i < c->open_jobs->len; i++)
     {
--- a/src/cell_place.h
+++ b/src/cell_place.h
@@ -23,13 +23,14 @@
    advice. */
 bool cell_has_ticket (const struct cell_task *t, const struct cell_worker *w,
                       int64_t now_ms);
-/* Return whether W is suspect, and few enough workers are. */
+/* Return whether W is suspect or very slow, and few enough workers are. */
 bool cell_is_avoided (const struct cell *c, const struct cell_worker *w);
 /* Return whether W may run T, room and advice aside. */
 bool cell_may_run_on (const struct cell *c, const struct cell_task *t,
                       const struct cell_worker *w, int64_t now_ms);
-/* Decide whether suspect workers are avoided in the next placement. */
-void cell_update_suspect_policy (struct cell *c);
+/* Decide whether suspect and very slow workers are avoided in the next
+   placement. */
+void cell_update_suspect_policy (struct cell *c, int64_t now_ms);
 
 /* cell_advice.c */
 /* Ask for advice on STEP, each time for other workers until all have been
--- a/src/cell_reports.c
+++ b/src/cell_reports.c
@@ -15,10 +15,6 @@
 #define UNJOURNALED_HOLD_INTERVAL_MS 150
 /* Retry delay after a hold that was not answered. */
 #define HOLD_RETRY_DELAY_MS 250
-/* A worker is suspect once this many different jobs have failed there in a
-   row.  One job alone may be one that fails on every worker. */
-#define SUSPECT_FAILED_STREAK 3
-
 /* Take over run R that an earlier owner started as T's.  Return false if it
    has to be stopped instead. */
 static bool
@@ -45,20 +41,6 @@
   return true;
 }
 
-bool
-cell_task_has_lasted (const struct cell_task *t, int64_t now_ms)
-{
-  return cell_task_step (t)->is_long_running && t->phase == TASK_RUNNING
-         && t->percent == 100 && now_ms >= t->phase_ms + CELL_LASTING_PROOF_MS;
-}
-
-static void
-clear_failures (struct cell_worker *w)
-{
-  w->failed_streak = 0;
-  w->failed_job[0] = '\0';
-}
-
 static void
 process_run (struct cell *c, struct cell_worker *w, const struct worker_run *r,
              int64_t now_ms)
@@ -95,30 +77,7 @@
     }
   /* A task from before the failures shows nothing of what is started now. */
   if (t->phase_ms > w->last_failure_ms && cell_task_has_lasted (t, now_ms))
-    clear_failures (w);
-}
-
-void
-cell_worker_count_failure (struct cell *c, struct cell_worker *w,
-                           const char *job, int64_t now_ms)
-{
-  if (strcmp (job, w->failed_job) != 0)
-    w->failed_streak++;
-  g_strlcpy (w->failed_job, job, sizeof w->failed_job);
-  w->last_failure_ms = now_ms;
-  if (!cell_worker_is_suspect (w))
-    return;
-  if (now_ms >= w->cooldown_until_ms)
-    cell_log_event (c, "worker-shunned", w->entry->id,
-                    "failed_in_a_row=%u for_ms=%d", w->failed_streak,
-                    CELL_COOLDOWN_MS);
-  w->cooldown_until_ms = now_ms + CELL_COOLDOWN_MS;
-}
-
-bool
-cell_worker_is_suspect (const struct cell_worker *w)
-{
-  return w->failed_streak >= SUSPECT_FAILED_STREAK;
+    cell_worker_clear_streak (w);
 }
 
 static void
@@ -134,7 +93,7 @@
   if (e->result == END_FAILED && task_name_parse (e->task, &name))
     cell_worker_count_failure (c, w, name.job, now_ms);
   if (e->result == END_DONE)
-    clear_failures (w);
+    cell_worker_count_done (c, w);
   if (t != NULL)
     cell_task_ended (c, t, w, e, now_ms);
 }
--- a/src/cell_run_times.c
+++ b/src/cell_run_times.c
@@ -63,17 +63,22 @@
 }
 
 void
-cell_learn_from_end (struct cell *c, const struct cell_worker *w,
+cell_learn_from_end (struct cell *c, struct cell_worker *w,
                      const struct cell_task *t, const struct worker_end *end,
                      int64_t now_ms)
 {
   const struct job_step *s = cell_task_step (t);
+  const struct job_spec *spec = t->occurrence->job->spec;
   char text[KEY_BYTES];
+  int64_t typical_ms;
 
   if (end->result != END_DONE || t->worker != w || t->run != end->run
-      || t->begun_ms == 0 || s->is_long_running || s->is_best_effort
-      || cell_worker_is_suspect (w))
+      || t->begun_ms == 0 || s->is_long_running || s->is_best_effort)
     return;
-  run_times_add (c->run_times, step_key (t->occurrence->job->spec, s, text),
-                 now_ms - t->begun_ms, now_ms);
+  typical_ms = cell_learned_run_ms (c, spec, s, 50);
+  if (typical_ms >= 0)
+    cell_worker_time_run (c, w, now_ms - t->begun_ms, typical_ms, now_ms);
+  if (!cell_worker_is_suspect (w) && !cell_worker_is_slow (w))
+    run_times_add (c->run_times, step_key (spec, s, text),
+                   now_ms - t->begun_ms, now_ms);
 }
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -2,6 +2,7 @@
 #define CELL_STATE_H
 
 #include "cell.h"
+#include "worker_score.h"
 
 /* The state of a cell, shared by the files that implement it:
    cell.c          creation, timers, orders
@@ -11,6 +12,7 @@
    cell_reports.c  workers' reports
    cell_runs.c     orders about runs, and emptying a worker
    cell_run_times.c  learned run times
+   cell_health.c   workers that fail or slow down what they start
    cell_place.c    which task starts on which worker, with the files that
                    cell_place.h names
    cell_load.c     how large the pool has to be
@@ -164,10 +166,15 @@
   bool had_tasks;         /* when it last reported */
   uint32_t unknown_runs;  /* runs last reported that are not the cell's */
   uint32_t failed_streak; /* jobs failed in a row since a task was done */
-  char failed_job[JOB_ID_LENGTH + 1]; /* the last one of these */
-  int64_t last_failure_ms;            /* when a task last failed or stalled */
-  int64_t cooldown_until_ms;          /* see CELL_COOLDOWN_MS */
-  GPtrArray *tasks;                   /* struct cell_task *, with a run here */
+  char failed_job[JOB_ID_LENGTH + 1];      /* the last one of these */
+  char last_failed_job[JOB_ID_LENGTH + 1]; /* also if tasks were done since */
+  bool is_failing; /* a much larger part of its runs fails than elsewhere */
+  struct worker_score score;
+  uint32_t slowness_permille; /* its run times by its peers'; 0 if unknown */
+  int64_t timed_ms;           /* when the score last got a run time */
+  int64_t last_failure_ms;    /* when a task last failed or stalled */
+  int64_t cooldown_until_ms;  /* see CELL_COOLDOWN_MS */
+  GPtrArray *tasks;           /* struct cell_task *, with a run here */
   struct worker_resources used;
 };
 
@@ -241,7 +248,9 @@
   int64_t append_failing_since_ms; /* 0 while appends succeed */
   int64_t append_latency_ms;       /* moving average */
   int64_t last_purge_ms;
-  int64_t ticked_ms;           /* time of the last tick */
+  int64_t ticked_ms;       /* time of the last tick */
+  uint32_t peers_slowness; /* median of the workers' scores; 0 if unknown */
+  int64_t compared_ms;     /* when workers were last compared */
   struct run_times *run_times; /* learned, see cell_run_times.c */
 };
 
@@ -345,16 +354,34 @@
    lease_expiry_ms.  The clock must be known. */
 int64_t cell_lease_deadline (struct cell_worker *w, int64_t now_ms);
 
-/* cell_reports.c */
+/* cell_health.c */
 /* Count a failure against W, where a task of JOB has failed or stalled. */
 void cell_worker_count_failure (struct cell *c, struct cell_worker *w,
                                 const char *job, int64_t now_ms);
+/* Count a task that W has done. */
+void cell_worker_count_done (struct cell *c, struct cell_worker *w);
+/* Forget the failures in a row on W, where something has worked. */
+void cell_worker_clear_streak (struct cell_worker *w);
+/* Forget how W did: it is another incarnation. */
+void cell_worker_forget_score (struct cell_worker *w);
 /* Return whether W seems to fail what it starts; it then gets one task at a
-   time until one is done, or has lasted. */
+   time until one is done, or has lasted, and much fewer fail. */
 bool cell_worker_is_suspect (const struct cell_worker *w);
 /* Return whether T, which is long-running, has been at work for
    CELL_LASTING_PROOF_MS. */
 bool cell_task_has_lasted (const struct cell_task *t, int64_t now_ms);
+/* Count a run on W that took RUN_MS where TYPICAL_MS is usual. */
+void cell_worker_time_run (struct cell *c, struct cell_worker *w,
+                           int64_t run_ms, int64_t typical_ms, int64_t now_ms);
+/* Compare the workers' speeds with each other. */
+void cell_compare_workers (struct cell *c, int64_t now_ms);
+/* Return whether W takes more than twice, or four times, as long as its peers.
+ */
+bool cell_worker_is_slow (const struct cell_worker *w);
+bool cell_worker_is_very_slow (const struct cell_worker *w);
+/* Return whether W, which is slow, has to show whether it still is. */
+bool cell_worker_needs_speed_probe (const struct cell_worker *w,
+                                    int64_t now_ms);
 
 /* cell_runs.c */
 /* Repeat unanswered stops, and stop stalled tasks so that they restart. */
@@ -410,9 +437,9 @@
 int64_t cell_expected_path_ms (const struct cell *c,
                                const struct job_spec *spec);
 /* Learn from END of T's current run on W, if it is that.  Runs that resumed
-   from a checkpoint, and those on suspect workers, show nothing of their
-   step. */
-void cell_learn_from_end (struct cell *c, const struct cell_worker *w,
+   from a checkpoint show nothing, and those on suspect or slow workers nothing
+   of their step. */
+void cell_learn_from_end (struct cell *c, struct cell_worker *w,
                           const struct cell_task *t,
                           const struct worker_end *end, int64_t now_ms);
 
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -132,7 +132,7 @@
   w->pending_last_seen = 0;
   w->last_journaled_end = 0;
   w->last_processed_end = 0;
-  w->failed_streak = 0;
+  cell_worker_forget_score (w);
   w->clock_reported_ms = 0;
   if (w->lease_expiry_ms > now_ms)
     w->lease_expiry_ms
--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -531,13 +531,16 @@
   if (w->room > 0 && k->runs->len >= w->room)
     record_violation (w, "no-room", task);
   w->starts++;
+  k->starts++;
   extend_leases (w, k, deadline_ms);
   r = g_new0 (struct world_run, 1);
   r->task = g_strdup (task);
   r->run = run;
   r->begun_ms = w->now_ms;
-  r->ends_ms = w->now_ms + w->run_ms / 2
-               + g_rand_int_range (w->rand, 0, (gint32)w->run_ms);
+  r->ends_ms = w->now_ms
+               + MAX (k->slow_factor, 1)
+                     * (w->run_ms / 2
+                        + g_rand_int_range (w->rand, 0, (gint32)w->run_ms));
   g_ptr_array_add (k->runs, r);
   return RUN_ACCEPTED;
 }
@@ -587,9 +590,11 @@
       else if (r->is_broken)
         record_end (w, k, r, END_GANG_MEMBER_ENDED);
       else if (w->now_ms >= r->ends_ms)
-        record_end (w, k, r,
-                    fault_occurs (w, w->faults.task_fails) ? END_FAILED
-                                                           : END_DONE);
+        record_end (
+            w, k, r,
+            fault_occurs (w, MAX (w->faults.task_fails, k->fails_percent))
+                ? END_FAILED
+                : END_DONE);
     }
 }
 
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -39,6 +39,9 @@
   bool has_left;      /* it answers, but the list does not show it any more */
   bool is_reassigned; /* the list shows it under another service */
   bool is_failing_all_runs; /* every run that it starts fails at once */
+  int fails_percent;        /* part of its runs that fail */
+  uint32_t slow_factor; /* its runs take so many times as long; 0 for once */
+  uint32_t starts;      /* runs started there so far */
   int64_t incarnation_start_ms;
   uint64_t fencing_epoch; /* calls with a lower epoch are refused */
   int64_t deadline_ms;    /* end of its leases, on its own clock */
