Resume stragglers of slow workers on other workers

Cause: a job waited for its tasks on a slow worker while the others were idle. A task that would be as long on any worker stays: its progress says so.

--- a/src/cell.c
+++ b/src/cell.c
@@ -89,6 +89,7 @@
   c->dropped_keys = g_ptr_array_new_with_free_func (g_free);
   c->sequence = CELL_OWNER_SEQUENCE + 1;
   c->ticked_ms = now_ms;
+  c->waiting_priority = UINT32_MAX;
   c->run_times = run_times_new ();
   g_queue_init (&c->orders);
   return c;
--- a/src/cell_choice.c
+++ b/src/cell_choice.c
@@ -54,7 +54,8 @@
       struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
       int64_t cost;
 
-      if ((rack != NULL && strcmp (w->entry->rack, rack) != 0)
+      if (w == t->worker
+          || (rack != NULL && strcmp (w->entry->rack, rack) != 0)
           || !cell_has_room (w, cell_task_step (t))
           || !cell_may_run_on (c, t, w, now_ms)
           || !cell_has_ticket (t, w, now_ms))
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -212,7 +212,12 @@
 
       for (uint32_t k = 0; k < job->spec->steps->len; k++)
         if (o->waiting[k] > 0 && cell_step_is_ready (o, k))
-          place_step (c, o, k, now_ms);
+          {
+            place_step (c, o, k, now_ms);
+            if (o->waiting[k] > 0)
+              c->waiting_priority
+                  = MIN (c->waiting_priority, job->spec->priority);
+          }
     }
 }
 
@@ -246,6 +251,7 @@
   update_known_runs (c, now_ms);
   cell_update_suspect_policy (c, now_ms);
   cell_order_jobs (c, now_ms);
+  c->waiting_priority = UINT32_MAX;
   for (guint i = 0; i < c->open_jobs->len; i++)
     {
       struct cell_job *job = g_ptr_array_index (c->open_jobs, i);
--- a/src/cell_place.h
+++ b/src/cell_place.h
@@ -43,8 +43,8 @@
 void cell_order_jobs (struct cell *c, int64_t now_ms);
 
 /* cell_choice.c */
-/* Return the best worker that can start T now, or NULL; only one of RACK
-   unless that is NULL. */
+/* Return the best worker that can start T now, other than the one it is on, or
+   NULL; only one of RACK unless that is NULL. */
 struct cell_worker *cell_choose_worker (const struct cell *c,
                                         const struct cell_task *t,
                                         const char *rack, int64_t now_ms);
--- a/src/cell_reports.c
+++ b/src/cell_reports.c
@@ -253,6 +253,7 @@
   if (is_conclusive (c, w, report))
     w->may_have_unseen_runs = false;
   cell_pace_best_effort (c, w, now_ms);
+  cell_check_stragglers (c, w, now_ms);
   if (w->last_processed_end != previous_end
       || (!w->may_receive_starts && w->is_listed))
     cell_journal_worker (c, w);
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -15,6 +15,7 @@
    cell_health.c   workers that fail or slow down what they start
    cell_place.c    which task starts on which worker, with the files that
                    cell_place.h names
+   cell_stragglers.c  runs that take much longer than others
    cell_load.c     how large the pool has to be
    cell_owners.c   earlier owners, and how long their leases last
    cell_journal.c  appends to the journal, and loading it. */
@@ -74,6 +75,7 @@
                              the task was last tried */
   char *checkpoint;       /* newest, or NULL */
   char *avoid_worker;     /* where it last failed or stalled, or NULL */
+  bool has_moved;         /* it was stopped to resume on a faster worker */
 };
 
 struct step_ticket
@@ -172,9 +174,10 @@
   struct worker_score score;
   uint32_t slowness_permille; /* its run times by its peers'; 0 if unknown */
   int64_t timed_ms;           /* when the score last got a run time */
-  int64_t last_failure_ms;    /* when a task last failed or stalled */
-  int64_t cooldown_until_ms;  /* see CELL_COOLDOWN_MS */
-  GPtrArray *tasks;           /* struct cell_task *, with a run here */
+  int64_t stragglers_checked_ms;
+  int64_t last_failure_ms;   /* when a task last failed or stalled */
+  int64_t cooldown_until_ms; /* see CELL_COOLDOWN_MS */
+  GPtrArray *tasks;          /* struct cell_task *, with a run here */
   struct worker_resources used;
 };
 
@@ -221,13 +224,15 @@
   int64_t taken_over_ms;
   GHashTable *jobs;     /* ID to struct cell_job * */
   GPtrArray *open_jobs; /* struct cell_job *, not ended, in placement order */
-  bool has_unsorted_jobs; /* open_jobs has to be sorted first */
-  GHashTable *workers;    /* ID to struct cell_worker * */
-  GPtrArray *worker_list; /* the same workers */
-  GQueue orders;          /* struct cell_order * */
-  bool needs_placement;   /* something changed since the last placement */
-  bool needs_epoch;       /* a task has no run number left */
-  bool avoids_suspects;   /* few enough workers are suspect */
+  bool has_unsorted_jobs;    /* open_jobs has to be sorted first */
+  GHashTable *workers;       /* ID to struct cell_worker * */
+  GPtrArray *worker_list;    /* the same workers */
+  GQueue orders;             /* struct cell_order * */
+  bool needs_placement;      /* something changed since the last placement */
+  uint32_t waiting_priority; /* highest priority of a ready task that the last
+                                placement left waiting; UINT32_MAX for none */
+  bool needs_epoch;          /* a task has no run number left */
+  bool avoids_suspects;      /* few enough workers are suspect */
   int64_t last_placement_ms;
   bool is_every_run_known; /* no worker may have unseen runs */
   int64_t unseen_runs_logged_ms;
@@ -443,6 +448,12 @@
                           const struct cell_task *t,
                           const struct worker_end *end, int64_t now_ms);
 
+/* cell_stragglers.c */
+/* Deal with runs on W, which has just reported them, that take much longer
+   than others of their step. */
+void cell_check_stragglers (struct cell *c, struct cell_worker *w,
+                            int64_t now_ms);
+
 /* cell_journal.c */
 /* Have the next append hold the change of JOB or W; an urgent one is sent
    sooner. */
--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -40,6 +40,7 @@
   char *task;
   uint64_t run;
   int64_t deadline_ms;
+  uint32_t from_percent; /* of the checkpoint that it names */
   bool answered;
 };
 
@@ -513,9 +514,11 @@
 
 static enum run_answer
 start_run (struct world *w, struct world_worker *k, uint64_t epoch,
-           const char *task, uint64_t run, int64_t deadline_ms)
+           const char *task, uint64_t run, int64_t deadline_ms,
+           uint32_t from_percent)
 {
   struct world_run *r;
+  int64_t duration_ms;
 
   if (epoch < k->fencing_epoch)
     return RUN_FENCED;
@@ -536,11 +539,13 @@
   r = g_new0 (struct world_run, 1);
   r->task = g_strdup (task);
   r->run = run;
-  r->begun_ms = w->now_ms;
-  r->ends_ms = w->now_ms
-               + MAX (k->slow_factor, 1)
-                     * (w->run_ms / 2
-                        + g_rand_int_range (w->rand, 0, (gint32)w->run_ms));
+  duration_ms
+      = w->run_ms / 2 + g_rand_int_range (w->rand, 0, (gint32)w->run_ms);
+  duration_ms *= MAX (k->slow_factor, 1);
+  if (w->long_task != NULL && strcmp (w->long_task, task) == 0)
+    duration_ms *= w->long_factor;
+  r->begun_ms = w->now_ms - duration_ms * from_percent / 100;
+  r->ends_ms = r->begun_ms + duration_ms;
   g_ptr_array_add (k->runs, r);
   return RUN_ACCEPTED;
 }
@@ -632,6 +637,20 @@
                     / (r->ends_ms - r->begun_ms));
 }
 
+/* Return the checkpoint that a run reports; its percentage. */
+static char *
+make_checkpoint (const struct world *w, const struct world_run *r)
+{
+  struct task_name n;
+  const struct job_spec *spec = find_spec (w, r->task, &n);
+
+  if (!w->reports_checkpoints || spec == NULL
+      || !((const struct job_step *)g_ptr_array_index (spec->steps, n.step))
+              ->has_checkpoints)
+    return g_strdup ("");
+  return g_strdup_printf ("%u", progress_percent (w, r));
+}
+
 static struct worker_report *
 make_report (const struct world *w, const struct world_worker *k)
 {
@@ -644,7 +663,7 @@
       const struct world_run *r = g_ptr_array_index (k->runs, i);
       struct worker_run copy = { .task = g_strdup (r->task),
                                  .run = r->run,
-                                 .checkpoint = g_strdup (""),
+                                 .checkpoint = make_checkpoint (w, r),
                                  .percent = progress_percent (w, r) };
 
       g_array_append_val (report->runs, copy);
@@ -690,6 +709,7 @@
   call->task = g_strdup (o->task);
   call->run = o->run;
   call->deadline_ms = o->deadline_ms;
+  call->from_percent = (uint32_t)g_ascii_strtoull (o->checkpoint, NULL, 10);
   call->at_ms = w->now_ms + CALL_LATENCY_MS;
   call->answered = true;
   if (!reaches (w, call->epoch, k) || fault_occurs (w, w->faults.start_lost))
@@ -710,7 +730,7 @@
 
   if (reaches (w, call->epoch, k))
     answer = start_run (w, k, call->epoch, call->task, call->run,
-                        call->deadline_ms);
+                        call->deadline_ms, call->from_percent);
   if (call->answered && is_caller_present (w, call->cell, call->epoch))
     cell_start_answered (call->cell, call->worker, call->task, call->run,
                          answer, w->now_ms);
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -96,6 +96,10 @@
                      from then on have no admission control, and a start beyond
                      it is a violation. */
   int64_t run_ms; /* mean duration of a run */
+  bool reports_checkpoints; /* runs report checkpoints where their steps have
+                               them, and resume from them */
+  const char *long_task;    /* it takes LONG_FACTOR times as long; or NULL */
+  uint32_t long_factor;
   int64_t startup_ms;  /* from the start of a long-running task until it is at
                           work */
   GHashTable *answers; /* token to enum cell_answer, plus 1 */
