Start second runs of tasks that take long and allow duplicates

Cause: a job waited for the slowest run of its tasks, also where its step allows duplicates and other workers were idle. Change: a run beyond 1.5 times the learned 95% quantile, and 500 ms beyond the median, gets one second run on another worker if there is room and nothing of the same or a higher priority waits. A copy is a cell_task of its own that hangs off its task, with run numbers and failures counted there. The first end `done` counts; the other run is stopped and keeps its place until its end is listed. A new owner that finds two runs keeps the one with more progress.

--- a/src/cell_candidates.c
+++ b/src/cell_candidates.c
@@ -9,8 +9,9 @@
 /* A worker may be missing from the list for so long and still get tasks: its
    entry may be late while the store recovers. */
 #define UNLISTED_GRACE_MS 2500
-/* Suspect and very slow workers are avoided only while they are at most this share of all;
-   above it, the jobs are more likely at fault than the workers. */
+/* Suspect and very slow workers are avoided only while they are at most this
+   share of all; above it, the jobs are more likely at fault than the workers.
+ */
 #define SUSPECT_MAX_PERCENT 34
 
 /* Return whether W may have runs that are not in its tasks. */
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -24,6 +24,7 @@
 
   for (uint32_t i = 0; i < o->n_tasks; i++)
     {
+      cell_copy_drop (&o->tasks[i]);
       if (o->tasks[i].worker != NULL)
         cell_worker_unassign_task (o->tasks[i].worker, &o->tasks[i]);
       g_free (o->tasks[i].checkpoint);
@@ -280,20 +281,32 @@
 {
   struct cell_occurrence *o = t->occurrence;
 
-  if (t->phase == TASK_WAITING && phase != TASK_WAITING)
+  if (t->original == NULL && t->phase == TASK_WAITING && phase != TASK_WAITING)
     o->waiting[t->step]--;
-  if (t->phase != TASK_WAITING && phase == TASK_WAITING)
+  if (t->original == NULL && t->phase != TASK_WAITING && phase == TASK_WAITING)
     o->waiting[t->step]++;
   t->phase = phase;
   t->phase_ms = now_ms;
 }
 
 void
-cell_task_reset (struct cell *c, struct cell_task *t, int64_t now_ms)
+cell_task_reset (struct cell *c, struct cell_task *t, int64_t over_ms,
+                 int64_t now_ms)
 {
+  c->needs_placement = true;
+  if (t->original != NULL)
+    {
+      cell_copy_drop (t->original);
+      return;
+    }
+  t->run_over_ms = over_ms;
+  if (t->copy != NULL)
+    {
+      cell_copy_promote (t);
+      return;
+    }
   if (t->worker != NULL)
     cell_worker_unassign_task (t->worker, t);
-  t->run_over_ms = now_ms;
   t->has_pending_call = false;
   t->is_stop_acknowledged = false;
   t->start_attempts = 0;
@@ -302,7 +315,6 @@
   t->pace_percent = 100;
   if (t->phase != TASK_DONE)
     cell_task_set_phase (t, TASK_WAITING, now_ms);
-  c->needs_placement = true;
 }
 
 /* Stop the tasks of JOB that have been started; waiting ones do not start any
@@ -315,9 +327,7 @@
       struct cell_occurrence *o = g_ptr_array_index (job->occurrences, i);
 
       for (uint32_t k = 0; k < o->n_tasks; k++)
-        if (o->tasks[k].phase == TASK_STARTING
-            || o->tasks[k].phase == TASK_RUNNING)
-          cell_stop_task (c, &o->tasks[k], now_ms);
+        cell_task_stop_runs (c, &o->tasks[k], now_ms);
     }
 }
 
@@ -425,30 +435,61 @@
   t->checkpoint = g_strdup (checkpoint);
 }
 
+/* Process END of the run of T's copy, which T does not take its result from.
+ */
+static void
+copy_ended (struct cell *c, struct cell_task *t, struct cell_worker *w,
+            const struct worker_end *end, int64_t now_ms)
+{
+  cell_copy_drop (t);
+  c->needs_placement = true;
+  if (end->result == END_FAILED && t->phase != TASK_DONE)
+    record_failure (c, t, w->entry->id, now_ms);
+}
+
+/* Finish T, of which a run has ended as done, even if that is not its current
+   one.  Its other run is stopped. */
+static void
+task_done (struct cell *c, struct cell_task *t, const struct cell_task *ended,
+           int64_t now_ms)
+{
+  if (ended == NULL && t->worker != NULL)
+    cell_stop_superfluous_run (c, t, now_ms);
+  if (ended != NULL && ended == t->copy)
+    cell_copy_swap (t);
+  if (t->copy != NULL)
+    cell_stop_task (c, t->copy, now_ms);
+  if (cell_task_step (t)->is_gang)
+    finish_gang (c, t, now_ms);
+  else
+    finish_task (c, t, now_ms);
+}
+
 void
 cell_task_ended (struct cell *c, struct cell_task *t, struct cell_worker *w,
                  const struct worker_end *end, int64_t now_ms)
 {
   const struct job_step *s = cell_task_step (t);
-  bool is_current = t->worker == w && t->run == end->run;
+  const struct cell_task *ended
+      = cell_task_find_run (t, w->entry->id, end->run);
+  bool is_done = end->result == END_DONE && !s->is_long_running;
 
+  if (ended != NULL && ended == t->copy && (t->phase == TASK_DONE || !is_done))
+    {
+      copy_ended (c, t, w, end, now_ms);
+      return;
+    }
   if (t->phase == TASK_DONE)
     return;
-  if (end->result == END_DONE && !s->is_long_running)
+  if (is_done)
     {
-      /* The task is done, even if END is not of its current run. */
-      if (!is_current && t->worker != NULL)
-        cell_stop_superfluous_run (c, t, now_ms);
-      if (s->is_gang)
-        finish_gang (c, t, now_ms);
-      else
-        finish_task (c, t, now_ms);
+      task_done (c, t, ended, now_ms);
       return;
     }
-  if (s->has_checkpoints && (is_current || t->worker == NULL))
+  if (s->has_checkpoints && (ended == t || t->worker == NULL))
     set_checkpoint (t, end->checkpoint);
-  if (is_current || t->worker == NULL)
-    cell_task_reset (c, t, now_ms);
+  if (ended == t || t->worker == NULL)
+    cell_task_reset (c, t, now_ms, now_ms);
   if (end->result == END_FAILED)
     record_failure (c, t, w->entry->id, now_ms);
   else if (s->is_long_running)
@@ -527,7 +568,7 @@
           = g_ptr_array_index (job->occurrences, i);
 
       for (uint32_t k = 0; k < o->n_tasks; k++)
-        if (o->tasks[k].worker != NULL)
+        if (o->tasks[k].worker != NULL || o->tasks[k].copy != NULL)
           return true;
     }
   return false;
--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -465,9 +465,11 @@
 
   if (t == NULL)
     return false;
+  if (t->phase == TASK_RUNNING && cell_may_copy (t))
+    return cell_copy_load (t, w, run, c->taken_over_ms);
   /* Another record, which may be older, names an earlier run. */
   if (t->phase == TASK_RUNNING && run > t->run)
-    cell_task_reset (c, t, c->taken_over_ms);
+    cell_task_reset (c, t, c->taken_over_ms, c->taken_over_ms);
   if (t->phase != TASK_WAITING)
     return false;
   t->run = run;
@@ -522,7 +524,8 @@
       return;
     }
   while (w->tasks->len > 0)
-    cell_task_reset (c, g_ptr_array_index (w->tasks, 0), c->taken_over_ms);
+    cell_task_reset (c, g_ptr_array_index (w->tasks, 0), c->taken_over_ms,
+                     c->taken_over_ms);
   g_free (w->entry->address);
   g_variant_get (v, WORKER_TYPE, &w->entry->address, &incarnation_start_ms,
                  &ends, &names_runs, &is_emptying, &w->lease_remaining_ms,
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -57,6 +57,19 @@
   cell_send_start (c, t, now_ms);
 }
 
+void
+cell_start_copy (struct cell *c, struct cell_task *t, struct cell_worker *w,
+                 int64_t now_ms)
+{
+  struct cell_task *copy;
+
+  if (!has_run_number (c, t))
+    return;
+  copy = cell_copy_new (t, now_ms);
+  copy->checkpoint = g_strdup (t->checkpoint);
+  assign_and_start (c, copy, w, run_number (c, ++t->runs_given), now_ms);
+}
+
 /* Start all tasks of a gang, or none of them if not all fit; only on workers
    of RACK unless that is NULL. */
 static bool
@@ -103,13 +116,18 @@
   return c->confirmed_ms > t->run_over_ms;
 }
 
+bool
+cell_is_every_run_known (const struct cell *c, const struct cell_task *t)
+{
+  return c->is_every_run_known || t->is_every_run_known;
+}
+
 /* Return whether no run of T can be going on, be it under an earlier owner or
    a successor. */
 static bool
 is_every_run_over (const struct cell *c, const struct cell_task *t)
 {
-  return is_last_run_over (c, t)
-         && (c->is_every_run_known || t->is_every_run_known);
+  return is_last_run_over (c, t) && cell_is_every_run_known (c, t);
 }
 
 static bool
--- a/src/cell_place.h
+++ b/src/cell_place.h
@@ -42,6 +42,11 @@
 /* Sort the open jobs, those to place first at the front. */
 void cell_order_jobs (struct cell *c, int64_t now_ms);
 
+/* cell_place.c */
+/* Return whether T has no runs of earlier owners that this one does not know.
+ */
+bool cell_is_every_run_known (const struct cell *c, const struct cell_task *t);
+
 /* cell_choice.c */
 /* Return the best worker that can start T now, other than the one it is on, or
    NULL; only one of RACK unless that is NULL. */
--- a/src/cell_reports.c
+++ b/src/cell_reports.c
@@ -15,41 +15,49 @@
 #define UNJOURNALED_HOLD_INTERVAL_MS 150
 /* Retry delay after a hold that was not answered. */
 #define HOLD_RETRY_DELAY_MS 250
-/* Take over run R that an earlier owner started as T's.  Return false if it
-   has to be stopped instead. */
-static bool
+/* Take over run R that an earlier owner started as T's, and return T or its
+   copy.  Return NULL if the run has to be stopped instead. */
+static struct cell_task *
 adopt_run (struct cell *c, struct cell_worker *w, const struct worker_run *r,
            struct cell_task *t, int64_t now_ms)
 {
   struct cell_job *job = t->occurrence->job;
 
   if (job->state >= JOB_COMPLETED || t->runs_given > 0)
-    return false;
+    return NULL;
+  if (cell_may_copy (t) && t->worker != NULL && t->worker != w
+      && t->copy == NULL)
+    {
+      cell_copy_adopt (t, w, r->run, now_ms);
+      return t->copy;
+    }
   /* A higher run number was given only after the lower run was over, which the
      journal names and no worker has reported. */
-  if (t->phase == TASK_RUNNING && r->run > t->run
+  if (t->worker != NULL && t->phase == TASK_RUNNING && r->run > t->run
+      && !cell_may_copy (t)
       && (!t->worker->is_confirmed || !t->is_every_run_known))
-    cell_task_reset (c, t, now_ms);
+    cell_task_reset (c, t, now_ms, now_ms);
   if (t->phase != TASK_WAITING)
-    return false;
+    return NULL;
   t->run = r->run;
   cell_worker_assign_task (w, t);
   cell_task_set_phase (t, TASK_RUNNING, now_ms);
   t->progress_ms = now_ms;
-  t->is_every_run_known = true;
   job->has_started = true;
-  return true;
+  return t;
 }
 
 static void
 process_run (struct cell *c, struct cell_worker *w, const struct worker_run *r,
              int64_t now_ms)
 {
-  struct cell_task *t = cell_find_started_task (c, r->task, now_ms);
+  struct cell_task *task = cell_find_started_task (c, r->task, now_ms);
+  struct cell_task *t
+      = task != NULL ? cell_task_find_run (task, w->entry->id, r->run) : NULL;
 
-  if (t == NULL
-      || ((t->worker != w || t->run != r->run)
-          && !adopt_run (c, w, r, t, now_ms)))
+  if (t == NULL && task != NULL)
+    t = adopt_run (c, w, r, task, now_ms);
+  if (t == NULL)
     {
       bool must_stop = cell_worker_is_incarnation_listed (w);
 
@@ -61,7 +69,9 @@
       w->unknown_runs++;
       return;
     }
-  t->is_every_run_known = true;
+  /* Beside one run of an earlier owner there may be a copy. */
+  if (!cell_may_copy (t))
+    t->is_every_run_known = true;
   if (t->phase == TASK_STARTING && !t->has_pending_call)
     cell_task_set_phase (t, TASK_RUNNING, now_ms);
   if (r->percent != t->percent)
@@ -78,6 +88,7 @@
   /* A task from before the failures shows nothing of what is started now. */
   if (t->phase_ms > w->last_failure_ms && cell_task_has_lasted (t, now_ms))
     cell_worker_clear_streak (w);
+  cell_copy_settle (c, task, now_ms);
 }
 
 static void
@@ -85,11 +96,13 @@
              int64_t now_ms)
 {
   struct cell_task *t = cell_find_started_task (c, e->task, now_ms);
+  const struct cell_task *run;
   struct task_name name;
 
   w->last_processed_end = e->number;
-  if (t != NULL)
-    cell_learn_from_end (c, w, t, e, now_ms);
+  run = t != NULL ? cell_task_find_run (t, w->entry->id, e->run) : NULL;
+  if (run != NULL)
+    cell_learn_from_end (c, w, run, e, now_ms);
   if (e->result == END_FAILED && task_name_parse (e->task, &name))
     cell_worker_count_failure (c, w, name.job, now_ms);
   if (e->result == END_DONE)
@@ -143,7 +156,7 @@
   if (t->phase == TASK_RUNNING)
     cell_log_event (c, "run-missing", name, "worker=%s run=%" G_GUINT64_FORMAT,
                     w->entry->id, t->run);
-  cell_task_reset (c, t, now_ms);
+  cell_task_reset (c, t, now_ms, now_ms);
 }
 
 /* Process the runs of tasks on W that are missing from REPORT, except where it
--- a/src/cell_run_times.c
+++ b/src/cell_run_times.c
@@ -72,8 +72,8 @@
   char text[KEY_BYTES];
   int64_t typical_ms;
 
-  if (end->result != END_DONE || t->worker != w || t->run != end->run
-      || t->begun_ms == 0 || s->is_long_running || s->is_best_effort)
+  if (end->result != END_DONE || t->begun_ms == 0 || s->is_long_running
+      || s->is_best_effort)
     return;
   typical_ms = cell_learned_run_ms (c, spec, s, 50);
   if (typical_ms >= 0)
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -21,6 +21,10 @@
 #define STALL_TIMEOUT_MS 2200
 #define STALL_FACTOR 5
 #define STALL_DOUBLINGS_MAX 5
+/* A copy has to start within this time after its task's worker reported the
+   first run: the lease of its start is as short.  A start that arrives later
+   is refused, as the first run may be done and acknowledged by then. */
+#define COPY_START_TIMEOUT_MS 1000
 /* Tasks that are not long-running may go on for so long on a worker that is
    being emptied, so that their work is not lost. */
 #define EMPTYING_GRACE_MS 3500
@@ -62,6 +66,9 @@
 
   fill_run_order (o, w, cell_task_name (t), t->run);
   o->u.run.deadline_ms = cell_lease_deadline (w, now_ms);
+  if (t->original != NULL)
+    o->u.run.deadline_ms
+        += MIN (COPY_START_TIMEOUT_MS, w->lease_ms) - w->lease_ms;
   o->u.run.payload = g_strdup (t->occurrence->job->spec->payload);
   o->u.run.checkpoint = g_strdup (t->checkpoint != NULL ? t->checkpoint : "");
   o->u.run.ticket = g_strdup (find_ticket (t, w));
@@ -253,10 +260,10 @@
 {
   struct cell_task *t = cell_find_task (c, task);
 
-  if (t == NULL || t->worker == NULL || t->run != run
-      || strcmp (t->worker->entry->id, worker) != 0)
-    return NULL;
-  t->has_pending_call = false;
+  if (t != NULL)
+    t = cell_task_find_run (t, worker, run);
+  if (t != NULL)
+    t->has_pending_call = false;
   return t;
 }
 
@@ -266,16 +273,13 @@
 handle_not_started (struct cell *c, struct cell_task *t, int64_t delay_ms,
                     int64_t now_ms)
 {
-  int64_t run_over_ms = t->run_over_ms;
-
   if (t->start_attempts > 1)
     {
       cell_stop_task (c, t, now_ms);
       return;
     }
-  cell_task_reset (c, t, now_ms);
-  t->run_over_ms = run_over_ms;
   t->retry_ms = now_ms + delay_ms;
+  cell_task_reset (c, t, t->run_over_ms, now_ms);
 }
 
 static void
@@ -285,7 +289,7 @@
     return;
   /* A worker that has restarted since has an unknown clock, on which a lease
      can't be given. */
-  if (t->start_attempts < MAX_START_ATTEMPTS
+  if (t->start_attempts < MAX_START_ATTEMPTS && t->original == NULL
       && t->worker->clock_reported_ms != 0)
     {
       cell_send_start (c, t, now_ms);
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -15,6 +15,7 @@
    cell_health.c   workers that fail or slow down what they start
    cell_place.c    which task starts on which worker, with the files that
                    cell_place.h names
+   cell_copies.c   second runs of tasks
    cell_stragglers.c  runs that take much longer than others
    cell_load.c     how large the pool has to be
    cell_owners.c   earlier owners, and how long their leases last
@@ -49,6 +50,8 @@
 
 struct cell_task
 {
+  struct cell_task *copy;     /* a second run of it, or NULL */
+  struct cell_task *original; /* the task whose second run this is, or NULL */
   struct cell_occurrence *occurrence;
   uint32_t step;
   uint32_t index; /* within the step */
@@ -297,10 +300,12 @@
                                           int64_t now_ms);
 void cell_task_set_phase (struct cell_task *t, enum task_phase phase,
                           int64_t now_ms);
-/* Put T back to TASK_WAITING; its run is over or lost.  A successor that took
-   over before may have started it again, so that it waits for the store to
-   confirm this owner. */
-void cell_task_reset (struct cell *c, struct cell_task *t, int64_t now_ms);
+/* Process that T's run is over or lost since OVER_MS.  T gets the run of its
+   copy, if it has one, and else goes back to TASK_WAITING.  A successor that
+   took over before may have started it again, so that it waits for the store
+   to confirm this owner.  A T that is itself a copy is freed. */
+void cell_task_reset (struct cell *c, struct cell_task *t, int64_t over_ms,
+                      int64_t now_ms);
 /* Process END of one of T's runs, which W has reported. */
 void cell_task_ended (struct cell *c, struct cell_task *t,
                       struct cell_worker *w, const struct worker_end *end,
@@ -314,6 +319,33 @@
 /* Forget jobs that ended more than keep_state_ms ago. */
 void cell_jobs_purge_ended (struct cell *c, int64_t now_ms);
 
+/* cell_copies.c */
+/* Return whether T may have a second run. */
+bool cell_may_copy (const struct cell_task *t);
+/* Return T or its copy, whichever has RUN on WORKER, or NULL. */
+struct cell_task *cell_task_find_run (struct cell_task *t, const char *worker,
+                                      uint64_t run);
+/* Return a new copy of T, which has none, without a worker. */
+struct cell_task *cell_copy_new (struct cell_task *t, int64_t now_ms);
+/* Free T's copy, if it has one; its run is over. */
+void cell_copy_drop (struct cell_task *t);
+/* Exchange the runs of T and its copy; both have one. */
+void cell_copy_swap (struct cell_task *t);
+/* Give the run of T's copy to T, whose own is over. */
+void cell_copy_promote (struct cell_task *t);
+/* Take RUN on W, which an earlier owner started, as T's second run. */
+void cell_copy_adopt (struct cell_task *t, struct cell_worker *w, uint64_t run,
+                      int64_t now_ms);
+/* Load RUN on W, which is named in W's record, as T's second run.  Return
+   false if T has two already: W may then have it as if it were not named. */
+bool cell_copy_load (struct cell_task *t, struct cell_worker *w, uint64_t run,
+                     int64_t now_ms);
+/* Stop the runs of T that have been started. */
+void cell_task_stop_runs (struct cell *c, struct cell_task *t, int64_t now_ms);
+/* Of two runs of T that earlier owners started, and both workers have
+   reported, keep the one with more progress and stop the other. */
+void cell_copy_settle (struct cell *c, struct cell_task *t, int64_t now_ms);
+
 /* cell_progress.c */
 GBytes *cell_job_progress (const struct cell_job *job);
 void cell_job_load_progress (struct cell *c, const char *id, GBytes *bytes);
@@ -422,6 +454,9 @@
 
 /* cell_place.c */
 void cell_place (struct cell *c, int64_t now_ms);
+/* Start a second run of T on W. */
+void cell_start_copy (struct cell *c, struct cell_task *t,
+                      struct cell_worker *w, int64_t now_ms);
 /* Return whether O is due and all steps that STEP depends on are done. */
 bool cell_step_is_ready (const struct cell_occurrence *o, uint32_t step);
 /* Return whether some worker could start T now; record a shortage if none
@@ -441,7 +476,7 @@
  */
 int64_t cell_expected_path_ms (const struct cell *c,
                                const struct job_spec *spec);
-/* Learn from END of T's current run on W, if it is that.  Runs that resumed
+/* Learn from END of T's current run, on W.  Runs that resumed
    from a checkpoint show nothing, and those on suspect or slow workers nothing
    of their step. */
 void cell_learn_from_end (struct cell *c, struct cell_worker *w,
--- a/src/cell_stragglers.c
+++ b/src/cell_stragglers.c
@@ -100,18 +100,46 @@
   cell_stop_task (c, t, now_ms);
 }
 
+/* Start a second run of T, a straggler, unless a failure of that would already
+   use up T's attempts. */
+static void
+copy_straggler (struct cell *c, struct cell_task *t,
+                const struct usual_times *u, int64_t now_ms)
+{
+  struct cell_worker *w;
+  char *name;
+
+  if (t->original != NULL || t->copy != NULL
+      || t->failures + 1 >= t->occurrence->job->spec->max_attempts
+      || !cell_is_every_run_known (c, t) || !may_use_spare_room (c, t))
+    return;
+  cell_ask_advice (c, t->occurrence, t->step, now_ms);
+  w = find_spare_worker (c, t, now_ms);
+  if (w == NULL)
+    return;
+  name = cell_task_name (t);
+  cell_log_event (c, "task-copied", name,
+                  "worker=%s second=%s percent=%u elapsed_ms=%" G_GINT64_FORMAT
+                  " limit_ms=%" G_GINT64_FORMAT,
+                  t->worker->entry->id, w->entry->id, t->percent,
+                  now_ms - t->phase_ms, u->limit_ms);
+  g_free (name);
+  cell_start_copy (c, t, w, now_ms);
+}
+
 static void
 check_run (struct cell *c, struct cell_task *t, int64_t now_ms)
 {
   const struct job_step *s = cell_task_step (t);
   struct usual_times u;
 
-  if (t->phase != TASK_RUNNING || t->begun_ms == 0
-      || now_ms < t->begun_ms + STRAGGLER_MARGIN_MS || s->is_long_running
-      || s->is_gang || s->is_best_effort || !get_usual_times (c, t, &u)
-      || now_ms <= t->begun_ms + u.limit_ms)
+  if (t->phase != TASK_RUNNING || now_ms < t->phase_ms + STRAGGLER_MARGIN_MS
+      || s->is_long_running || s->is_gang || s->is_best_effort
+      || !get_usual_times (c, t, &u) || now_ms <= t->phase_ms + u.limit_ms)
     return;
-  if (!s->allows_duplicates && s->has_checkpoints)
+  if (cell_may_copy (t))
+    copy_straggler (c, t, &u, now_ms);
+  else if (!s->allows_duplicates && s->has_checkpoints && t->begun_ms != 0)
     move_straggler (c, t, &u, now_ms);
 }
 
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -88,8 +88,7 @@
                       "worker=%s run=%" G_GUINT64_FORMAT " cause=%s",
                       w->entry->id, t->run, cause);
       g_free (name);
-      cell_task_reset (c, t, now_ms);
-      t->run_over_ms = over_ms;
+      cell_task_reset (c, t, over_ms, now_ms);
     }
   w->may_have_unseen_runs = false;
   c->needs_placement = true;
