Let tasks wait for the rack of their data while that is shorter

Cause: a task that found no room in its preferred rack ran elsewhere at once, where it takes far_rack_factor times as long. Change: it waits while the expected wait for the rack, by what the rack's tasks free and what waits for it already, is shorter than what it loses elsewhere, and no longer than that in all. Where others wait for the rack already, a job that ends in time elsewhere leaves it to them. Run times are learned as of the preferred rack, and a copy or a straggler does not move away from it.

--- a/src/cell.c
+++ b/src/cell.c
@@ -91,6 +91,7 @@
   c->ticked_ms = now_ms;
   c->waiting_priority = UINT32_MAX;
   c->run_times = run_times_new ();
+  c->rack_queues = cell_rack_queues_new ();
   g_queue_init (&c->orders);
   return c;
 }
@@ -111,6 +112,7 @@
   g_hash_table_unref (cell->workers);
   g_ptr_array_unref (cell->earlier_owners);
   run_times_destroy (cell->run_times);
+  g_hash_table_unref (cell->rack_queues);
   g_free (cell->service);
   g_free (cell->address);
   g_free (cell->listed_owner);
--- a/src/cell.h
+++ b/src/cell.h
@@ -38,6 +38,9 @@
      has stopped, and after the takeover if it does not answer. */
   int64_t stopped_owner_lease_ms;
   int64_t silent_owner_lease_ms;
+  /* How much longer a task takes away from its preferred rack; 0 or 1 for no
+     longer. */
+  double far_rack_factor;
 };
 
 /* Answer to a call that submits or cancels a job. */
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -49,6 +49,7 @@
   t->start_attempts = 0;
   t->percent = 0;
   t->begun_ms = 0;
+  t->rack_wait_ms = 0;
   t->progress_ms = now_ms;
   t->pace_percent = 100;
   t->is_stop_acknowledged = false;
@@ -172,6 +173,8 @@
             int64_t now_ms)
 {
   const struct job_step *s = g_ptr_array_index (o->job->spec->steps, step);
+  struct cell_worker *far = NULL; /* not used by a task that waits for its
+                                     rack; the next one would get it too */
 
   cell_ask_advice (c, o, step, now_ms);
   if (s->is_gang)
@@ -187,7 +190,12 @@
       if (t->phase != TASK_WAITING || now_ms < t->retry_ms
           || !is_every_run_over (c, t) || !has_run_number (c, t))
         continue;
-      w = cell_choose_worker (c, t, NULL, now_ms);
+      w = far != NULL && t->avoid_worker == NULL
+              ? far
+              : cell_choose_worker (c, t, NULL, now_ms);
+      far = w != NULL && cell_waits_for_rack (c, t, w, now_ms) ? w : NULL;
+      if (far != NULL)
+        continue;
       if (w != NULL)
         {
           assign_and_start (c, t, w, run_number (c, ++t->runs_given), now_ms);
@@ -270,6 +278,7 @@
   cell_update_suspect_policy (c, now_ms);
   cell_order_jobs (c, now_ms);
   c->waiting_priority = UINT32_MAX;
+  g_hash_table_remove_all (c->rack_queues);
   for (guint i = 0; i < c->open_jobs->len; i++)
     {
       struct cell_job *job = g_ptr_array_index (c->open_jobs, i);
--- a/src/cell_place.h
+++ b/src/cell_place.h
@@ -7,6 +7,7 @@
    cell_candidates.c  which workers may run a task
    cell_advice.c      which workers a queue's policy allows
    cell_order.c       which job goes first
+   cell_racks.c       whether a task waits for the rack of its data
    cell_choice.c      which candidate a task gets
    cell_place.c       starts of tasks and gangs. */
 
@@ -42,6 +43,12 @@
 /* Sort the open jobs, those to place first at the front. */
 void cell_order_jobs (struct cell *c, int64_t now_ms);
 
+/* cell_racks.c */
+/* Return whether T waits for room in its preferred rack rather than run on W
+   now; it then counts as waiting there for the rest of this placement. */
+bool cell_waits_for_rack (struct cell *c, struct cell_task *t,
+                          const struct cell_worker *w, int64_t now_ms);
+
 /* cell_place.c */
 /* Return whether T has no runs of earlier owners that this one does not know.
  */
--- a/src/cell_run_times.c
+++ b/src/cell_run_times.c
@@ -70,15 +70,17 @@
   const struct job_step *s = cell_task_step (t);
   const struct job_spec *spec = t->occurrence->job->spec;
   char text[KEY_BYTES];
-  int64_t typical_ms;
+  int64_t typical_ms, run_ms;
 
   if (end->result != END_DONE || t->begun_ms == 0 || s->is_long_running
       || s->is_best_effort)
     return;
+  /* What it takes in the rack of its data. */
+  run_ms
+      = (int64_t)((double)(now_ms - t->begun_ms) / cell_rack_factor (c, s, w));
   typical_ms = cell_learned_run_ms (c, spec, s, 50);
   if (typical_ms >= 0)
-    cell_worker_time_run (c, w, now_ms - t->begun_ms, typical_ms, now_ms);
+    cell_worker_time_run (c, w, run_ms, typical_ms, now_ms);
   if (!cell_worker_is_suspect (w) && !cell_worker_is_slow (w))
-    run_times_add (c->run_times, step_key (spec, s, text),
-                   now_ms - t->begun_ms, now_ms);
+    run_times_add (c->run_times, step_key (spec, s, text), run_ms, now_ms);
 }
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -78,6 +78,8 @@
                              the task was last tried */
   char *checkpoint;       /* newest, or NULL */
   char *avoid_worker;     /* where it last failed or stalled, or NULL */
+  int64_t rack_wait_ms;   /* since when it waits for its preferred rack; 0 if
+                             it does not */
   bool has_moved;         /* it was stopped to resume on a faster worker */
 };
 
@@ -260,6 +262,7 @@
   uint32_t peers_slowness; /* median of the workers' scores; 0 if unknown */
   int64_t compared_ms;     /* when workers were last compared */
   struct run_times *run_times; /* learned, see cell_run_times.c */
+  GHashTable *rack_queues; /* rack to struct rack_queue *, see cell_racks.c */
 };
 
 /* cell.c */
@@ -452,6 +455,13 @@
    owners. */
 int64_t cell_owners_leases_until_ms (const struct cell *c);
 
+/* cell_racks.c */
+GHashTable *cell_rack_queues_new (void);
+/* Return how many times as long a task of S takes on W as in its preferred
+   rack. */
+double cell_rack_factor (const struct cell *c, const struct job_step *s,
+                         const struct cell_worker *w);
+
 /* cell_place.c */
 void cell_place (struct cell *c, int64_t now_ms);
 /* Start a second run of T on W. */
--- a/src/cell_stragglers.c
+++ b/src/cell_stragglers.c
@@ -30,6 +30,8 @@
   u->limit_ms
       = MAX (cell_learned_run_ms (c, spec, s, 95) * STRAGGLER_TENTHS / 10,
              u->median_ms + STRAGGLER_MARGIN_MS);
+  u->limit_ms
+      = (int64_t)((double)u->limit_ms * cell_rack_factor (c, s, t->worker));
   return true;
 }
 
@@ -48,10 +50,13 @@
 find_spare_worker (const struct cell *c, const struct cell_task *t,
                    int64_t now_ms)
 {
+  const struct job_step *s = cell_task_step (t);
   struct cell_worker *w = cell_choose_worker (c, t, NULL, now_ms);
 
-  return w == NULL || cell_is_avoided (c, w) || cell_worker_is_slow (w) ? NULL
-                                                                        : w;
+  if (w == NULL || cell_is_avoided (c, w) || cell_worker_is_slow (w)
+      || cell_rack_factor (c, s, w) > cell_rack_factor (c, s, t->worker))
+    return NULL;
+  return w;
 }
 
 /* Return whether T, a straggler on a slow worker, ends sooner if it resumes
--- a/src/node_takeover.c
+++ b/src/node_takeover.c
@@ -562,6 +562,7 @@
     .keep_state_ms = s->keep_state_ms,
     .stopped_owner_lease_ms = STOPPED_OWNER_LEASE_MS,
     .silent_owner_lease_ms = SILENT_OWNER_LEASE_MS,
+    .far_rack_factor = s->far_rack_factor,
   };
 
   h->cell = cell_new (&options, now_ms);
--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -162,6 +162,11 @@
   e->address = g_strdup ("10.0.0.1:80");
   g_free (e->service);
   e->service = g_strdup ("desk");
+  if (k->rack != NULL)
+    {
+      g_free (e->rack);
+      e->rack = g_strdup (k->rack);
+    }
   e->incarnation_start_ms = k->incarnation_start_ms;
   e->capacity = (struct worker_resources){ 16000, 32768, 0 };
   return e;
@@ -215,6 +220,7 @@
           .early_ms = EARLY_MS,
           .keep_state_ms = 120000,
           .stopped_owner_lease_ms = STOPPED_OWNER_LEASE_MS,
+          .far_rack_factor = w->far_rack_factor,
           .silent_owner_lease_ms
           = UNCONFIRMED_OWNER_MS + STOPPED_OWNER_LEASE_MS };
   char *address = g_strdup_printf ("owner-%" G_GUINT64_FORMAT, w->epoch);
@@ -554,6 +560,21 @@
   w->copies += count_runs (w, task) > 0;
 }
 
+/* Return whether K is not in the preferred rack of TASK's step. */
+static bool
+is_far (const struct world *w, const struct world_worker *k, const char *task)
+{
+  struct task_name n;
+  const struct job_spec *spec = find_spec (w, task, &n);
+  const struct job_step *s;
+
+  if (spec == NULL)
+    return false;
+  s = g_ptr_array_index (spec->steps, n.step);
+  return s->preferred_rack[0] != '\0'
+         && g_strcmp0 (s->preferred_rack, k->rack) != 0;
+}
+
 static enum run_answer
 start_run (struct world *w, struct world_worker *k, uint64_t epoch,
            const char *task, uint64_t run, int64_t deadline_ms,
@@ -588,6 +609,8 @@
     duration_ms *= w->long_factor;
   if (fault_occurs (w, w->faults.run_long))
     duration_ms *= 5;
+  if (w->far_rack_factor > 0 && is_far (w, k, task))
+    duration_ms *= w->far_rack_factor;
   r->begun_ms = w->now_ms - duration_ms * from_percent / 100;
   r->ends_ms = r->begun_ms + duration_ms;
   g_ptr_array_add (k->runs, r);
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -43,6 +43,7 @@
   bool is_reassigned; /* the list shows it under another service */
   bool is_failing_all_runs; /* every run that it starts fails at once */
   int fails_percent;        /* part of its runs that fail */
+  const char *rack;         /* NULL for "" */
   uint32_t slow_factor; /* its runs take so many times as long; 0 for once */
   uint32_t starts;      /* runs started there so far */
   int64_t incarnation_start_ms;
@@ -106,6 +107,8 @@
                                them, and resume from them */
   const char *long_task;    /* it takes LONG_FACTOR times as long; or NULL */
   uint32_t long_factor;
+  uint32_t far_rack_factor; /* tasks take so many times as long away from their
+                               preferred racks; owners from then on know */
   int64_t startup_ms;  /* from the start of a long-running task until it is at
                           work */
   GHashTable *answers; /* token to enum cell_answer, plus 1 */
