Let tasks of the seeded schedules with duplicates prefer racks

Cause: no schedule with faults had tasks that wait for their rack. Change: the second step of jobs with duplicates prefers one of three racks, away from which tasks take three times as long.

--- a/tests/unit/test_cell_kinds.c
+++ b/tests/unit/test_cell_kinds.c
@@ -64,8 +64,10 @@
   return job;
 }
 
-/* Let the tasks of JOB's steps run twice.  There are enough of one image for
-   the cell to tell which run takes long. */
+static const char *const racks[] = { "r0", "r1", "r2" };
+
+/* Let the tasks of JOB's steps run twice, and some of them prefer a rack.
+   There are enough of one image for the cell to tell which run takes long. */
 static void
 allow_duplicates (struct job_spec *job)
 {
@@ -79,6 +81,11 @@
         s->count *= 12;
       g_free (s->image);
       s->image = g_strdup ("image");
+      if (i == 1)
+        {
+          g_free (s->preferred_rack);
+          s->preferred_rack = g_strdup (racks[job->id[JOB_ID_LENGTH - 1] % 3]);
+        }
     }
 }
 
@@ -229,6 +236,9 @@
       w->run_ms = 200 + w->run_ms / 10;
       w->reports_checkpoints = true;
       w->faults.run_long = 4;
+      w->far_rack_factor = 3;
+      for (int i = 0; i < WORLD_WORKERS; i++)
+        w->workers[i].rack = racks[i % 3];
       w->faults.task_fails = 2;
     }
   world_run (w, 500);
@@ -267,7 +277,8 @@
 }
 
 /* Guards against a third run of a task, a run after it was done, and ends that
-   a new owner loses, where tasks have second runs. */
+   a new owner loses, where tasks have second runs; and against a wait for a
+   rack without an end. */
 static void
 test_duplicates (void)
 {
