Start fewer copies where they do not end first

Change: a key of run times counts its copies and those that ended first. With 8 known and fewer than one in eight of these, it gets copies only once a minute has passed since the last.

--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -455,6 +455,9 @@
 {
   if (ended == NULL && t->worker != NULL)
     cell_stop_superfluous_run (c, t, now_ms);
+  if (ended != NULL && t->copy != NULL)
+    cell_learn_from_copy (c, t, ended->run == MAX (t->run, t->copy->run),
+                          now_ms);
   if (ended != NULL && ended == t->copy)
     cell_copy_swap (t);
   if (t->copy != NULL)
--- a/src/cell_run_times.c
+++ b/src/cell_run_times.c
@@ -84,3 +84,26 @@
   if (!cell_worker_is_suspect (w) && !cell_worker_is_slow (w))
     run_times_add (c->run_times, step_key (spec, s, text), run_ms, now_ms);
 }
+
+void
+cell_learn_from_copy (struct cell *c, const struct cell_task *t, bool has_won,
+                      int64_t now_ms)
+{
+  char text[KEY_BYTES];
+
+  run_times_add_copy (
+      c->run_times,
+      step_key (t->occurrence->job->spec, cell_task_step (t), text), has_won,
+      now_ms);
+}
+
+bool
+cell_copies_pay (const struct cell *c, const struct cell_task *t,
+                 int64_t now_ms)
+{
+  char text[KEY_BYTES];
+
+  return run_times_copies_pay (
+      c->run_times,
+      step_key (t->occurrence->job->spec, cell_task_step (t), text), now_ms);
+}
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -493,6 +493,13 @@
                           const struct cell_task *t,
                           const struct worker_end *end, int64_t now_ms);
 
+/* Learn whether the second of two runs of T was done first. */
+void cell_learn_from_copy (struct cell *c, const struct cell_task *t,
+                           bool has_won, int64_t now_ms);
+/* Return whether second runs of tasks like T end first often enough. */
+bool cell_copies_pay (const struct cell *c, const struct cell_task *t,
+                      int64_t now_ms);
+
 /* cell_stragglers.c */
 /* Deal with runs on W, which has just reported them, that take much longer
    than others of their step. */
--- a/src/cell_stragglers.c
+++ b/src/cell_stragglers.c
@@ -116,7 +116,8 @@
 
   if (t->original != NULL || t->copy != NULL
       || t->failures + 1 >= t->occurrence->job->spec->max_attempts
-      || !cell_is_every_run_known (c, t) || !may_use_spare_room (c, t))
+      || !cell_is_every_run_known (c, t) || !may_use_spare_room (c, t)
+      || !cell_copies_pay (c, t, now_ms))
     return;
   cell_ask_advice (c, t->occurrence, t->step, now_ms);
   w = find_spare_worker (c, t, now_ms);
--- a/src/run_times.c
+++ b/src/run_times.c
@@ -10,6 +10,16 @@
    packages no histogram library for C; one HDR histogram of two digits up to
    an hour would take 15 KB a key and has no way to forget old values. */
 
+/* Copies of a key that are remembered; then their counts are halved. */
+#define COPIES_MAX 32
+/* Copies that have to be known before a key gets none any more, because fewer
+   than one in COPIES_PER_WIN ended first.  A copy takes up to as much of a
+   worker as its task, and what it gains is a part of that. */
+#define COPIES_MIN 8
+#define COPIES_PER_WIN 8
+/* Such a key gets copies again after this time, in case its load changed. */
+#define COPIES_RETRY_MS 60000
+
 struct value
 {
   int32_t ms;
@@ -25,6 +35,9 @@
   uint32_t next; /* place of the next value */
   int32_t sorted_ms[RUN_TIMES_VALUES];
   uint32_t n_sorted;
+  uint32_t copies;
+  uint32_t copies_won;     /* that ended first */
+  int64_t copied_ms;       /* when the last one ended or was overtaken */
   int64_t sorted_until_ms; /* when the sorted copy has to be made anew */
 };
 
@@ -205,3 +218,30 @@
     return -1;
   return k->sorted_ms[(k->n_sorted - 1) * MIN (percent, 100) / 100];
 }
+
+void
+run_times_add_copy (struct run_times *r, const char *key, bool has_won,
+                    int64_t now_ms)
+{
+  struct key_times *k = find_key (r, key);
+
+  if (k == NULL)
+    return;
+  k->copies++;
+  k->copies_won += has_won;
+  k->copied_ms = now_ms;
+  if (k->copies < COPIES_MAX)
+    return;
+  k->copies /= 2;
+  k->copies_won /= 2;
+}
+
+bool
+run_times_copies_pay (struct run_times *r, const char *key, int64_t now_ms)
+{
+  const struct key_times *k = find_key (r, key);
+
+  return k == NULL || k->copies < COPIES_MIN
+         || k->copies_won * COPIES_PER_WIN >= k->copies
+         || now_ms >= k->copied_ms + COPIES_RETRY_MS;
+}
--- a/src/run_times.h
+++ b/src/run_times.h
@@ -1,6 +1,7 @@
 #ifndef RUN_TIMES_H
 #define RUN_TIMES_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* Learned run times: quantiles of the last values of each key, in bounded
@@ -29,4 +30,13 @@
 int64_t run_times_quantile_ms (struct run_times *r, const char *key,
                                uint32_t percent, int64_t now_ms);
 
+/* Record whether a second run of a task of KEY has ended first. */
+void run_times_add_copy (struct run_times *r, const char *key, bool has_won,
+                         int64_t now_ms);
+
+/* Return whether second runs of KEY's tasks are worth their cost: enough of
+   them ended first, few are known, or the last one is long ago. */
+bool run_times_copies_pay (struct run_times *r, const char *key,
+                           int64_t now_ms);
+
 #endif
--- a/tests/unit/test_cell_copies.c
+++ b/tests/unit/test_cell_copies.c
@@ -389,6 +389,51 @@
     }
 }
 
+/* Submit 40 jobs of 33 tasks each.  The first run of one of these takes 25
+   times as long as usual, a second one RETRY_FACTOR times.  Return the number
+   of second runs. */
+static uint32_t
+count_copies (uint32_t retry_factor)
+{
+  struct world *w = world_with_long_task (12);
+  uint32_t copies;
+
+  w->run_ms = 500;
+  for (int i = 0; i < 40; i++)
+    {
+      char *id = g_strdup_printf ("%016x", 0xe00 + i);
+      char *task = g_strconcat (id, ".0.0.0", NULL);
+
+      w->long_task = task;
+      w->long_factor = 25;
+      world_submit (w, job_with_copies (w, id, 33));
+      world_run (w, 500);
+      w->long_factor = retry_factor;
+      world_run (w, 20000);
+      g_assert_cmpint (world_state (w, id), ==, JOB_COMPLETED);
+      g_free (task);
+      g_free (id);
+      w->long_task = NULL;
+    }
+  copies = w->copies;
+  world_assert_no_violations (w);
+  world_destroy (w);
+  return copies;
+}
+
+/* Load: 3% of the tasks take 25 times as long.  Guards against second runs of
+   all of them where these never end first; where the run was slow and not the
+   task, each has its second run. */
+static void
+test_copies_that_never_win_end (void)
+{
+  uint32_t copies = count_copies (75);
+
+  g_assert_cmpuint (copies, >=, 8);
+  g_assert_cmpuint (copies, <=, 24);
+  g_assert_cmpuint (count_copies (1), >=, 38);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -412,5 +457,6 @@
                    test_a_new_owner_keeps_the_room_of_named_runs);
   g_test_add_func ("/cell-copies/late-start",
                    test_a_late_start_of_a_copy_is_refused);
+  g_test_add_func ("/cell-copies/never-win", test_copies_that_never_win_end);
   return g_test_run ();
 }
