Merge learned run times, copies, stragglers and preferred racks

Cause: declared estimates are off by up to 90%, 3% of tasks take seven times as long, and nothing in the cells used the image or allows_duplicates.

--- a/src/cell_accounts.c
+++ b/src/cell_accounts.c
@@ -377,22 +377,33 @@
   log_account (c, "account-waits", job->spec->id, a, needed);
 }
 
+static struct account_amount
+amount_of_tasks (const struct cell_job *job, uint32_t step, uint32_t count)
+{
+  return amount_times (
+      cell_step_amount (g_ptr_array_index (job->spec->steps, step)), count);
+}
+
+bool
+cell_account_has_room (const struct cell *c, const struct cell_job *job,
+                       uint32_t step, uint32_t count, int64_t now_ms)
+{
+  const struct cell_account *a = job->account;
+
+  return !cell_account_is_limited (c, a)
+         || amount_fits (cell_account_use (a),
+                         amount_of_tasks (job, step, count),
+                         cell_account_limit (a))
+         || cell_account_may_start_one (a, now_ms);
+}
+
 bool
 cell_account_allows (struct cell *c, struct cell_job *job, uint32_t step,
                      uint32_t count, int64_t now_ms)
 {
-  struct cell_account *a = job->account;
-  struct account_amount used, needed;
-
-  if (!cell_account_is_limited (c, a))
-    return true;
-  used = cell_account_use (a);
-  needed = amount_times (
-      cell_step_amount (g_ptr_array_index (job->spec->steps, step)), count);
-  if (amount_fits (used, needed, cell_account_limit (a))
-      || cell_account_may_start_one (a, now_ms))
+  if (cell_account_has_room (c, job, step, count, now_ms))
     return true;
-  note_held_back (c, job, needed);
+  note_held_back (c, job, amount_of_tasks (job, step, count));
   return false;
 }
 
--- a/src/cell_accounts.h
+++ b/src/cell_accounts.h
@@ -87,8 +87,11 @@
 void cell_accounts_end_placement (struct cell *c, int64_t now_ms);
 /* Note that a task found no worker: the cell is contended. */
 void cell_accounts_note_shortage (struct cell *c);
-/* Return whether the allotment of JOB's account allows COUNT more tasks of
-   STEP; log the first time that it does not. */
+/* Return whether the allotment of JOB's account has room for COUNT more tasks
+   of STEP. */
+bool cell_account_has_room (const struct cell *c, const struct cell_job *job,
+                            uint32_t step, uint32_t count, int64_t now_ms);
+/* The same; log the first time that it has not. */
 bool cell_account_allows (struct cell *c, struct cell_job *job, uint32_t step,
                           uint32_t count, int64_t now_ms);
 /* Fail JOB if a waiting task, or a waiting gang, exceeds its account's cap.
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -54,6 +54,8 @@
   t->is_every_run_known = true;
   t->start_attempts = 0;
   t->percent = 0;
+  t->begun_ms = 0;
+  t->rack_wait_ms = 0;
   t->progress_ms = now_ms;
   t->pace_percent = 100;
   t->is_stop_acknowledged = false;
@@ -63,6 +65,19 @@
   cell_send_start (c, t, now_ms);
 }
 
+void
+cell_start_copy (struct cell *c, struct cell_task *t, struct cell_worker *w,
+                 int64_t now_ms)
+{
+  struct cell_task *copy;
+
+  if (!has_run_number (c, t))
+    return;
+  copy = cell_copy_new (t, now_ms);
+  copy->checkpoint = g_strdup (t->checkpoint);
+  assign_and_start (c, copy, w, run_number (c, ++t->runs_given), now_ms);
+}
+
 /* Start all tasks of a gang, or none of them if not all fit; only on workers
    of RACK unless that is NULL. */
 static bool
@@ -111,13 +126,18 @@
   return c->confirmed_ms > t->run_over_ms;
 }
 
+bool
+cell_is_every_run_known (const struct cell *c, const struct cell_task *t)
+{
+  return c->is_every_run_known || t->is_every_run_known;
+}
+
 /* Return whether no run of T can be going on, be it under an earlier owner or
    a successor. */
 static bool
 is_every_run_over (const struct cell *c, const struct cell_task *t)
 {
-  return is_last_run_over (c, t)
-         && (c->is_every_run_known || t->is_every_run_known);
+  return is_last_run_over (c, t) && cell_is_every_run_known (c, t);
 }
 
 static bool
@@ -165,6 +185,8 @@
             int64_t now_ms)
 {
   const struct job_step *s = g_ptr_array_index (o->job->spec->steps, step);
+  struct cell_worker *far = NULL; /* not used by a task that waits for its
+                                     rack; the next one would get it too */
 
   cell_ask_advice (c, o, step, now_ms);
   if (s->is_gang)
@@ -183,7 +205,12 @@
         continue;
       if (!cell_account_allows (c, o->job, step, 1, now_ms))
         break;
-      w = cell_choose_worker (c, t, NULL, now_ms);
+      w = far != NULL && t->avoid_worker == NULL
+              ? far
+              : cell_choose_worker (c, t, NULL, now_ms);
+      far = w != NULL && cell_waits_for_rack (c, t, w, now_ms) ? w : NULL;
+      if (far != NULL)
+        continue;
       if (w != NULL)
         {
           assign_and_start (c, t, w, run_number (c, ++t->runs_given), now_ms);
@@ -227,7 +254,12 @@
 
       for (uint32_t k = 0; k < job->spec->steps->len; k++)
         if (o->waiting[k] > 0 && cell_step_is_ready (o, k))
-          place_step (c, o, k, now_ms);
+          {
+            place_step (c, o, k, now_ms);
+            if (o->waiting[k] > 0)
+              c->waiting_priority
+                  = MIN (c->waiting_priority, job->spec->priority);
+          }
     }
 }
 
@@ -261,9 +293,11 @@
   c->n_no_room = 0;
   c->is_placing = true;
   update_known_runs (c, now_ms);
-  cell_update_suspect_policy (c);
+  cell_update_suspect_policy (c, now_ms);
   cell_accounts_begin_placement (c, now_ms);
   cell_order_jobs (c, now_ms);
+  c->waiting_priority = UINT32_MAX;
+  g_hash_table_remove_all (c->rack_queues);
   c->starts_left = PLACEMENT_MAX_STARTS;
   for (guint i = 0; i < c->open_jobs->len && c->starts_left > 0;)
     {
--- a/src/cell_place.h
+++ b/src/cell_place.h
@@ -7,6 +7,7 @@
    cell_candidates.c  which workers may run a task
    cell_advice.c      which workers a queue's policy allows
    cell_order.c       which job goes first
+   cell_racks.c       whether a task waits for the rack of its data
    cell_choice.c      which candidate a task gets
    cell_place.c       starts of tasks and gangs. */
 
@@ -23,7 +24,7 @@
    advice. */
 bool cell_has_ticket (const struct cell_task *t, const struct cell_worker *w,
                       int64_t now_ms);
-/* Return whether W is suspect, and few enough workers are. */
+/* Return whether W is suspect or very slow, and few enough workers are. */
 bool cell_is_avoided (const struct cell *c, const struct cell_worker *w);
 /* Return whether W takes starts at all. */
 bool cell_accepts_starts (const struct cell *c, const struct cell_worker *w,
@@ -31,8 +32,9 @@
 /* Return whether W may run T, room and advice aside. */
 bool cell_may_run_on (const struct cell *c, const struct cell_task *t,
                       const struct cell_worker *w, int64_t now_ms);
-/* Decide whether suspect workers are avoided in the next placement. */
-void cell_update_suspect_policy (struct cell *c);
+/* Decide whether suspect and very slow workers are avoided in the next
+   placement. */
+void cell_update_suspect_policy (struct cell *c, int64_t now_ms);
 
 /* cell_advice.c */
 /* Ask for advice on STEP, each time for other workers until all have been
@@ -44,9 +46,20 @@
 /* Sort the open jobs, those to place first at the front. */
 void cell_order_jobs (struct cell *c, int64_t now_ms);
 
+/* cell_racks.c */
+/* Return whether T waits for room in its preferred rack rather than run on W
+   now; it then counts as waiting there for the rest of this placement. */
+bool cell_waits_for_rack (struct cell *c, struct cell_task *t,
+                          const struct cell_worker *w, int64_t now_ms);
+
+/* cell_place.c */
+/* Return whether T has no runs of earlier owners that this one does not know.
+ */
+bool cell_is_every_run_known (const struct cell *c, const struct cell_task *t);
+
 /* cell_choice.c */
-/* Return the best worker that can start T now, or NULL; only one of RACK
-   unless that is NULL. */
+/* Return the best worker that can start T now, other than the one it is on, or
+   NULL; only one of RACK unless that is NULL. */
 struct cell_worker *cell_choose_worker (struct cell *c,
                                         const struct cell_task *t,
                                         const char *rack, int64_t now_ms);
--- a/src/cell_reports.c
+++ b/src/cell_reports.c
@@ -15,59 +15,49 @@
 #define UNJOURNALED_HOLD_INTERVAL_MS 150
 /* Retry delay after a hold that was not answered. */
 #define HOLD_RETRY_DELAY_MS 250
-/* A worker is suspect once this many different jobs have failed there in a
-   row.  One job alone may be one that fails on every worker. */
-#define SUSPECT_FAILED_STREAK 3
-
-/* Take over run R that an earlier owner started as T's.  Return false if it
-   has to be stopped instead. */
-static bool
+/* Take over run R that an earlier owner started as T's, and return T or its
+   copy.  Return NULL if the run has to be stopped instead. */
+static struct cell_task *
 adopt_run (struct cell *c, struct cell_worker *w, const struct worker_run *r,
            struct cell_task *t, int64_t now_ms)
 {
   struct cell_job *job = t->occurrence->job;
 
   if (job->state >= JOB_COMPLETED || t->runs_given > 0)
-    return false;
+    return NULL;
+  if (cell_may_copy (t) && t->worker != NULL && t->worker != w
+      && t->copy == NULL)
+    {
+      cell_copy_adopt (t, w, r->run, now_ms);
+      return t->copy;
+    }
   /* A higher run number was given only after the lower run was over, which the
      journal names and no worker has reported. */
-  if (t->phase == TASK_RUNNING && r->run > t->run
+  if (t->worker != NULL && t->phase == TASK_RUNNING && r->run > t->run
+      && !cell_may_copy (t)
       && (!t->worker->is_confirmed || !t->is_every_run_known))
-    cell_task_reset (c, t, now_ms);
+    cell_task_reset (c, t, now_ms, now_ms);
   if (t->phase != TASK_WAITING)
-    return false;
+    return NULL;
   t->run = r->run;
   cell_worker_assign_task (w, t);
   cell_task_set_phase (t, TASK_RUNNING, now_ms);
   t->progress_ms = now_ms;
-  t->is_every_run_known = true;
   job->has_started = true;
-  return true;
-}
-
-bool
-cell_task_has_lasted (const struct cell_task *t, int64_t now_ms)
-{
-  return cell_task_step (t)->is_long_running && t->phase == TASK_RUNNING
-         && t->percent == 100 && now_ms >= t->phase_ms + CELL_LASTING_PROOF_MS;
-}
-
-static void
-clear_failures (struct cell_worker *w)
-{
-  w->failed_streak = 0;
-  w->failed_job[0] = '\0';
+  return t;
 }
 
 static void
 process_run (struct cell *c, struct cell_worker *w, const struct worker_run *r,
              int64_t now_ms)
 {
-  struct cell_task *t = cell_find_started_task (c, r->task, now_ms);
+  struct cell_task *task = cell_find_started_task (c, r->task, now_ms);
+  struct cell_task *t
+      = task != NULL ? cell_task_find_run (task, w->entry->id, r->run) : NULL;
 
-  if (t == NULL
-      || ((t->worker != w || t->run != r->run)
-          && !adopt_run (c, w, r, t, now_ms)))
+  if (t == NULL && task != NULL)
+    t = adopt_run (c, w, r, task, now_ms);
+  if (t == NULL)
     {
       bool must_stop = cell_worker_is_incarnation_listed (w);
 
@@ -80,7 +70,9 @@
       cell_account_add_other_run (c, w, r->task, r->run, now_ms);
       return;
     }
-  t->is_every_run_known = true;
+  /* Beside one run of an earlier owner there may be a copy. */
+  if (!cell_may_copy (t))
+    t->is_every_run_known = true;
   /* A record of W has named it, and its job has ended. */
   if (t->occurrence->job->state >= JOB_COMPLETED)
     cell_stop_task (c, t, now_ms);
@@ -99,30 +91,8 @@
     }
   /* A task from before the failures shows nothing of what is started now. */
   if (t->phase_ms > w->last_failure_ms && cell_task_has_lasted (t, now_ms))
-    clear_failures (w);
-}
-
-void
-cell_worker_count_failure (struct cell *c, struct cell_worker *w,
-                           const char *job, int64_t now_ms)
-{
-  if (strcmp (job, w->failed_job) != 0)
-    w->failed_streak++;
-  g_strlcpy (w->failed_job, job, sizeof w->failed_job);
-  w->last_failure_ms = now_ms;
-  if (!cell_worker_is_suspect (w))
-    return;
-  if (now_ms >= w->cooldown_until_ms)
-    cell_log_event (c, "worker-shunned", w->entry->id,
-                    "failed_in_a_row=%u for_ms=%d", w->failed_streak,
-                    CELL_COOLDOWN_MS);
-  w->cooldown_until_ms = now_ms + CELL_COOLDOWN_MS;
-}
-
-bool
-cell_worker_is_suspect (const struct cell_worker *w)
-{
-  return w->failed_streak >= SUSPECT_FAILED_STREAK;
+    cell_worker_clear_streak (w);
+  cell_copy_settle (c, task, now_ms);
 }
 
 static void
@@ -130,14 +100,18 @@
              int64_t now_ms)
 {
   struct cell_task *t = cell_find_started_task (c, e->task, now_ms);
+  const struct cell_task *run;
   struct task_name name;
 
   w->last_processed_end = e->number;
   cell_account_other_run_ended (w, e->task, e->run);
+  run = t != NULL ? cell_task_find_run (t, w->entry->id, e->run) : NULL;
+  if (run != NULL)
+    cell_learn_from_end (c, w, run, e, now_ms);
   if (e->result == END_FAILED && task_name_parse (e->task, &name))
     cell_worker_count_failure (c, w, name.job, now_ms);
   if (e->result == END_DONE)
-    clear_failures (w);
+    cell_worker_count_done (c, w);
   if (t != NULL)
     cell_task_ended (c, t, w, e, now_ms);
 }
@@ -187,7 +161,7 @@
   if (t->phase == TASK_RUNNING)
     cell_log_event (c, "run-missing", name, "worker=%s run=%" G_GUINT64_FORMAT,
                     w->entry->id, t->run);
-  cell_task_reset (c, t, now_ms);
+  cell_task_reset (c, t, now_ms, now_ms);
 }
 
 /* Process the runs of tasks on W that are missing from REPORT, except where it
@@ -300,6 +274,7 @@
       cell_account_check_other_runs (w, report, sent_ms);
     }
   cell_pace_best_effort (c, w, now_ms);
+  cell_check_stragglers (c, w, now_ms);
   if (w->last_processed_end != previous_end
       || (!w->may_receive_starts && w->is_listed))
     cell_journal_worker (c, w);
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -2,6 +2,7 @@
 #define CELL_STATE_H
 
 #include "cell.h"
+#include "worker_score.h"
 
 /* The state of a cell, shared by the files that implement it:
    cell.c          creation, timers, orders
@@ -10,8 +11,12 @@
    cell_workers.c  workers' incarnations, leases and holds
    cell_reports.c  workers' reports
    cell_runs.c     orders about runs, and emptying a worker
+   cell_run_times.c  learned run times
+   cell_health.c   workers that fail or slow down what they start
    cell_place.c    which task starts on which worker, with the files that
                    cell_place.h names
+   cell_copies.c   second runs of tasks
+   cell_stragglers.c  runs that take much longer than others
    cell_load.c     how large the pool has to be
    cell_accounts.c what client accounts use and may use, see cell_accounts.h
    cell_owners.c   earlier owners, and how long their leases last
@@ -49,6 +54,8 @@
 
 struct cell_task
 {
+  struct cell_task *copy;     /* a second run of it, or NULL */
+  struct cell_task *original; /* the task whose second run this is, or NULL */
   struct cell_occurrence *occurrence;
   uint32_t step;
   uint32_t index; /* within the step */
@@ -65,14 +72,19 @@
   int64_t run_over_ms; /* when its last run was known to be over; 0 for none */
   int64_t retry_ms;    /* earliest time of the next start or stop */
   uint32_t percent;
-  uint32_t stalls;        /* times that it was stopped for lack of progress */
-  int64_t progress_ms;    /* when percent or checkpoint last changed */
+  uint32_t stalls;     /* times that it was stopped for lack of progress */
+  int64_t progress_ms; /* when percent or checkpoint last changed */
+  int64_t begun_ms;    /* when its run began; 0 if that is not known, or if the
+                          run resumed from a checkpoint */
   int64_t reported_value; /* as in struct worker_run */
   uint32_t pace_percent;  /* processor share ordered for a best-effort task */
   int64_t adjusted_ms;    /* when the pace last changed, or when preemption for
                              the task was last tried */
   char *checkpoint;       /* newest, or NULL */
   char *avoid_worker;     /* where it last failed or stalled, or NULL */
+  int64_t rack_wait_ms;   /* since when it waits for its preferred rack; 0 if
+                             it does not */
+  bool has_moved;         /* it was stopped to resume on a faster worker */
 };
 
 struct step_ticket
@@ -169,10 +181,16 @@
   bool had_tasks;         /* when it last reported */
   uint32_t unknown_runs;  /* runs last reported that are not the cell's */
   uint32_t failed_streak; /* jobs failed in a row since a task was done */
-  char failed_job[JOB_ID_LENGTH + 1]; /* the last one of these */
-  int64_t last_failure_ms;            /* when a task last failed or stalled */
-  int64_t cooldown_until_ms;          /* see CELL_COOLDOWN_MS */
-  GPtrArray *tasks;                   /* struct cell_task *, with a run here */
+  char failed_job[JOB_ID_LENGTH + 1];      /* the last one of these */
+  char last_failed_job[JOB_ID_LENGTH + 1]; /* also if tasks were done since */
+  bool is_failing; /* a much larger part of its runs fails than elsewhere */
+  struct worker_score score;
+  uint32_t slowness_permille; /* its run times by its peers'; 0 if unknown */
+  int64_t timed_ms;           /* when the score last got a run time */
+  int64_t stragglers_checked_ms;
+  int64_t last_failure_ms;   /* when a task last failed or stalled */
+  int64_t cooldown_until_ms; /* see CELL_COOLDOWN_MS */
+  GPtrArray *tasks;          /* struct cell_task *, with a run here */
   struct worker_resources used;
   GPtrArray *other_runs; /* struct cell_other_run *, of accounts' jobs; NULL
                             before the first one */
@@ -222,13 +240,15 @@
   struct cell_accounts *accounts;
   GHashTable *jobs;     /* ID to struct cell_job * */
   GPtrArray *open_jobs; /* struct cell_job *, not ended, in placement order */
-  bool has_unsorted_jobs; /* open_jobs has to be sorted first */
-  GHashTable *workers;    /* ID to struct cell_worker * */
-  GPtrArray *worker_list; /* the same workers */
-  GQueue orders;          /* struct cell_order * */
-  bool needs_placement;   /* something changed since the last placement */
-  bool needs_epoch;       /* a task has no run number left */
-  bool avoids_suspects;   /* few enough workers are suspect */
+  bool has_unsorted_jobs;    /* open_jobs has to be sorted first */
+  GHashTable *workers;       /* ID to struct cell_worker * */
+  GPtrArray *worker_list;    /* the same workers */
+  GQueue orders;             /* struct cell_order * */
+  bool needs_placement;      /* something changed since the last placement */
+  uint32_t waiting_priority; /* highest priority of a ready task that the last
+                                placement left waiting; UINT32_MAX for none */
+  bool needs_epoch;          /* a task has no run number left */
+  bool avoids_suspects;      /* few enough workers are suspect */
   int64_t last_placement_ms;
   int64_t last_workers_tick_ms;
   /* Resources of tasks that no worker had room for in this placement. */
@@ -255,6 +275,11 @@
   int64_t append_failing_since_ms; /* 0 while appends succeed */
   int64_t append_latency_ms;       /* moving average */
   int64_t last_purge_ms;
+  int64_t ticked_ms;       /* time of the last tick */
+  uint32_t peers_slowness; /* median of the workers' scores; 0 if unknown */
+  int64_t compared_ms;     /* when workers were last compared */
+  struct run_times *run_times; /* learned, see cell_run_times.c */
+  GHashTable *rack_queues; /* rack to struct rack_queue *, see cell_racks.c */
 };
 
 /* cell.c */
@@ -295,10 +320,12 @@
                                           int64_t now_ms);
 void cell_task_set_phase (struct cell_task *t, enum task_phase phase,
                           int64_t now_ms);
-/* Put T back to TASK_WAITING; its run is over or lost.  A successor that took
-   over before may have started it again, so that it waits for the store to
-   confirm this owner. */
-void cell_task_reset (struct cell *c, struct cell_task *t, int64_t now_ms);
+/* Process that T's run is over or lost since OVER_MS.  T gets the run of its
+   copy, if it has one, and else goes back to TASK_WAITING.  A successor that
+   took over before may have started it again, so that it waits for the store
+   to confirm this owner.  A T that is itself a copy is freed. */
+void cell_task_reset (struct cell *c, struct cell_task *t, int64_t over_ms,
+                      int64_t now_ms);
 /* Process END of one of T's runs, which W has reported. */
 void cell_task_ended (struct cell *c, struct cell_task *t,
                       struct cell_worker *w, const struct worker_end *end,
@@ -314,6 +341,33 @@
 /* Forget jobs that ended more than keep_state_ms ago. */
 void cell_jobs_purge_ended (struct cell *c, int64_t now_ms);
 
+/* cell_copies.c */
+/* Return whether T may have a second run. */
+bool cell_may_copy (const struct cell_task *t);
+/* Return T or its copy, whichever has RUN on WORKER, or NULL. */
+struct cell_task *cell_task_find_run (struct cell_task *t, const char *worker,
+                                      uint64_t run);
+/* Return a new copy of T, which has none, without a worker. */
+struct cell_task *cell_copy_new (struct cell_task *t, int64_t now_ms);
+/* Free T's copy, if it has one; its run is over. */
+void cell_copy_drop (struct cell_task *t);
+/* Exchange the runs of T and its copy; both have one. */
+void cell_copy_swap (struct cell_task *t);
+/* Give the run of T's copy to T, whose own is over. */
+void cell_copy_promote (struct cell_task *t);
+/* Take RUN on W, which an earlier owner started, as T's second run. */
+void cell_copy_adopt (struct cell_task *t, struct cell_worker *w, uint64_t run,
+                      int64_t now_ms);
+/* Load RUN on W, which is named in W's record, as T's second run.  Return
+   false if T has two already: W may then have it as if it were not named. */
+bool cell_copy_load (struct cell_task *t, struct cell_worker *w, uint64_t run,
+                     int64_t now_ms);
+/* Stop the runs of T that have been started. */
+void cell_task_stop_runs (struct cell *c, struct cell_task *t, int64_t now_ms);
+/* Of two runs of T that earlier owners started, and both workers have
+   reported, keep the one with more progress and stop the other. */
+void cell_copy_settle (struct cell *c, struct cell_task *t, int64_t now_ms);
+
 /* cell_progress.c */
 GBytes *cell_job_progress (const struct cell_job *job);
 void cell_job_load_progress (struct cell *c, const char *id, GBytes *bytes);
@@ -359,16 +413,34 @@
    lease_expiry_ms.  The clock must be known. */
 int64_t cell_lease_deadline (struct cell_worker *w, int64_t now_ms);
 
-/* cell_reports.c */
+/* cell_health.c */
 /* Count a failure against W, where a task of JOB has failed or stalled. */
 void cell_worker_count_failure (struct cell *c, struct cell_worker *w,
                                 const char *job, int64_t now_ms);
+/* Count a task that W has done. */
+void cell_worker_count_done (struct cell *c, struct cell_worker *w);
+/* Forget the failures in a row on W, where something has worked. */
+void cell_worker_clear_streak (struct cell_worker *w);
+/* Forget how W did: it is another incarnation. */
+void cell_worker_forget_score (struct cell_worker *w);
 /* Return whether W seems to fail what it starts; it then gets one task at a
-   time until one is done, or has lasted. */
+   time until one is done, or has lasted, and much fewer fail. */
 bool cell_worker_is_suspect (const struct cell_worker *w);
 /* Return whether T, which is long-running, has been at work for
    CELL_LASTING_PROOF_MS. */
 bool cell_task_has_lasted (const struct cell_task *t, int64_t now_ms);
+/* Count a run on W that took RUN_MS where TYPICAL_MS is usual. */
+void cell_worker_time_run (struct cell *c, struct cell_worker *w,
+                           int64_t run_ms, int64_t typical_ms, int64_t now_ms);
+/* Compare the workers' speeds with each other. */
+void cell_compare_workers (struct cell *c, int64_t now_ms);
+/* Return whether W takes more than twice, or four times, as long as its peers.
+ */
+bool cell_worker_is_slow (const struct cell_worker *w);
+bool cell_worker_is_very_slow (const struct cell_worker *w);
+/* Return whether W, which is slow, has to show whether it still is. */
+bool cell_worker_needs_speed_probe (const struct cell_worker *w,
+                                    int64_t now_ms);
 
 /* cell_runs.c */
 /* Repeat unanswered stops, and stop stalled tasks so that they restart. */
@@ -402,8 +474,18 @@
    owners. */
 int64_t cell_owners_leases_until_ms (const struct cell *c);
 
+/* cell_racks.c */
+GHashTable *cell_rack_queues_new (void);
+/* Return how many times as long a task of S takes on W as in its preferred
+   rack. */
+double cell_rack_factor (const struct cell *c, const struct job_step *s,
+                         const struct cell_worker *w);
+
 /* cell_place.c */
 void cell_place (struct cell *c, int64_t now_ms);
+/* Start a second run of T on W. */
+void cell_start_copy (struct cell *c, struct cell_task *t,
+                      struct cell_worker *w, int64_t now_ms);
 /* Return whether O is due and all steps that STEP depends on are done. */
 bool cell_step_is_ready (const struct cell_occurrence *o, uint32_t step);
 /* Return whether some worker could start T now; record a shortage if none
@@ -415,6 +497,33 @@
 /* Return how long one task of S, a step of JOB, is expected to run, in ms. */
 int64_t cell_expected_run_ms (const struct cell *c, const struct cell_job *job,
                               const struct job_step *s);
+/* Return the learned quantile PERCENT of the run times of S, a step of SPEC,
+   in ms, or -1 if too few are known. */
+int64_t cell_learned_run_ms (const struct cell *c, const struct job_spec *spec,
+                             const struct job_step *s, uint32_t percent);
+/* Return the length in ms of SPEC's critical path by the expected run times.
+ */
+int64_t cell_expected_path_ms (const struct cell *c,
+                               const struct job_spec *spec);
+/* Learn from END of T's current run, on W.  Runs that resumed
+   from a checkpoint show nothing, and those on suspect or slow workers nothing
+   of their step. */
+void cell_learn_from_end (struct cell *c, struct cell_worker *w,
+                          const struct cell_task *t,
+                          const struct worker_end *end, int64_t now_ms);
+
+/* Learn whether the second of two runs of T was done first. */
+void cell_learn_from_copy (struct cell *c, const struct cell_task *t,
+                           bool has_won, int64_t now_ms);
+/* Return whether second runs of tasks like T end first often enough. */
+bool cell_copies_pay (const struct cell *c, const struct cell_task *t,
+                      int64_t now_ms);
+
+/* cell_stragglers.c */
+/* Deal with runs on W, which has just reported them, that take much longer
+   than others of their step. */
+void cell_check_stragglers (struct cell *c, struct cell_worker *w,
+                            int64_t now_ms);
 
 /* cell_journal.c */
 /* Have the next append hold the change of JOB or W; an urgent one is sent
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -91,8 +91,7 @@
                       "worker=%s run=%" G_GUINT64_FORMAT " cause=%s",
                       w->entry->id, t->run, cause);
       g_free (name);
-      cell_task_reset (c, t, now_ms);
-      t->run_over_ms = over_ms;
+      cell_task_reset (c, t, over_ms, now_ms);
     }
   w->may_have_unseen_runs = false;
   cell_account_clear_other_runs (w);
@@ -136,7 +135,7 @@
   w->pending_last_seen = 0;
   w->last_journaled_end = 0;
   w->last_processed_end = 0;
-  w->failed_streak = 0;
+  cell_worker_forget_score (w);
   w->clock_reported_ms = 0;
   if (w->lease_expiry_ms > now_ms)
     w->lease_expiry_ms
