Order jobs by what is lost in overload, in a module of its own

Cause: by deadline alone, each job of a burst beyond the capacity waits until it is just late, and late jobs go before those that can still be in time. While all jobs fit by their deadlines the order is the former one. In overload, jobs that are worth least for their work step back to three times their objective; late jobs get at most half of the capacity.

--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -172,6 +172,7 @@
   g_hash_table_insert (c->jobs, spec->id, job);
   g_ptr_array_add (c->open_jobs, job);
   c->has_unsorted_jobs = true;
+  cell_order_add_job (c, job);
   return job;
 }
 
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -2,6 +2,7 @@
 #define CELL_STATE_H
 
 #include "cell.h"
+#include "job_order.h"
 
 /* The state of a cell, shared by the files that implement it:
    cell.c          creation, timers, orders
@@ -34,6 +35,9 @@
    begin above them.  An owner that has used them up needs a new epoch. */
 #define CELL_RUNS_PER_EPOCH 4096
 
+/* Priorities whose waiting work is counted apart. */
+#define CELL_PRIORITIES 4
+
 enum task_phase
 {
   TASK_WAITING,
@@ -111,6 +115,8 @@
   bool is_in_append;     /* in the append in progress */
   int64_t added_ms;      /* accepted here, or the takeover */
   int64_t deadline_ms;   /* desired end, for the order of placement */
+  double total_work;     /* estimated, in thousandths of a core times s */
+  struct job_order_entry order; /* its place in the order of placement */
   int64_t ended_ms;
   GArray *submit_tokens; /* uint64_t */
   GArray *cancel_tokens; /* uint64_t */
@@ -211,7 +217,15 @@
   int64_t taken_over_ms;
   GHashTable *jobs;     /* ID to struct cell_job * */
   GPtrArray *open_jobs; /* struct cell_job *, not ended, in placement order */
-  bool has_unsorted_jobs; /* open_jobs has to be sorted first */
+  bool has_unsorted_jobs;    /* open_jobs has to be sorted first */
+  int64_t last_order_ms;     /* when the jobs were last put in order */
+  bool is_overloaded;        /* some job can't end in time */
+  int64_t overloaded_ms;     /* when that was last so */
+  uint64_t finite_cpu_milli; /* capacity for jobs that are not long-running */
+  /* Work of the open jobs by priority, as of last_order_ms, in thousandths of
+     a core times ms; the last one holds all lower priorities. */
+  uint64_t open_work[CELL_PRIORITIES];
+  GHashTable *queue_work; /* queue's name to struct queue_work * */
   GHashTable *workers;    /* ID to struct cell_worker * */
   GPtrArray *worker_list; /* the same workers */
   GQueue orders;          /* struct cell_order * */
@@ -383,6 +397,11 @@
    owners. */
 int64_t cell_owners_leases_until_ms (const struct cell *c);
 
+/* cell_order.c */
+/* Set the place of JOB, which is new, in the order of placement, and count it
+   in the mean work of its queue. */
+void cell_order_add_job (struct cell *c, struct cell_job *job);
+
 /* cell_place.c */
 void cell_place (struct cell *c, int64_t now_ms);
 /* Return whether O is due and all steps that STEP depends on are done. */
