Reserve workers for a wide step that has waited half of its slack

Cause: when a step's first waiting task fits nowhere, the next job is tried, so what becomes free goes to small tasks and wide ones wait as long as these keep coming. Change: for the first such job of each priority, src/cell_reserve.c keeps the workers that need to drain least to hold its task, or its whole gang; later jobs get nothing there, long-running tasks still do.

--- a/src/cell_choice.c
+++ b/src/cell_choice.c
@@ -52,6 +52,7 @@
 
       if ((rack != NULL && strcmp (w->entry->rack, rack) != 0)
           || !cell_has_room (w, cell_task_step (t))
+          || cell_is_reserved_for_other (w, t)
           || !cell_may_run_on (c, t, w, now_ms)
           || !cell_has_ticket (t, w, now_ms))
         continue;
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -134,7 +134,8 @@
     return;
   if (!s->prefers_same_rack)
     {
-      try_place_gang (c, o, step, NULL, now_ms);
+      if (!try_place_gang (c, o, step, NULL, now_ms))
+        cell_reserve_for (c, first, now_ms);
       return;
     }
   for (guint i = 0; i < c->worker_list->len; i++)
@@ -146,6 +147,7 @@
         if (try_place_gang (c, o, step, w->entry->rack, now_ms))
           return;
     }
+  cell_reserve_for (c, first, now_ms);
 }
 
 static void
@@ -183,6 +185,7 @@
           t->adjusted_ms = now_ms;
           cell_preempt_for (c, t, now_ms);
         }
+      cell_reserve_for (c, t, now_ms);
       break; /* the other tasks of the step need as much */
     }
 }
@@ -244,6 +247,7 @@
   c->last_placement_ms = now_ms;
   update_known_runs (c, now_ms);
   cell_update_suspect_policy (c);
+  cell_clear_reservations (c);
   cell_order_jobs (c, now_ms);
   for (guint i = 0; i < c->open_jobs->len; i++)
     {
--- a/src/cell_place.h
+++ b/src/cell_place.h
@@ -8,6 +8,7 @@
    cell_advice.c      which workers a queue's policy allows
    cell_order.c       which job goes first
    cell_choice.c      which candidate a task gets
+   cell_reserve.c     workers that are kept for a wide step
    cell_place.c       starts of tasks and gangs. */
 
 /* cell_candidates.c */
@@ -52,4 +53,16 @@
    are not preempted. */
 void cell_preempt_for (struct cell *c, struct cell_task *t, int64_t now_ms);
 
+/* cell_reserve.c */
+/* Drop all reservations; each placement makes them anew. */
+void cell_clear_reservations (struct cell *c);
+/* Return whether W is reserved for another job than T's. */
+bool cell_is_reserved_for_other (const struct cell_worker *w,
+                                 const struct cell_task *t);
+/* Reserve workers for T, or its whole gang, which fits nowhere: they get no
+   tasks of later jobs.  Only for the first such job of each priority that has
+   waited for more than half of its slack. */
+void cell_reserve_for (struct cell *c, const struct cell_task *t,
+                       int64_t now_ms);
+
 #endif
--- /dev/null
+++ b/src/cell_reserve.c
@@ -0,0 +1,160 @@
+#include "cell_place.h"
+
+#include <string.h>
+
+/* Reservation: workers that are kept for a wide step, which would otherwise
+   lose the room that becomes free to smaller ones. */
+
+void
+cell_clear_reservations (struct cell *c)
+{
+  for (guint i = 0; i < c->worker_list->len; i++)
+    ((struct cell_worker *)g_ptr_array_index (c->worker_list, i))->is_reserved
+        = false;
+  c->reserved_priorities = 0;
+}
+
+static bool
+was_reserved_for (const struct cell_worker *w, const struct cell_job *job)
+{
+  return strcmp (w->reserved_job, job->spec->id) == 0;
+}
+
+bool
+cell_is_reserved_for_other (const struct cell_worker *w,
+                            const struct cell_task *t)
+{
+  return w->is_reserved && !cell_task_step (t)->is_long_running
+         && !was_reserved_for (w, t->occurrence->job);
+}
+
+/* Return whether JOB has waited for more than half of its slack. */
+static bool
+has_waited_long (const struct cell_job *job, int64_t now_ms)
+{
+  int64_t slack_ms = job->order.objective_ms - job->order.path_ms;
+
+  return now_ms > job->added_ms + MAX (slack_ms, 0) / 2;
+}
+
+/* Return how many tasks of S fit on W once its finite tasks have ended. */
+static uint32_t
+slots_once_drained (const struct cell_worker *w, const struct job_step *s)
+{
+  struct worker_resources free = w->entry->capacity;
+  uint32_t slots = s->count;
+
+  for (guint i = 0; i < w->tasks->len; i++)
+    {
+      const struct job_step *o
+          = cell_task_step (g_ptr_array_index (w->tasks, i));
+
+      if (!o->is_long_running)
+        continue;
+      free.cpu_milli
+          -= MIN (o->is_best_effort ? 0 : o->cpu_milli, free.cpu_milli);
+      free.memory_mb -= MIN (o->memory_mb, free.memory_mb);
+      free.gpus -= MIN (o->gpus, free.gpus);
+    }
+  if (s->cpu_milli > 0)
+    slots = MIN (slots, free.cpu_milli / s->cpu_milli);
+  if (s->memory_mb > 0)
+    slots = MIN (slots, free.memory_mb / s->memory_mb);
+  if (s->gpus > 0)
+    slots = MIN (slots, free.gpus / s->gpus);
+  if (s->max_per_worker > 0)
+    slots = MIN (slots, s->max_per_worker);
+  return slots;
+}
+
+/* Those reserved for the job before come first, so that what they have drained
+   is not lost; then those with least work. */
+static gint
+compare_candidates (gconstpointer a, gconstpointer b, gpointer job)
+{
+  const struct cell_worker *x = *(struct cell_worker *const *)a;
+  const struct cell_worker *y = *(struct cell_worker *const *)b;
+
+  if (was_reserved_for (x, job) != was_reserved_for (y, job))
+    return was_reserved_for (x, job) ? -1 : 1;
+  if (x->used.cpu_milli != y->used.cpu_milli)
+    return x->used.cpu_milli < y->used.cpu_milli ? -1 : 1;
+  return strcmp (x->entry->id, y->entry->id);
+}
+
+/* Reserve the first CANDIDATES, if they have room for NEEDED tasks of S once
+   they are drained; only those of RACK unless that is NULL.  Return whether
+   they were reserved. */
+static bool
+reserve (const GPtrArray *candidates, const struct cell_job *job,
+         const struct job_step *s, uint32_t needed, const char *rack)
+{
+  uint32_t slots = 0;
+  guint end = 0;
+
+  for (; end < candidates->len && slots < needed; end++)
+    {
+      const struct cell_worker *w = g_ptr_array_index (candidates, end);
+
+      if (rack == NULL || strcmp (w->entry->rack, rack) == 0)
+        slots += slots_once_drained (w, s);
+    }
+  if (slots < needed)
+    return false;
+  for (guint i = 0; i < end; i++)
+    {
+      struct cell_worker *w = g_ptr_array_index (candidates, i);
+
+      if ((rack != NULL && strcmp (w->entry->rack, rack) != 0)
+          || slots_once_drained (w, s) == 0)
+        continue;
+      w->is_reserved = true;
+      g_strlcpy (w->reserved_job, job->spec->id, sizeof w->reserved_job);
+    }
+  return true;
+}
+
+static void
+reserve_in_a_rack (const GPtrArray *candidates, const struct cell_job *job,
+                   const struct job_step *s)
+{
+  for (guint i = 0; i < candidates->len; i++)
+    {
+      const struct cell_worker *w = g_ptr_array_index (candidates, i);
+
+      if ((s->preferred_rack[0] == '\0'
+           || strcmp (s->preferred_rack, w->entry->rack) == 0)
+          && reserve (candidates, job, s, s->count, w->entry->rack))
+        return;
+    }
+}
+
+void
+cell_reserve_for (struct cell *c, const struct cell_task *t, int64_t now_ms)
+{
+  const struct job_step *s = cell_task_step (t);
+  struct cell_job *job = t->occurrence->job;
+  uint32_t priority = 1U << MIN (job->spec->priority, CELL_PRIORITIES - 1);
+  GPtrArray *candidates;
+
+  if ((c->reserved_priorities & priority) != 0 || s->is_long_running
+      || s->is_best_effort || job->order.is_scheduled || job->is_excess
+      || !has_waited_long (job, now_ms))
+    return;
+  c->reserved_priorities |= priority;
+  candidates = g_ptr_array_new ();
+  for (guint i = 0; i < c->worker_list->len; i++)
+    {
+      struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
+
+      if (!w->is_reserved && cell_may_run_on (c, t, w, now_ms)
+          && cell_has_ticket (t, w, now_ms))
+        g_ptr_array_add (candidates, w);
+    }
+  g_ptr_array_sort_with_data (candidates, compare_candidates, job);
+  if (s->is_gang && s->prefers_same_rack)
+    reserve_in_a_rack (candidates, job, s);
+  else
+    reserve (candidates, job, s, s->is_gang ? s->count : 1, NULL);
+  g_ptr_array_unref (candidates);
+}
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -111,6 +111,7 @@
   bool is_loaded; /* from an earlier owner's journal */
   bool is_stored; /* the journal has its specification */
   bool has_started;
+  bool is_excess;        /* beyond its account's rate when it was accepted */
   bool is_change_queued; /* in changed_jobs of the cell */
   bool is_in_append;     /* in the append in progress */
   int64_t added_ms;      /* accepted here, or the takeover */
@@ -170,7 +171,9 @@
   char failed_job[JOB_ID_LENGTH + 1]; /* the last one of these */
   int64_t last_failure_ms;            /* when a task last failed or stalled */
   int64_t cooldown_until_ms;          /* see CELL_COOLDOWN_MS */
-  GPtrArray *tasks;                   /* struct cell_task *, with a run here */
+  bool is_reserved; /* in this placement, for reserved_job only */
+  char reserved_job[JOB_ID_LENGTH + 1]; /* that it was last reserved for */
+  GPtrArray *tasks; /* struct cell_task *, with a run here */
   struct worker_resources used;
 };
 
@@ -232,6 +235,7 @@
   bool needs_placement;   /* something changed since the last placement */
   bool needs_epoch;       /* a task has no run number left */
   bool avoids_suspects;   /* few enough workers are suspect */
+  uint32_t reserved_priorities; /* in this placement, as bits */
   int64_t last_placement_ms;
   bool is_every_run_known; /* no worker may have unseen runs */
   int64_t unseen_runs_logged_ms;
--- a/tests/unit/test_cell_order.c
+++ b/tests/unit/test_cell_order.c
@@ -56,11 +56,66 @@
   world_destroy (w);
 }
 
+/* Submit two short tasks of a core every 5 ms for FOR_MS, which is more than
+   all workers can run: their room is never free for long. */
+static void
+run_with_small_jobs (struct world *w, guint *next_id, int64_t for_ms)
+{
+  for (int64_t end_ms = w->now_ms + for_ms; w->now_ms < end_ms;)
+    {
+      submit_job (w, (*next_id)++, 2, 250, 3000);
+      world_run (w, 5);
+    }
+}
+
+/* Submit WORLD_JOB with COUNT tasks of CPU_MILLI. */
+static void
+submit_wide_job (struct world *w, uint32_t count, uint32_t cpu_milli,
+                 bool is_gang)
+{
+  struct job_spec *spec = world_job (w, WORLD_JOB, 1, count);
+  struct job_step *s = g_ptr_array_index (spec->steps, 0);
+
+  s->cpu_milli = cpu_milli;
+  s->estimate_ms = 250;
+  s->is_gang = is_gang;
+  spec->deadline_factor = 2;
+  spec->target_ms = 2000;
+  world_submit (w, spec);
+}
+
+/* A wide task, and a wide gang, beside small jobs that keep coming: without a
+   reservation, what becomes free is always too little for the wide one and
+   goes to small ones, and it waits as long as they come. */
+static void
+test_wide_steps_get_room_beside_small_jobs (void)
+{
+  for (int is_gang = 0; is_gang <= 1; is_gang++)
+    {
+      struct world *w = world_new (32);
+      guint next_id = 0;
+
+      world_run (w, 500);
+      w->run_ms = 250;
+      run_with_small_jobs (w, &next_id, 500);
+      submit_wide_job (w, is_gang ? 3 : 1, 14000, is_gang);
+      run_with_small_jobs (w, &next_id, 2500);
+      g_assert_cmpint (world_state (w, WORLD_JOB), ==, JOB_COMPLETED);
+      world_run (w, 10000);
+      g_assert_cmpuint (world_count_state (w, next_id, JOB_COMPLETED), ==,
+                        next_id);
+      world_assert_no_violations (w);
+      world_destroy (w);
+    }
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/cell-order/small-pass-large",
                    test_small_jobs_pass_large_ones_that_are_late_anyway);
+  g_test_add_func ("/cell-order/wide",
+                   test_wide_steps_get_room_beside_small_jobs);
   return g_test_run ();
 }
