Let an urgent job of priority 0 stop tasks that resume from checkpoints

Cause: only long-running tasks preempt others, so a job of priority 0 waits for the ends of lower priorities' tasks and is late. Change: src/cell_preempt.c stops tasks of lower priority with checkpoints when a waiting task of priority 0 fits nowhere and its job would miss its deadline, but can still make it. Result: with all workers filled for 4 s or more, an urgent job ends in time after at most two stops; a stopped task resumes from its checkpoint (test_cell_order).

--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -185,6 +185,7 @@
           t->adjusted_ms = now_ms;
           cell_preempt_for (c, t, now_ms);
         }
+      cell_preempt_lower_priority (c, t, now_ms);
       cell_reserve_for (c, t, now_ms);
       break; /* the other tasks of the step need as much */
     }
--- a/src/cell_place.h
+++ b/src/cell_place.h
@@ -9,6 +9,7 @@
    cell_order.c       which job goes first
    cell_choice.c      which candidate a task gets
    cell_reserve.c     workers that are kept for a wide step
+   cell_preempt.c     stops for an urgent task of the highest priority
    cell_place.c       starts of tasks and gangs. */
 
 /* cell_candidates.c */
@@ -65,4 +66,12 @@
 void cell_reserve_for (struct cell *c, const struct cell_task *t,
                        int64_t now_ms);
 
+/* cell_preempt.c */
+/* Stop tasks of lower priority that resume from a checkpoint, if T, which fits
+   nowhere and has priority 0, would miss its job's deadline otherwise.
+   Long-running tasks, gangs and tasks in their last quarter are not stopped,
+   and no more work is thrown away than T needs. */
+void cell_preempt_lower_priority (struct cell *c, struct cell_task *t,
+                                  int64_t now_ms);
+
 #endif
--- a/src/cell_reports.c
+++ b/src/cell_reports.c
@@ -91,6 +91,7 @@
     {
       g_free (t->checkpoint);
       t->checkpoint = g_strdup (r->checkpoint);
+      t->checkpoint_ms = now_ms;
       t->progress_ms = now_ms;
     }
   /* A task from before the failures shows nothing of what is started now. */
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -72,6 +72,7 @@
   int64_t adjusted_ms;    /* when the pace last changed, or when preemption for
                              the task was last tried */
   char *checkpoint;       /* newest, or NULL */
+  int64_t checkpoint_ms;  /* when that was first reported; 0 for never */
   char *avoid_worker;     /* where it last failed or stalled, or NULL */
 };
 
@@ -228,13 +229,14 @@
   /* Work of the open jobs by priority, as of last_order_ms, in thousandths of
      a core times ms; the last one holds all lower priorities. */
   uint64_t open_work[CELL_PRIORITIES];
-  GHashTable *queue_work; /* queue's name to struct queue_work * */
-  GHashTable *workers;    /* ID to struct cell_worker * */
-  GPtrArray *worker_list; /* the same workers */
-  GQueue orders;          /* struct cell_order * */
-  bool needs_placement;   /* something changed since the last placement */
-  bool needs_epoch;       /* a task has no run number left */
-  bool avoids_suspects;   /* few enough workers are suspect */
+  GHashTable *queue_work;     /* queue's name to struct queue_work * */
+  GHashTable *workers;        /* ID to struct cell_worker * */
+  GPtrArray *worker_list;     /* the same workers */
+  GQueue orders;              /* struct cell_order * */
+  bool needs_placement;       /* something changed since the last placement */
+  bool needs_epoch;           /* a task has no run number left */
+  bool avoids_suspects;       /* few enough workers are suspect */
+  int64_t last_preemption_ms; /* for a task that is not long-running */
   uint32_t reserved_priorities; /* in this placement, as bits */
   int64_t last_placement_ms;
   bool is_every_run_known; /* no worker may have unseen runs */
--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -38,6 +38,7 @@
   uint64_t epoch;
   char *worker;
   char *task;
+  char *checkpoint;
   uint64_t run;
   int64_t deadline_ms;
   bool answered;
@@ -99,6 +100,7 @@
 
   g_free (call->worker);
   g_free (call->task);
+  g_free (call->checkpoint);
   g_free (call);
 }
 
@@ -418,6 +420,20 @@
       }
 }
 
+/* Return R's newest checkpoint, the work done until then in ms, which the
+   caller frees. */
+static char *
+checkpoint_of (const struct world *w, const struct world_run *r)
+{
+  int64_t done_ms = r->resumed_ms;
+
+  if (w->checkpoint_interval_ms == 0)
+    return g_strdup ("");
+  done_ms += (w->now_ms - r->begun_ms) / w->checkpoint_interval_ms
+             * w->checkpoint_interval_ms;
+  return g_strdup_printf ("%" G_GINT64_FORMAT, done_ms);
+}
+
 static void
 record_end (struct world *w, struct world_worker *k, struct world_run *r,
             enum run_end result)
@@ -426,7 +442,7 @@
                           .task = g_strdup (r->task),
                           .run = r->run,
                           .result = result,
-                          .checkpoint = g_strdup ("") };
+                          .checkpoint = checkpoint_of (w, r) };
 
   g_array_append_val (k->ends, e);
   if (result == END_DONE)
@@ -513,7 +529,8 @@
 
 static enum run_answer
 start_run (struct world *w, struct world_worker *k, uint64_t epoch,
-           const char *task, uint64_t run, int64_t deadline_ms)
+           const char *task, uint64_t run, int64_t deadline_ms,
+           const char *checkpoint)
 {
   struct world_run *r;
 
@@ -536,8 +553,10 @@
   r->task = g_strdup (task);
   r->run = run;
   r->begun_ms = w->now_ms;
+  r->resumed_ms = g_ascii_strtoll (checkpoint, NULL, 10);
   r->ends_ms = w->now_ms + w->run_ms / 2
-               + g_rand_int_range (w->rand, 0, (gint32)w->run_ms);
+               + g_rand_int_range (w->rand, 0, (gint32)w->run_ms)
+               - r->resumed_ms;
   g_ptr_array_add (k->runs, r);
   return RUN_ACCEPTED;
 }
@@ -639,7 +658,7 @@
       const struct world_run *r = g_ptr_array_index (k->runs, i);
       struct worker_run copy = { .task = g_strdup (r->task),
                                  .run = r->run,
-                                 .checkpoint = g_strdup (""),
+                                 .checkpoint = checkpoint_of (w, r),
                                  .percent = progress_percent (w, r) };
 
       g_array_append_val (report->runs, copy);
@@ -654,7 +673,7 @@
       if (e->number <= k->acknowledged)
         continue;
       copy.task = g_strdup (e->task);
-      copy.checkpoint = g_strdup ("");
+      copy.checkpoint = g_strdup (e->checkpoint);
       g_array_append_val (report->ends, copy);
     }
   return report;
@@ -683,6 +702,7 @@
   call->epoch = cell_epoch (cell);
   call->worker = g_strdup (o->worker);
   call->task = g_strdup (o->task);
+  call->checkpoint = g_strdup (o->checkpoint);
   call->run = o->run;
   call->deadline_ms = o->deadline_ms;
   call->at_ms = w->now_ms + CALL_LATENCY_MS;
@@ -705,7 +725,7 @@
 
   if (reaches (w, call->epoch, k))
     answer = start_run (w, k, call->epoch, call->task, call->run,
-                        call->deadline_ms);
+                        call->deadline_ms, call->checkpoint);
   if (call->answered && is_caller_present (w, call->cell, call->epoch))
     cell_start_answered (call->cell, call->worker, call->task, call->run,
                          answer, w->now_ms);
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -25,8 +25,9 @@
   uint64_t run;
   int64_t begun_ms;
   int64_t ends_ms;
-  int64_t stop_ms; /* when it ends as stopped; 0 if no stop was ordered */
-  bool is_broken;  /* it ends, as another run of its gang has ended */
+  int64_t resumed_ms; /* work done by earlier runs, by its checkpoint */
+  int64_t stop_ms;    /* when it ends as stopped; 0 if no stop was ordered */
+  bool is_broken;     /* it ends, as another run of its gang has ended */
 };
 
 struct world_worker
@@ -93,6 +94,7 @@
                      from then on have no admission control, and a start beyond
                      it is a violation. */
   int64_t run_ms; /* mean duration of a run */
+  int64_t checkpoint_interval_ms; /* of the work of a run; 0 for none */
   int64_t startup_ms;  /* from the start of a long-running task until it is at
                           work */
   GHashTable *answers; /* token to enum cell_answer, plus 1 */
--- a/tests/unit/test_cell_order.c
+++ b/tests/unit/test_cell_order.c
@@ -109,6 +109,105 @@
     }
 }
 
+/* Return how many tasks of the job ID, which has COUNT, are running. */
+static guint
+count_running (struct world *w, guint id, uint32_t count)
+{
+  guint n = 0;
+
+  for (uint32_t i = 0; i < count; i++)
+    {
+      char *task = g_strdup_printf ("%016x.0.0.%u", id, i);
+
+      n += world_find_run (w, task) != NULL;
+      g_free (task);
+    }
+  return n;
+}
+
+/* Fill all workers with one job of priority 1, whose tasks have checkpoints
+   or not. */
+static void
+fill_with_lower_priority (struct world *w, bool has_checkpoints)
+{
+  struct job_spec *spec = world_job (w, "0000000000000000", 1, ROOM);
+  struct job_step *s = g_ptr_array_index (spec->steps, 0);
+
+  world_run (w, 500);
+  w->run_ms = 8000;
+  w->checkpoint_interval_ms = has_checkpoints ? 200 : 0;
+  s->has_checkpoints = has_checkpoints;
+  s->estimate_ms = 8000;
+  spec->priority = 1;
+  spec->target_ms = 20000;
+  world_submit (w, spec);
+  world_run (w, 1000);
+  g_assert_cmpuint (count_running (w, 0, ROOM), ==, ROOM);
+  w->run_ms = 500;
+}
+
+/* Work of lower priority fills all workers for 4 s or more: without
+   preemption, an urgent job would be late. */
+static void
+test_an_urgent_job_preempts_lower_priority (void)
+{
+  struct world *w = world_new (33);
+
+  fill_with_lower_priority (w, true);
+  submit_job (w, 1, 1, 1000, 800);
+  world_run (w, 2500);
+  g_assert_cmpint (state_of (w, 1), ==, JOB_COMPLETED);
+  /* The bounded rate: no more tasks are stopped than the job needs. */
+  g_assert_cmpuint (count_running (w, 0, ROOM), >=, ROOM - 2);
+  w->run_ms = 8000;
+  world_run (w, 20000);
+  g_assert_cmpint (state_of (w, 0), ==, JOB_COMPLETED);
+  world_assert_no_violations (w);
+  world_destroy (w);
+}
+
+/* Stopping tasks without checkpoints would throw away all that they have
+   done. */
+static void
+test_tasks_without_checkpoints_are_not_preempted (void)
+{
+  struct world *w = world_new (34);
+
+  fill_with_lower_priority (w, false);
+  submit_job (w, 1, 1, 1000, 800);
+  world_run (w, 2500);
+  g_assert_cmpuint (count_running (w, 0, ROOM), ==, ROOM);
+  g_assert_cmpuint (w->starts, ==, ROOM);
+  world_destroy (w);
+}
+
+/* A task that was stopped for another one must not begin anew. */
+static void
+test_a_preempted_task_resumes_from_its_checkpoint (void)
+{
+  struct world *w = world_new (35);
+  int64_t resumed_ms = 0;
+
+  fill_with_lower_priority (w, true);
+  submit_job (w, 1, 1, 1000, 800);
+  for (int i = 0; i < 100; i++)
+    {
+      world_run (w, 50);
+      if (count_running (w, 1, 1) > 0)
+        w->run_ms = 8000; /* of the resumed run */
+      for (int k = 0; k < WORLD_WORKERS; k++)
+        for (guint n = 0; n < w->workers[k].runs->len; n++)
+          {
+            const struct world_run *r
+                = g_ptr_array_index (w->workers[k].runs, n);
+
+            resumed_ms = MAX (resumed_ms, r->resumed_ms);
+          }
+    }
+  g_assert_cmpint (resumed_ms, >=, 800);
+  world_destroy (w);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -117,5 +216,11 @@
                    test_small_jobs_pass_large_ones_that_are_late_anyway);
   g_test_add_func ("/cell-order/wide",
                    test_wide_steps_get_room_beside_small_jobs);
+  g_test_add_func ("/cell-order/preempts",
+                   test_an_urgent_job_preempts_lower_priority);
+  g_test_add_func ("/cell-order/no-checkpoints",
+                   test_tasks_without_checkpoints_are_not_preempted);
+  g_test_add_func ("/cell-order/resumes",
+                   test_a_preempted_task_resumes_from_its_checkpoint);
   return g_test_run ();
 }
