Refuse jobs beyond their account's rate while the cell is overloaded

Cause: the flood of one account makes all accounts' jobs late, and every 503 carries the same Retry-After, so that refused callers return together. Change: each cell keeps a token bucket an account (src/account_rate.c). A job beyond it goes after all others of its priority; while the work before it takes more than three times its objective it is refused with 429 and a Retry-After that is spread over the time of the refill. The 429 passes between nodes, and becomes 504 where an earlier attempt is unclear. 503 answers tell 1 or 2 s by a hash of the job's ID.

--- a/src/cell.c
+++ b/src/cell.c
@@ -83,6 +83,7 @@
   c->workers = g_hash_table_new_full (g_str_hash, g_str_equal, NULL,
                                       cell_worker_destroy);
   c->worker_list = g_ptr_array_new ();
+  c->account_rates = account_rates_new ();
   c->queue_work
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
   c->changed_jobs = g_ptr_array_new ();
@@ -105,6 +106,7 @@
   g_ptr_array_unref (cell->dropped_keys);
   g_ptr_array_unref (cell->open_jobs);
   g_ptr_array_unref (cell->worker_list);
+  account_rates_destroy (cell->account_rates);
   g_hash_table_unref (cell->queue_work);
   g_hash_table_unref (cell->jobs);
   g_hash_table_unref (cell->workers);
--- a/src/cell.h
+++ b/src/cell.h
@@ -1,6 +1,7 @@
 #ifndef CELL_H
 #define CELL_H
 
+#include "accounts.h"
 #include "job.h"
 #include "sizing.h"
 #include "worker.h"
@@ -43,10 +44,12 @@
 /* Answer to a call that submits or cancels a job. */
 enum cell_answer
 {
-  CELL_STORED,  /* accepted or cancelled, and journaled */
-  CELL_NO_JOB,  /* no such job */
-  CELL_REFUSED, /* not accepted; the job never runs */
-  CELL_UNCLEAR  /* the outcome of the append is unknown */
+  CELL_STORED,       /* accepted or cancelled, and journaled */
+  CELL_NO_JOB,       /* no such job */
+  CELL_REFUSED,      /* not accepted; the job never runs */
+  CELL_REFUSED_RATE, /* the same, as its account is beyond its rate and the
+                        cell is overloaded */
+  CELL_UNCLEAR       /* the outcome of the append is unknown */
 };
 
 enum cell_order_kind
@@ -121,6 +124,7 @@
 {
   uint64_t token; /* of the call that is answered */
   enum cell_answer answer;
+  int64_t retry_after_ms; /* CELL_REFUSED_RATE: before the caller retries */
 };
 
 /* Log a decision with its inputs. */
@@ -191,6 +195,11 @@
 /* Begin to place work, after the whole journal has been loaded. */
 void cell_activate (struct cell *cell, int64_t now_ms);
 
+/* Set the rates of ACCOUNTS, which may be NULL, up to which their jobs are
+   owed service. */
+void cell_set_account_rates (struct cell *cell,
+                             const struct accounts *accounts, int64_t now_ms);
+
 /* Submit the job SPEC, which the cell owns from now on.  Another submission of
    a known job ID adds no job.  The answer to the call carries TOKEN. */
 void cell_submit (struct cell *cell, struct job_spec *spec, uint64_t token,
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -470,6 +470,7 @@
              int64_t now_ms)
 {
   struct cell_job *job = g_hash_table_lookup (cell->jobs, spec->id);
+  bool is_excess;
 
   if (job == NULL && cell_store_is_unreachable (cell, now_ms))
     {
@@ -480,7 +481,16 @@
     }
   if (job == NULL)
     {
+      is_excess = cell_is_excess (cell, spec, now_ms);
+      if (is_excess && cell_refuses_excess (cell, spec))
+        {
+          cell_refuse_excess (cell, spec, token, now_ms);
+          job_spec_destroy (spec);
+          return;
+        }
       job = cell_job_add (cell, spec, false, now_ms);
+      job->is_excess = is_excess;
+      job->order.is_excess = is_excess;
       if (!job->is_long_running && spec->occurrences == 0)
         {
           cell->accepted_jobs++;
--- a/src/cell_order.c
+++ b/src/cell_order.c
@@ -54,6 +54,8 @@
   struct queue_work *q = find_queue_work (c, job->spec->queue);
 
   job->total_work = (double)job_spec_work_milli_s (job->spec);
+  c->open_work[MIN (job->spec->priority, CELL_PRIORITIES - 1)]
+      += (uint64_t)job->total_work * 1000;
   if (q != NULL && !job->is_long_running)
     {
       q->sum += job->total_work;
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -1,6 +1,7 @@
 #ifndef CELL_STATE_H
 #define CELL_STATE_H
 
+#include "account_rate.h"
 #include "cell.h"
 #include "job_order.h"
 
@@ -229,6 +230,7 @@
   /* Work of the open jobs by priority, as of last_order_ms, in thousandths of
      a core times ms; the last one holds all lower priorities. */
   uint64_t open_work[CELL_PRIORITIES];
+  struct account_rates *account_rates;
   GHashTable *queue_work;     /* queue's name to struct queue_work * */
   GHashTable *workers;        /* ID to struct cell_worker * */
   GPtrArray *worker_list;     /* the same workers */
@@ -403,6 +405,16 @@
    owners. */
 int64_t cell_owners_leases_until_ms (const struct cell *c);
 
+/* cell_excess.c */
+/* Return whether the new job SPEC is beyond its account's rate. */
+bool cell_is_excess (struct cell *c, const struct job_spec *spec,
+                     int64_t now_ms);
+/* Return whether an excess job SPEC is refused, as the cell is overloaded. */
+bool cell_refuses_excess (const struct cell *c, const struct job_spec *spec);
+/* Answer the call with TOKEN that its excess job SPEC is refused. */
+void cell_refuse_excess (struct cell *c, const struct job_spec *spec,
+                         uint64_t token, int64_t now_ms);
+
 /* cell_order.c */
 /* Set the place of JOB, which is new, in the order of placement, and count it
    in the mean work of its queue. */
--- a/src/front.h
+++ b/src/front.h
@@ -44,6 +44,7 @@
   FRONT_DONE,
   FRONT_NOT_FOUND,   /* no such job */
   FRONT_UNAVAILABLE, /* certainly not done; may be asked again */
+  FRONT_TOO_MANY,    /* the same, as the caller's account is beyond its rate */
   FRONT_UNCLEAR      /* may have been done, or be done later */
 };
 
@@ -53,7 +54,8 @@
   enum job_state state; /* FRONT_GET_STATE */
   uint32_t
       number; /* FRONT_COUNT_WAITING: jobs; FRONT_EMPTY_WORKER: 1 if empty */
-  int64_t retry_after_ms; /* FRONT_UNAVAILABLE: before the caller retries */
+  /* FRONT_UNAVAILABLE and FRONT_TOO_MANY: before the caller retries. */
+  int64_t retry_after_ms;
 };
 
 typedef void (*front_done) (void *data, const struct front_answer *answer);
@@ -81,6 +83,10 @@
    revocation is strict, only while the routes have been confirmed recently. */
 bool front_keys_are_valid (const struct front *front);
 
+/* Return the retry delay of a caller whose request about SUBJECT is answered
+   503: one or two seconds, so that refused callers do not return together. */
+int64_t front_retry_after_ms (const char *subject);
+
 /* Return whether the load balancer should send this node new connections. */
 bool front_is_ready (const struct front *front);
 
--- a/src/node_front.c
+++ b/src/node_front.c
@@ -16,8 +16,9 @@
 /* A node that has had no answer from the store for longer would not learn of a
    cell's new owner. */
 #define STORE_HEARD_MAX_MS 1500
-/* Retry delay that a caller is told. */
+/* Retry delay that a caller is told, and how many times it at most. */
 #define RETRY_AFTER_MS 1000
+#define RETRY_AFTER_STEPS 2
 /* The routes, and the homes of queues, count as fresh if the store has
    confirmed them within this time. */
 #define ROUTES_MAX_AGE_MS 2200
@@ -157,6 +158,12 @@
   spec->advice.valid_ms = queue->advice_valid_ms;
 }
 
+int64_t
+front_retry_after_ms (const char *subject)
+{
+  return RETRY_AFTER_MS * (1 + g_str_hash (subject) % RETRY_AFTER_STEPS);
+}
+
 static bool
 changes_state (enum front_verb verb)
 {
@@ -179,11 +186,11 @@
 {
   struct front_answer final = *answer;
 
-  if (final.result == FRONT_UNAVAILABLE && pursuit_is_unclear (p->pursuit)
-      && changes_state (p->request.verb))
+  if ((final.result == FRONT_UNAVAILABLE || final.result == FRONT_TOO_MANY)
+      && pursuit_is_unclear (p->pursuit) && changes_state (p->request.verb))
     final.result = FRONT_UNCLEAR;
   if (final.result == FRONT_UNAVAILABLE)
-    final.retry_after_ms = RETRY_AFTER_MS;
+    final.retry_after_ms = front_retry_after_ms (p->subject);
   p->is_finished = true;
   g_ptr_array_remove_fast (p->front->pending, p);
   p->done (p->data, &final);
@@ -216,6 +223,7 @@
     case FRONT_NOT_FOUND:
       return true;
     case FRONT_UNAVAILABLE:
+    case FRONT_TOO_MANY:
       return p->request.verb == FRONT_SUBMIT
              && !pursuit_is_unclear (p->pursuit);
     case FRONT_UNCLEAR:
--- a/src/node_host.c
+++ b/src/node_host.c
@@ -88,6 +88,15 @@
   local->done (local->data, &answer);
 }
 
+static void
+refuse_for_rate (struct local_request *local, int64_t retry_after_ms)
+{
+  struct front_answer answer
+      = { .result = FRONT_TOO_MANY, .retry_after_ms = retry_after_ms };
+
+  local->done (local->data, &answer);
+}
+
 void
 host_abandon_requests (struct cell_host *h)
 {
@@ -336,6 +345,10 @@
       meters_add (h->node->meters, METER_JOBS_REFUSED_STORE_UNREACHABLE, 1);
       finish_request (&copy, FRONT_UNAVAILABLE);
       break;
+    case CELL_REFUSED_RATE:
+      meters_add (h->node->meters, METER_JOBS_REFUSED_RATE, 1);
+      refuse_for_rate (&copy, order->retry_after_ms);
+      break;
     case CELL_UNCLEAR:
       meters_add (h->node->meters, METER_JOBS_UNCLEAR, 1);
       finish_request (&copy, FRONT_UNCLEAR);
--- a/src/node_peers.c
+++ b/src/node_peers.c
@@ -43,21 +43,35 @@
       return 410;
     case FRONT_UNAVAILABLE:
       return 503;
+    case FRONT_TOO_MANY:
+      return 429;
     case FRONT_UNCLEAR:
       return 504;
     }
   return 503;
 }
 
-/* Answer with one number: the job's state, the count of jobs, or 1 if the
-   worker is empty. */
+/* Longest retry delay that an owner may tell. */
+#define RETRY_AFTER_MAX_MS 60000
+
+/* Return the number that stands for ANSWER to VERB. */
+static uint32_t
+number_of_answer (enum front_verb verb, const struct front_answer *answer)
+{
+  if (answer->result == FRONT_TOO_MANY)
+    return (uint32_t)answer->retry_after_ms;
+  return verb == FRONT_GET_STATE ? (uint32_t)answer->state : answer->number;
+}
+
+/* Answer with one number: the job's state, the count of jobs, 1 if the worker
+   is empty, or the retry delay in ms of a job that is refused for its
+   account's rate. */
 static void
 send_answer (void *data, const struct front_answer *answer)
 {
   struct peer_request *context = data;
   struct evbuffer *body = evbuffer_new ();
-  uint32_t number = context->verb == FRONT_GET_STATE ? (uint32_t)answer->state
-                                                     : answer->number;
+  uint32_t number = number_of_answer (context->verb, answer);
 
   evbuffer_add_printf (body, "%u", number);
   evhttp_send_reply (context->request, status_of_result (answer->result),
@@ -91,6 +105,10 @@
     case 503:
       answer->result = FRONT_UNAVAILABLE;
       return true;
+    case 429:
+      answer->result = FRONT_TOO_MANY;
+      answer->retry_after_ms = MIN (number, RETRY_AFTER_MAX_MS);
+      return true;
     case 504:
       answer->result = FRONT_UNCLEAR;
       return true;
--- a/src/node_queues.c
+++ b/src/node_queues.c
@@ -10,10 +10,6 @@
 
 /* Delay after a failed append of homes. */
 #define RETRY_DELAY_MS 300
-/* Retry delay of a caller whose request came before the homes were read. */
-#define HOMES_RETRY_AFTER_MS 1000
-/* The same if the node's view of the queue's cells may be out of date. */
-#define STALE_VIEW_RETRY_AFTER_MS 1000
 
 /* A request about a queue that has former homes. */
 struct queue_request
@@ -49,9 +45,9 @@
                r->next, r->routes_version);
   /* The queue may have been sent elsewhere, and another cell have the job. */
   if (r->answer.result == FRONT_NOT_FOUND && !r->has_fresh_view)
-    r->answer
-        = (struct front_answer){ .result = FRONT_UNAVAILABLE,
-                                 .retry_after_ms = STALE_VIEW_RETRY_AFTER_MS };
+    r->answer = (struct front_answer){ .result = FRONT_UNAVAILABLE,
+                                       .retry_after_ms
+                                       = front_retry_after_ms (r->subject) };
   r->done (r->data, &r->answer);
   queue_request_destroy (r);
 }
@@ -177,9 +173,9 @@
   r->data = data;
   if (homes == NULL)
     {
-      r->answer
-          = (struct front_answer){ .result = FRONT_UNAVAILABLE,
-                                   .retry_after_ms = HOMES_RETRY_AFTER_MS };
+      r->answer = (struct front_answer){ .result = FRONT_UNAVAILABLE,
+                                         .retry_after_ms
+                                         = front_retry_after_ms (r->subject) };
       finish (r);
       return;
     }
--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -910,6 +910,8 @@
           g_hash_table_insert (w->answers,
                                GUINT_TO_POINTER (o->u.answer.token),
                                GINT_TO_POINTER (o->u.answer.answer + 1));
+          if (o->u.answer.retry_after_ms > 0)
+            w->retry_after_ms = o->u.answer.retry_after_ms;
           break;
         case ORDER_PACE:
         case ORDER_ASK_ADVICE:
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -98,8 +98,9 @@
   int64_t startup_ms;  /* from the start of a long-running task until it is at
                           work */
   GHashTable *answers; /* token to enum cell_answer, plus 1 */
-  GString *violations; /* violated rules, one a line */
-  uint32_t starts;     /* runs started so far */
+  int64_t retry_after_ms; /* of the last answer that has one */
+  GString *violations;    /* violated rules, one a line */
+  uint32_t starts;        /* runs started so far */
 };
 
 struct world *world_new (uint32_t seed);
--- a/tests/unit/test_cell_order.c
+++ b/tests/unit/test_cell_order.c
@@ -1,3 +1,4 @@
+#include "accounts.h"
 #include "cell_world.h"
 
 #include <string.h>
@@ -208,6 +209,115 @@
   world_destroy (w);
 }
 
+/* Submit the job ID of ACCOUNT, of 16 tasks that take 250 ms, and return its
+   token. */
+static uint64_t
+submit_of_account (struct world *w, const char *account, guint id)
+{
+  char *name = g_strdup_printf ("%016x", id);
+  struct job_spec *spec = world_job (w, name, 1, 16);
+  struct job_step *s = g_ptr_array_index (spec->steps, 0);
+  uint64_t token;
+
+  g_free (spec->account);
+  spec->account = g_strdup (account);
+  s->estimate_ms = 250;
+  spec->deadline_factor = 2;
+  spec->target_ms = 500;
+  token = world_submit (w, spec);
+  g_free (name);
+  return token;
+}
+
+/* Let the cell know two accounts of 10 jobs a second. */
+static void
+set_accounts (struct world *w)
+{
+  struct accounts *accounts = accounts_new ();
+
+  accounts_add (accounts, "flood")->weight = 10;
+  accounts_add (accounts, "calm")->weight = 10;
+  cell_set_account_rates (w->cell, accounts, w->now_ms);
+  accounts_destroy (accounts);
+}
+
+#define FLOOD_JOBS 400
+
+/* The flood of one account beside another within its rate: without buckets,
+   all jobs of the flood are accepted and the other account's are late.  A
+   refused job must never run, and one that was accepted is never refused. */
+static void
+test_a_flood_is_refused_and_no_other_account_notices (void)
+{
+  struct world *w = world_new (36);
+  uint64_t flood[FLOOD_JOBS], calm[10], other, again;
+  guint accepted = 0;
+
+  world_run (w, 500);
+  w->run_ms = 250;
+  set_accounts (w);
+  for (guint i = 0; i < FLOOD_JOBS; i++)
+    flood[i] = submit_of_account (w, "flood", i);
+  for (guint i = 0; i < 10; i++)
+    calm[i] = submit_of_account (w, "calm", FLOOD_JOBS + i);
+  other = submit_of_account (w, "", FLOOD_JOBS + 10);
+  again = submit_of_account (w, "flood", 0);
+  world_run (w, 1500);
+  for (guint i = 0; i < FLOOD_JOBS; i++)
+    {
+      enum cell_answer answer = world_answer (w, flood[i]);
+
+      g_assert_true (answer == CELL_STORED
+                     || (i >= 10 && answer == CELL_REFUSED_RATE));
+      accepted += answer == CELL_STORED;
+    }
+  g_test_message ("%u of %u jobs of the flood are accepted", accepted,
+                  FLOOD_JOBS);
+  g_assert_cmpuint (accepted, >=, 10);
+  g_assert_cmpuint (accepted, <, FLOOD_JOBS / 2);
+  g_assert_cmpint (w->retry_after_ms, >=, 1000);
+  for (guint i = 0; i < 10; i++)
+    {
+      g_assert_cmpint (world_answer (w, calm[i]), ==, CELL_STORED);
+      g_assert_cmpint (state_of (w, FLOOD_JOBS + i), ==, JOB_COMPLETED);
+    }
+  g_assert_cmpint (world_answer (w, other), ==, CELL_STORED);
+  g_assert_cmpint (world_answer (w, again), ==, CELL_STORED);
+  world_run (w, 30000);
+  g_assert_cmpuint (w->starts, ==, (accepted + 11) * 16);
+  for (guint i = 0; i < FLOOD_JOBS; i++)
+    g_assert_cmpint (state_of (w, i), ==,
+                     world_answer (w, flood[i]) == CELL_STORED
+                         ? JOB_COMPLETED
+                         : JOB_STATE_COUNT);
+  world_assert_no_violations (w);
+  world_destroy (w);
+}
+
+/* A refusal is of one submission: the same job is accepted once the cell has
+   room again. */
+static void
+test_a_refused_job_may_be_submitted_again (void)
+{
+  struct world *w = world_new (37);
+  uint64_t token = 0;
+
+  world_run (w, 500);
+  w->run_ms = 250;
+  set_accounts (w);
+  for (guint i = 0; i < FLOOD_JOBS; i++)
+    token = submit_of_account (w, "flood", i);
+  world_run (w, 100);
+  g_assert_cmpint (world_answer (w, token), ==, CELL_REFUSED_RATE);
+  world_run (w, 10000);
+  token = submit_of_account (w, "flood", FLOOD_JOBS - 1);
+  world_run (w, 2000);
+  g_assert_cmpint (world_answer (w, token), ==, CELL_STORED);
+  g_assert_cmpint (state_of (w, FLOOD_JOBS - 1), ==, JOB_COMPLETED);
+  world_assert_no_violations (w);
+  world_destroy (w);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -222,5 +332,9 @@
                    test_tasks_without_checkpoints_are_not_preempted);
   g_test_add_func ("/cell-order/resumes",
                    test_a_preempted_task_resumes_from_its_checkpoint);
+  g_test_add_func ("/cell-order/flood",
+                   test_a_flood_is_refused_and_no_other_account_notices);
+  g_test_add_func ("/cell-order/again",
+                   test_a_refused_job_may_be_submitted_again);
   return g_test_run ();
 }
--- a/tests/unit/test_node_peers.c
+++ b/tests/unit/test_node_peers.c
@@ -33,6 +33,22 @@
   g_assert_cmpint (answer.result, ==, FRONT_UNCLEAR);
 }
 
+/* A refusal for an account's rate keeps its retry delay; a malformed one must
+   not keep a caller away for long. */
+static void
+test_refusals_for_rate (void)
+{
+  struct http_reply reply = reply_of (429, "2345");
+  struct front_answer answer;
+
+  g_assert_true (peer_read_answer (FRONT_SUBMIT, &reply, &answer));
+  g_assert_cmpint (answer.result, ==, FRONT_TOO_MANY);
+  g_assert_cmpint (answer.retry_after_ms, ==, 2345);
+  reply = reply_of (429, "4000000000");
+  g_assert_true (peer_read_answer (FRONT_SUBMIT, &reply, &answer));
+  g_assert_cmpint (answer.retry_after_ms, <=, 60000);
+}
+
 /* A reply without a body, as when a node does not answer, must not end the
    process, as it once did: its body is NULL. */
 static void
@@ -64,6 +80,7 @@
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/node-peers/complete-answers", test_complete_answers);
+  g_test_add_func ("/node-peers/refusals", test_refusals_for_rate);
   g_test_add_func ("/node-peers/missing-answers", test_missing_answers);
   g_test_add_func ("/node-peers/malformed-records", test_malformed_records);
   return g_test_run ();
