Bound the attempts to preempt for urgent jobs, not only the stops

Cause: each attempt looks at all running tasks; one that finds nothing to stop was repeated in each placement by each urgent job. Change: attempts count for the intervals (500 ms a task, 100 ms a cell).

--- a/src/cell_preempt.c
+++ b/src/cell_preempt.c
@@ -3,7 +3,8 @@
 /* Preemption by a finite task of the highest priority: stops tasks of lower
    priority that resume from a checkpoint. */
 
-/* Minimum interval between two preemptions for one task, and in the cell. */
+/* Minimum interval between two attempts for one task, and in the cell: each
+   one looks at all running tasks. */
 #define TASK_INTERVAL_MS 500
 #define CELL_INTERVAL_MS 100
 /* A task beyond this part of its work is not stopped. */
@@ -139,6 +140,8 @@
       || now_ms < c->last_preemption_ms + CELL_INTERVAL_MS
       || !is_urgent (c, job, now_ms))
     return;
+  t->adjusted_ms = now_ms;
+  c->last_preemption_ms = now_ms;
   for (guint i = 0; i < c->worker_list->len; i++)
     {
       struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
@@ -155,8 +158,6 @@
    */
   if (best.worker == NULL || best.lost > gained)
     return;
-  t->adjusted_ms = now_ms;
-  c->last_preemption_ms = now_ms;
   for (guint i = 0; i < best.n_stopped; i++)
     {
       char *name = cell_task_name (best.stopped[i]);
