Fail jobs at once that no worker can ever run

Cause: a job with a task beyond any machine waits for ever, and its pool asks for machines. Change: a new job fails, with the reason in the log, if a task needs more than four times the processors or memory of the largest worker listed in the cell so far, once four workers are known. The bound is wide as machines move between pools. Result: test_cell_order shows such a job failed within 200 ms and over a change of the owner, and one of four times the largest worker waiting.

--- a/src/cell_excess.c
+++ b/src/cell_excess.c
@@ -1,10 +1,18 @@
 #include "cell_state.h"
 
-/* Admission under overload: jobs beyond their account's rate. */
+/* Admission: jobs beyond their account's rate under overload, and jobs that no
+   worker can ever run. */
 
 /* The cell is overloaded for a job if the work that goes before it takes more
    than this multiple of its objective. */
 #define OVERLOAD_FACTOR 3
+/* A job is impossible if one of its tasks needs more than this multiple of the
+   processors or the memory that the largest worker listed so far has. Machines
+   move between pools, so a larger one may still come; and only once this many
+   workers are known.  Processors of other kinds are not compared: few machines
+   have them. */
+#define IMPOSSIBLE_FACTOR 4
+#define IMPOSSIBLE_MIN_WORKERS 4
 
 void
 cell_set_account_rates (struct cell *cell, const struct accounts *accounts,
@@ -50,3 +58,38 @@
                   spec->account, c->finite_cpu_milli,
                   o->u.answer.retry_after_ms);
 }
+
+void
+cell_note_worker_size (struct cell *c, const struct worker_resources *size)
+{
+  c->largest_worker.cpu_milli
+      = MAX (c->largest_worker.cpu_milli, size->cpu_milli);
+  c->largest_worker.memory_mb
+      = MAX (c->largest_worker.memory_mb, size->memory_mb);
+}
+
+bool
+cell_fail_if_impossible (struct cell *c, struct cell_job *job, int64_t now_ms)
+{
+  uint64_t cpu_milli = (uint64_t)c->largest_worker.cpu_milli;
+  uint64_t memory_mb = (uint64_t)c->largest_worker.memory_mb;
+
+  if (g_hash_table_size (c->workers) < IMPOSSIBLE_MIN_WORKERS)
+    return false;
+  for (guint i = 0; i < job->spec->steps->len; i++)
+    {
+      const struct job_step *s = g_ptr_array_index (job->spec->steps, i);
+
+      if ((s->is_best_effort || s->cpu_milli <= IMPOSSIBLE_FACTOR * cpu_milli)
+          && s->memory_mb <= IMPOSSIBLE_FACTOR * memory_mb)
+        continue;
+      cell_log_event (c, "job-failed", job->spec->id,
+                      "reason=impossible step=%u cpu_milli=%u memory_mb=%u"
+                      " largest_cpu_milli=%" G_GUINT64_FORMAT
+                      " largest_memory_mb=%" G_GUINT64_FORMAT,
+                      i, s->cpu_milli, s->memory_mb, cpu_milli, memory_mb);
+      cell_job_end (c, job, JOB_FAILED, now_ms);
+      return true;
+    }
+  return false;
+}
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -491,12 +491,13 @@
       job = cell_job_add (cell, spec, false, now_ms);
       job->is_excess = is_excess;
       job->order.is_excess = is_excess;
-      if (!job->is_long_running && spec->occurrences == 0)
+      cell_journal_job (cell, job, true);
+      if (!cell_fail_if_impossible (cell, job, now_ms) && !job->is_long_running
+          && spec->occurrences == 0)
         {
           cell->accepted_jobs++;
           cell->accepted_work_milli_s += job_spec_work_milli_s (spec);
         }
-      cell_journal_job (cell, job, true);
     }
   else
     job_spec_destroy (spec);
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -231,6 +231,7 @@
      a core times ms; the last one holds all lower priorities. */
   uint64_t open_work[CELL_PRIORITIES];
   struct account_rates *account_rates;
+  struct worker_resources largest_worker; /* listed so far, by resource */
   GHashTable *queue_work;     /* queue's name to struct queue_work * */
   GHashTable *workers;        /* ID to struct cell_worker * */
   GPtrArray *worker_list;     /* the same workers */
@@ -415,6 +416,14 @@
 void cell_refuse_excess (struct cell *c, const struct job_spec *spec,
                          uint64_t token, int64_t now_ms);
 
+/* Note the SIZE of a worker that is listed. */
+void cell_note_worker_size (struct cell *c,
+                            const struct worker_resources *size);
+/* End JOB, which is new, as failed if no worker can ever hold one of its
+   tasks; return whether it was. */
+bool cell_fail_if_impossible (struct cell *c, struct cell_job *job,
+                              int64_t now_ms);
+
 /* cell_order.c */
 /* Set the place of JOB, which is new, in the order of placement, and count it
    in the mean work of its queue. */
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -146,6 +146,7 @@
   struct cell_worker *w = g_hash_table_lookup (cell->workers, entry->id);
   struct worker_entry *copy = worker_entry_copy (entry);
 
+  cell_note_worker_size (cell, &entry->capacity);
   if (w == NULL)
     w = cell_worker_add (cell, entry->id);
   if (!w->is_listed)
--- a/tests/unit/test_cell_order.c
+++ b/tests/unit/test_cell_order.c
@@ -318,6 +318,35 @@
   world_destroy (w);
 }
 
+/* A job that no worker can ever run would wait for ever, and its pool would
+   ask for machines; one that a larger machine may run must wait for that. */
+static void
+test_an_impossible_job_fails_at_once (void)
+{
+  struct world *w = world_new (38);
+  struct job_spec *impossible, *wide;
+  uint64_t token;
+
+  world_run (w, 500);
+  impossible = world_job (w, "00000000000000c1", 2, 1);
+  ((struct job_step *)g_ptr_array_index (impossible->steps, 1))->memory_mb
+      = 4 * 32768 + 1;
+  wide = world_job (w, "00000000000000c2", 1, 1);
+  ((struct job_step *)g_ptr_array_index (wide->steps, 0))->cpu_milli = 64000;
+  token = world_submit (w, impossible);
+  world_submit (w, wide);
+  world_run (w, 200);
+  g_assert_cmpint (world_answer (w, token), ==, CELL_STORED);
+  g_assert_cmpint (world_state (w, "00000000000000c1"), ==, JOB_FAILED);
+  g_assert_cmpint (world_state (w, "00000000000000c2"), ==, JOB_PENDING);
+  world_take_over (w, false, 0);
+  world_run (w, 1000);
+  g_assert_cmpint (world_state (w, "00000000000000c1"), ==, JOB_FAILED);
+  g_assert_cmpuint (w->starts, ==, 0);
+  world_assert_no_violations (w);
+  world_destroy (w);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -336,5 +365,7 @@
                    test_a_flood_is_refused_and_no_other_account_notices);
   g_test_add_func ("/cell-order/again",
                    test_a_refused_job_may_be_submitted_again);
+  g_test_add_func ("/cell-order/impossible",
+                   test_an_impossible_job_fails_at_once);
   return g_test_run ();
 }
