Judge waiting jobs by when they were accepted, also under a new owner

Change: the deadline is restored from the time of acceptance, by at most two objectives, as clocks of nodes may differ. Result: test_cell_order's new-owner test fails without the change and passes with it; the wide task and the wide gang have tests of their own.

--- a/src/cell_order.c
+++ b/src/cell_order.c
@@ -8,6 +8,9 @@
 /* The cell counts as overloaded for so long after all jobs could end in time
    again, so that a load near its capacity is not logged as many changes. */
 #define OVERLOAD_KEPT_MS 1000
+/* A job counts as waiting under earlier owners for at most this multiple of
+   its objective, so that it still has time until its limit. */
+#define EARLIER_MAX_OBJECTIVES 2
 /* Maximum of queues whose mean work is known. */
 #define QUEUES_MAX 256
 
@@ -53,6 +56,11 @@
 {
   struct queue_work *q = find_queue_work (c, job->spec->queue);
 
+  job->earlier_ms = job->is_loaded && job->spec->accepted_ms > 0
+                            && !job->is_long_running
+                            && job->spec->occurrences == 0
+                        ? -1
+                        : 0;
   job->total_work = (double)job_spec_work_milli_s (job->spec);
   c->open_work[MIN (job->spec->priority, CELL_PRIORITIES - 1)]
       += (uint64_t)job->total_work * 1000;
@@ -120,15 +128,34 @@
     }
 }
 
+/* Let JOB, which an earlier owner accepted, have the deadline that it had
+   there.  The clocks of nodes may differ and jump: none makes a job count as
+   lost. */
+static void
+restore_deadline (const struct cell *c, struct cell_job *job, int64_t now_ms)
+{
+  struct job_order_entry *e = &job->order;
+  int64_t age_ms = c->wall_ms - job->spec->accepted_ms;
+
+  if (job->earlier_ms >= 0 || c->wall_ms == 0)
+    return;
+  job->earlier_ms = CLAMP (age_ms - (now_ms - job->added_ms), 0,
+                           EARLIER_MAX_OBJECTIVES * e->objective_ms);
+  job->deadline_ms -= job->earlier_ms;
+  e->deadline_ms = job->deadline_ms;
+  e->due_ms = job->deadline_ms;
+}
+
 static void
 update_entry (const struct cell *c, struct cell_job *job, int64_t now_ms)
 {
   struct job_order_entry *e = &job->order;
 
+  restore_deadline (c, job, now_ms);
   e->path_ms = 0;
   e->work = 0;
   e->value = value_of_job (c, job);
-  e->waited_ms = now_ms - job->added_ms;
+  e->waited_ms = now_ms - job->added_ms + MAX (job->earlier_ms, 0);
   for (guint i = 0; i < job->occurrences->len; i++)
     add_occurrence (c, g_ptr_array_index (job->occurrences, i), e);
 }
--- a/src/cell_reserve.c
+++ b/src/cell_reserve.c
@@ -30,11 +30,11 @@
 
 /* Return whether JOB has waited for more than half of its slack. */
 static bool
-has_waited_long (const struct cell_job *job, int64_t now_ms)
+has_waited_long (const struct cell_job *job)
 {
   int64_t slack_ms = job->order.objective_ms - job->order.path_ms;
 
-  return now_ms > job->added_ms + MAX (slack_ms, 0) / 2;
+  return job->order.waited_ms > MAX (slack_ms, 0) / 2;
 }
 
 /* Return how many tasks of S fit on W once its finite tasks have ended. */
@@ -139,7 +139,7 @@
 
   if ((c->reserved_priorities & priority) != 0 || s->is_long_running
       || s->is_best_effort || job->order.is_scheduled || job->is_excess
-      || !has_waited_long (job, now_ms))
+      || !has_waited_long (job))
     return;
   c->reserved_priorities |= priority;
   candidates = g_ptr_array_new ();
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -118,6 +118,7 @@
   bool is_in_append;     /* in the append in progress */
   int64_t added_ms;      /* accepted here, or the takeover */
   int64_t deadline_ms;   /* desired end, for the order of placement */
+  int64_t earlier_ms;    /* waited under earlier owners; -1 until known */
   double total_work;     /* estimated, in thousandths of a core times s */
   struct job_order_entry order; /* its place in the order of placement */
   int64_t ended_ms;
--- a/tests/unit/test_cell_order.c
+++ b/tests/unit/test_cell_order.c
@@ -85,29 +85,40 @@
   world_submit (w, spec);
 }
 
-/* A wide task, and a wide gang, beside small jobs that keep coming: without a
-   reservation, what becomes free is always too little for the wide one and
-   goes to small ones, and it waits as long as they come. */
+/* Submit a step of COUNT tasks of 14 cores beside small jobs that keep coming;
+   it must end all the same. */
 static void
-test_wide_steps_get_room_beside_small_jobs (void)
+assert_wide_step_ends (uint32_t count, bool is_gang)
 {
-  for (int is_gang = 0; is_gang <= 1; is_gang++)
-    {
-      struct world *w = world_new (32);
-      guint next_id = 0;
-
-      world_run (w, 500);
-      w->run_ms = 250;
-      run_with_small_jobs (w, &next_id, 500);
-      submit_wide_job (w, is_gang ? 3 : 1, 14000, is_gang);
-      run_with_small_jobs (w, &next_id, 2500);
-      g_assert_cmpint (world_state (w, WORLD_JOB), ==, JOB_COMPLETED);
-      world_run (w, 10000);
-      g_assert_cmpuint (world_count_state (w, next_id, JOB_COMPLETED), ==,
-                        next_id);
-      world_assert_no_violations (w);
-      world_destroy (w);
-    }
+  struct world *w = world_new (32);
+  guint next_id = 0;
+
+  world_run (w, 500);
+  w->run_ms = 250;
+  run_with_small_jobs (w, &next_id, 500);
+  submit_wide_job (w, count, 14000, is_gang);
+  run_with_small_jobs (w, &next_id, 2500);
+  g_assert_cmpint (world_state (w, WORLD_JOB), ==, JOB_COMPLETED);
+  world_run (w, 10000);
+  g_assert_cmpuint (world_count_state (w, next_id, JOB_COMPLETED), ==,
+                    next_id);
+  world_assert_no_violations (w);
+  world_destroy (w);
+}
+
+/* Without a reservation, what becomes free is always too little for a wide
+   task and goes to small ones: it waits as long as these come. */
+static void
+test_a_wide_task_gets_room_beside_small_jobs (void)
+{
+  assert_wide_step_ends (1, false);
+}
+
+/* The same for a gang, which needs room on several workers at once. */
+static void
+test_a_wide_gang_gets_room_beside_small_jobs (void)
+{
+  assert_wide_step_ends (3, true);
 }
 
 /* Return how many tasks of the job ID, which has COUNT, are running. */
@@ -347,14 +358,41 @@
   world_destroy (w);
 }
 
+/* A change of the owner while work waits: with deadlines that begin anew at
+   the takeover, a job that has waited would go after newer ones. */
+static void
+test_a_new_owner_keeps_deadlines (void)
+{
+  struct world *w = world_new (39);
+  struct job_spec *early;
+
+  fill_with_lower_priority (w, false);
+  early = world_job (w, "00000000000000d1", 1, 1);
+  early->accepted_ms = w->now_ms;
+  early->target_ms = 6000;
+  world_submit (w, early);
+  world_run (w, 2500);
+  world_take_over (w, true, 0);
+  submit_job (w, 0xd2, 1, 500, 3500);
+  while (count_running (w, 0xd1, 1) + count_running (w, 0xd2, 1) == 0)
+    world_run (w, 5);
+  g_assert_cmpuint (count_running (w, 0xd1, 1), ==, 1);
+  world_run (w, 30000);
+  g_assert_cmpint (state_of (w, 0xd2), ==, JOB_COMPLETED);
+  world_assert_no_violations (w);
+  world_destroy (w);
+}
+
 int
 main (int argc, char **argv)
 {
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/cell-order/small-pass-large",
                    test_small_jobs_pass_large_ones_that_are_late_anyway);
-  g_test_add_func ("/cell-order/wide",
-                   test_wide_steps_get_room_beside_small_jobs);
+  g_test_add_func ("/cell-order/wide-task",
+                   test_a_wide_task_gets_room_beside_small_jobs);
+  g_test_add_func ("/cell-order/wide-gang",
+                   test_a_wide_gang_gets_room_beside_small_jobs);
   g_test_add_func ("/cell-order/preempts",
                    test_an_urgent_job_preempts_lower_priority);
   g_test_add_func ("/cell-order/no-checkpoints",
@@ -367,5 +405,6 @@
                    test_a_refused_job_may_be_submitted_again);
   g_test_add_func ("/cell-order/impossible",
                    test_an_impossible_job_fails_at_once);
+  g_test_add_func ("/cell-order/new-owner", test_a_new_owner_keeps_deadlines);
   return g_test_run ();
 }
