Aim late jobs at 2.4 times their objective

Cause: at 2.2 times, late jobs take room from jobs that can end in time before they have to. Change: LATE_AIM_PERCENT is 240.

--- a/src/job_order.c
+++ b/src/job_order.c
@@ -6,7 +6,7 @@
 #define LIMIT_FACTOR 3
 /* A job that can't end in time is placed to end by this percentage of its
    objective: estimates are too rough to aim at the limit itself. */
-#define LATE_AIM_PERCENT 220
+#define LATE_AIM_PERCENT 240
 /* A job past its limit is worth nothing, but has to run: it is placed to end
    by this multiple of its objective. */
 #define LOST_FACTOR 10
