Count memory in the order of jobs where it is the shorter resource

Cause: the order measured overload by processors alone, so that a cell short of memory counted as one with room. Change: a task's load is its processors or its memory in proportion to the workers' capacity, whichever is more. Result: test_cell_order's memory test, with 20 thousandths of a core and 2 GB a task, fails with processors alone and passes with both.

--- a/src/cell_order.c
+++ b/src/cell_order.c
@@ -105,6 +105,14 @@
   return before_ms;
 }
 
+/* Return the part of the capacity that a task of S takes, in thousandths of a
+   core: its processors, or its memory if that is the larger part. */
+static uint64_t
+load_of_task (const struct cell *c, const struct job_step *s)
+{
+  return MAX (s->cpu_milli, (uint64_t)(s->memory_mb * c->milli_per_mb));
+}
+
 /* Add the remaining path and work of O to E.  Of what runs, half is taken as
    done. */
 static void
@@ -123,7 +131,7 @@
 
       e->path_ms = MAX (e->path_ms, path_to_step (c, o, k, longest));
       if (o->unfinished[k] > 0 && !s->is_best_effort && !s->is_long_running)
-        e->work += halves * s->cpu_milli
+        e->work += halves * load_of_task (c, s)
                    * (uint64_t)cell_expected_run_ms (c, o->job, s) / 2;
     }
 }
@@ -160,9 +168,9 @@
     add_occurrence (c, g_ptr_array_index (job->occurrences, i), e);
 }
 
-/* Return the processors that running long-running tasks of JOB use. */
+/* Return what running long-running tasks of JOB take of the capacity. */
 static uint64_t
-used_by_long_running (const struct cell_job *job)
+used_by_long_running (const struct cell *c, const struct cell_job *job)
 {
   uint64_t cpu = 0;
 
@@ -176,7 +184,8 @@
           const struct job_step *s = g_ptr_array_index (job->spec->steps, k);
 
           if (s->is_long_running && !s->is_best_effort)
-            cpu += (uint64_t)(o->unfinished[k] - o->waiting[k]) * s->cpu_milli;
+            cpu += (uint64_t)(o->unfinished[k] - o->waiting[k])
+                   * load_of_task (c, s);
         }
     }
   return cpu;
@@ -188,6 +197,7 @@
 measure_load (struct cell *c, int64_t now_ms)
 {
   uint64_t used = 0;
+  uint64_t memory_mb = 0;
 
   c->finite_cpu_milli = 0;
   for (guint i = 0; i < c->worker_list->len; i++)
@@ -196,8 +206,12 @@
 
       if (w->is_confirmed && w->is_listed && !w->entry->draining
           && !w->is_emptying)
-        c->finite_cpu_milli += w->entry->capacity.cpu_milli;
+        {
+          c->finite_cpu_milli += w->entry->capacity.cpu_milli;
+          memory_mb += w->entry->capacity.memory_mb;
+        }
     }
+  c->milli_per_mb = (double)c->finite_cpu_milli / (double)MAX (memory_mb, 1);
   for (guint i = 0; i < CELL_PRIORITIES; i++)
     c->open_work[i] = 0;
   for (guint i = 0; i < c->open_jobs->len; i++)
@@ -205,7 +219,7 @@
       struct cell_job *job = g_ptr_array_index (c->open_jobs, i);
 
       update_entry (c, job, now_ms);
-      used += used_by_long_running (job);
+      used += used_by_long_running (c, job);
       c->open_work[MIN (job->spec->priority, CELL_PRIORITIES - 1)]
           += job->order.work;
     }
--- a/tests/unit/test_cell_order.c
+++ b/tests/unit/test_cell_order.c
@@ -8,7 +8,14 @@
 /* Tasks of one core that all workers run at once. */
 #define ROOM (WORLD_WORKERS * 16)
 
-/* Submit the job ID, of COUNT tasks of one core that are estimated to take
+/* What a task of submit_job needs. */
+static struct task_needs
+{
+  uint32_t cpu_milli;
+  uint32_t memory_mb;
+} task_needs = { 1000, 500 };
+
+/* Submit the job ID, of COUNT tasks that are estimated to take
    ESTIMATE_MS, with TARGET_MS to end in beside twice that. */
 static void
 submit_job (struct world *w, guint id, uint32_t count, int64_t estimate_ms,
@@ -18,6 +25,8 @@
   struct job_spec *spec = world_job (w, name, 1, count);
   struct job_step *s = g_ptr_array_index (spec->steps, 0);
 
+  s->cpu_milli = task_needs.cpu_milli;
+  s->memory_mb = task_needs.memory_mb;
   s->estimate_ms = estimate_ms;
   spec->deadline_factor = 2;
   spec->target_ms = target_ms;
@@ -35,15 +44,16 @@
   return state;
 }
 
-/* A burst of large jobs ahead of small ones with later deadlines.  Ordered by
-   deadline alone, the small ones would wait for all large ones and be late. */
+/* Submit large jobs ahead of small ones with later deadlines.  Each worker
+   runs 16 of their tasks, by processors or by memory, as NEEDS tells. */
 static void
-test_small_jobs_pass_large_ones_that_are_late_anyway (void)
+assert_small_jobs_are_in_time (struct task_needs needs)
 {
   struct world *w = world_new (31);
 
   world_run (w, 500);
   w->run_ms = 500;
+  task_needs = needs;
   for (guint i = 0; i < 6; i++)
     submit_job (w, i, 4 * ROOM, 500, 500);
   for (guint i = 6; i < 26; i++)
@@ -55,6 +65,23 @@
   g_assert_cmpuint (world_count_state (w, 26, JOB_COMPLETED), ==, 26);
   world_assert_no_violations (w);
   world_destroy (w);
+  task_needs = (struct task_needs){ 1000, 500 };
+}
+
+/* A burst of large jobs ahead of small ones: ordered by deadline alone, the
+   small ones would wait for all large ones and be late. */
+static void
+test_small_jobs_pass_large_ones_that_are_late_anyway (void)
+{
+  assert_small_jobs_are_in_time ((struct task_needs){ 1000, 500 });
+}
+
+/* The same where memory is short: an order that counts processors alone finds
+   no overload. */
+static void
+test_small_jobs_pass_large_ones_where_memory_is_short (void)
+{
+  assert_small_jobs_are_in_time ((struct task_needs){ 20, 2048 });
 }
 
 /* Submit two short tasks of a core every 5 ms for FOR_MS, which is more than
@@ -389,6 +416,8 @@
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/cell-order/small-pass-large",
                    test_small_jobs_pass_large_ones_that_are_late_anyway);
+  g_test_add_func ("/cell-order/memory",
+                   test_small_jobs_pass_large_ones_where_memory_is_short);
   g_test_add_func ("/cell-order/wide-task",
                    test_a_wide_task_gets_room_beside_small_jobs);
   g_test_add_func ("/cell-order/wide-gang",
