Bound the numbers of the order, and let hopeless gangs keep no reservation

Cause: sums over the largest valid estimates and counts overflowed 64 bits, and a gang wider than all workers used up its priority's reservation. Change: a step's work and a job's objective are bounded where they are summed; only a reservation that was made counts for its priority, with at most eight attempts a placement.

--- a/src/cell_excess.c
+++ b/src/cell_excess.c
@@ -37,7 +37,7 @@
   double work = 0;
 
   for (guint i = 0; i <= MIN (spec->priority, CELL_PRIORITIES - 1); i++)
-    work += (double)c->open_work[i];
+    work += c->open_work[i];
   return work / (double)MAX (c->finite_cpu_milli, 1)
          > OVERLOAD_FACTOR * objective_ms;
 }
--- a/src/cell_order.c
+++ b/src/cell_order.c
@@ -11,6 +11,9 @@
 /* A job counts as waiting under earlier owners for at most this multiple of
    its objective, so that it still has time until its limit. */
 #define EARLIER_MAX_OBJECTIVES 2
+/* Maximum of the work that is counted of one step, so that sums fit into 64
+   bits. */
+#define STEP_WORK_MAX 1e15
 /* Maximum of queues whose mean work is known. */
 #define QUEUES_MAX 256
 
@@ -63,7 +66,7 @@
                         : 0;
   job->total_work = (double)job_spec_work_milli_s (job->spec);
   c->open_work[MIN (job->spec->priority, CELL_PRIORITIES - 1)]
-      += (uint64_t)job->total_work * 1000;
+      += job->total_work * 1000;
   if (q != NULL && !job->is_long_running)
     {
       q->sum += job->total_work;
@@ -76,7 +79,8 @@
                                   .priority = job->spec->priority,
                                   .deadline_ms = job->deadline_ms,
                                   .objective_ms
-                                  = job->deadline_ms - job->added_ms,
+                                  = CLAMP (job->deadline_ms - job->added_ms, 0,
+                                           JOB_MAX_DURATION_MS),
                                   .due_ms = job->deadline_ms,
                                   .data = job };
 }
@@ -127,12 +131,13 @@
   for (uint32_t k = 0; k < spec->steps->len; k++)
     {
       const struct job_step *s = g_ptr_array_index (spec->steps, k);
-      uint64_t halves = (uint64_t)o->unfinished[k] + o->waiting[k];
+      double halves = (double)o->unfinished[k] + o->waiting[k];
+      double work = halves * (double)load_of_task (c, s)
+                    * (double)cell_expected_run_ms (c, o->job, s) / 2;
 
       e->path_ms = MAX (e->path_ms, path_to_step (c, o, k, longest));
-      if (o->unfinished[k] > 0 && !s->is_best_effort && !s->is_long_running)
-        e->work += halves * load_of_task (c, s)
-                   * (uint64_t)cell_expected_run_ms (c, o->job, s) / 2;
+      if (!s->is_best_effort && !s->is_long_running)
+        e->work += (uint64_t)MIN (work, STEP_WORK_MAX);
     }
 }
 
@@ -221,7 +226,7 @@
       update_entry (c, job, now_ms);
       used += used_by_long_running (c, job);
       c->open_work[MIN (job->spec->priority, CELL_PRIORITIES - 1)]
-          += job->order.work;
+          += (double)job->order.work;
     }
   c->finite_cpu_milli -= MIN (used, c->finite_cpu_milli);
 }
--- a/src/cell_preempt.c
+++ b/src/cell_preempt.c
@@ -133,7 +133,7 @@
   const struct job_step *s = cell_task_step (t);
   struct cell_job *job = t->occurrence->job;
   struct preemption best = { 0 };
-  uint64_t gained = (uint64_t)cell_expected_run_ms (c, job, s) * s->cpu_milli;
+  double gained = (double)cell_expected_run_ms (c, job, s) * s->cpu_milli;
 
   if (job->spec->priority != 0 || s->is_best_effort || s->is_long_running
       || now_ms < t->adjusted_ms + TASK_INTERVAL_MS
@@ -156,7 +156,7 @@
     }
   /* Throwing away more work than T needs makes other jobs late in its place.
    */
-  if (best.worker == NULL || best.lost > gained)
+  if (best.worker == NULL || (double)best.lost > gained)
     return;
   for (guint i = 0; i < best.n_stopped; i++)
     {
--- a/src/cell_reserve.c
+++ b/src/cell_reserve.c
@@ -5,6 +5,10 @@
 /* Reservation: workers that are kept for a wide step, which would otherwise
    lose the room that becomes free to smaller ones. */
 
+/* Attempts of one placement.  A gang that fits nowhere, whatever ends, must
+   not keep others from a reservation; each attempt looks at all workers. */
+#define TRIES_MAX 8
+
 void
 cell_clear_reservations (struct cell *c)
 {
@@ -12,6 +16,7 @@
     ((struct cell_worker *)g_ptr_array_index (c->worker_list, i))->is_reserved
         = false;
   c->reserved_priorities = 0;
+  c->reservation_tries = 0;
 }
 
 static bool
@@ -114,7 +119,7 @@
   return true;
 }
 
-static void
+static bool
 reserve_in_a_rack (const GPtrArray *candidates, const struct cell_job *job,
                    const struct job_step *s)
 {
@@ -125,8 +130,9 @@
       if ((s->preferred_rack[0] == '\0'
            || strcmp (s->preferred_rack, w->entry->rack) == 0)
           && reserve (candidates, job, s, s->count, w->entry->rack))
-        return;
+        return true;
     }
+  return false;
 }
 
 void
@@ -137,11 +143,12 @@
   uint32_t priority = 1U << MIN (job->spec->priority, CELL_PRIORITIES - 1);
   GPtrArray *candidates;
 
-  if ((c->reserved_priorities & priority) != 0 || s->is_long_running
+  if ((c->reserved_priorities & priority) != 0
+      || c->reservation_tries >= TRIES_MAX || s->is_long_running
       || s->is_best_effort || job->order.is_scheduled || job->is_excess
       || !has_waited_long (job))
     return;
-  c->reserved_priorities |= priority;
+  c->reservation_tries++;
   candidates = g_ptr_array_new ();
   for (guint i = 0; i < c->worker_list->len; i++)
     {
@@ -152,9 +159,9 @@
         g_ptr_array_add (candidates, w);
     }
   g_ptr_array_sort_with_data (candidates, compare_candidates, job);
-  if (s->is_gang && s->prefers_same_rack)
-    reserve_in_a_rack (candidates, job, s);
-  else
-    reserve (candidates, job, s, s->is_gang ? s->count : 1, NULL);
+  if (s->is_gang && s->prefers_same_rack
+          ? reserve_in_a_rack (candidates, job, s)
+          : reserve (candidates, job, s, s->is_gang ? s->count : 1, NULL))
+    c->reserved_priorities |= priority;
   g_ptr_array_unref (candidates);
 }
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -231,7 +231,7 @@
   uint64_t finite_cpu_milli; /* capacity for jobs that are not long-running */
   /* Work of the open jobs by priority, as of last_order_ms, in thousandths of
      a core times ms; the last one holds all lower priorities. */
-  uint64_t open_work[CELL_PRIORITIES];
+  double open_work[CELL_PRIORITIES];
   struct account_rates *account_rates;
   struct worker_resources largest_worker; /* listed so far, by resource */
   GHashTable *queue_work;     /* queue's name to struct queue_work * */
@@ -243,6 +243,7 @@
   bool avoids_suspects;       /* few enough workers are suspect */
   int64_t last_preemption_ms; /* for a task that is not long-running */
   uint32_t reserved_priorities; /* in this placement, as bits */
+  uint32_t reservation_tries;   /* the same, also those without success */
   int64_t last_placement_ms;
   bool is_every_run_known; /* no worker may have unseen runs */
   int64_t unseen_runs_logged_ms;
--- a/src/job_order.c
+++ b/src/job_order.c
@@ -320,8 +320,8 @@
         continue;
       work += (double)e->work;
       is_overloaded = !e->is_scheduled
-                      && now_ms + MAX (e->path_ms, (int64_t)(work / cpu))
-                             > e->deadline_ms;
+                      && (double)now_ms + MAX ((double)e->path_ms, work / cpu)
+                             > (double)e->deadline_ms;
     }
   if (!is_overloaded)
     return false;
--- a/tests/unit/test_cell_order.c
+++ b/tests/unit/test_cell_order.c
@@ -96,19 +96,19 @@
     }
 }
 
-/* Submit WORLD_JOB with COUNT tasks of CPU_MILLI. */
+/* Submit the job ID with COUNT tasks of 14 cores. */
 static void
-submit_wide_job (struct world *w, uint32_t count, uint32_t cpu_milli,
-                 bool is_gang)
+submit_wide_job (struct world *w, const char *id, uint32_t count, bool is_gang,
+                 int64_t target_ms)
 {
-  struct job_spec *spec = world_job (w, WORLD_JOB, 1, count);
+  struct job_spec *spec = world_job (w, id, 1, count);
   struct job_step *s = g_ptr_array_index (spec->steps, 0);
 
-  s->cpu_milli = cpu_milli;
+  s->cpu_milli = 14000;
   s->estimate_ms = 250;
   s->is_gang = is_gang;
   spec->deadline_factor = 2;
-  spec->target_ms = 2000;
+  spec->target_ms = target_ms;
   world_submit (w, spec);
 }
 
@@ -123,7 +123,7 @@
   world_run (w, 500);
   w->run_ms = 250;
   run_with_small_jobs (w, &next_id, 500);
-  submit_wide_job (w, count, 14000, is_gang);
+  submit_wide_job (w, WORLD_JOB, count, is_gang, 2000);
   run_with_small_jobs (w, &next_id, 2500);
   g_assert_cmpint (world_state (w, WORLD_JOB), ==, JOB_COMPLETED);
   world_run (w, 10000);
@@ -148,6 +148,25 @@
   assert_wide_step_ends (3, true);
 }
 
+/* A gang that is wider than all workers waits at the front; a wide task must
+   get its reservation all the same. */
+static void
+test_a_hopeless_gang_keeps_nobody_from_a_reservation (void)
+{
+  struct world *w = world_new (32);
+  guint next_id = 0;
+
+  world_run (w, 500);
+  w->run_ms = 250;
+  submit_wide_job (w, "00000000000000e1", WORLD_WORKERS + 1, true, 5500);
+  run_with_small_jobs (w, &next_id, 500);
+  submit_wide_job (w, WORLD_JOB, 1, false, 5300);
+  run_with_small_jobs (w, &next_id, 4200);
+  g_assert_cmpint (world_state (w, WORLD_JOB), ==, JOB_COMPLETED);
+  g_assert_cmpint (world_state (w, "00000000000000e1"), ==, JOB_PENDING);
+  world_destroy (w);
+}
+
 /* Return how many tasks of the job ID, which has COUNT, are running. */
 static guint
 count_running (struct world *w, guint id, uint32_t count)
@@ -410,6 +429,38 @@
   world_destroy (w);
 }
 
+/* Callers choose the numbers of a job: the largest that are valid must not
+   overflow the sums of the order. */
+static void
+test_extreme_numbers_of_a_job_do_not_overflow (void)
+{
+  struct world *w = world_new (40);
+
+  world_run (w, 500);
+  for (guint i = 0; i < 4; i++)
+    {
+      char *id = g_strdup_printf ("%016x", 0xe0 + i);
+      struct job_spec *spec = world_job (w, id, 3, 30000);
+
+      for (guint k = 0; k < spec->steps->len; k++)
+        {
+          struct job_step *s = g_ptr_array_index (spec->steps, k);
+
+          s->estimate_ms = JOB_MAX_DURATION_MS;
+          s->cpu_milli = 4 * 16000;
+          s->memory_mb = 4 * 32768;
+        }
+      spec->deadline_factor = i % 2 == 0 ? JOB_MAX_DEADLINE_FACTOR : 0;
+      spec->target_ms = i < 2 ? JOB_MAX_DURATION_MS : 0;
+      world_submit (w, spec);
+      g_free (id);
+    }
+  submit_job (w, 1, 2, 500, 800);
+  world_run (w, 2000);
+  g_assert_cmpint (state_of (w, 1), ==, JOB_COMPLETED);
+  world_destroy (w);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -422,6 +473,8 @@
                    test_a_wide_task_gets_room_beside_small_jobs);
   g_test_add_func ("/cell-order/wide-gang",
                    test_a_wide_gang_gets_room_beside_small_jobs);
+  g_test_add_func ("/cell-order/hopeless-gang",
+                   test_a_hopeless_gang_keeps_nobody_from_a_reservation);
   g_test_add_func ("/cell-order/preempts",
                    test_an_urgent_job_preempts_lower_priority);
   g_test_add_func ("/cell-order/no-checkpoints",
@@ -435,5 +488,7 @@
   g_test_add_func ("/cell-order/impossible",
                    test_an_impossible_job_fails_at_once);
   g_test_add_func ("/cell-order/new-owner", test_a_new_owner_keeps_deadlines);
+  g_test_add_func ("/cell-order/extreme-numbers",
+                   test_extreme_numbers_of_a_job_do_not_overflow);
   return g_test_run ();
 }
