Merge the order, reservations, preemption and refusals when capacity is scarce

Cause: in overload each job waited until it was just late, wide steps lost to small ones, and every refused caller was told the same second. Tests of caps use weights that no rate limit meets; the test of shares takes the mean of 2 s, as at one instant some tasks have just ended.

--- a/src/cell_accounts.c
+++ b/src/cell_accounts.c
@@ -130,6 +130,7 @@
       weights += accounts_at (accounts, i)->weight;
     }
   s->mean_weight = n > 0 ? weights / n : 1;
+  cell_set_account_rates (cell, accounts, now_ms);
   cell->needs_placement = true;
 }
 
--- a/src/cell_choice.c
+++ b/src/cell_choice.c
@@ -90,7 +90,8 @@
           || !cell_has_room (w, s) || !cell_accepts_starts (c, w, now_ms))
         continue;
       has_room = true;
-      if (!cell_may_run_on (c, t, w, now_ms)
+      if (cell_is_reserved_for_other (w, t)
+          || !cell_may_run_on (c, t, w, now_ms)
           || !cell_has_ticket (t, w, now_ms))
         continue;
       cost = placement_cost (c, t, w, now_ms);
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -174,6 +174,7 @@
   g_hash_table_insert (c->jobs, spec->id, job);
   g_ptr_array_add (c->open_jobs, job);
   c->has_unsorted_jobs = true;
+  cell_order_add_job (c, job);
   return job;
 }
 
@@ -518,6 +519,7 @@
              int64_t now_ms)
 {
   struct cell_job *job = g_hash_table_lookup (cell->jobs, spec->id);
+  bool is_excess;
 
   if (job == NULL && cell_store_is_unreachable (cell, now_ms))
     {
@@ -528,13 +530,23 @@
     }
   if (job == NULL)
     {
+      is_excess = cell_is_excess (cell, spec, now_ms);
+      if (is_excess && cell_refuses_excess (cell, spec))
+        {
+          cell_refuse_excess (cell, spec, token, now_ms);
+          job_spec_destroy (spec);
+          return;
+        }
       job = cell_job_add (cell, spec, false, now_ms);
-      if (!job->is_long_running && spec->occurrences == 0)
+      job->is_excess = is_excess;
+      job->order.is_excess = is_excess;
+      cell_journal_job (cell, job, true);
+      if (!cell_fail_if_impossible (cell, job, now_ms) && !job->is_long_running
+          && spec->occurrences == 0)
         {
           cell->accepted_jobs++;
           cell->accepted_work_milli_s += job_spec_work_milli_s (spec);
         }
-      cell_journal_job (cell, job, true);
     }
   else
     job_spec_destroy (spec);
--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -165,7 +165,10 @@
   if (!s->prefers_same_rack)
     {
       if (!try_place_gang (c, o, step, NULL, now_ms))
-        cell_accounts_note_shortage (c);
+        {
+          cell_accounts_note_shortage (c);
+          cell_reserve_for (c, first, now_ms);
+        }
       return;
     }
   for (guint i = 0; i < c->worker_list->len; i++)
@@ -178,6 +181,7 @@
           return;
     }
   cell_accounts_note_shortage (c);
+  cell_reserve_for (c, first, now_ms);
 }
 
 static void
@@ -226,6 +230,8 @@
           t->adjusted_ms = now_ms;
           cell_preempt_for (c, t, now_ms);
         }
+      cell_preempt_lower_priority (c, t, now_ms);
+      cell_reserve_for (c, t, now_ms);
       break; /* the other tasks of the step need as much */
     }
 }
@@ -295,6 +301,7 @@
   update_known_runs (c, now_ms);
   cell_update_suspect_policy (c, now_ms);
   cell_accounts_begin_placement (c, now_ms);
+  cell_clear_reservations (c);
   cell_order_jobs (c, now_ms);
   c->waiting_priority = UINT32_MAX;
   g_hash_table_remove_all (c->rack_queues);
--- a/src/cell_place.h
+++ b/src/cell_place.h
@@ -9,6 +9,8 @@
    cell_order.c       which job goes first
    cell_racks.c       whether a task waits for the rack of its data
    cell_choice.c      which candidate a task gets
+   cell_reserve.c     workers that are kept for a wide step
+   cell_preempt.c     stops for an urgent task of the highest priority
    cell_place.c       starts of tasks and gangs. */
 
 /* cell_candidates.c */
@@ -68,4 +70,24 @@
    are not preempted. */
 void cell_preempt_for (struct cell *c, struct cell_task *t, int64_t now_ms);
 
+/* cell_reserve.c */
+/* Drop all reservations; each placement makes them anew. */
+void cell_clear_reservations (struct cell *c);
+/* Return whether W is reserved for another job than T's. */
+bool cell_is_reserved_for_other (const struct cell_worker *w,
+                                 const struct cell_task *t);
+/* Reserve workers for T, or its whole gang, which fits nowhere: they get no
+   tasks of later jobs.  Only for the first such job of each priority that has
+   waited for more than half of its slack. */
+void cell_reserve_for (struct cell *c, const struct cell_task *t,
+                       int64_t now_ms);
+
+/* cell_preempt.c */
+/* Stop tasks of lower priority that resume from a checkpoint, if T, which fits
+   nowhere and has priority 0, would miss its job's deadline otherwise.
+   Long-running tasks, gangs and tasks in their last quarter are not stopped,
+   and no more work is thrown away than T needs. */
+void cell_preempt_lower_priority (struct cell *c, struct cell_task *t,
+                                  int64_t now_ms);
+
 #endif
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -1,7 +1,9 @@
 #ifndef CELL_STATE_H
 #define CELL_STATE_H
 
+#include "account_rate.h"
 #include "cell.h"
+#include "job_order.h"
 #include "worker_score.h"
 
 /* The state of a cell, shared by the files that implement it:
@@ -42,6 +44,8 @@
 
 /* Amounts of resources remembered as too large for every worker. */
 #define CELL_NO_ROOM_MAX 8
+/* Priorities whose waiting work is counted apart. */
+#define CELL_PRIORITIES 4
 
 enum task_phase
 {
@@ -81,6 +85,7 @@
   int64_t adjusted_ms;    /* when the pace last changed, or when preemption for
                              the task was last tried */
   char *checkpoint;       /* newest, or NULL */
+  int64_t checkpoint_ms;  /* when that was first reported; 0 for never */
   char *avoid_worker;     /* where it last failed or stalled, or NULL */
   int64_t rack_wait_ms;   /* since when it waits for its preferred rack; 0 if
                              it does not */
@@ -124,6 +129,7 @@
   bool is_loaded; /* from an earlier owner's journal */
   bool is_stored; /* the journal has its specification */
   bool has_started;
+  bool is_excess;        /* beyond its account's rate when it was accepted */
   bool is_change_queued; /* in changed_jobs of the cell */
   bool is_in_append;     /* in the append in progress */
   bool is_spec_kept;     /* it has ended, but the journal still has its
@@ -131,6 +137,9 @@
   bool is_held_back;     /* a task has not fitted its account's allotment */
   int64_t added_ms;      /* accepted here, or the takeover */
   int64_t deadline_ms;   /* desired end, for the order of placement */
+  int64_t earlier_ms;    /* waited under earlier owners; -1 until known */
+  double total_work;     /* estimated, in thousandths of a core times s */
+  struct job_order_entry order; /* its place in the order of placement */
   int64_t ended_ms;
   GArray *submit_tokens; /* uint64_t */
   GArray *cancel_tokens; /* uint64_t */
@@ -190,7 +199,9 @@
   int64_t stragglers_checked_ms;
   int64_t last_failure_ms;   /* when a task last failed or stalled */
   int64_t cooldown_until_ms; /* see CELL_COOLDOWN_MS */
-  GPtrArray *tasks;          /* struct cell_task *, with a run here */
+  bool is_reserved;          /* in this placement, for reserved_job only */
+  char reserved_job[JOB_ID_LENGTH + 1]; /* that it was last reserved for */
+  GPtrArray *tasks; /* struct cell_task *, with a run here */
   struct worker_resources used;
   GPtrArray *other_runs; /* struct cell_other_run *, of accounts' jobs; NULL
                             before the first one */
@@ -240,15 +251,29 @@
   struct cell_accounts *accounts;
   GHashTable *jobs;     /* ID to struct cell_job * */
   GPtrArray *open_jobs; /* struct cell_job *, not ended, in placement order */
-  bool has_unsorted_jobs;    /* open_jobs has to be sorted first */
-  GHashTable *workers;       /* ID to struct cell_worker * */
-  GPtrArray *worker_list;    /* the same workers */
-  GQueue orders;             /* struct cell_order * */
-  bool needs_placement;      /* something changed since the last placement */
-  uint32_t waiting_priority; /* highest priority of a ready task that the last
-                                placement left waiting; UINT32_MAX for none */
-  bool needs_epoch;          /* a task has no run number left */
-  bool avoids_suspects;      /* few enough workers are suspect */
+  bool has_unsorted_jobs; /* open_jobs has to be sorted first */
+  int64_t last_order_ms;  /* when the jobs were last put in order */
+  bool is_overloaded;     /* some job can't end in time */
+  int64_t overloaded_ms;  /* when that was last so */
+  double milli_per_mb;    /* processors of all workers for each MB of memory */
+  uint64_t finite_cpu_milli; /* capacity for jobs that are not long-running */
+  /* Work of the open jobs by priority, as of last_order_ms, in thousandths of
+     a core times ms; the last one holds all lower priorities. */
+  double open_work[CELL_PRIORITIES];
+  struct account_rates *account_rates;
+  struct worker_resources largest_worker; /* listed so far, by resource */
+  GHashTable *queue_work;     /* queue's name to struct queue_work * */
+  GHashTable *workers;        /* ID to struct cell_worker * */
+  GPtrArray *worker_list;     /* the same workers */
+  GQueue orders;              /* struct cell_order * */
+  bool needs_placement;       /* something changed since the last placement */
+  uint32_t waiting_priority;  /* highest priority of a ready task that the last
+                                 placement left waiting; UINT32_MAX for none */
+  bool needs_epoch;           /* a task has no run number left */
+  bool avoids_suspects;       /* few enough workers are suspect */
+  int64_t last_preemption_ms; /* for a task that is not long-running */
+  uint32_t reserved_priorities; /* in this placement, as bits */
+  uint32_t reservation_tries;   /* the same, also those without success */
   int64_t last_placement_ms;
   int64_t last_workers_tick_ms;
   /* Resources of tasks that no worker had room for in this placement. */
@@ -480,6 +505,28 @@
    rack. */
 double cell_rack_factor (const struct cell *c, const struct job_step *s,
                          const struct cell_worker *w);
+/* cell_excess.c */
+/* Return whether the new job SPEC is beyond its account's rate. */
+bool cell_is_excess (struct cell *c, const struct job_spec *spec,
+                     int64_t now_ms);
+/* Return whether an excess job SPEC is refused, as the cell is overloaded. */
+bool cell_refuses_excess (const struct cell *c, const struct job_spec *spec);
+/* Answer the call with TOKEN that its excess job SPEC is refused. */
+void cell_refuse_excess (struct cell *c, const struct job_spec *spec,
+                         uint64_t token, int64_t now_ms);
+
+/* Note the SIZE of a worker that is listed. */
+void cell_note_worker_size (struct cell *c,
+                            const struct worker_resources *size);
+/* End JOB, which is new, as failed if no worker can ever hold one of its
+   tasks; return whether it was. */
+bool cell_fail_if_impossible (struct cell *c, struct cell_job *job,
+                              int64_t now_ms);
+
+/* cell_order.c */
+/* Set the place of JOB, which is new, in the order of placement, and count it
+   in the mean work of its queue. */
+void cell_order_add_job (struct cell *c, struct cell_job *job);
 
 /* cell_place.c */
 void cell_place (struct cell *c, int64_t now_ms);
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -30,8 +30,9 @@
   uint64_t run;
   int64_t begun_ms;
   int64_t ends_ms;
-  int64_t stop_ms; /* when it ends as stopped; 0 if no stop was ordered */
-  bool is_broken;  /* it ends, as another run of its gang has ended */
+  int64_t resumed_ms; /* work done by earlier runs, by its checkpoint */
+  int64_t stop_ms;    /* when it ends as stopped; 0 if no stop was ordered */
+  bool is_broken;     /* it ends, as another run of its gang has ended */
 };
 
 struct world_worker
@@ -111,9 +112,11 @@
   uint32_t long_factor;
   uint32_t far_rack_factor; /* tasks take so many times as long away from their
                                preferred racks; owners from then on know */
+  int64_t checkpoint_interval_ms; /* of the work of a run; 0 for none */
   int64_t startup_ms;  /* from the start of a long-running task until it is at
                           work */
   GHashTable *answers; /* token to enum cell_answer, plus 1 */
+  int64_t retry_after_ms;        /* of the last answer that has one */
   struct accounts *accounts;     /* NULL: none are configured */
   GPtrArray *grants;             /* struct allotment *, of the ledger */
   struct account_report *report; /* the owner's latest, or NULL */
