--- a/src/cell_excess.c
+++ b/src/cell_excess.c
@@ -62,6 +62,7 @@
 void
 cell_note_worker_size (struct cell *c, const struct worker_resources *size)
 {
+  c->sized_workers++;
   c->largest_worker.cpu_milli
       = MAX (c->largest_worker.cpu_milli, size->cpu_milli);
   c->largest_worker.memory_mb
@@ -74,7 +75,9 @@
   uint64_t cpu_milli = (uint64_t)c->largest_worker.cpu_milli;
   uint64_t memory_mb = (uint64_t)c->largest_worker.memory_mb;
 
-  if (g_hash_table_size (c->workers) < IMPOSSIBLE_MIN_WORKERS)
+  /* The journal names workers whose size is known only once they are
+     listed. */
+  if (c->sized_workers < IMPOSSIBLE_MIN_WORKERS)
     return false;
   for (guint i = 0; i < job->spec->steps->len; i++)
     {
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -262,6 +262,7 @@
   double open_work[CELL_PRIORITIES];
   struct account_rates *account_rates;
   struct worker_resources largest_worker; /* listed so far, by resource */
+  uint64_t sized_workers;                 /* entries of workers so far */
   GHashTable *queue_work;     /* queue's name to struct queue_work * */
   GHashTable *workers;        /* ID to struct cell_worker * */
   GPtrArray *worker_list;     /* the same workers */
--- a/tests/unit/test_cell_order.c
+++ b/tests/unit/test_cell_order.c
@@ -375,6 +375,25 @@
   world_destroy (w);
 }
 
+/* Guards against a new owner that fails jobs as impossible, as the journal
+   names its workers but none has been listed with its size yet. */
+static void
+test_no_job_is_impossible_before_workers_are_listed (void)
+{
+  struct world *w = world_new (11);
+
+  world_run (w, 500);
+  world_submit_many (w, 12, 8);
+  world_run (w, 2000);
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    w->workers[i].has_left = true;
+  world_take_over (w, false, 0);
+  world_submit (w, world_job (w, WORLD_JOB, 1, 1));
+  world_run (w, 300);
+  g_assert_cmpint (world_state (w, WORLD_JOB), ==, JOB_PENDING);
+  world_destroy (w);
+}
+
 /* A job that no worker can ever run would wait for ever, and its pool would
    ask for machines; one that a larger machine may run must wait for that. */
 static void
@@ -485,6 +504,8 @@
                    test_a_flood_is_refused_and_no_other_account_notices);
   g_test_add_func ("/cell-order/again",
                    test_a_refused_job_may_be_submitted_again);
+  g_test_add_func ("/cell-order/unlisted",
+                   test_no_job_is_impossible_before_workers_are_listed);
   g_test_add_func ("/cell-order/impossible",
                    test_an_impossible_job_fails_at_once);
   g_test_add_func ("/cell-order/new-owner", test_a_new_owner_keeps_deadlines);
