Let jobs step back only in an overload that lasts

Change: jobs step back, and workers are reserved, only after 2.5 s of overload, which is judged by the work, not by expected paths; a job counts as unable to end in time when 60% of its path is too long.

--- a/src/cell_order.c
+++ b/src/cell_order.c
@@ -10,6 +10,10 @@
 /* The cell counts as overloaded for so long after all jobs could end in time
    again, so that a load near its capacity is not logged as many changes. */
 #define OVERLOAD_KEPT_MS 1000
+/* An overload that lasts for less is the begin of a burst: machines that the
+   pool is given arrive after some 2 s, and jobs that step back for others
+   meanwhile would be late for nothing. */
+#define LASTING_OVERLOAD_MS 2500
 /* A job counts as waiting under earlier owners for at most this multiple of
    its objective, so that it still has time until its limit. */
 #define EARLIER_MAX_OBJECTIVES 2
@@ -246,11 +250,19 @@
   if (is_overloaded == c->is_overloaded)
     return;
   c->is_overloaded = is_overloaded;
+  c->overload_begun_ms = now_ms;
   cell_log_event (c, "cell-load", c->service,
                   "overloaded=%d jobs=%u cpu_milli=%" G_GUINT64_FORMAT,
                   is_overloaded, c->open_jobs->len, c->finite_cpu_milli);
 }
 
+bool
+cell_is_overload_lasting (const struct cell *c, int64_t now_ms)
+{
+  return c->is_overloaded
+         && now_ms >= c->overload_begun_ms + LASTING_OVERLOAD_MS;
+}
+
 void
 cell_order_jobs (struct cell *c, int64_t now_ms)
 {
@@ -271,7 +283,10 @@
     g_ptr_array_add (
         entries,
         &((struct cell_job *)g_ptr_array_index (c->open_jobs, i))->order);
-  set_overloaded (c, job_order_plan (entries, c->finite_cpu_milli, now_ms),
+  set_overloaded (c,
+                  job_order_plan (entries, c->finite_cpu_milli,
+                                  cell_is_overload_lasting (c, now_ms),
+                                  now_ms),
                   now_ms);
   for (guint i = 0; i < entries->len; i++)
     g_ptr_array_index (c->open_jobs, i)
--- a/src/cell_place.h
+++ b/src/cell_place.h
@@ -47,6 +47,9 @@
 /* cell_order.c */
 /* Sort the open jobs, those to place first at the front. */
 void cell_order_jobs (struct cell *c, int64_t now_ms);
+/* Return whether the cell has been overloaded for longer than its pool takes
+   to grow. */
+bool cell_is_overload_lasting (const struct cell *c, int64_t now_ms);
 
 /* cell_racks.c */
 /* Return whether T waits for room in its preferred rack rather than run on W
--- a/src/cell_reserve.c
+++ b/src/cell_reserve.c
@@ -146,7 +146,7 @@
   if ((c->reserved_priorities & priority) != 0
       || c->reservation_tries >= TRIES_MAX || s->is_long_running
       || s->is_best_effort || job->order.is_scheduled || job->is_excess
-      || !has_waited_long (job))
+      || !cell_is_overload_lasting (c, now_ms) || !has_waited_long (job))
     return;
   c->reservation_tries++;
   candidates = g_ptr_array_new ();
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -251,11 +251,12 @@
   struct cell_accounts *accounts;
   GHashTable *jobs;     /* ID to struct cell_job * */
   GPtrArray *open_jobs; /* struct cell_job *, not ended, in placement order */
-  bool has_unsorted_jobs; /* open_jobs has to be sorted first */
-  int64_t last_order_ms;  /* when the jobs were last put in order */
-  bool is_overloaded;     /* some job can't end in time */
-  int64_t overloaded_ms;  /* when that was last so */
-  double milli_per_mb;    /* processors of all workers for each MB of memory */
+  bool has_unsorted_jobs;    /* open_jobs has to be sorted first */
+  int64_t last_order_ms;     /* when the jobs were last put in order */
+  bool is_overloaded;        /* some job can't end in time */
+  int64_t overloaded_ms;     /* when that was last so */
+  int64_t overload_begun_ms; /* when is_overloaded last changed */
+  double milli_per_mb; /* processors of all workers for each MB of memory */
   uint64_t finite_cpu_milli; /* capacity for jobs that are not long-running */
   /* Work of the open jobs by priority, as of last_order_ms, in thousandths of
      a core times ms; the last one holds all lower priorities. */
--- a/src/job_order.c
+++ b/src/job_order.c
@@ -7,6 +7,10 @@
 /* A job that can't end in time is placed to end by this percentage of its
    objective: estimates are too rough to aim at the limit itself. */
 #define LATE_AIM_PERCENT 240
+/* A job counts as unable to end in time only if this percentage of its
+   remaining path is too long already: run times are often below the expected
+   ones, and a job that steps back by mistake is late for nothing. */
+#define HOPELESS_PATH_PERCENT 60
 /* A job past its limit is worth nothing, but has to run: it is placed to end
    by this multiple of its objective. */
 #define LOST_FACTOR 10
@@ -279,7 +283,7 @@
           p.work += (double)e->work;
           continue;
         }
-      if (now_ms + e->path_ms > e->deadline_ms)
+      if (now_ms + e->path_ms * HOPELESS_PATH_PERCENT / 100 > e->deadline_ms)
         {
           step_back (&p, e);
           continue;
@@ -297,8 +301,17 @@
   return work;
 }
 
+/* Return the time by which the work up to E has to be possible.  For a job
+   that is late already, room within half of its objective is no shortage. */
+static int64_t
+shortage_limit_ms (const struct job_order_entry *e, int64_t now_ms)
+{
+  return MAX (e->deadline_ms, now_ms + e->objective_ms / 2);
+}
+
 bool
-job_order_plan (GPtrArray *entries, uint64_t cpu_milli, int64_t now_ms)
+job_order_plan (GPtrArray *entries, uint64_t cpu_milli, bool may_step_back,
+                int64_t now_ms)
 {
   double cpu = (double)MAX (cpu_milli, 1);
   double work = 0;
@@ -320,11 +333,11 @@
         continue;
       work += (double)e->work;
       is_overloaded = !e->is_scheduled
-                      && (double)now_ms + MAX ((double)e->path_ms, work / cpu)
-                             > (double)e->deadline_ms;
+                      && (double)now_ms + work / cpu
+                             > (double)shortage_limit_ms (e, now_ms);
     }
-  if (!is_overloaded)
-    return false;
+  if (!is_overloaded || !may_step_back)
+    return is_overloaded;
   work = 0;
   while (first < entries->len)
     {
--- a/src/job_order.h
+++ b/src/job_order.h
@@ -44,7 +44,9 @@
 
 /* Set due_ms of all ENTRIES (struct job_order_entry *) and sort them, those to
    place first at the front.  CPU_MILLI is the processor capacity for jobs that
-   are not long-running.  Return whether some job can't end in time. */
-bool job_order_plan (GPtrArray *entries, uint64_t cpu_milli, int64_t now_ms);
+   are not long-running.  Return whether the work up to some job's deadline
+   exceeds it; only then, and with MAY_STEP_BACK, jobs step back for others. */
+bool job_order_plan (GPtrArray *entries, uint64_t cpu_milli,
+                     bool may_step_back, int64_t now_ms);
 
 #endif
