--- a/src/node.c
+++ b/src/node.c
@@ -153,6 +153,7 @@
 {
   struct node *n = data;
   int64_t now_ms = node_now_ms ();
+  int64_t late_ms;
   GHashTableIter iter;
   gpointer value;
 
@@ -160,6 +161,8 @@
     event_log ("paused", n->address, "for_ms=%" G_GINT64_FORMAT,
                now_ms - n->last_tick_ms);
   owner_count_tick (n, now_ms);
+  late_ms
+      = n->last_tick_ms == 0 ? 0 : now_ms - n->last_tick_ms - TICK_INTERVAL_MS;
   n->last_tick_ms = now_ms;
   update_wall_offset (n, now_ms);
   directory_tick (n, now_ms);
@@ -168,7 +171,7 @@
   while (g_hash_table_iter_next (&iter, NULL, &value))
     host_run (value, now_ms);
   front_tick (n->front, now_ms);
-  order_relay_tick (n->relay, now_ms);
+  order_relay_tick (n->relay, late_ms, now_ms);
   if (n->routes != NULL && n->routes->version != n->applied_limits_version)
     {
       n->applied_limits_version = n->routes->version;
--- a/src/node_relay.c
+++ b/src/node_relay.c
@@ -133,8 +133,9 @@
 }
 
 void
-order_relay_tick (struct order_relay *relay, int64_t now_ms)
+order_relay_tick (struct order_relay *relay, int64_t late_ms, int64_t now_ms)
 {
+  relays_note_lateness (relay->relays, late_ms, now_ms);
   if (relay->is_listing || now_ms < relay->next_list_ms
       || !owns_busy_cell (relay->node))
     return;
--- a/src/node_relay.h
+++ b/src/node_relay.h
@@ -14,7 +14,9 @@
 
 struct order_relay *order_relay_new (struct node *n);
 void order_relay_destroy (struct order_relay *relay);
-void order_relay_tick (struct order_relay *relay, int64_t now_ms);
+/* Do what is due; the event loop runs LATE_MS behind its timer. */
+void order_relay_tick (struct order_relay *relay, int64_t late_ms,
+                       int64_t now_ms);
 
 /* Send the order KIND (ORDER_START or ORDER_STOP) for RUN under EPOCH, or add
    it to a batch that order_relay_flush sends. */
--- a/src/relays.c
+++ b/src/relays.c
@@ -4,8 +4,8 @@
 
 #include <string.h>
 
-/* Orders that the node sends itself in each window before it uses relays: 300
-   a second take less than a tenth of a core. */
+/* Orders that a busy node still sends itself in each window before it uses
+   relays: 300 a second take less than a tenth of a core. */
 #define WINDOW_MS 50
 #define DIRECT_PER_WINDOW 15
 
@@ -18,6 +18,7 @@
 struct relays
 {
   GPtrArray *list; /* struct relay * */
+  int64_t busy_until_ms;
   int64_t window_begin_ms;
   uint32_t sent_directly; /* in the window */
 };
@@ -106,12 +107,19 @@
   return best;
 }
 
+void
+relays_note_lateness (struct relays *relays, int64_t late_ms, int64_t now_ms)
+{
+  if (late_ms >= RELAY_MIN_LATE_MS)
+    relays->busy_until_ms = now_ms + RELAY_BUSY_MS;
+}
+
 const char *
 relays_choose (struct relays *relays, const char *worker, int64_t now_ms)
 {
   const struct relay *relay;
 
-  if (relays->list->len == 0)
+  if (relays->list->len == 0 || now_ms >= relays->busy_until_ms)
     return NULL;
   if (now_ms >= relays->window_begin_ms + WINDOW_MS)
     {
--- a/src/relays.h
+++ b/src/relays.h
@@ -19,6 +19,14 @@
 /* Set the addresses (char *) of the nodes that may relay. */
 void relays_set (struct relays *relays, const GPtrArray *addresses);
 
+/* Note that the event loop runs LATE_MS behind its timer.  Relays are used
+   while it has been late by RELAY_MIN_LATE_MS within RELAY_BUSY_MS: an order
+   that is sent through a relay takes more processor time in all. */
+void relays_note_lateness (struct relays *relays, int64_t late_ms,
+                           int64_t now_ms);
+#define RELAY_MIN_LATE_MS 20
+#define RELAY_BUSY_MS 1000
+
 /* Return the address of the relay that sends the next order to WORKER, or NULL
    if this node does.  The relay of a worker stays the same while the set of
    usable relays does, so that few connections to workers are opened. */
