Check configurations of the job path before they are sent

Nodes read a job path's configuration leniently, so a wrong member takes effect unnoticed, and `burdockshed check` knew only the request path's format. The JSON parser's message on malformed text also quoted it, with any key or token in it. Messages on malformed JSON give only the place.

--- a/src/commands.c
+++ b/src/commands.c
@@ -1,6 +1,8 @@
 #include "commands.h"
 
 #include "config.h"
+#include "config_check.h"
+#include "config_decode.h"
 #include "error.h"
 #include "exit_status.h"
 #include "fields.h"
@@ -204,27 +206,128 @@
   return c != NULL;
 }
 
-int
-command_check (const char *filename)
+/* Compare DRAFT with the file FILENAME, the version in force, whose own errors
+   are not reported.  Return false with ERROR set if that can't be read. */
+static bool
+check_changes (const struct config_draft *draft, const char *filename,
+               GPtrArray *findings, GError **error)
+{
+  gsize length = 0;
+  char *text = fields_read_file (filename, FILE_MAX_BYTES, &length, error);
+  GPtrArray *old_findings;
+  struct config_draft *old;
+
+  if (text == NULL)
+    return false;
+  old_findings = config_findings_new ();
+  old = config_decode (text, length, old_findings);
+  if (old != NULL && old->version >= 0)
+    config_check_changes (old, draft, findings);
+  else if (old != NULL)
+    g_set_error (error, SHED_ERROR, ERROR_INVALID,
+                 "%s has no version, so it can't be the one in force; name "
+                 "the file that was sent last",
+                 filename);
+  else
+    {
+      char *cause = config_findings_to_text (old_findings);
+
+      g_set_error (error, SHED_ERROR, ERROR_INVALID, "%s: %s", filename,
+                   g_strchomp (cause));
+      g_free (cause);
+    }
+  config_draft_destroy (old);
+  g_ptr_array_unref (old_findings);
+  g_free (text);
+  return *error == NULL;
+}
+
+/* Print FINDINGS and their numbers, and return the exit status. */
+static int
+print_findings (const struct command_options *o, const GPtrArray *findings)
+{
+  char *text = config_findings_to_text (findings);
+  guint n_errors = config_findings_count (findings, CONFIG_ERROR);
+  guint n_warnings = config_findings_count (findings, CONFIG_WARNING);
+
+  printf ("%s", text);
+  g_free (text);
+  if (n_errors + n_warnings == 0)
+    printf ("%s: the configuration is in order\n", o->subject);
+  else
+    printf ("%s: %u errors, %u warnings\n", o->subject, n_errors, n_warnings);
+  if (n_errors > 0)
+    return EXIT_STATUS_REFUSED;
+  return o->is_strict && n_warnings > 0 ? EXIT_STATUS_WARNINGS
+                                        : EXIT_STATUS_DONE;
+}
+
+/* Check TEXT, a configuration of the job path.  Return the exit status. */
+static int
+check_job_path (const struct command_options *o, const char *text,
+                gsize length)
+{
+  GPtrArray *findings = config_findings_new ();
+  struct config_draft *draft = config_decode (text, length, findings);
+  GError *error = NULL;
+  int status;
+
+  if (draft != NULL)
+    config_check_draft (draft, o->has_task ? &o->task : NULL, findings);
+  if (draft != NULL && o->against != NULL
+      && !check_changes (draft, o->against, findings, &error))
+    status = print_error (error);
+  else
+    status = print_findings (o, findings);
+  config_draft_destroy (draft);
+  g_ptr_array_unref (findings);
+  return status;
+}
+
+/* Check TEXT, a file of another kind.  Return the exit status. */
+static int
+check_other (const struct command_options *o, const char *text, gsize length)
 {
   GError *error = NULL;
-  JsonNode *root = fields_parse_file (filename, FILE_MAX_BYTES, &error);
   const char *kind = "";
-  bool is_valid;
+  JsonNode *root = fields_parse (text, (gssize)length, o->subject, &error);
 
   if (root == NULL)
     return print_error (error);
-  is_valid = check_root (root, &kind, &error);
+  if (o->against != NULL || o->is_strict || o->has_task)
+    g_set_error (&error, SHED_ERROR, ERROR_USAGE,
+                 "--against, --strict and --task are for a configuration of "
+                 "the job path; leave them out");
+  else
+    check_root (root, &kind, &error);
   json_node_unref (root);
-  if (!is_valid)
+  if (error != NULL)
     {
-      g_prefix_error (&error, "%s: ", filename);
+      g_prefix_error (&error, "%s: ", o->subject);
       return print_error (error);
     }
-  printf ("%s: %s in order\n", filename, kind);
+  printf ("%s: %s in order\n", o->subject, kind);
   return EXIT_STATUS_DONE;
 }
 
+int
+command_check (const struct command_options *options)
+{
+  GError *error = NULL;
+  gsize length = 0;
+  char *text
+      = fields_read_file (options->subject, FILE_MAX_BYTES, &length, &error);
+  int status;
+
+  if (text == NULL)
+    return print_error (error);
+  status = config_decode_recognizes (text, length)
+               ? check_job_path (options, text, length)
+               : check_other (options, text, length);
+  g_free (text);
+  return status;
+}
+
 /* Printing answers as text. */
 
 /* Print TARGETS and return the exit status that reflects whether all hold. */
--- a/src/commands.h
+++ b/src/commands.h
@@ -1,6 +1,8 @@
 #ifndef COMMANDS_H
 #define COMMANDS_H
 
+#include "accounts.h"
+
 #include <stdbool.h>
 
 /* The operators' commands.  Each sends a request to one node, prints the
@@ -18,11 +20,17 @@
   bool cancel;         /* maintain --cancel */
   const char *base;    /* version that a publication replaces; NULL for any */
   int wait_ms;         /* how long publish waits until all live nodes use it */
+
+  /* Of check, for a configuration of the job path. */
+  const char *against; /* file with the version in force; NULL for none */
+  bool is_strict;      /* exit with EXIT_STATUS_WARNINGS for warnings */
+  bool has_task;
+  struct account_amount task; /* the largest task that callers send */
 };
 
-/* Check whether the file FILENAME holds valid settings, a valid configuration
-   or a valid maintenance intention. */
-int command_check (const char *filename);
+/* Check whether the file in OPTIONS holds valid settings, a valid
+   configuration or a valid maintenance intention. */
+int command_check (const struct command_options *options);
 
 int command_publish (const struct command_options *options);
 int command_maintain (const struct command_options *options);
--- a/src/exit_status.h
+++ b/src/exit_status.h
@@ -7,7 +7,8 @@
   EXIT_STATUS_DONE = 0,
   EXIT_STATUS_REFUSED = 1, /* refused or invalid, or a target does not hold */
   EXIT_STATUS_USAGE = 2,
-  EXIT_STATUS_UNREACHABLE = 3
+  EXIT_STATUS_UNREACHABLE = 3,
+  EXIT_STATUS_WARNINGS = 4 /* check --strict found warnings and no errors */
 };
 
 #endif
--- a/src/fields.c
+++ b/src/fields.c
@@ -3,6 +3,7 @@
 #include "error.h"
 #include "json_text.h"
 
+#include <stdio.h>
 #include <string.h>
 
 struct fields
@@ -319,9 +320,16 @@
   parser = json_parser_new_immutable ();
   if (!json_parser_load_from_data (parser, text, length, &cause))
     {
+      guint line = 0, column = 0;
+
+      /* Only the place, "<data>:LINE:COLUMN:", is passed on: the rest quotes
+         the text, which may hold keys. */
+      if (sscanf (cause->message, "%*[^:]:%u:%u:", &line, &column) < 2)
+        line = column = 0;
       g_set_error (error, SHED_ERROR, ERROR_INVALID,
-                   "%s is not JSON: %s; correct that line", source,
-                   cause->message);
+                   "%s is not JSON: line %u, column %u can't be read; correct "
+                   "that line",
+                   source, line, column);
       g_error_free (cause);
     }
   else
@@ -333,15 +341,14 @@
   return root;
 }
 
-JsonNode *
-fields_parse_file (const char *filename, gsize max_bytes, GError **error)
+char *
+fields_read_file (const char *filename, gsize max_bytes, gsize *length,
+                  GError **error)
 {
   char *text = NULL;
-  gsize length = 0;
   GError *cause = NULL;
-  JsonNode *root;
 
-  if (!g_file_get_contents (filename, &text, &length, &cause))
+  if (!g_file_get_contents (filename, &text, length, &cause))
     {
       g_set_error (error, SHED_ERROR, ERROR_USAGE,
                    "can't read %s: %s; name a file that can be read", filename,
@@ -349,15 +356,27 @@
       g_error_free (cause);
       return NULL;
     }
-  if (length > max_bytes)
+  if (*length > max_bytes)
     {
       g_set_error (error, SHED_ERROR, ERROR_INVALID,
                    "%s holds %" G_GSIZE_FORMAT " bytes; write at most "
                    "%" G_GSIZE_FORMAT,
-                   filename, length, max_bytes);
+                   filename, *length, max_bytes);
       g_free (text);
       return NULL;
     }
+  return text;
+}
+
+JsonNode *
+fields_parse_file (const char *filename, gsize max_bytes, GError **error)
+{
+  gsize length = 0;
+  char *text = fields_read_file (filename, max_bytes, &length, error);
+  JsonNode *root;
+
+  if (text == NULL)
+    return NULL;
   root = fields_parse (text, (gssize)length, filename, error);
   g_free (text);
   return root;
--- a/src/fields.h
+++ b/src/fields.h
@@ -76,6 +76,11 @@
 JsonNode *fields_parse (const char *text, gssize length, const char *source,
                         GError **error);
 
+/* Return the text of the file FILENAME, which has to hold at most MAX_BYTES,
+   and its LENGTH, or NULL with ERROR set.  The caller frees it. */
+char *fields_read_file (const char *filename, gsize max_bytes, gsize *length,
+                        GError **error);
+
 /* Read and parse the file FILENAME, which has to hold at most MAX_BYTES, as
    fields_parse does. */
 JsonNode *fields_parse_file (const char *filename, gsize max_bytes,
--- a/src/main.c
+++ b/src/main.c
@@ -27,6 +27,9 @@
       "comes from BURDOCKSHED_NODE_FILE\n"
       "  check FILE              check settings, a configuration or an "
       "intention\n"
+      "  check FILE --against OLD\n"
+      "                          check a configuration of the job path, and "
+      "say what differs from OLD, the version in force\n"
       "  publish FILE            publish a configuration\n"
       "  maintain FILE           publish a maintenance intention\n"
       "  maintain --list         list the intentions and their progress\n"
@@ -38,7 +41,7 @@
       "The address and token of a node also come from the environment, as "
       "BURDOCKSHED_NODE and BURDOCKSHED_TOKEN.\n"
       "Exit status: 0 done, 1 refused or a target does not hold, 2 usage, "
-      "3 unreachable.";
+      "3 unreachable, 4 warnings (check --strict).";
 
 enum option_key
 {
@@ -50,7 +53,10 @@
   OPTION_LIST = 'l',
   OPTION_CANCEL = 'c',
   OPTION_BASE = 'b',
-  OPTION_WAIT = 'W'
+  OPTION_WAIT = 'W',
+  OPTION_AGAINST = 'a',
+  OPTION_STRICT = 'S',
+  OPTION_TASK = 'T'
 };
 
 static const struct argp_option options[] = {
@@ -66,6 +72,13 @@
     "Publish only if VERSION is still in force", 0 },
   { "wait-ms", OPTION_WAIT, "MS", 0,
     "Wait until the publication is in force on all live nodes", 0 },
+  { "against", OPTION_AGAINST, "OLD", 0,
+    "Check against OLD, a file with the version in force", 0 },
+  { "strict", OPTION_STRICT, NULL, 0, "Exit with 4 if a check warns", 0 },
+  { "task", OPTION_TASK, "CPU,MEM_MB,GPU", 0,
+    "Check caps against the largest task that callers send; CPU is in "
+    "thousandths of a core",
+    0 },
   { NULL, 0, NULL, 0, NULL, 0 },
 };
 
@@ -111,6 +124,27 @@
   return 0;
 }
 
+static error_t
+parse_task (const char *arg, struct argp_state *state,
+            struct command_options *o)
+{
+  char **parts = g_strsplit (arg, ",", -1);
+  guint64 values[3] = { 0 };
+  bool is_valid = g_strv_length (parts) == G_N_ELEMENTS (values);
+
+  for (guint i = 0; is_valid && i < G_N_ELEMENTS (values); i++)
+    is_valid = g_ascii_string_to_unsigned (parts[i], 10, 0, G_MAXUINT32,
+                                           &values[i], NULL);
+  g_strfreev (parts);
+  if (!is_valid)
+    argp_error (state,
+                "--task %s: write three whole numbers, such as 500,1024,0",
+                arg);
+  o->has_task = true;
+  o->task = (struct account_amount){ values[0], values[1], values[2] };
+  return 0;
+}
+
 static error_t
 parse_option (int key, char *arg, struct argp_state *state)
 {
@@ -143,6 +177,14 @@
       return parse_base (arg, state, &a->command_options.base);
     case OPTION_WAIT:
       return parse_wait (arg, state, &a->command_options.wait_ms);
+    case OPTION_AGAINST:
+      a->command_options.against = arg;
+      return 0;
+    case OPTION_STRICT:
+      a->command_options.is_strict = true;
+      return 0;
+    case OPTION_TASK:
+      return parse_task (arg, state, &a->command_options);
     case ARGP_KEY_ARG:
       return parse_argument (a, arg);
     default:
@@ -255,7 +297,7 @@
     return run_node (a);
   if (strcmp (a->command, "check") == 0)
     return a->command_options.subject != NULL
-               ? command_check (a->command_options.subject)
+               ? command_check (&a->command_options)
                : usage_error ("check needs a FILE");
   for (size_t i = 0; i < G_N_ELEMENTS (node_commands); i++)
     if (strcmp (node_commands[i].name, a->command) == 0)
--- a/tests/unit/test_command_line.c
+++ b/tests/unit/test_command_line.c
@@ -179,6 +179,92 @@
   assert_output ("check /nonexistent", 2, "name a file that can be read");
 }
 
+/* Write TEXT to a new file and return its path, which the caller frees. */
+static char *
+write_file (const char *text)
+{
+  char *path = g_build_filename (g_get_tmp_dir (), "shed-check-XXXXXX", NULL);
+  int fd = g_mkstemp (path);
+
+  g_assert_cmpint (fd, >=, 0);
+  g_close (fd, NULL);
+  g_assert_true (g_file_set_contents (path, text, -1, NULL));
+  return path;
+}
+
+/* Run check with FORMAT, in which the first %s is FILE and the second one
+   OLD. */
+static void
+assert_check (const char *format, const char *file, const char *old,
+              int status, const char *part)
+{
+  GString *line = g_string_new (format);
+
+  g_string_replace (line, "%s", file, 1);
+  g_string_replace (line, "%s", old, 1);
+  assert_output (line->str, status, part);
+  g_string_free (line, TRUE);
+}
+
+/* Guards against a script that sends a configuration of the job path with
+   errors, or one that takes a wrong command line for an error in the file. */
+static void
+test_check_of_the_job_path (void)
+{
+  static const char start[]
+      = "{\"version\":%d,\"routes\":[],\"services\":[%s]}";
+  char *old_text = g_strdup_printf (start, 1, "");
+  char *new_text = g_strdup_printf (start, 2, "{\"name\":\"x\"}");
+  char *old = write_file (old_text);
+  char *new = write_file (new_text);
+  char *malformed = write_file ("{\"tenants\":[SECRET]}");
+
+  assert_check ("check %s", old, "", 0, "the configuration is in order");
+  assert_check ("check --strict %s", old, "", 0, "is in order");
+  assert_check ("check %s", new, "", 0, "warning: services[0]: no entry");
+  assert_check ("check --strict %s", new, "", 4, "0 errors, 1 warnings");
+  assert_check ("check %s --against %s", new, old, 0,
+                "change: services \"x\": added\n");
+  assert_check ("check --strict %s --against %s", old, new, 1,
+                "error: version: 1 is not above 2");
+  assert_check ("check %s --task 500,1024,0", new, "", 0, "1 warnings");
+  assert_check ("check %s --task 500,1024", new, "", 2, "three whole numbers");
+  assert_check ("check %s --against %s", new, "/nonexistent", 2,
+                "name a file that can be read");
+  assert_check ("check %s --against %s", new, malformed, 1, "is not JSON");
+  assert_check ("check %s --against %s", new,
+                "examples/kandy/configuration.json", 1, "has no version");
+  assert_check ("check %s --against %s", "README.md", new, 1, "is not JSON");
+  assert_check ("check %s --strict", "examples/kandy/configuration.json", "",
+                2, "leave them out");
+  g_unlink (malformed);
+  g_unlink (new);
+  g_unlink (old);
+  g_free (malformed);
+  g_free (new);
+  g_free (old);
+  g_free (new_text);
+  g_free (old_text);
+}
+
+/* Guards against a message on malformed text that quotes a key. */
+static void
+test_check_prints_no_key (void)
+{
+  char *malformed = write_file ("{\"tenants\":[\"a\" SECRET]}");
+  char *line = g_strconcat ("check ", malformed, NULL);
+  struct result r = run_program (line);
+
+  g_assert_cmpint (r.status, ==, 1);
+  g_assert_nonnull (strstr (r.err, "is not JSON: line 1, column 1"));
+  g_assert_null (strstr (r.err, "SECRET"));
+  g_unlink (malformed);
+  g_free (line);
+  g_free (malformed);
+  g_free (r.out);
+  g_free (r.err);
+}
+
 static void
 test_node_answers (void)
 {
@@ -283,6 +369,10 @@
   g_test_add_func ("/command-line/usage", test_usage);
   g_test_add_func ("/command-line/arguments", test_arguments);
   g_test_add_func ("/command-line/check", test_check);
+  g_test_add_func ("/command-line/check-of-the-job-path",
+                   test_check_of_the_job_path);
+  g_test_add_func ("/command-line/check-prints-no-key",
+                   test_check_prints_no_key);
   g_test_add_func ("/command-line/node-answers", test_node_answers);
   g_test_add_func ("/command-line/list-prints-intentions-only",
                    test_list_prints_intentions_only);
