--- a/tests/unit/test_config_check.c
+++ b/tests/unit/test_config_check.c
@@ -234,11 +234,11 @@
 }
 
 /* Guards against a cap under which the largest task never starts, and against
-   an error for a cap that just holds it. */
+   an error for a cap that just holds it or for none. */
 static void
 test_cap_below_a_task (void)
 {
-  static const struct account_amount task = { 1000, 2048, 0 };
+  static const struct account_amount task = { 1000, 2048, 1 };
 
   assert_findings (
       NULL,
@@ -269,10 +269,12 @@
       "'services':[{'name':'x','standby':true},{'name':'y'}],'tenants':["
       "{'name':'a','weight':1,'api_keys':['SECRET1','SECRET2','SECRET3'],"
       "'cap':{'cpu':8,'mem_mb':8}},"
-      "{'name':'b','weight':1,'api_keys':['SECRET4']}]}",
+      "{'name':'b','weight':1,'api_keys':['SECRET4']},"
+      "{'name':'d','weight':1,'api_keys':['SECRET7']}]}",
       "{" BASE ",'tenants':[{'name':'a','weight':1,"
       "'api_keys':['SECRET1','SECRET5'],"
-      "'cap':{'cpu':7,'mem_mb':0,'gpu':2}},"
+      "'cap':{'cpu':7,'mem_mb':0}},"
+      "{'name':'d','weight':1,'api_keys':['SECRET7'],'cap':{'gpu':2}},"
       "{'name':'c','weight':1,'api_keys':['SECRET6']}],"
       "'limits':{'max_body_bytes':9}}",
       NULL,
@@ -285,9 +287,9 @@
       "change: tenants \"b\": removed, with its keys\n"
       "change: tenants \"a\": lowered cap.cpu from 8 to 7\n"
       "change: tenants \"a\": changed cap.mem_mb from 8 to 0\n"
-      "change: tenants \"a\": lowered cap.gpu from 0 to 2\n"
       "change: tenants \"a\": keys added: 1\n"
       "change: tenants \"a\": keys removed: 2\n"
+      "change: tenants \"d\": lowered cap.gpu from 0 to 2\n"
       "change: limits: changed max_body_bytes from absent to 9\n");
 }
 
