--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -1,7 +1,5 @@
 #include "cell_accounts.h"
 
-#include <string.h>
-
 /* The journal holds these records by key:
    "j:JOB"     the specification of a job that has not ended, or that may have
                runs which count for its account
@@ -17,11 +15,6 @@
    started there until it answers and a new record is journaled, so that the
    next owner has to wait for these runs only. */
 
-/* A worker's record: its address, incarnation and last journaled end, whether
-   its runs are named, whether it is being emptied, how long its leases last,
-   and the named runs. */
-#define WORKER_TYPE "(sxtbbxa(st))"
-
 /* Minimum interval between two appends while a caller or a start waits for
    one; the store answers in about 4 ms. */
 #define URGENT_APPEND_INTERVAL_MS 15
@@ -174,7 +167,7 @@
     }
   if (names_runs)
     cell_account_name_other_runs (w, &runs);
-  return g_variant_new (WORKER_TYPE, w->entry->address,
+  return g_variant_new (CELL_WORKER_RECORD_TYPE, w->entry->address,
                         w->incarnation_start_ms, ends, names_runs,
                         w->is_emptying, lease_remaining_ms, &runs);
 }
@@ -458,145 +451,3 @@
     }
   cell->append.retry_ms = now_ms + APPEND_RETRY_DELAY_MS;
 }
-
-/* Load RUN of task NAME, which may still be on W: its owner could not reach W.
-   The task may have been started elsewhere after that record, so its
-   is_every_run_known stays as it is.  Return false if the run is not waited
-   for. */
-static bool
-load_named_run (struct cell *c, struct cell_worker *w, const char *name,
-                uint64_t run)
-{
-  struct cell_task *t = cell_find_started_task (c, name, c->taken_over_ms);
-
-  if (t == NULL)
-    return false;
-  if (t->phase == TASK_RUNNING && cell_may_copy (t))
-    return cell_copy_load (t, w, run, c->taken_over_ms);
-  /* Another record, which may be older, names an earlier run. */
-  if (t->phase == TASK_RUNNING && run > t->run)
-    cell_task_reset (c, t, c->taken_over_ms, c->taken_over_ms);
-  if (t->phase != TASK_WAITING)
-    return false;
-  t->run = run;
-  cell_worker_assign_task (w, t);
-  cell_task_set_phase (t, TASK_RUNNING, c->taken_over_ms);
-  t->progress_ms = c->taken_over_ms;
-  t->occurrence->job->has_started = true;
-  return true;
-}
-
-/* Load the runs that a record of W names. */
-static void
-load_named_runs (struct cell *c, struct cell_worker *w, GVariantIter *runs)
-{
-  uint32_t n_named = 0, n_loaded = 0;
-  const char *name;
-  uint64_t run;
-
-  while (g_variant_iter_next (runs, "(&st)", &name, &run))
-    {
-      n_named++;
-      if (load_named_run (c, w, name, run))
-        n_loaded++;
-      else
-        cell_account_add_other_run (c, w, name, run, c->taken_over_ms);
-    }
-  if (n_named > 0)
-    cell_log_event (c, "runs-named", w->entry->id, "named=%u loaded=%u",
-                    n_named, n_loaded);
-}
-
-/* Load a worker's record.  A later record of the same worker replaces it,
-   except that the highest end number counts: the owner that yielded may not
-   have known that an append of a higher one had succeeded. */
-static void
-load_worker (struct cell *c, const char *id, GBytes *value)
-{
-  GVariant *v = g_variant_ref_sink (
-      g_variant_new_from_bytes (G_VARIANT_TYPE (WORKER_TYPE), value, FALSE));
-  struct cell_worker *w = g_hash_table_lookup (c->workers, id);
-  gboolean names_runs, is_emptying;
-  GVariantIter *runs;
-  int64_t incarnation_start_ms;
-  uint64_t ends;
-
-  if (w == NULL)
-    w = cell_worker_add (c, id);
-  if (!g_variant_is_normal_form (v))
-    {
-      /* Nothing is known of it, so any run may be there. */
-      cell_log_event (c, "journal-malformed", id, "outcome=runs-unknown");
-      w->may_have_unseen_runs = true;
-      w->is_in_journal = true;
-      g_variant_unref (v);
-      return;
-    }
-  while (w->tasks->len > 0)
-    cell_task_reset (c, g_ptr_array_index (w->tasks, 0), c->taken_over_ms,
-                     c->taken_over_ms);
-  cell_account_clear_other_runs (w);
-  g_free (w->entry->address);
-  g_variant_get (v, WORKER_TYPE, &w->entry->address, &incarnation_start_ms,
-                 &ends, &names_runs, &is_emptying, &w->lease_remaining_ms,
-                 &runs);
-  if (w->lease_remaining_ms < 0 || w->lease_remaining_ms > JOB_MAX_DURATION_MS)
-    w->lease_remaining_ms = LEASE_UNKNOWN;
-  w->last_processed_end = incarnation_start_ms == w->incarnation_start_ms
-                              ? MAX (ends, w->last_processed_end)
-                              : ends;
-  w->last_journaled_end = w->last_processed_end;
-  w->incarnation_start_ms = incarnation_start_ms;
-  w->may_have_unseen_runs = !names_runs;
-  w->is_in_journal = true;
-  if (is_emptying)
-    {
-      w->is_emptying = true;
-      w->emptying_until_ms = c->taken_over_ms + CELL_EMPTYING_TIMEOUT_MS;
-      w->emptying_since_ms = c->taken_over_ms;
-    }
-  load_named_runs (c, w, runs);
-  g_variant_iter_free (runs);
-  g_variant_unref (v);
-}
-
-/* Load the record of job ID.  The job is known under the ID of its record's
-   key, so any other ID there is not its own. */
-static void
-load_job_record (struct cell *c, const char *key, const char *id,
-                 GBytes *value)
-{
-  struct job_spec *spec;
-
-  if (!job_id_is_valid (id))
-    {
-      cell_log_event (c, "journal-malformed", key, "outcome=left-out");
-      return;
-    }
-  if (key[0] == 'p')
-    {
-      cell_job_load_progress (c, id, value);
-      return;
-    }
-  if (g_hash_table_contains (c->jobs, id))
-    return; /* listed twice */
-  spec = job_spec_from_bytes (value);
-  if (spec != NULL && strcmp (spec->id, id) == 0)
-    {
-      cell_job_load (c, spec);
-      return;
-    }
-  job_spec_destroy (spec);
-  cell_job_load_unreadable (c, id);
-}
-
-void
-cell_load_record (struct cell *cell, const char *key, GBytes *value)
-{
-  if (g_str_has_prefix (key, "w:"))
-    load_worker (cell, key + 2, value);
-  else if (g_str_has_prefix (key, "j:") || g_str_has_prefix (key, "p:"))
-    load_job_record (cell, key, key + 2, value);
-  else if (g_str_has_prefix (key, "o:"))
-    cell_owner_load (cell, key, value);
-}
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -22,7 +22,8 @@
    cell_load.c     how large the pool has to be
    cell_accounts.c what client accounts use and may use, see cell_accounts.h
    cell_owners.c   earlier owners, and how long their leases last
-   cell_journal.c  appends to the journal, and loading it. */
+   cell_journal.c  appends to the journal
+   cell_journal_load.c  loading it. */
 
 /* Lease given with each hold and start.  A shorter lease frees the work of a
    dead worker sooner, a longer one bridges a change of owner.  Below
@@ -572,6 +573,11 @@
 void cell_check_stragglers (struct cell *c, struct cell_worker *w,
                             int64_t now_ms);
 
+/* A worker's record in the journal: its address, incarnation and last
+   journaled end, whether its runs are named, whether it is being emptied, how
+   long its leases last, and the named runs. */
+#define CELL_WORKER_RECORD_TYPE "(sxtbbxa(st))"
+
 /* cell_journal.c */
 /* Have the next append hold the change of JOB or W; an urgent one is sent
    sooner. */
