--- a/src/account_report.h
+++ b/src/account_report.h
@@ -14,11 +14,16 @@
 #define AMOUNT_UNLIMITED                                                      \
   ((struct account_amount){ G_MAXUINT64, G_MAXUINT64, G_MAXUINT64 })
 
+/* Stands for the version of a configuration of which the cell's journal lacks
+   higher caps, see cell_has_journaled_caps. */
+#define CONFIG_VERSION_PENDING (-1)
+
 /* What one cell says of one account. */
 struct account_row
 {
   char *account;
-  struct account_amount held; /* the larger of its allotment and its use */
+  struct account_amount held; /* the larger of its allotment, its use, and what
+                                 a next owner may load as its allotment */
   struct account_amount used; /* by runs in progress or possibly in progress */
   struct account_amount wanted; /* by waiting tasks that could start */
 };
@@ -28,7 +33,8 @@
 {
   uint64_t cell_epoch;
   uint64_t number;
-  int64_t config_version; /* of the configuration whose caps the cell uses */
+  int64_t config_version; /* of the configuration whose caps the cell uses, or
+                             CONFIG_VERSION_PENDING */
   GPtrArray *rows;        /* struct account_row * */
 };
 
--- a/src/cell.h
+++ b/src/cell.h
@@ -182,7 +182,8 @@
 struct cell *cell_new (const struct cell_options *options, int64_t now_ms);
 void cell_destroy (struct cell *cell);
 
-/* Load one record of the journal; all are loaded before cell_activate. */
+/* Load one record of the journal; all are loaded before cell_set_accounts and
+   cell_activate, and the accounts' record after those of the owners. */
 void cell_load_record (struct cell *cell, const char *key, GBytes *value);
 
 /* Load ENTRIES (struct journal_entry *), which cell_yield returned to an owner
@@ -309,6 +310,13 @@
 cell_exchange_allotments (struct cell *cell, const struct allotment_call *call,
                           int64_t now_ms);
 
+/* Return whether no record that a next owner may load has an allotment under a
+   lower cap than the one in force.  Under such a record the next owner could
+   keep the allotment when the cap is lowered again, though other cells have
+   been given the room under the higher cap.  Until then the ledger must give
+   none of it. */
+bool cell_has_journaled_caps (const struct cell *cell);
+
 /* Do what is due.  WALL_MS is the best known Unix time.  MAY_START tells
    whether this node is still sure enough of its ownership to start tasks and
    extend leases. */
--- a/src/cell_accounts.c
+++ b/src/cell_accounts.c
@@ -131,6 +131,7 @@
     }
   s->mean_weight = n > 0 ? weights / n : 1;
   cell_set_account_rates (cell, accounts, now_ms);
+  cell_accounts_note_change (cell);
   cell->needs_placement = true;
 }
 
@@ -146,6 +147,7 @@
       /* A ledger with an older configuration may grant from a higher cap. */
       a->allotment = amount_min (granted->limit, a->cap);
     }
+  cell_accounts_note_change (c);
   c->needs_placement = true;
 }
 
@@ -195,7 +197,8 @@
 add_row (struct account_report *report, const struct cell_account *a)
 {
   struct account_amount used = cell_account_use (a);
-  struct account_amount held = amount_max (a->allotment, used);
+  struct account_amount held = amount_max (amount_max (a->allotment, used),
+                                           cell_account_journaled (a));
   struct account_row *row;
 
   if (!a->is_configured && amount_is_zero (held) && amount_is_zero (a->wanted))
--- a/src/cell_accounts.h
+++ b/src/cell_accounts.h
@@ -8,8 +8,17 @@
    and its share of a full cell.  The files:
    cell_accounts.c        configuration, allotments, shares
    cell_account_use.c     what the accounts use
+   cell_account_journal.c the allotments in the journal
    cell_account_figures.c the load of the pool, and metrics. */
 
+/* What a record of the journal holds of an account. */
+struct journaled_allotment
+{
+  bool is_named;
+  struct account_amount allotment;
+  struct account_amount cap; /* that was known with the allotment */
+};
+
 struct cell_account
 {
   char *name; /* "" stands for all jobs without an account */
@@ -19,13 +28,17 @@
   uint32_t weight;
   struct account_amount cap; /* the last one known; AMOUNT_UNLIMITED: none */
   struct account_amount allotment;
-  struct account_amount assigned; /* of tasks on workers */
-  struct account_amount others;   /* of runs in the workers' other_runs */
-  struct account_amount unseen;   /* bound of unseen runs of earlier owners */
-  struct account_amount wanted;   /* of ready waiting tasks, as last summed */
-  struct account_amount budget;   /* left for tasks in a count of the load */
-  bool may_start_one;             /* in that count, beyond the budget */
-  uint32_t waiting_tasks;         /* as last summed */
+  struct journaled_allotment committed; /* in this owner's last record that is
+                                           certainly in the journal */
+  struct journaled_allotment in_append; /* in the append in progress, which the
+                                           journal may have */
+  struct account_amount assigned;       /* of tasks on workers */
+  struct account_amount others; /* of runs in the workers' other_runs */
+  struct account_amount unseen; /* bound of unseen runs of earlier owners */
+  struct account_amount wanted; /* of ready waiting tasks, as last summed */
+  struct account_amount budget; /* left for tasks in a count of the load */
+  bool may_start_one;           /* in that count, beyond the budget */
+  uint32_t waiting_tasks;       /* as last summed */
   bool is_over_share;
   bool is_held_back;        /* a task did not fit the allotment */
   bool is_held_back_now;    /* the same, in the placement in progress */
@@ -54,6 +67,7 @@
   double mean_weight;
   uint64_t ledger_epoch;   /* highest seen */
   uint64_t report;         /* number of the latest report */
+  bool is_change_queued;   /* the allotments differ from the record */
   bool is_report_outdated; /* a cap was lowered since, so that an allotment
                               based on it may exceed the new cap */
   int64_t shortage_ms;     /* when a task last found no worker; 0: never */
@@ -142,6 +156,23 @@
 bool cell_account_needs_spec (const struct cell *c,
                               const struct cell_job *job);
 
+/* cell_account_journal.c */
+/* Load the record of the accounts' allotments, which replaces one loaded
+   before.  It counts only if the latest of the earlier owners, all of which
+   have been loaded, has written it. */
+void cell_accounts_load (struct cell *c, GBytes *value);
+/* Process that allotments, caps or the configured accounts may have changed:
+   have the next append hold them if they differ from the record. */
+void cell_accounts_note_change (struct cell *c);
+/* Return the record as it is now, for an append; the caller frees it. */
+struct journal_entry *cell_accounts_begin_append (struct cell *c);
+/* Process that the append with the record is in the journal. */
+void cell_accounts_commit (struct cell *c);
+/* Process that no append with the record is in progress any more. */
+void cell_accounts_end_append (struct cell *c);
+/* Return the most that a next owner may load as the allotment of A. */
+struct account_amount cell_account_journaled (const struct cell_account *a);
+
 /* cell_account_figures.c */
 /* Begin a count of the waiting tasks that the allotments allow beside what is
    used. */
--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -5,6 +5,7 @@
                runs which count for its account
    "p:JOB"     the progress or the final state of a job
    "o:EPOCH"   the address of an owner, see cell_owners.c
+   "a:"        the accounts' allotments, see cell_account_journal.c
    "w:WORKER"  the last end of a worker's runs that was processed, and what
                may still run there.
    Only one append is in progress at a time; later changes go into the next.
@@ -97,6 +98,8 @@
   for (guint i = 0; i < c->append.jobs->len; i++)
     g_array_index (c->append.jobs, struct appended_job, i).job->is_in_append
         = false;
+  if (c->append.has_accounts)
+    cell_accounts_end_append (c);
   g_ptr_array_unref (c->append.entries);
   g_array_unref (c->append.jobs);
   g_array_unref (c->append.workers);
@@ -219,6 +222,16 @@
   c->append.pending_calls++;
 }
 
+static gsize
+add_accounts_entry (struct cell *c)
+{
+  struct journal_entry *e = cell_accounts_begin_append (c);
+
+  c->append.has_accounts = true;
+  g_ptr_array_add (c->append.entries, e);
+  return g_bytes_get_size (e->value);
+}
+
 static void
 begin_append (struct cell *c, int64_t now_ms)
 {
@@ -235,6 +248,8 @@
   for (guint i = 0; i < c->dropped_keys->len; i++)
     add_entry (c, "", g_ptr_array_index (c->dropped_keys, i), NULL);
   g_ptr_array_set_size (c->dropped_keys, 0);
+  if (c->accounts->is_change_queued)
+    size += add_accounts_entry (c);
   while (n_jobs < c->changed_jobs->len && size < APPEND_MAX_BYTES)
     size += add_job_entries (c, g_ptr_array_index (c->changed_jobs, n_jobs++));
   g_ptr_array_remove_range (c->changed_jobs, 0, n_jobs);
@@ -318,8 +333,9 @@
       return;
     }
   if (c->is_fenced
-      || c->changed_jobs->len + c->changed_workers->len + c->dropped_keys->len
-             == 0
+      || (c->changed_jobs->len + c->changed_workers->len + c->dropped_keys->len
+              == 0
+          && !c->accounts->is_change_queued)
       || now_ms < c->last_append_ms + interval_ms
       || now_ms < c->append.retry_ms)
     return;
@@ -371,6 +387,8 @@
     commit_worker (
         c, &g_array_index (c->append.workers, struct appended_worker, i),
         now_ms);
+  if (c->append.has_accounts)
+    cell_accounts_commit (c);
   c->sequence++;
   clear_append (c);
 }
@@ -407,7 +425,8 @@
 cell_store_is_unreachable (const struct cell *c, int64_t now_ms)
 {
   bool is_trying = c->append.entries != NULL
-                   || c->changed_jobs->len + c->changed_workers->len > 0;
+                   || c->changed_jobs->len + c->changed_workers->len > 0
+                   || c->accounts->is_change_queued;
 
   return is_trying && c->append_failing_since_ms != 0
          && now_ms > c->append_failing_since_ms + UNREACHABLE_AFTER_MS;
--- a/src/cell_journal_load.c
+++ b/src/cell_journal_load.c
@@ -144,4 +144,6 @@
     load_job_record (cell, key, key + 2, value);
   else if (g_str_has_prefix (key, "o:"))
     cell_owner_load (cell, key, value);
+  else if (strcmp (key, CELL_ACCOUNTS_KEY) == 0)
+    cell_accounts_load (cell, value);
 }
--- a/src/cell_owners.c
+++ b/src/cell_owners.c
@@ -175,6 +175,18 @@
     }
 }
 
+uint64_t
+cell_owners_newest_epoch (const struct cell *c)
+{
+  uint64_t epoch = 0;
+
+  for (guint i = 0; i < c->earlier_owners->len; i++)
+    epoch = MAX (epoch, ((const struct earlier_owner *)g_ptr_array_index (
+                             c->earlier_owners, i))
+                            ->epoch);
+  return epoch;
+}
+
 int64_t
 cell_owners_leases_until_ms (const struct cell *c)
 {
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -214,6 +214,7 @@
   GPtrArray *entries;     /* struct journal_entry *; NULL if there is none */
   GArray *jobs;           /* struct appended_job */
   GArray *workers;        /* struct appended_worker */
+  bool has_accounts;      /* it holds the accounts' record */
   bool is_unclear;        /* an earlier attempt may still take effect */
   uint32_t pending_calls; /* orders that have not been answered */
   int64_t begun_ms;
@@ -496,6 +497,8 @@
 /* Ask earlier owners to stop, and drop the records of those whose leases have
    expired. */
 void cell_owners_tick (struct cell *c, int64_t now_ms);
+/* Return the epoch of the latest earlier owner; 0 for no earlier owner. */
+uint64_t cell_owners_newest_epoch (const struct cell *c);
 /* Return when the leases of all earlier owners have expired; 0 for no earlier
    owners. */
 int64_t cell_owners_leases_until_ms (const struct cell *c);
@@ -577,6 +580,8 @@
    journaled end, whether its runs are named, whether it is being emptied, how
    long its leases last, and the named runs. */
 #define CELL_WORKER_RECORD_TYPE "(sxtbbxa(st))"
+/* The key of the accounts' record, see cell_account_journal.c. */
+#define CELL_ACCOUNTS_KEY "a:"
 
 /* cell_journal.c */
 /* Have the next append hold the change of JOB or W; an urgent one is sent
--- a/src/node_ledger.c
+++ b/src/node_ledger.c
@@ -49,7 +49,9 @@
   if (call->config_version != version)
     g_ptr_array_set_size (call->allotments, 0);
   report = cell_exchange_allotments (host->cell, call, now_ms);
-  report->config_version = version;
+  report->config_version = cell_has_journaled_caps (host->cell)
+                               ? version
+                               : CONFIG_VERSION_PENDING;
   node_schedule_run (host->node, host);
   return report;
 }
--- a/src/node_takeover.c
+++ b/src/node_takeover.c
@@ -570,6 +570,7 @@
   load_entries (h, 'p');
   load_entries (h, 'w');
   load_entries (h, 'o');
+  load_entries (h, 'a');
   if (h->handover_entries != NULL
       && !cell_load_handover (h->cell, h->handover_entries))
     event_log ("handover-out-of-date", h->service,
--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -1,6 +1,7 @@
 #include "cell_world.h"
 
 #include "account_use.h"
+#include "cell_accounts.h"
 
 #include <string.h>
 
@@ -610,6 +611,26 @@
     record_violation (w, "quota", task);
 }
 
+/* Check that the allotments that a new owner has loaded are within what the
+   ledger counts for the cell by the last report of the owner before. */
+static void
+check_loaded (struct world *w)
+{
+  const GPtrArray *list = w->cell->accounts->list;
+
+  for (guint i = 0; i < list->len; i++)
+    {
+      const struct cell_account *a = g_ptr_array_index (list, i);
+      const struct account_row *row = find_row (w->report, a->name);
+      struct account_amount held = { 0 };
+
+      if (row != NULL)
+        held = row->held;
+      if (!amount_fits (a->allotment, (struct account_amount){ 0 }, held))
+        record_violation (w, "loaded", a->name);
+    }
+}
+
 /* Let the ledger call the owner, and check that the reported use covers what
    really runs. */
 static void
@@ -1185,7 +1206,8 @@
         case ORDER_ASK_ADVICE:
           break;
         case ORDER_LOG_EVENT:
-          if (strstr (o->u.event.detail, "account=") != NULL)
+          if (strstr (o->u.event.detail, "account=") != NULL
+              || strcmp (o->u.event.subject, CELL_ACCOUNTS_KEY) == 0)
             g_string_append_printf (w->events, "%s %s %s\n", o->u.event.event,
                                     o->u.event.subject, o->u.event.detail);
           break;
@@ -1381,6 +1403,8 @@
   load_records (w, w->cell, 'p');
   load_records (w, w->cell, 'w');
   load_records (w, w->cell, 'o');
+  load_records (w, w->cell, 'a');
+  check_loaded (w);
   if (records != NULL)
     {
       g_assert_true (cell_load_handover (w->cell, records));
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -18,7 +18,8 @@
    second when it is acknowledged that the task is done, or has failed for
    good.  If there are client accounts, it plays their ledger, and checks at
    each start that what really runs of an account is within what the owner last
-   reported to hold, and at each report that the owner's use covers it. */
+   reported to hold, at each report that the owner's use covers it, and at each
+   takeover that the loaded allotments are within what was last reported. */
 
 #define WORLD_WORKERS 6
 /* ID of the job that most tests submit. */
--- a/tests/unit/ledger_cells.c
+++ b/tests/unit/ledger_cells.c
@@ -58,9 +58,29 @@
     }
 }
 
+static uint64_t
+journaled_allotment (const struct owner *o, int account, int r)
+{
+  return MAX (o->committed.allotted[account][r],
+              o->in_append.allotted[account][r]);
+}
+
+/* Return whether RECORD has an allotment under a lower cap than O knows. */
+static bool
+lacks_cap (const struct world *w, const struct owner *o,
+           const struct journaled *record)
+{
+  for (int a = 0; a < ACCOUNTS; a++)
+    for (int r = 0; r < RESOURCES; r++)
+      if (record->allotted[a][r] > 0
+          && record->caps[a][r] < world_cap (w, o->version, a, r))
+        return true;
+  return false;
+}
+
 struct account_report *
-cell_exchange (const struct cell_model *c, struct owner *o,
-               const struct allotment_call *call)
+cell_exchange (const struct world *w, const struct cell_model *c,
+               struct owner *o, const struct allotment_call *call)
 {
   struct account_report *report = account_report_new ();
 
@@ -70,13 +90,18 @@
   o->ledger_epoch = MAX (o->ledger_epoch, call->ledger_epoch);
   report->cell_epoch = o->epoch;
   report->number = ++o->report;
-  report->config_version = o->version;
+  report->config_version
+      = lacks_cap (w, o, &o->committed) || lacks_cap (w, o, &o->in_append)
+            ? CONFIG_VERSION_PENDING
+            : o->version;
   for (int a = 0; a < ACCOUNTS; a++)
     {
       struct account_row *row = account_report_add (report, world_accounts[a]);
       uint64_t used[RESOURCES] = { 0 }, wanted[RESOURCES] = { 0 };
-      const uint64_t *held = o->allotted[a];
+      uint64_t held[RESOURCES];
 
+      for (int r = 0; r < RESOURCES; r++)
+        held[r] = MAX (o->allotted[a][r], journaled_allotment (o, a, r));
       add_use (c, o, a, used);
       for (int i = a; i < TASKS && c->has_demand[a]; i += ACCOUNTS)
         for (int r = 0; r < RESOURCES; r++)
@@ -102,6 +127,59 @@
   o->version = version;
 }
 
+static struct journaled
+record_of (const struct world *w, const struct owner *o)
+{
+  struct journaled record = { .epoch = o->epoch };
+
+  memcpy (record.allotted, o->allotted, sizeof record.allotted);
+  for (int a = 0; a < ACCOUNTS; a++)
+    for (int r = 0; r < RESOURCES; r++)
+      record.caps[a][r] = world_cap (w, o->version, a, r);
+  return record;
+}
+
+/* Let O journal its allotments.  The outcome of an append may be known late;
+   until then the journal may have it or not. */
+static void
+journal_allotments (struct world *w, struct cell_model *c, struct owner *o)
+{
+  bool is_newest = o == cell_newest_owner (c);
+  struct journaled now = record_of (w, o);
+
+  if (o->append_ms != 0 && w->now_ms >= o->append_ms && is_newest)
+    {
+      c->journal = o->in_append;
+      o->committed = o->in_append;
+      o->in_append = (struct journaled){ 0 };
+      o->append_ms = 0;
+    }
+  if (o->append_ms != 0 || memcmp (&now, &o->committed, sizeof now) == 0
+      || !world_chance (w, w->faults != 0 ? 8 : 4))
+    return;
+  o->in_append = now;
+  o->append_ms = w->now_ms
+                 + ((w->faults & FAULT_APPENDS) != 0 && world_chance (w, 3)
+                        ? world_pick (w, 3000)
+                        : 10 + world_pick (w, w->faults != 0 ? 150 : 30));
+  /* A successor has fenced the appends of O. */
+  if (is_newest && world_chance (w, 2))
+    c->journal = now;
+}
+
+/* Let O have the allotments that the owner before it has journaled. */
+static void
+load_allotments (const struct world *w, const struct cell_model *c,
+                 struct owner *o)
+{
+  if (c->owners->len == 0 || c->journal.epoch != cell_newest_owner (c)->epoch)
+    return;
+  for (int a = 0; a < ACCOUNTS; a++)
+    for (int r = 0; r < RESOURCES; r++)
+      if (world_cap (w, o->version, a, r) >= c->journal.caps[a][r])
+        o->allotted[a][r] = c->journal.allotted[a][r];
+}
+
 void
 cell_add_owner (struct world *w, struct cell_model *c)
 {
@@ -110,6 +188,9 @@
 
   o->epoch = ++w->last_epoch;
   o->version = MAX (version, 1);
+  o->has_no_journal = (w->faults & FAULT_RELEASES) != 0 && world_chance (w, 8);
+  if (!o->has_no_journal)
+    load_allotments (w, c, o);
   for (int i = 0; i < WORKERS; i++)
     o->reach_ms[i] = w->now_ms + world_pick (w, 300)
                      + (world_chance (w, 4) ? world_pick (w, 4000) : 0);
@@ -273,6 +354,8 @@
       reach_worker (c, o, k);
   if (world_chance (w, 20) && o->version < w->version)
     set_owner_version (w, o, w->version);
+  if (!o->has_no_journal)
+    journal_allotments (w, c, o);
   for (int i = 0; i < TASKS && !o->is_dead; i++)
     {
       if (o->views[i] == VIEW_ASSIGNED && c->tasks[i].has_ended
--- a/tests/unit/ledger_world.c
+++ b/tests/unit/ledger_world.c
@@ -147,7 +147,7 @@
 {
   struct message reply = *m;
   struct account_report *report
-      = cell_exchange (&w->cells[m->cell], m->owner, m->call);
+      = cell_exchange (w, &w->cells[m->cell], m->owner, m->call);
 
   g_ptr_array_add (w->reports, report);
   reply.kind = MESSAGE_REPORT;
--- a/tests/unit/ledger_world.h
+++ b/tests/unit/ledger_world.h
@@ -39,6 +39,14 @@
   VIEW_ENDED
 };
 
+/* A record of the journal. */
+struct journaled
+{
+  uint64_t epoch; /* of the owner that wrote it; 0 for no record */
+  uint64_t allotted[ACCOUNTS][RESOURCES];
+  uint64_t caps[ACCOUNTS][RESOURCES]; /* by world_cap */
+};
+
 struct owner
 {
   uint64_t epoch;
@@ -46,10 +54,14 @@
   uint64_t ledger_epoch; /* the highest seen */
   int64_t version;
   bool is_dead;
+  bool has_no_journal; /* it neither journals nor loads its allotments */
   int64_t paused_until_ms;
   int64_t reach_ms[WORKERS]; /* when it reaches the worker */
   bool has_reached[WORKERS];
   uint64_t allotted[ACCOUNTS][RESOURCES];
+  struct journaled committed; /* its last record, if the journal has it */
+  struct journaled in_append; /* the one that the journal may have */
+  int64_t append_ms;          /* when the outcome of the append is known */
   enum view views[TASKS];
   uint32_t generations[TASKS]; /* of the tasks that it knows */
   int workers[TASKS];
@@ -58,6 +70,7 @@
 struct cell_model
 {
   GPtrArray *owners; /* struct owner *, the newest last */
+  struct journaled journal;
   uint64_t tokens[WORKERS];
   struct task tasks[TASKS];
   bool has_demand[ACCOUNTS];
@@ -80,10 +93,12 @@
   FAULT_OWNER_PAUSES = 2,
   FAULT_LEDGERS = 4, /* new ledgers begin */
   FAULT_LEDGER_PAUSES = 8,
-  FAULT_VERSIONS = 16, /* the configuration changes */
-  FAULT_LOSSES = 32,   /* messages are lost or duplicated */
-  FAULT_DELAYS = 64,   /* messages are late */
-  FAULT_ALL = 127
+  FAULT_VERSIONS = 16,  /* the configuration changes */
+  FAULT_LOSSES = 32,    /* messages are lost or duplicated */
+  FAULT_DELAYS = 64,    /* messages are late */
+  FAULT_APPENDS = 128,  /* outcomes of appends are late */
+  FAULT_RELEASES = 256, /* owners of a release without journaled allotments */
+  FAULT_ALL = 511
 };
 
 enum message_kind
@@ -148,7 +163,8 @@
 void cell_add_tasks (struct world *w, struct cell_model *c);
 /* The cell's side of the protocol: apply CALL if it is in order, and return
    the next report. */
-struct account_report *cell_exchange (const struct cell_model *c,
+struct account_report *cell_exchange (const struct world *w,
+                                      const struct cell_model *c,
                                       struct owner *o,
                                       const struct allotment_call *call);
 void cell_owner_tick (struct world *w, int cell, struct owner *o);
--- a/tests/unit/test_cell_accounts.c
+++ b/tests/unit/test_cell_accounts.c
@@ -43,6 +43,16 @@
   return (guint)(world_real_use (w, account).cpu_milli / 1000);
 }
 
+/* Return how many tasks of the first account the owner last reported to hold.
+ */
+static guint
+held_tasks (const struct world *w)
+{
+  return (guint)(((struct account_row *)g_ptr_array_index (w->report->rows, 0))
+                     ->held.cpu_milli
+                 / 1000);
+}
+
 /* Guards against tasks that start without an allotment, or beyond it in one of
    the resources, be they finite, long-running or scheduled. */
 static void
@@ -129,6 +139,7 @@
   world_grant (w, "a", tasks (10));
   world_submit (w, job_of (w, WORLD_JOB, 4, "a"));
   world_run (w, 500);
+  g_ptr_array_set_size (w->grants, 0);
   call->ledger_epoch = 1;
   call->cell_epoch = w->report->cell_epoch;
   call->report = w->report->number;
@@ -138,9 +149,9 @@
   account_report_destroy (w->report);
   w->report = cell_exchange_allotments (w->cell, call, w->now_ms);
   g_assert_cmpuint (
-      ((struct account_row *)g_ptr_array_index (w->report->rows, 0))
-          ->held.cpu_milli,
-      ==, 4000);
+      cell_account_get (w->cell, "a", w->now_ms)->allotment.cpu_milli, ==, 0);
+  world_run (w, 500);
+  g_assert_cmpuint (held_tasks (w), ==, 4);
   world_grant (w, "a", tasks (6));
   world_submit (w, job_of (w, "0000000000000002", 9, "a"));
   world_run (w, 500);
@@ -590,6 +601,8 @@
                                      .start_late = 5,
                                      .append_lost = 5,
                                      .append_refused = 5,
+                                     .append_mute = 4,
+                                     .append_late = 4,
                                      .task_fails = 3 };
   for (char name[] = "a"; name[0] <= 'c'; name[0]++)
     {
--- a/tests/unit/test_odd_records.c
+++ b/tests/unit/test_odd_records.c
@@ -330,6 +330,8 @@
                                       "o:99999999999999999999",
                                       "w:",
                                       "w:\n",
+                                      "a:",
+                                      "a:x",
                                       "x",
                                       "" };
   struct world *w = world_new (1);
