--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -9,6 +9,7 @@
 /* The state of a cell, shared by the files that implement it:
    cell.c          creation, timers, orders
    cell_jobs.c     jobs, their tasks and how they end
+   cell_calls.c    callers' calls that submit or cancel a job
    cell_progress.c jobs' progress in the journal
    cell_workers.c  workers' incarnations, leases and holds
    cell_reports.c  workers' reports
--- a/src/node_peers.c
+++ b/src/node_peers.c
@@ -1,4 +1,4 @@
-#include "node_state.h"
+#include "node_peer_calls.h"
 
 #include "event_log.h"
 #include "node_relay.h"
@@ -7,23 +7,8 @@
 #include <event2/keyvalq_struct.h>
 #include <string.h>
 
-/* HTTP requests between nodes: the path holds the subject, the query holds the
-   service.  Status 421 means that the receiving node does not own the
-   service's cell. */
-
-#define JOBS_PATH "/v1/jobs/"
-#define QUEUES_PATH "/v1/queues/"
-#define WORKERS_PATH "/v1/workers/"
-#define CELLS_PATH "/v1/cells/"
-#define LOAD_PATH "/v1/load/"
-#define ACCOUNTS_PATH "/v1/accounts/"
-#define SUCCESSOR_PATH "/v1/successor/"
-/* Query parameter with the routes_version of a request. */
-#define VERSION_PARAMETER "version"
-#define STATUS_NOT_OWNER 421
-/* Timeout of calls about a cell.  Short, as a watching node takes over if its
-   probes fail. */
-#define PROBE_TIMEOUT_MS 500
+/* Serves the requests of other nodes; node_peer_calls.c sends them. */
+
 /* Maximum size of a request; a job of some 1000 tasks takes 100 KB. */
 #define BODY_MAX_BYTES (4 * 1024 * 1024)
 /* Limits of other nodes' requests: the path holds a queue's escaped host and
@@ -60,9 +45,6 @@
   return 503;
 }
 
-/* Longest retry delay that an owner may tell. */
-#define RETRY_AFTER_MAX_MS 60000
-
 /* Return the number that stands for ANSWER to VERB. */
 static uint32_t
 number_of_answer (enum front_verb verb, const struct front_answer *answer)
@@ -90,218 +72,6 @@
   g_free (context);
 }
 
-bool
-peer_read_answer (enum front_verb verb, const struct http_reply *reply,
-                  struct front_answer *answer)
-{
-  /* The body is NULL if the other node did not answer. */
-  char *text = reply->body_bytes > 0
-                   ? g_strndup ((const char *)reply->body, reply->body_bytes)
-                   : g_strdup ("0");
-  uint32_t number = (uint32_t)g_ascii_strtoull (text, NULL, 10);
-
-  g_free (text);
-  *answer = (struct front_answer){ .number = number };
-  if (verb == FRONT_GET_STATE)
-    answer->state = MIN (number, JOB_STATE_COUNT - 1);
-  switch (reply->status)
-    {
-    case 200:
-      answer->result = FRONT_DONE;
-      return true;
-    case 410:
-      answer->result = FRONT_NOT_FOUND;
-      return true;
-    case 503:
-      answer->result = FRONT_UNAVAILABLE;
-      return true;
-    case 429:
-      answer->result = FRONT_TOO_MANY;
-      answer->retry_after_ms = MIN (number, RETRY_AFTER_MAX_MS);
-      return true;
-    case 504:
-      answer->result = FRONT_UNCLEAR;
-      return true;
-    default:
-      return false;
-    }
-}
-
-static const char *
-path_of_verb (enum front_verb verb)
-{
-  switch (verb)
-    {
-    case FRONT_SUBMIT:
-    case FRONT_GET_STATE:
-    case FRONT_CANCEL:
-      return JOBS_PATH;
-    case FRONT_COUNT_WAITING:
-      return QUEUES_PATH;
-    case FRONT_EMPTY_WORKER:
-    case FRONT_WORKER_ENDED:
-      return WORKERS_PATH;
-    }
-  return JOBS_PATH;
-}
-
-static const char *
-method_of_verb (enum front_verb verb)
-{
-  switch (verb)
-    {
-    case FRONT_SUBMIT:
-    case FRONT_EMPTY_WORKER:
-      return "POST";
-    case FRONT_CANCEL:
-    case FRONT_WORKER_ENDED:
-      return "DELETE";
-    case FRONT_GET_STATE:
-    case FRONT_COUNT_WAITING:
-      return "GET";
-    }
-  return "GET";
-}
-
-void
-peer_send (struct node *n, const char *address,
-           const struct front_request *request, int64_t timeout_ms,
-           http_reply_callback done, void *data)
-{
-  char *subject = g_uri_escape_string (request->subject, NULL, FALSE);
-  char *service = g_uri_escape_string (request->service, NULL, FALSE);
-  char *path = g_strdup_printf (
-      "%s%s?service=%s&" VERSION_PARAMETER "=%" G_GINT64_FORMAT,
-      path_of_verb (request->verb), subject, service, request->routes_version);
-  struct http_call call = { .method = method_of_verb (request->verb),
-                            .path = path,
-                            .timeout_ms = timeout_ms,
-                            .lane = LANE_SHORT_CALLS };
-
-  if (request->verb == FRONT_SUBMIT)
-    {
-      call.content_type = "application/octet-stream";
-      call.body = g_bytes_get_data (request->encoded, &call.body_bytes);
-    }
-  else if (request->verb == FRONT_EMPTY_WORKER)
-    {
-      call.body = "-";
-      call.body_bytes = 1;
-    }
-  http_client_send (n->client, address, &call, done, data);
-  g_free (path);
-  g_free (service);
-  g_free (subject);
-}
-
-/* Send a call about the cell of SERVICE.  BODY is that of a POST, or NULL for
-   one that says nothing. */
-static void
-send_cell_call_with (struct node *n, const char *address, const char *method,
-                     const char *prefix, const char *service, GBytes *body,
-                     http_reply_callback done, void *data)
-{
-  char *name = g_uri_escape_string (service, NULL, FALSE);
-  char *path = g_strconcat (prefix, name, "?service=", name, NULL);
-  struct http_call call = { .method = method,
-                            .path = path,
-                            .timeout_ms = PROBE_TIMEOUT_MS,
-                            .lane = LANE_LONG_POLLS };
-
-  if (body != NULL)
-    {
-      call.content_type = "application/octet-stream";
-      call.body = g_bytes_get_data (body, &call.body_bytes);
-    }
-  else if (strcmp (method, "POST") == 0)
-    {
-      call.body = "-";
-      call.body_bytes = 1;
-    }
-  http_client_send (n->client, address, &call, done, data);
-  g_free (path);
-  g_free (name);
-}
-
-static void
-send_cell_call (struct node *n, const char *address, const char *method,
-                const char *prefix, const char *service,
-                http_reply_callback done, void *data)
-{
-  send_cell_call_with (n, address, method, prefix, service, NULL, done, data);
-}
-
-void
-peer_send_allotments (struct node *n, const char *address, const char *service,
-                      const struct allotment_call *call,
-                      http_reply_callback done, void *data)
-{
-  GBytes *body = allotment_call_to_bytes (call);
-
-  send_cell_call_with (n, address, "POST", ACCOUNTS_PATH, service, body, done,
-                       data);
-  g_bytes_unref (body);
-}
-
-void
-peer_probe (struct node *n, const char *address, const char *service,
-            http_reply_callback done, void *data)
-{
-  send_cell_call (n, address, "GET", CELLS_PATH, service, done, data);
-}
-
-void
-peer_request_yield (struct node *n, const char *address, const char *service,
-                    http_reply_callback done, void *data)
-{
-  send_cell_call (n, address, "POST", CELLS_PATH, service, done, data);
-}
-
-void
-peer_request_load (struct node *n, const char *address, const char *service,
-                   http_reply_callback done, void *data)
-{
-  send_cell_call (n, address, "GET", LOAD_PATH, service, done, data);
-}
-
-void
-peer_stop_owner (struct node *n, const char *address, const char *service,
-                 uint64_t epoch, http_reply_callback done, void *data)
-{
-  char *path
-      = g_strdup_printf (SUCCESSOR_PATH "%" G_GUINT64_FORMAT "/", epoch);
-
-  send_cell_call (n, address, "POST", path, service, done, data);
-  g_free (path);
-}
-
-#define RECORDS_TYPE "a(say)"
-
-GPtrArray *
-peer_read_records (const struct http_reply *reply)
-{
-  GPtrArray *records = g_ptr_array_new_with_free_func (journal_entry_free);
-  GBytes *bytes = g_bytes_new (reply->body, reply->body_bytes);
-  GVariant *v = g_variant_ref_sink (
-      g_variant_new_from_bytes (G_VARIANT_TYPE (RECORDS_TYPE), bytes, FALSE));
-  GVariantIter iter;
-  const char *key;
-  GVariant *value;
-
-  g_variant_iter_init (&iter, v);
-  while (g_variant_iter_next (&iter, "(&s@ay)", &key, &value))
-    {
-      GBytes *data = g_variant_get_data_as_bytes (value);
-
-      g_ptr_array_add (records, journal_entry_new (key, data));
-      g_bytes_unref (data);
-      g_variant_unref (value);
-    }
-  g_variant_unref (v);
-  g_bytes_unref (bytes);
-  return records;
-}
-
 static void
 send_records (struct evhttp_request *request, int status,
               const GPtrArray *records)
@@ -436,11 +206,11 @@
                                                    : "GET";
 
   for (gsize i = 0; i < G_N_ELEMENTS (all); i++)
-    if (g_str_has_prefix (path, path_of_verb (all[i]))
-        && strcmp (name, method_of_verb (all[i])) == 0)
+    if (g_str_has_prefix (path, peer_path_of_verb (all[i]))
+        && strcmp (name, peer_method_of_verb (all[i])) == 0)
       {
         *verb = all[i];
-        *subject = path + strlen (path_of_verb (all[i]));
+        *subject = path + strlen (peer_path_of_verb (all[i]));
         return true;
       }
   return false;
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -27,7 +27,8 @@
    node_takeover.c   how a cell gets a new owner
    node_front.c      routes callers' requests to the owner, here or elsewhere
    node_queues.c     asks all cells that may have a queue's jobs
-   node_peers.c      HTTP requests between nodes
+   node_peers.c      serves HTTP requests of other nodes
+   node_peer_calls.c sends them
    node_fleet.c      maintenance waves and pool sizes
    node_relay.c      orders that other nodes send to workers
    node_ledger.c     the messages of the ledger of accounts' caps.
