--- a/tests/platform/nodes.py
+++ b/tests/platform/nodes.py
@@ -13,13 +13,15 @@
 WAIT_TIMEOUT_S = 30
 
 
-def send_request(connection, method, path, body=None):
+def send_request(connection, method, path, body=None, key=None):
     """Send a caller's request; return its status, body and Retry-After."""
+    headers = {"Host": "desk.example", "Content-Type": "application/json",
+               "X-Timeout-Ms": "3000"}
+    if key is not None:
+        headers["Authorization"] = "Token " + key
     connection.request(method, path,
                        body=json.dumps(body) if body else None,
-                       headers={"Host": "desk.example",
-                                "Content-Type": "application/json",
-                                "X-Timeout-Ms": "3000"})
+                       headers=headers)
     r = connection.getresponse()
     return r.status, r.read().decode(), r.getheader("Retry-After")
 
@@ -64,11 +66,11 @@
     def address(self):
         return "127.0.0.1:%d" % self.peer_port
 
-    def call(self, method, path, body=None, port=None):
+    def call(self, method, path, body=None, port=None, key=None):
         c = http.client.HTTPConnection("127.0.0.1", port or self.callers_port,
                                        timeout=5)
         try:
-            return send_request(c, method, path, body)
+            return send_request(c, method, path, body, key)
         except OSError:
             return 0, "", None
         finally:
@@ -93,21 +95,21 @@
                       for i in range(steps)]}
 
 
-def submit(nodes, path, body):
+def submit(nodes, path, body, key=None):
     """Submit a job, with retries at the other nodes until one accepts it."""
     for i in range(40):
-        status, _, _ = nodes[i % len(nodes)].call("POST", path, body)
+        status, _, _ = nodes[i % len(nodes)].call("POST", path, body, key=key)
         if status == 200:
             return True
         time.sleep(0.3)
     return False
 
 
-def job_state(nodes, path):
+def job_state(nodes, path, key=None):
     """Return a job's state from the first node that can tell it: "gone" if
     there is no such job.  Return "unknown" if no node can tell."""
     for node in nodes:
-        status, text, _ = node.call("GET", path)
+        status, text, _ = node.call("GET", path, key=key)
         if status == 200:
             return json.loads(text)["state"]
         if status == 410:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -31,6 +31,12 @@
 ENDS_PER_REPORT = 500
 CLOCK_RATE_MIN = 0.98
 CPU_MILLI, MEMORY_MB = 16000, 32768
+RESOURCES = ["cpu", "mem_mb", "gpu"]
+# Requirement: a cap that a configuration lowers is in force from this on after
+# it is published.
+CAP_LAG_MS = 3000
+# A straggling run takes this many times as long.
+STRAGGLER_FACTOR = 8
 # The end of a run that lasts until it is stopped.
 FOREVER_MS = 1 << 50
 
@@ -328,6 +334,9 @@
         with self.lock:
             self.advance()
 
+    def is_over(self, run, at_ms):
+        return min(run[1], run.stop_ms, self.lease_deadline_ms) <= at_ms
+
     def advance(self):
         """End what has ended until now, each run at its time."""
         now, deadline = now_ms(), self.lease_deadline_ms
@@ -416,6 +425,9 @@
                        now + int(random.expovariate(1 / mean_ms)), now,
                        "failed")
         left_ms = int(body["spec"])
+        if step.get("allow_duplicates") \
+                and random.random() < self.platform.straggler_share:
+            left_ms *= STRAGGLER_FACTOR
         if not step.get("checkpointing"):
             return Run(body["run"], now + left_ms, now)
         run = Run(body["run"], now + left_ms, now, saved_ms=0)
@@ -540,6 +552,11 @@
         self.jobs = {}           # ID to the steps that a client has sent
         self.job_services = {}   # ID to the services that its queue was ever
                                  # sent to
+        self.accounts = None     # of the configuration: list of "tenants"
+        self.caps = {}           # account to its caps that are in force, each
+                                 # with the time until when
+        self.job_accounts = {}   # ID to account
+        self.straggler_share = 0  # of the runs of steps that allow duplicates
         self.violations = []     # that the workers have seen
         self.senders = {}        # local port of a connection to its node
         self.unguarded_services = unguarded_services or []
@@ -564,11 +581,20 @@
 
     def publish_configuration(self):
         """Publish the configuration under a higher version."""
-        self.store.put("keyed.op", "config", {
+        configuration = {
             "version": self.version, "routes": self.routes,
             "services": [{"name": s, "admission_control":
                           s not in self.unguarded_services}
-                         for s in self.services]})
+                         for s in self.services]}
+        if self.accounts is not None:
+            configuration["tenants"] = self.accounts
+        for a in self.accounts or []:
+            self.caps.setdefault(a["name"], []).append(
+                [a["cap"], FOREVER_MS])
+        self.store.put("keyed.op", "config", configuration)
+        for a in self.accounts or []:
+            for entry in self.caps[a["name"]][:-1]:
+                entry[1] = min(entry[1], now_ms() + CAP_LAG_MS)
         self.version += 3
 
     def add_view(self):
@@ -590,6 +616,7 @@
     def check_start(self, worker, task):
         """Report a start on a worker of another service, beyond the step's
         anti-affinity, or without its label."""
+        self.check_quota(worker, task)
         step = self.step_of(task)
         services = self.job_services.get(task.split(".")[0], [worker.service])
         if worker.service not in services:
@@ -604,6 +631,33 @@
         if label and label not in ["a", worker.rack]:
             self.report("without its label on %s: %s" % (worker.id, task))
 
+    def account_use(self, account):
+        """Return what runs of ACCOUNT on all workers at one time."""
+        seen = [(w, t, r) for w in self.workers
+                for t, r in list(w.runs.items())
+                if self.job_accounts.get(t.split(".")[0]) == account]
+        at_ms = now_ms()
+        # What is still there ran at AT_MS, and all of it at once.
+        steps = [self.step_of(t) for w, t, r in seen
+                 if w.runs.get(t) is r and not w.is_over(r, at_ms)]
+        return {k: sum(s.get(k, 0) for s in steps) for k in RESOURCES}
+
+    def check_quota(self, worker, task):
+        """Report a start with which an account exceeds its cap."""
+        account = self.job_accounts.get(task.split(".")[0])
+        if account not in self.caps:
+            return
+        caps = [c for c, until_ms in list(self.caps[account])
+                if now_ms() <= until_ms]
+        use = self.account_use(account)
+        for k in RESOURCES:
+            # 0 is no limit.
+            if all(0 < c[k] < use[k] for c in caps):
+                self.report("QUOTA: account %s uses %d of %s, cap %s, with "
+                            "%s on %s at %d" % (
+                                account, use[k], k, [c[k] for c in caps],
+                                task, worker.id, time.time() * 1000))
+
     # Workers.
 
     def add_worker(self, service):
