Let the soak send jobs of accounts with caps

The soak sent no keys and no steps that allow duplicates, so neither the ledger of caps nor copies ran under its faults.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -1,5 +1,6 @@
 """Randomized soak test: soak.py BURDOCKSHED [--seed N] [--seeds N]
-[--seconds S] [--nodes N] [--workers N] [--moves] [--reroutes] [--again FILE].
+[--seconds S] [--nodes N] [--workers N] [--moves] [--reroutes] [--accounts]
+[--again FILE].
 Runs real nodes as processes on a stand-in of the platform and injects faults
 from outside, one after another and overlapping, drawn from the seed.  Checks
 what callers and workers see against the guarantees of the product.  Exits with
@@ -17,8 +18,9 @@
 import soak_checks
 from network import Network
 from nodes import Node, kill_nodes, wait_for
+from soak_accounts import Accounts
 from soak_faults import Faults
-from soak_jobs import Client
+from soak_jobs import HOT_S, Client
 from standin import Platform, now_ms, reserve_ports
 
 SERVICES = ["search", "archive"]
@@ -54,6 +56,8 @@
         self.queue_services = {s: [s] for s in SERVICES}
         self.platform.stop_takes_ms = STOP_TAKES_MS
         self.platform.lasting_fails_ms = LASTING_FAILS_MS
+        self.accounts = Accounts(self) if a.accounts else None
+        self.started_s = time.monotonic()
         for w in self.platform.workers:
             w.has_own_clock = True
         self.network = Network(self.platform, a.nodes)
@@ -68,6 +72,9 @@
             self.network.add_node(node)
         self.faults = Faults(self)
 
+    def is_hot(self):
+        return HOT_S[0] <= time.monotonic() - self.started_s < HOT_S[1]
+
     def report_violation(self, description):
         with self.lock:
             self.violations.append(description)
@@ -99,6 +106,7 @@
         wait_for("ready", lambda: all(
             n.call("GET", "/-/ready", port=n.readiness_port)[0] == 200
             for n in self.nodes))
+        self.started_s = time.monotonic()
         for c in clients:
             c.start()
         time.sleep(WARM_UP_S)
@@ -116,6 +124,8 @@
         jobs = {j.id: (c, j) for c in clients for j in c.jobs}
         self.wait_for_jobs(jobs)
         self.check_lasting_jobs(clients, calm_since_ms)
+        if self.accounts:
+            self.accounts.check()
         for v in soak_checks.check_runs(
                 self.platform, {k: j for k, (_, j) in jobs.items()}):
             self.report_violation(v)
@@ -202,6 +212,8 @@
     parser.add_argument("--reroutes", action="store_true", help="send queues "
                         "to other services, repeat requests, and let workers "
                         "answer late, too")
+    parser.add_argument("--accounts", action="store_true", help="send jobs "
+                        "of accounts with caps, and change these, too")
     parser.add_argument("--again", metavar="FILE", help="run the seeds in "
                         "FILE, one at the beginning of each line")
     a = parser.parse_args()
--- a/tests/platform/soak_checks.py
+++ b/tests/platform/soak_checks.py
@@ -54,16 +54,17 @@
     return times
 
 
-def check_twice(runs, done_ms):
-    """Yield texts of runs at the same time as another one of their task, or
-    after an end that was acknowledged."""
-    last = runs[0]
-    for r in runs[1:]:
-        if r.start_ms < last.end_ms:
-            yield "two runs at a time: %s on %s and %s" % (
-                r.task, last.worker.id, r.worker.id)
-        if r.end_ms > last.end_ms:
-            last = r
+def check_twice(runs, done_ms, limit):
+    """Yield texts of more than LIMIT runs of a task at the same time, or of
+    runs after an end that was acknowledged."""
+    ends_ms = []
+    for r in runs:
+        ends_ms = [e for e in ends_ms if e[0] > r.start_ms] + [
+            (r.end_ms, r.worker.id)]
+        if len(ends_ms) > limit:
+            yield "%s runs at a time: %s on %s" % (
+                "two" if limit == 1 else len(ends_ms), r.task,
+                " and ".join(e[1] for e in ends_ms))
     if done_ms is not None and runs[-1].start_ms > done_ms:
         yield "run after an acknowledged end \"done\": " + runs[-1].task
 
@@ -112,7 +113,9 @@
     by_task = runs_by_task(platform)
     done_ms = acknowledged_done(platform)
     for task, runs in sorted(by_task.items()):
-        yield from check_twice(runs, done_ms.get(task))
+        yield from check_twice(
+            runs, done_ms.get(task),
+            2 if platform.step_of(task).get("allow_duplicates") else 1)
         yield from check_job_of_task(task, runs, jobs.get(task.split(".")[0]))
     for job in jobs.values():
         yield from check_order(job, by_task)
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -43,6 +43,9 @@
         if soak.reroutes:
             self.kinds += [self.reroute_queue] * 5 + [self.delay_answers] * 2
 
+        if soak.accounts:
+            self.kinds += [self.change_accounts] * 4
+
     def log(self, description):
         self.count += 1
         self.soak.log_line("faults.log", "%d: %s" % (self.count, description))
@@ -254,6 +257,9 @@
             route, name=name, backend=service)
         self.platform.publish_configuration()
 
+    def change_accounts(self):
+        self.log(self.soak.accounts.change(self.rng))
+
     # The store.
 
     def stop_store(self):
--- a/tests/platform/soak_jobs.py
+++ b/tests/platform/soak_jobs.py
@@ -16,6 +16,12 @@
 CANCEL_CALLS = 8
 # Requirement: no node denies an accepted job after this time.
 VISIBLE_MS = 3000
+# The account without a cap, which all long-running jobs have.
+STEADY = "steady"
+HOT = "hot"
+# While the account "hot" is hotter than the others, by the time of the test.
+HOT_S = (3, 7)
+HOT_INTERVAL_S = (0.02, 0.2)
 
 
 def draw_plain(rng):
@@ -57,12 +63,24 @@
     return body
 
 
+def draw_duplicable(rng):
+    """Return a job whose runs are alike, but for the stragglers."""
+    body = job_body(rng.randint(2, 5), 250)
+    body["steps"][0].update(allow_duplicates=True, image="alike")
+    return body
+
+
+def draw_short(rng):
+    return job_body(rng.randint(1, 5), rng.choice([100, 400]))
+
+
 KINDS = [draw_plain, draw_plain, draw_plain, draw_limited, draw_checkpointing,
          draw_scheduled, draw_labeled]
 
 
 class Job:
-    def __init__(self, path, body):
+    def __init__(self, path, body, account=None):
+        self.account = account
         self.path = path
         self.id = path[-16:]
         self.queue = path.split("/")[1]
@@ -102,14 +120,21 @@
         self.lasting_jobs = 0
         self.connections = {}
 
-    def call(self, node, method, path, body=None):
+    def call(self, node, method, path, body=None, key=None):
+        """Call NODE with KEY, or with one that is in all configurations."""
+        is_kept = key is None and self.soak.accounts
+        if is_kept:
+            key = self.soak.accounts.kept_key(STEADY)
         c = self.connections.get(node)
         if c is None:
             c = http.client.HTTPConnection("127.0.0.1", node.callers_port,
                                            timeout=4)
         try:
-            status, text, _ = send_request(c, method, path, body)
+            status, text, _ = send_request(c, method, path, body, key)
             self.connections[node] = c
+            if status == 401 and is_kept:
+                self.soak.report_violation("valid key refused by node-%d"
+                                           % node.number)
             return status, text
         except (OSError, http.client.HTTPException):
             self.connections.pop(node, None)
@@ -121,24 +146,43 @@
                                       and self.rng.random() < 0.1):
             self.lasting_jobs += 1
             return draw_lasting(self.rng)
-        return self.rng.choice(KINDS)(self.rng)
+        if self.soak.accounts and self.soak.is_hot():
+            return draw_short(self.rng)
+        kinds = KINDS + [draw_duplicable] * 2 if self.soak.accounts else KINDS
+        return self.rng.choice(kinds)(self.rng)
+
+    def draw_account(self, body):
+        """Return the account of a job, and its key."""
+        accounts = self.soak.accounts
+        if not accounts:
+            return None, None
+        account = self.rng.choice(accounts.names())
+        if self.soak.is_hot() and self.rng.random() < 0.8:
+            account = HOT
+        if any(s.get("long_running") for s in body["steps"]):
+            account = STEADY
+        return account, self.rng.choice(accounts.keys(account))
 
     def submit(self):
         n = len(self.jobs)
         path = "/%s/%016x" % (self.rng.choice(self.soak.platform.services),
                               self.number * 4096 + n + 1)
-        j = Job(path, self.draw_body())
+        body = self.draw_body()
+        account, key = self.draw_account(body)
+        j = Job(path, body, account)
+        if account:
+            self.soak.platform.job_accounts[j.id] = account
         self.soak.platform.jobs[j.id] = j.body["steps"]
         self.soak.platform.job_services[j.id] = \
             self.soak.queue_services[j.queue]
         self.jobs.append(j)
         for _ in range(4):
             status, _ = self.call(self.rng.choice(self.soak.nodes), "POST",
-                                  path, j.body)
+                                  path, j.body, key)
             if status == 200:
                 j.accepted_ms = now_ms()
                 return
-            if status not in (429, 503):
+            if status not in (401, 429, 503):
                 j.is_submit_unclear = True
             time.sleep(0.2)
 
@@ -199,4 +243,6 @@
                 self.repeat(j)
             elif j.accepted_ms:
                 self.check_state(j, self.rng.choice(self.soak.nodes))
-            time.sleep(self.rng.uniform(*SUBMIT_INTERVAL_S))
+            time.sleep(self.rng.uniform(*(
+                HOT_INTERVAL_S if self.soak.accounts and self.soak.is_hot()
+                else SUBMIT_INTERVAL_S)))
