Let stragglers of the soak's accounts have copies

In a run of the soak with accounts no run had a copy: a job of the same priority always waited, and the 95% quantile held the stragglers. Jobs that allow duplicates have queues of their own with the higher priority, 8% of their runs take 16 times as long, and partitions pick the ledger's node, too.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -129,10 +129,12 @@
         for v in soak_checks.check_runs(
                 self.platform, {k: j for k, (_, j) in jobs.items()}):
             self.report_violation(v)
-        print("seed %d: %d jobs, %d accepted, %d faults, %d runs" % (
-            self.seed, len(jobs),
-            sum(1 for _, j in jobs.values() if j.accepted_ms),
-            self.faults.count, self.platform.count_runs()), file=sys.stderr)
+        print("seed %d: %d jobs, %d accepted, %d faults, %d runs, "
+              "%d copies" % (
+                  self.seed, len(jobs),
+                  sum(1 for _, j in jobs.values() if j.accepted_ms),
+                  self.faults.count, self.platform.count_runs(),
+                  soak_checks.count_copies(self.platform)), file=sys.stderr)
 
     def wait_for_jobs(self, jobs):
         """Wait until all accepted jobs but the long-running ones, which no
--- a/tests/platform/soak_accounts.py
+++ b/tests/platform/soak_accounts.py
@@ -3,13 +3,13 @@
 import glob
 import os
 
-from soak_jobs import HOT, STEADY
+from soak_jobs import HOT, STEADY, URGENT
 
 # Caps that a fault draws from; the smallest serve all jobs in time.
 CPU_CAPS = {HOT: [8000, 12000, 20000], "calm": [4000, 6000, 10000]}
 # A task needs half as much memory in MB as it needs cpu, so either may bind.
 MEMORY_PER_CPU = [0, 0.4, 1]
-STRAGGLER_SHARE = 0.05
+STRAGGLER_SHARE = 0.08
 
 
 class Accounts:
@@ -20,6 +20,13 @@
         self.caps[STEADY] = (0, 0)
         self.keyless = set()  # accounts whose second key is taken away
         self.platform.straggler_share = STRAGGLER_SHARE
+        for route in list(self.platform.routes):
+            service = route["backend"]
+            self.platform.routes.append(dict(
+                route, name="u-" + service,
+                path_prefix="/%s/" % (URGENT % service)))
+            soak.queue_services[URGENT % service] = [service]
+            route["priority"] = 1
         self.publish()
 
     def names(self):
--- a/tests/platform/soak_checks.py
+++ b/tests/platform/soak_checks.py
@@ -69,6 +69,13 @@
         yield "run after an acknowledged end \"done\": " + runs[-1].task
 
 
+def count_copies(platform):
+    """Return how many runs began beside another one of their task."""
+    return sum(a.start_ms < b.start_ms < a.end_ms
+               for runs in runs_by_task(platform).values()
+               for a, b in zip(runs, runs[1:]))
+
+
 def done_times(job, by_task, occurrence, step):
     """Return for each task of a step when it ended "done" first, or None."""
     return [min((r.end_ms for r in by_task.get(t, []) if r.result == "done"),
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -156,8 +156,10 @@
                 p.reset_connections()
 
     def owner(self):
-        """Return the owner of a cell, or any node if it has none."""
-        address = self.platform.owner(self.rng.choice(self.platform.services))
+        """Return the owner of a cell, or any node if it has none; with
+        accounts the ledger's node, too."""
+        cells = self.platform.services + ["fleet"] * bool(self.soak.accounts)
+        address = self.platform.owner(self.rng.choice(cells))
         for node in self.nodes:
             if node.address() == address:
                 return node
--- a/tests/platform/soak_jobs.py
+++ b/tests/platform/soak_jobs.py
@@ -19,6 +19,9 @@
 # The account without a cap, which all long-running jobs have.
 STEADY = "steady"
 HOT = "hot"
+# The queue of a service for jobs that may have copies, which start only while
+# nothing of the same priority waits.
+URGENT = "urgent-%s"
 # While the account "hot" is hotter than the others, by the time of the test.
 HOT_S = (3, 7)
 HOT_INTERVAL_S = (0.02, 0.2)
@@ -148,7 +151,7 @@
             return draw_lasting(self.rng)
         if self.soak.accounts and self.soak.is_hot():
             return draw_short(self.rng)
-        kinds = KINDS + [draw_duplicable] * 2 if self.soak.accounts else KINDS
+        kinds = KINDS + [draw_duplicable] * 4 if self.soak.accounts else KINDS
         return self.rng.choice(kinds)(self.rng)
 
     def draw_account(self, body):
@@ -165,9 +168,11 @@
 
     def submit(self):
         n = len(self.jobs)
-        path = "/%s/%016x" % (self.rng.choice(self.soak.platform.services),
-                              self.number * 4096 + n + 1)
         body = self.draw_body()
+        queue = self.rng.choice(self.soak.platform.services)
+        if any(s.get("allow_duplicates") for s in body["steps"]):
+            queue = URGENT % queue
+        path = "/%s/%016x" % (queue, self.number * 4096 + n + 1)
         account, key = self.draw_account(body)
         j = Job(path, body, account)
         if account:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -36,7 +36,7 @@
 # it is published.
 CAP_LAG_MS = 3000
 # A straggling run takes this many times as long.
-STRAGGLER_FACTOR = 8
+STRAGGLER_FACTOR = 16
 # The end of a run that lasts until it is stopped.
 FOREVER_MS = 1 << 50
 
