--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -118,6 +118,8 @@
         self.faults.end_due(is_last=True)
         self.is_fault_free = True
         calm_since_ms = now_ms()
+        if self.accounts:
+            self.accounts.raise_caps()
         self.log_line("faults.log", "no faults from now on")
         for c in clients:
             c.join()
--- a/tests/platform/soak_accounts.py
+++ b/tests/platform/soak_accounts.py
@@ -5,8 +5,8 @@
 
 from soak_jobs import HOT, STEADY, URGENT
 
-# Caps that a fault draws from; the smallest serve all jobs in time.
-CPU_CAPS = {HOT: [8000, 12000, 20000], "calm": [4000, 6000, 10000]}
+# Caps that a fault draws from; the largest serve all jobs in time.
+CPU_CAPS = {HOT: [3000, 6000, 12000], "calm": [2000, 4000, 8000]}
 # A task needs half as much memory in MB as it needs cpu, so either may bind.
 MEMORY_PER_CPU = [0, 0.4, 1]
 STRAGGLER_SHARE = 0.08
@@ -61,6 +61,10 @@
             name, self.caps[name],
             "taken away" if keyed in self.keyless else "added", keyed)
 
+    def raise_caps(self):
+        self.caps.update({n: (caps[-1], 0) for n, caps in CPU_CAPS.items()})
+        self.publish()
+
     def check(self):
         """Report keys in logs, and nodes that serve keys of another version
         than the newest, when all faults are over."""
