--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -43,6 +43,9 @@
         if soak.reroutes:
             self.kinds += [self.reroute_queue] * 5 + [self.delay_answers] * 2
 
+        if soak.accounts:
+            self.kinds += [self.change_accounts] * 4
+
     def log(self, description):
         self.count += 1
         self.soak.log_line("faults.log", "%d: %s" % (self.count, description))
@@ -153,8 +156,10 @@
                 p.reset_connections()
 
     def owner(self):
-        """Return the owner of a cell, or any node if it has none."""
-        address = self.platform.owner(self.rng.choice(self.platform.services))
+        """Return the owner of a cell, or any node if it has none; with
+        accounts the ledger's node, too."""
+        cells = self.platform.services + ["fleet"] * bool(self.soak.accounts)
+        address = self.platform.owner(self.rng.choice(cells))
         for node in self.nodes:
             if node.address() == address:
                 return node
@@ -254,6 +259,9 @@
             route, name=name, backend=service)
         self.platform.publish_configuration()
 
+    def change_accounts(self):
+        self.log(self.soak.accounts.change(self.rng))
+
     # The store.
 
     def stop_store(self):
