--- a/src/json_text.c
+++ b/src/json_text.c
@@ -201,7 +201,8 @@
 replace_token (char *token, gsize length, const char *number)
 {
   memset (token, ' ', length);
-  memcpy (token, number, strlen (number));
+  for (gsize i = 0; number[i] != '\0'; i++)
+    token[i] = number[i];
 }
 
 void
