--- a/tests/unit/test_relays.c
+++ b/tests/unit/test_relays.c
@@ -1,3 +1,4 @@
+#include "relay_message.h"
 #include "relays.h"
 
 /* Which orders go through relays, and through which. */
@@ -102,6 +103,50 @@
   relays_destroy (r);
 }
 
+/* Guards against a batch that loses or mixes orders, and against one that is
+   cut off but taken for whole. */
+static void
+test_batches (void)
+{
+  struct run_order run = { .worker = "w1",
+                           .address = "10.0.0.9:80",
+                           .task = "00000000000000a1.0.1.2",
+                           .run = 4097,
+                           .deadline_ms = 481000,
+                           .payload = "text",
+                           .checkpoint = "c",
+                           .ticket = "t" };
+  struct run_order stop = { .worker = "w2", .address = "", .task = "x" };
+  GPtrArray *orders = g_ptr_array_new_with_free_func (relayed_order_destroy);
+  GPtrArray *read;
+  const struct relayed_order *o;
+  GBytes *bytes, *cut;
+
+  g_ptr_array_add (orders, relayed_order_new (ORDER_START, 7, &run));
+  g_ptr_array_add (orders, relayed_order_new (ORDER_STOP, 8, &stop));
+  bytes = relay_orders_to_bytes (orders);
+  read = relay_orders_from_bytes (bytes);
+  g_assert_cmpuint (read->len, ==, 2);
+  o = g_ptr_array_index (read, 0);
+  g_assert_cmpint (o->kind, ==, ORDER_START);
+  g_assert_cmpuint (o->epoch, ==, 7);
+  g_assert_cmpstr (o->run.task, ==, run.task);
+  g_assert_cmpuint (o->run.run, ==, 4097);
+  g_assert_cmpint (o->run.deadline_ms, ==, 481000);
+  g_assert_cmpstr (o->run.payload, ==, "text");
+  g_assert_cmpstr (o->run.checkpoint, ==, "c");
+  g_assert_cmpstr (o->run.ticket, ==, "t");
+  o = g_ptr_array_index (read, 1);
+  g_assert_cmpint (o->kind, ==, ORDER_STOP);
+  g_assert_cmpstr (o->run.payload, ==, "");
+  cut = g_bytes_new_from_bytes (bytes, 0, g_bytes_get_size (bytes) - 3);
+  g_assert_null (relay_orders_from_bytes (cut));
+  g_bytes_unref (cut);
+  g_bytes_unref (bytes);
+  g_ptr_array_unref (read);
+  g_ptr_array_unref (orders);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -109,5 +154,6 @@
   g_test_add_func ("/relays/late", test_only_a_late_node_uses_relays);
   g_test_add_func ("/relays/worker", test_a_worker_keeps_its_relay);
   g_test_add_func ("/relays/failed", test_a_failed_relay_is_left_out);
+  g_test_add_func ("/relays/batches", test_batches);
   return g_test_run ();
 }
