Put an account's jobs back only beyond half again of its share

Cause: at any moment about half of the accounts of a full cell are a little above their share, and their jobs waited behind later deadlines of others. Change: a tolerance of 1.5 in the comparison of shares.

--- a/src/cell_accounts.c
+++ b/src/cell_accounts.c
@@ -16,6 +16,10 @@
 #define UNCONFIGURED_AFTER_MS 10000
 /* Interval at which shares are compared; each change sorts all open jobs. */
 #define SHARE_INTERVAL_MS 50
+/* An account counts as over its share beyond this multiple of it.  At any
+   moment about half of the accounts of a full cell are a little above theirs,
+   and all their jobs would wait behind later deadlines of others. */
+#define SHARE_TOLERANCE 1.5
 /* The cell counts as contended for so long after a task found no worker. */
 #define CONTENDED_MS 200
 /* Minimum interval between two "account-fits" events of one account. */
@@ -298,8 +302,9 @@
     {
       struct cell_account *a = g_ptr_array_index (s->list, i);
       bool is_over = is_contended
-                     && account_is_over_share (a->assigned, capacity,
-                                               weight_of (c, a), weight_sum);
+                     && account_is_over_share (
+                         a->assigned, capacity,
+                         SHARE_TOLERANCE * weight_of (c, a), weight_sum);
 
       if (is_over != a->is_over_share)
         c->has_unsorted_jobs = true;
