--- a/src/node_owner.c
+++ b/src/node_owner.c
@@ -46,6 +46,9 @@
    process, which is over. */
 #define LATE_TICK_MS 100
 #define LATE_TICKS_MIN 2
+/* An owner of more workers is more likely busy than slow, and so would the
+   next one be: it has to hold each worker within the length of a lease. */
+#define HAND_OVER_MAX_WORKERS 400
 /* How long such a node takes no cells, and at least how long it then keeps
    those that it takes: if all nodes are slow, cells must not go round. */
 #define SLOW_LEAVE_MS 6000
@@ -282,17 +285,30 @@
   store_leave (n->store, member_group (n), n->address, on_left, n);
 }
 
+/* Return whether this node owns a cell, and none that would take its next
+   owner longer to take over than leases last. */
 static bool
-owns_cell (const struct node *n)
+may_hand_over (const struct node *n)
 {
+  bool owns_cell = false;
   GHashTableIter iter;
   gpointer value;
 
   g_hash_table_iter_init (&iter, n->hosts);
   while (g_hash_table_iter_next (&iter, NULL, &value))
-    if (((const struct cell_host *)value)->phase == HOST_ACTIVE)
-      return true;
-  return false;
+    {
+      const struct cell_host *h = value;
+      struct cell_stats stats = { 0 };
+
+      if (h->phase != HOST_ACTIVE)
+        continue;
+      owns_cell = true;
+      if (h->cell != NULL)
+        cell_get_stats (h->cell, &stats);
+      if (stats.workers > HAND_OVER_MAX_WORKERS)
+        return false;
+    }
+  return owns_cell;
 }
 
 void
@@ -311,7 +327,7 @@
   o->window_ticks = 0;
   o->window_late_ticks = 0;
   if (late_ticks < LATE_TICKS_MIN || ticks >= LOOP_MIN_TICKS || o->has_left
-      || !owns_cell (n) || now_ms < o->keep_until_ms)
+      || now_ms < o->keep_until_ms || !may_hand_over (n))
     return;
   event_log ("owner-slow", n->address, "ticks=%u late=%u window_ms=%d", ticks,
              late_ticks, LOOP_WINDOW_MS);
