One test for an owner's address, one way to answer with bytes

Change: owner_is_address, send_bytes and memory_share stand for the copies; the ledger's cells are called from the last one, so that no copy is needed.

--- a/src/ledger.c
+++ b/src/ledger.c
@@ -319,8 +319,7 @@
 }
 
 void
-ledger_call_unanswered (struct ledger *ledger, const char *service,
-                        int64_t now_ms)
+ledger_call_unanswered (struct ledger *ledger, const char *service)
 {
   int index = find_cell (ledger, service);
 
--- a/src/ledger.h
+++ b/src/ledger.h
@@ -42,8 +42,7 @@
 
 /* Note that the call under way to the cell of SERVICE got no answer.  What it
    allots still counts. */
-void ledger_call_unanswered (struct ledger *ledger, const char *service,
-                             int64_t now_ms);
+void ledger_call_unanswered (struct ledger *ledger, const char *service);
 
 /* Take REPORT, the answer to the call that was sent to the cell of SERVICE at
    REQUESTED_MS.  Return false if a newer one is known. */
--- a/src/node.c
+++ b/src/node.c
@@ -281,12 +281,19 @@
   return (uint32_t)MAX (all * percent / 100, MIN_CONNECTIONS);
 }
 
+/* Return PERCENT of the memory that the process may use, in bytes. */
+static uint64_t
+memory_share (const struct node_settings *s, uint32_t percent)
+{
+  return (uint64_t)s->memory_mb * 1024 * 1024 * percent / 100;
+}
+
 static void
 start_http_server (struct node *n)
 {
   const struct http_server_limits limits
-      = { .memory_bytes = (uint64_t)n->settings->memory_mb * 1024 * 1024
-                          * n->settings->buffer_percent / 100,
+      = { .memory_bytes
+          = memory_share (n->settings, n->settings->buffer_percent),
           .source_percent = n->settings->source_percent };
 
   n->http_server = http_server_new (n->base, n->meters, &limits);
@@ -302,8 +309,7 @@
           .max_caller_connections = connection_share (n, CALLERS_PERCENT),
           .max_readiness_connections = connection_share (n, READINESS_PERCENT),
           .max_open_requests = s->max_open_requests,
-          .max_request_bytes
-          = (uint64_t)s->memory_mb * 1024 * 1024 * s->request_percent / 100 };
+          .max_request_bytes = memory_share (s, s->request_percent) };
 
   n->ingress
       = ingress_new (n->http_server, n->front, n->meters, &options, error);
--- a/src/node_fleet.c
+++ b/src/node_fleet.c
@@ -703,8 +703,7 @@
       g_ptr_array_add (n->fleet.loads, cell_get_pool_load (h->cell));
       return;
     }
-  if (owner == NULL || owner[0] == OWNER_RELEASED || owner[0] == OWNER_LOST
-      || strcmp (owner, n->address) == 0)
+  if (!owner_is_address (owner) || strcmp (owner, n->address) == 0)
     return;
   call = call_new (n, 0, NULL);
   g_free (call->service);
--- a/src/node_front.c
+++ b/src/node_front.c
@@ -309,8 +309,7 @@
 
   if (find_active_host (p) != NULL)
     return n->address;
-  if (owner == NULL || owner[0] == OWNER_RELEASED || owner[0] == OWNER_LOST
-      || strcmp (owner, n->address) == 0)
+  if (!owner_is_address (owner) || strcmp (owner, n->address) == 0)
     return NULL;
   return owner;
 }
--- a/src/node_ledger.c
+++ b/src/node_ledger.c
@@ -98,13 +98,6 @@
     }
 }
 
-/* Return whether OWNER, as of owner_address, may run. */
-static bool
-is_address (const char *owner)
-{
-  return owner != NULL && owner[0] != OWNER_RELEASED && owner[0] != OWNER_LOST;
-}
-
 /* Return the services that are not configured but have an owner (char *, of
    the table of owners). */
 static GPtrArray *
@@ -116,7 +109,7 @@
 
   g_hash_table_iter_init (&iter, n->ownership.owners);
   while (g_hash_table_iter_next (&iter, &service, &owner))
-    if (strcmp (service, FLEET_SERVICE) != 0 && is_address (owner)
+    if (strcmp (service, FLEET_SERVICE) != 0 && owner_is_address (owner)
         && routes_find_service (n->routes, service) < 0)
       g_ptr_array_add (former, service);
   return former;
@@ -174,7 +167,7 @@
         ledger_add_report (f->ledger, call->service, report, call->sent_ms,
                            now_ms);
       else
-        ledger_call_unanswered (f->ledger, call->service, now_ms);
+        ledger_call_unanswered (f->ledger, call->service);
       account_report_destroy (report);
     }
   g_free (call->service);
@@ -202,7 +195,8 @@
   struct cell_host *h = g_hash_table_lookup (n->hosts, service);
   bool is_here = h != NULL && h->phase == HOST_ACTIVE && h->cell != NULL;
   const char *owner = owner_address (n, service);
-  bool is_elsewhere = is_address (owner) && strcmp (owner, n->address) != 0;
+  bool is_elsewhere
+      = owner_is_address (owner) && strcmp (owner, n->address) != 0;
   struct allotment_call *call;
 
   if (!is_here && !is_elsewhere)
@@ -227,19 +221,15 @@
 node_ledger_tick (struct node *n, int64_t now_ms)
 {
   struct fleet_state *f = &n->fleet;
-  GPtrArray *services;
 
   if (f->ledger == NULL || n->routes == NULL || n->routes->accounts == NULL
       || !fleet_is_confirmed (n, now_ms))
     return;
   configure (n, now_ms);
-  /* A report may remove a cell that has left the configuration. */
-  services = g_ptr_array_new_with_free_func (g_free);
-  for (guint i = 0; i < ledger_count_cells (f->ledger); i++)
-    g_ptr_array_add (services, g_strdup (ledger_cell_at (f->ledger, i)));
-  for (guint i = 0; i < services->len; i++)
-    call_cell (n, g_ptr_array_index (services, i), now_ms);
-  g_ptr_array_unref (services);
+  /* From the last one, as the report of a cell that has left the configuration
+     may remove it. */
+  for (guint i = ledger_count_cells (f->ledger); i > 0; i--)
+    call_cell (n, ledger_cell_at (f->ledger, i - 1), now_ms);
   log_may_raise (n, now_ms);
   log_silent_cells (n, now_ms);
 }
--- a/src/node_owner.c
+++ b/src/node_owner.c
@@ -104,6 +104,12 @@
   return g_hash_table_lookup (n->ownership.owners, service);
 }
 
+bool
+owner_is_address (const char *owner)
+{
+  return owner != NULL && owner[0] != OWNER_RELEASED && owner[0] != OWNER_LOST;
+}
+
 void
 owner_record (struct node *n, const char *service, const char *value)
 {
--- a/src/node_peers.c
+++ b/src/node_peers.c
@@ -135,19 +135,26 @@
   evbuffer_free (body);
 }
 
+/* Answer with BYTES, which are unreffed here. */
 static void
-serve_load (const struct cell_host *h, struct evhttp_request *request)
+send_bytes (struct evhttp_request *request, const char *reason, GBytes *bytes)
 {
-  struct pool_load *load = cell_get_pool_load (h->cell);
-  GBytes *bytes = pool_load_to_bytes (load);
   struct evbuffer *body = evbuffer_new ();
   gsize size;
   const void *data = g_bytes_get_data (bytes, &size);
 
   evbuffer_add (body, data, size);
-  evhttp_send_reply (request, 200, "load", body);
+  evhttp_send_reply (request, 200, reason, body);
   evbuffer_free (body);
   g_bytes_unref (bytes);
+}
+
+static void
+serve_load (const struct cell_host *h, struct evhttp_request *request)
+{
+  struct pool_load *load = cell_get_pool_load (h->cell);
+
+  send_bytes (request, "load", pool_load_to_bytes (load));
   pool_load_destroy (load);
 }
 
@@ -178,15 +185,8 @@
     {
       struct account_report *report
           = host_exchange_allotments (h, call, node_now_ms ());
-      GBytes *encoded = account_report_to_bytes (report);
-      struct evbuffer *body = evbuffer_new ();
-      gsize size;
-      const void *data = g_bytes_get_data (encoded, &size);
-
-      evbuffer_add (body, data, size);
-      evhttp_send_reply (request, 200, "report", body);
-      evbuffer_free (body);
-      g_bytes_unref (encoded);
+
+      send_bytes (request, "report", account_report_to_bytes (report));
       account_report_destroy (report);
     }
   allotment_call_destroy (call);
--- a/src/node_takeover.c
+++ b/src/node_takeover.c
@@ -276,8 +276,8 @@
   bool may_take_over
       = is_recent && owner_may_take_over (h->node, now_ms - h->owner_heard_ms);
 
-  if (is_recent && owner != NULL && owner[0] != OWNER_RELEASED
-      && owner[0] != OWNER_LOST && strcmp (owner, h->node->address) != 0)
+  if (is_recent && owner_is_address (owner)
+      && strcmp (owner, h->node->address) != 0)
     {
       h->is_call_pending = true;
       peer_probe (h->node, owner, h->service, on_probed,
--- a/tests/unit/ledger_world.c
+++ b/tests/unit/ledger_world.c
@@ -121,7 +121,7 @@
       if (l->pending_ms[k] != 0 && w->now_ms >= l->pending_ms[k] + TIMEOUT_MS)
         {
           l->pending_ms[k] = 0;
-          ledger_call_unanswered (l->ledger, services[k], w->now_ms);
+          ledger_call_unanswered (l->ledger, services[k]);
         }
       if (w->now_ms >= l->confirmed_ms + LEDGER_ACTS_MS)
         continue;
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -142,7 +142,7 @@
   answer (l, 0, (struct answer){ .number = 1, .wanted = 100 }, READY_MS);
   answer (l, 1, (struct answer){ .number = 1 }, READY_MS);
   g_assert_cmpint (call (l, 0, READY_MS), ==, 100);
-  ledger_call_unanswered (l, names[0], READY_MS + 500);
+  ledger_call_unanswered (l, names[0]);
   answer (l, 1, (struct answer){ .number = 2, .wanted = 100 }, READY_MS + 500);
   g_assert_cmpint (call (l, 1, READY_MS + 500), <=, 0);
   /* A report that was made before that call says nothing of it. */
