One piece of code for what a task uses, and for workers in service

Cause: the same read-through found in the cell: the fit of a task into a worker's resources written three times, what it uses taken off three times, the state in which a worker counts as capacity five times, the started tasks of long-running steps three times, the time of a late start twice, a flag that was kept in two places, and two functions that only called another. Change: cell_step_fits, cell_step_subtract, cell_worker_is_in_service, cell_job_count_started and cell_run_unproved_until_ms stand for the copies.

--- a/src/cell.c
+++ b/src/cell.c
@@ -328,7 +328,7 @@
     {
       const struct cell_worker *w = g_ptr_array_index (cell->worker_list, i);
 
-      if (!w->is_confirmed || !w->is_listed || w->entry->draining)
+      if (!cell_worker_is_in_service (w))
         continue;
       figures->workers++;
       figures->cpu_total_milli += w->entry->capacity.cpu_milli;
--- a/src/cell.h
+++ b/src/cell.h
@@ -200,11 +200,6 @@
 /* Begin to place work, after the whole journal has been loaded. */
 void cell_activate (struct cell *cell, int64_t now_ms);
 
-/* Set the rates of ACCOUNTS, which may be NULL, up to which their jobs are
-   owed service. */
-void cell_set_account_rates (struct cell *cell,
-                             const struct accounts *accounts, int64_t now_ms);
-
 /* Submit the job SPEC, which the cell owns from now on.  Another submission of
    a known job ID adds no job.  The answer to the call carries TOKEN. */
 void cell_submit (struct cell *cell, struct job_spec *spec, uint64_t token,
@@ -299,8 +294,9 @@
    owner's own; the caller frees the array. */
 GPtrArray *cell_yield (struct cell *cell, int64_t now_ms);
 
-/* Tell the cell the accounts in force; it copies what it needs.  NULL: there
-   are none. */
+/* Tell the cell the accounts in force and with them the rates up to which
+   their jobs are owed service; it copies what it needs.  NULL: there are
+   none. */
 void cell_set_accounts (struct cell *cell, const struct accounts *accounts,
                         int64_t now_ms);
 
--- a/src/cell_account_use.c
+++ b/src/cell_account_use.c
@@ -164,6 +164,14 @@
     }
 }
 
+int64_t
+cell_run_unproved_until_ms (const struct cell_task *t, int64_t from_ms)
+{
+  bool may_start_late = t->phase == TASK_STARTING || t->start_attempts > 1;
+
+  return may_start_late ? MAX (from_ms, t->worker->lease_expiry_ms) : from_ms;
+}
+
 void
 cell_account_give_up_gang (struct cell *c, const struct cell_task *t,
                            int64_t now_ms)
@@ -173,19 +181,13 @@
   for (uint32_t i = 0; i < cell_task_step (t)->count; i++)
     {
       const struct cell_task *other = &o->tasks[o->first_task[t->step] + i];
-      /* A start without an answer may be carried out late: no report proves
-         that there is no run before the leases have expired. */
-      bool may_start_late
-          = other->phase == TASK_STARTING || other->start_attempts > 1;
       char *name;
 
       if (other == t || other->worker == NULL)
         continue;
       name = cell_task_name (other);
-      cell_account_add_other_run (
-          c, other->worker, name, other->run,
-          may_start_late ? MAX (now_ms, other->worker->lease_expiry_ms)
-                         : now_ms);
+      cell_account_add_other_run (c, other->worker, name, other->run,
+                                  cell_run_unproved_until_ms (other, now_ms));
       g_free (name);
     }
 }
--- a/src/cell_accounts.c
+++ b/src/cell_accounts.c
@@ -134,7 +134,7 @@
       weights += accounts_at (accounts, i)->weight;
     }
   s->mean_weight = n > 0 ? weights / n : 1;
-  cell_set_account_rates (cell, accounts, now_ms);
+  account_rates_set (cell->account_rates, accounts, now_ms);
   cell_accounts_note_change (cell);
   cell->needs_placement = true;
 }
@@ -259,7 +259,7 @@
       const struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
       const struct worker_resources *r = &w->entry->capacity;
 
-      if (w->is_confirmed && w->is_listed && !w->entry->draining)
+      if (cell_worker_is_in_service (w))
         sum = amount_add (sum, (struct account_amount){
                                    r->cpu_milli, r->memory_mb, r->gpus });
     }
--- a/src/cell_calls.c
+++ b/src/cell_calls.c
@@ -38,7 +38,6 @@
           return;
         }
       job = cell_job_add (cell, spec, false, now_ms);
-      job->is_excess = is_excess;
       job->order.is_excess = is_excess;
       cell_journal_job (cell, job, true);
       if (!cell_fail_if_impossible (cell, job, now_ms) && !job->is_long_running
--- a/src/cell_candidates.c
+++ b/src/cell_candidates.c
@@ -39,12 +39,13 @@
 bool
 cell_has_room (const struct cell_worker *w, const struct job_step *s)
 {
-  const struct worker_resources *room = &w->entry->capacity;
+  return cell_step_fits (s, &w->used, &w->entry->capacity);
+}
 
-  return (s->is_best_effort
-          || w->used.cpu_milli + s->cpu_milli <= room->cpu_milli)
-         && w->used.memory_mb + s->memory_mb <= room->memory_mb
-         && w->used.gpus + s->gpus <= room->gpus;
+bool
+cell_has_label (const struct cell_worker *w, const struct job_step *s)
+{
+  return s->label[0] == '\0' || worker_entry_has_label (w->entry, s->label);
 }
 
 uint32_t
@@ -121,8 +122,7 @@
 {
   const struct job_step *s = cell_task_step (t);
 
-  if (!cell_accepts_starts (c, w, now_ms)
-      || (s->label[0] != '\0' && !worker_entry_has_label (w->entry, s->label)))
+  if (!cell_accepts_starts (c, w, now_ms) || !cell_has_label (w, s))
     return false;
   if (cell_is_avoided (c, w) && !may_probe (t, w, now_ms))
     return false;
--- a/src/cell_excess.c
+++ b/src/cell_excess.c
@@ -14,13 +14,6 @@
 #define IMPOSSIBLE_FACTOR 4
 #define IMPOSSIBLE_MIN_WORKERS 4
 
-void
-cell_set_account_rates (struct cell *cell, const struct accounts *accounts,
-                        int64_t now_ms)
-{
-  account_rates_set (cell->account_rates, accounts, now_ms);
-}
-
 bool
 cell_is_excess (struct cell *c, const struct job_spec *spec, int64_t now_ms)
 {
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -504,6 +504,21 @@
     t->retry_ms = now_ms + RESTART_DELAY_MS;
 }
 
+uint32_t
+cell_job_count_started (const struct cell_job *job, guint step)
+{
+  uint32_t n = 0;
+
+  for (guint i = 0; i < job->occurrences->len; i++)
+    {
+      const struct cell_occurrence *o
+          = g_ptr_array_index (job->occurrences, i);
+
+      n += o->unfinished[step] - o->waiting[step];
+    }
+  return n;
+}
+
 bool
 cell_job_has_assigned_task (const struct cell_job *job)
 {
--- a/src/cell_load.c
+++ b/src/cell_load.c
@@ -41,18 +41,8 @@
 tasks_of_step (const struct cell_job *job, guint step, bool counts_waiting)
 {
   const struct job_step *s = g_ptr_array_index (job->spec->steps, step);
-  uint32_t n = 0;
 
-  if (counts_waiting)
-    return s->count;
-  for (guint i = 0; i < job->occurrences->len; i++)
-    {
-      const struct cell_occurrence *o
-          = g_ptr_array_index (job->occurrences, i);
-
-      n += o->unfinished[step] - o->waiting[step];
-    }
-  return n;
+  return counts_waiting ? s->count : cell_job_count_started (job, step);
 }
 
 /* Return the number of workers that the long-running steps of JOB need for
@@ -74,45 +64,21 @@
   return most;
 }
 
-static uint64_t
-running_long_running_cpu (const struct cell_job *job)
-{
-  uint64_t cpu = 0;
-
-  for (guint i = 0; job->is_long_running && i < job->occurrences->len; i++)
-    {
-      const struct cell_occurrence *o
-          = g_ptr_array_index (job->occurrences, i);
-
-      for (uint32_t k = 0; k < o->n_tasks; k++)
-        {
-          const struct job_step *s = cell_task_step (&o->tasks[k]);
-
-          if (o->tasks[k].worker != NULL && s->is_long_running
-              && !s->is_best_effort)
-            cpu += s->cpu_milli;
-        }
-    }
-  return cpu;
-}
-
 /* Return the processor demand of the long-running tasks of JOB, whether they
    run or not, but those that an allotment limits only if they run;
    best-effort tasks reserve none. */
 static uint64_t
 long_running_cpu (const struct cell *c, const struct cell_job *job)
 {
+  bool counts_waiting = !cell_account_is_limited (c, job->account);
   uint64_t cpu = 0;
 
-  if (cell_account_is_limited (c, job->account))
-    return running_long_running_cpu (job);
-
   for (guint i = 0; job->is_long_running && i < job->spec->steps->len; i++)
     {
       const struct job_step *s = g_ptr_array_index (job->spec->steps, i);
 
       if (s->is_long_running && !s->is_best_effort)
-        cpu += (uint64_t)s->count * s->cpu_milli;
+        cpu += (uint64_t)tasks_of_step (job, i, counts_waiting) * s->cpu_milli;
     }
   return cpu;
 }
@@ -166,7 +132,7 @@
       struct cell_worker *w = g_ptr_array_index (cell->worker_list, i);
 
       l->cpu_used_milli += w->used.cpu_milli;
-      if (!w->is_confirmed || !w->is_listed || w->entry->draining)
+      if (!cell_worker_is_in_service (w))
         continue;
       n_listed++;
       l->cpu_per_worker_milli
--- a/src/cell_order.c
+++ b/src/cell_order.c
@@ -109,7 +109,7 @@
                path_to_step (c, o, g_array_index (s->depends_on, uint32_t, i),
                              longest));
   if (o->unfinished[step] > 0 && !s->is_best_effort && !s->is_long_running)
-    before_ms += cell_expected_run_ms (c, o->job, s)
+    before_ms += cell_expected_run_ms (c, o->job->spec, s)
                  / (o->waiting[step] > 0 ? 1 : 2);
   longest[step] = before_ms;
   return before_ms;
@@ -139,7 +139,7 @@
       const struct job_step *s = g_ptr_array_index (spec->steps, k);
       double halves = (double)o->unfinished[k] + o->waiting[k];
       double work = halves * (double)load_of_task (c, s)
-                    * (double)cell_expected_run_ms (c, o->job, s) / 2;
+                    * (double)cell_expected_run_ms (c, o->job->spec, s) / 2;
 
       e->path_ms = MAX (e->path_ms, path_to_step (c, o, k, longest));
       if (!s->is_best_effort && !s->is_long_running)
@@ -186,19 +186,12 @@
 {
   uint64_t cpu = 0;
 
-  for (guint i = 0; job->is_long_running && i < job->occurrences->len; i++)
+  for (guint i = 0; job->is_long_running && i < job->spec->steps->len; i++)
     {
-      const struct cell_occurrence *o
-          = g_ptr_array_index (job->occurrences, i);
+      const struct job_step *s = g_ptr_array_index (job->spec->steps, i);
 
-      for (uint32_t k = 0; k < job->spec->steps->len; k++)
-        {
-          const struct job_step *s = g_ptr_array_index (job->spec->steps, k);
-
-          if (s->is_long_running && !s->is_best_effort)
-            cpu += (uint64_t)(o->unfinished[k] - o->waiting[k])
-                   * load_of_task (c, s);
-        }
+      if (s->is_long_running && !s->is_best_effort)
+        cpu += cell_job_count_started (job, i) * load_of_task (c, s);
     }
   return cpu;
 }
@@ -216,8 +209,7 @@
     {
       const struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
 
-      if (w->is_confirmed && w->is_listed && !w->entry->draining
-          && !w->is_emptying)
+      if (cell_worker_is_in_service (w) && !w->is_emptying)
         {
           c->finite_cpu_milli += w->entry->capacity.cpu_milli;
           memory_mb += w->entry->capacity.memory_mb;
--- a/src/cell_place.h
+++ b/src/cell_place.h
@@ -16,6 +16,8 @@
 /* cell_candidates.c */
 /* Return whether W has room for a task of S beside what is assigned to it. */
 bool cell_has_room (const struct cell_worker *w, const struct job_step *s);
+/* Return whether W has the label that tasks of S need, if they need one. */
+bool cell_has_label (const struct cell_worker *w, const struct job_step *s);
 /* Return how many tasks of T's step are on W. */
 uint32_t cell_count_on_worker (const struct cell_worker *w,
                                const struct cell_task *t);
--- a/src/cell_preempt.c
+++ b/src/cell_preempt.c
@@ -69,25 +69,12 @@
   return best;
 }
 
-static void
-free_room (struct worker_resources *used, const struct cell_task *t)
-{
-  const struct job_step *s = cell_task_step (t);
-
-  used->cpu_milli
-      -= MIN (s->is_best_effort ? 0 : s->cpu_milli, used->cpu_milli);
-  used->memory_mb -= MIN (s->memory_mb, used->memory_mb);
-  used->gpus -= MIN (s->gpus, used->gpus);
-}
-
 /* Find in *P what to stop on W, where T may run, so that T fits.  Return false
    if that is not enough. */
 static bool
 find_stops (struct preemption *p, struct cell_worker *w,
             const struct cell_task *t, int64_t now_ms)
 {
-  const struct worker_resources *room = &w->entry->capacity;
-  const struct job_step *s = cell_task_step (t);
   struct worker_resources used = w->used;
 
   *p = (struct preemption){ .worker = w };
@@ -96,11 +83,9 @@
       const struct cell_task *other = g_ptr_array_index (w->tasks, i);
 
       if (other->phase == TASK_STOPPING)
-        free_room (&used, other);
+        cell_step_subtract (cell_task_step (other), &used);
     }
-  while (used.cpu_milli + s->cpu_milli > room->cpu_milli
-         || used.memory_mb + s->memory_mb > room->memory_mb
-         || used.gpus + s->gpus > room->gpus)
+  while (!cell_step_fits (cell_task_step (t), &used, &w->entry->capacity))
     {
       struct cell_task *next
           = next_to_stop (p, t->occurrence->job->spec->priority, now_ms);
@@ -109,7 +94,7 @@
         return false;
       p->stopped[p->n_stopped++] = next;
       p->lost += lost_work (next, now_ms);
-      free_room (&used, next);
+      cell_step_subtract (cell_task_step (next), &used);
     }
   return true;
 }
@@ -122,7 +107,7 @@
   int64_t slack_ms = job->deadline_ms - job->order.path_ms - now_ms;
 
   return job->order.due_ms == job->deadline_ms && !job->order.is_scheduled
-         && !job->is_excess && slack_ms >= 0
+         && !job->order.is_excess && slack_ms >= 0
          && slack_ms <= c->options.stop_grace_ms + CALLS_MS;
 }
 
@@ -133,7 +118,8 @@
   const struct job_step *s = cell_task_step (t);
   struct cell_job *job = t->occurrence->job;
   struct preemption best = { 0 };
-  double gained = (double)cell_expected_run_ms (c, job, s) * s->cpu_milli;
+  double gained
+      = (double)cell_expected_run_ms (c, job->spec, s) * s->cpu_milli;
 
   if (job->spec->priority != 0 || s->is_best_effort || s->is_long_running
       || now_ms < t->adjusted_ms + TASK_INTERVAL_MS
--- a/src/cell_racks.c
+++ b/src/cell_racks.c
@@ -59,10 +59,11 @@
 
       if (s->is_long_running || s->is_best_effort)
         continue;
-      freed += s->cpu_milli
-               / (cell_rack_factor (c, s, w)
-                  * (double)MAX (
-                      cell_expected_run_ms (c, t->occurrence->job, s), 1));
+      freed
+          += s->cpu_milli
+             / (cell_rack_factor (c, s, w)
+                * (double)MAX (
+                    cell_expected_run_ms (c, t->occurrence->job->spec, s), 1));
     }
   return freed;
 }
@@ -95,14 +96,12 @@
                const struct cell_worker *w)
 {
   const struct job_step *s = cell_task_step (t);
-  const struct worker_resources *room = &w->entry->capacity;
-
-  return w->is_confirmed && w->is_listed && !w->entry->draining
-         && !w->is_emptying && !cell_is_avoided (c, w)
-         && s->cpu_milli <= room->cpu_milli && s->memory_mb <= room->memory_mb
-         && s->gpus <= room->gpus
-         && (s->label[0] == '\0'
-             || worker_entry_has_label (w->entry, s->label));
+  const struct worker_resources unused = { 0 };
+
+  return cell_worker_is_in_service (w) && !w->is_emptying
+         && !cell_is_avoided (c, w)
+         && cell_step_fits (s, &unused, &w->entry->capacity)
+         && cell_has_label (w, s);
 }
 
 /* Return whether T has to wait for room in its rack: some worker there may run
@@ -156,9 +155,9 @@
   q = find_queue (c, s->preferred_rack);
   if (q->freed_cpu <= 0 || !lacks_room_in_rack (c, t, q, now_ms))
     return false;
-  extra_ms
-      = (int64_t)((factor - 1)
-                  * (double)cell_expected_run_ms (c, t->occurrence->job, s));
+  extra_ms = (int64_t)((factor - 1)
+                       * (double)cell_expected_run_ms (
+                           c, t->occurrence->job->spec, s));
   wait_ms = (double)(q->waiting_cpu + s->cpu_milli) / q->freed_cpu;
   if (wait_ms > (double)extra_ms)
     return false;
--- a/src/cell_reserve.c
+++ b/src/cell_reserve.c
@@ -54,12 +54,8 @@
       const struct job_step *o
           = cell_task_step (g_ptr_array_index (w->tasks, i));
 
-      if (!o->is_long_running)
-        continue;
-      free.cpu_milli
-          -= MIN (o->is_best_effort ? 0 : o->cpu_milli, free.cpu_milli);
-      free.memory_mb -= MIN (o->memory_mb, free.memory_mb);
-      free.gpus -= MIN (o->gpus, free.gpus);
+      if (o->is_long_running)
+        cell_step_subtract (o, &free);
     }
   if (s->cpu_milli > 0)
     slots = MIN (slots, free.cpu_milli / s->cpu_milli);
@@ -145,7 +141,7 @@
 
   if ((c->reserved_priorities & priority) != 0
       || c->reservation_tries >= TRIES_MAX || s->is_long_running
-      || s->is_best_effort || job->order.is_scheduled || job->is_excess
+      || s->is_best_effort || job->order.is_scheduled || job->order.is_excess
       || !cell_is_overload_lasting (c, now_ms) || !has_waited_long (job))
     return;
   c->reservation_tries++;
--- a/src/cell_run_times.c
+++ b/src/cell_run_times.c
@@ -36,29 +36,23 @@
                                 percent, c->ticked_ms);
 }
 
-static int64_t
-expected_run_ms (const struct cell *c, const struct job_spec *spec,
-                 const struct job_step *s)
+int64_t
+cell_expected_run_ms (const struct cell *c, const struct job_spec *spec,
+                      const struct job_step *s)
 {
   int64_t learned_ms = cell_learned_run_ms (c, spec, s, 50);
 
   return learned_ms >= 0 ? learned_ms : s->estimate_ms;
 }
 
-int64_t
-cell_expected_run_ms (const struct cell *c, const struct cell_job *job,
-                      const struct job_step *s)
-{
-  return expected_run_ms (c, job->spec, s);
-}
-
 int64_t
 cell_expected_path_ms (const struct cell *c, const struct job_spec *spec)
 {
   int64_t task_ms[JOB_MAX_STEPS];
 
   for (guint i = 0; i < spec->steps->len; i++)
-    task_ms[i] = expected_run_ms (c, spec, g_ptr_array_index (spec->steps, i));
+    task_ms[i]
+        = cell_expected_run_ms (c, spec, g_ptr_array_index (spec->steps, i));
   return job_spec_longest_path_ms (spec, task_ms);
 }
 
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -104,13 +104,10 @@
   struct cell_worker *w = t->worker;
   char *name = cell_task_name (t);
   int64_t until_ms = now_ms + c->options.stop_grace_ms + STOP_MARGIN_MS;
-  /* A start of it that is still under way has the last lease's deadline. */
-  bool may_start = t->phase == TASK_STARTING || t->start_attempts > 1;
 
   cell_send_stop (c, w, name, t->run);
   cell_account_add_other_run (c, w, name, t->run,
-                              may_start ? MAX (until_ms, w->lease_expiry_ms)
-                                        : until_ms);
+                              cell_run_unproved_until_ms (t, until_ms));
   g_free (name);
   w->superfluous_until_ms = MAX (w->superfluous_until_ms, until_ms);
 }
@@ -142,7 +139,8 @@
 stall_timeout_ms (const struct cell *c, const struct cell_task *t)
 {
   int64_t percent_ms
-      = cell_expected_run_ms (c, t->occurrence->job, cell_task_step (t)) / 100;
+      = cell_expected_run_ms (c, t->occurrence->job->spec, cell_task_step (t))
+        / 100;
 
   if (t->percent > 0)
     percent_ms = MAX (percent_ms, (t->progress_ms - t->phase_ms) / t->percent);
@@ -155,6 +153,8 @@
 {
   const struct job_step *s = cell_task_step (t);
 
+  /* The first comparison with the time spares most calls of
+     stall_timeout_ms, which is never shorter. */
   return t->phase == TASK_RUNNING && !s->is_long_running && !s->is_gang
          && !s->is_best_effort && t->worker->is_confirmed
          && now_ms > MAX (t->progress_ms, t->phase_ms) + STALL_TIMEOUT_MS
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -10,6 +10,7 @@
    cell.c          creation, timers, orders
    cell_jobs.c     jobs, their tasks and how they end
    cell_calls.c    callers' calls that submit or cancel a job
+   cell_excess.c   which new jobs are refused or fail at once
    cell_progress.c jobs' progress in the journal
    cell_workers.c  workers' incarnations, leases and holds
    cell_reports.c  workers' reports
@@ -131,7 +132,6 @@
   bool is_loaded; /* from an earlier owner's journal */
   bool is_stored; /* the journal has its specification */
   bool has_started;
-  bool is_excess;        /* beyond its account's rate when it was accepted */
   bool is_change_queued; /* in changed_jobs of the cell */
   bool is_in_append;     /* in the append in progress */
   bool is_spec_kept;     /* it has ended, but the journal still has its
@@ -366,6 +366,8 @@
 /* Let the occurrences of JOB start that are due, and add missing ones. */
 void cell_job_add_due_occurrences (struct cell *c, struct cell_job *job,
                                    int64_t now_ms);
+/* Return how many tasks of STEP of JOB have been started and are not done. */
+uint32_t cell_job_count_started (const struct cell_job *job, guint step);
 /* Return whether a task of JOB is on a worker. */
 bool cell_job_has_assigned_task (const struct cell_job *job);
 /* Forget jobs that ended more than keep_state_ms ago. */
@@ -423,6 +425,17 @@
    restart. */
 bool cell_worker_is_restart_confirmed (const struct cell *c,
                                        const struct cell_worker *w);
+/* Return whether W counts for the cell's capacity: it has reported, is listed
+   and does not drain. */
+bool cell_worker_is_in_service (const struct cell_worker *w);
+/* Return whether a task of S fits into ROOM beside USED.  A best-effort task
+   needs no processors. */
+bool cell_step_fits (const struct job_step *s,
+                     const struct worker_resources *used,
+                     const struct worker_resources *room);
+/* Take from AMOUNT what a task of S uses, at most all of it. */
+void cell_step_subtract (const struct job_step *s,
+                         struct worker_resources *amount);
 void cell_worker_assign_task (struct cell_worker *w, struct cell_task *t);
 void cell_worker_unassign_task (struct cell_worker *w, struct cell_task *t);
 /* Return a worker that may run tasks of an earlier owner on leases that have
@@ -512,6 +525,7 @@
    rack. */
 double cell_rack_factor (const struct cell *c, const struct job_step *s,
                          const struct cell_worker *w);
+
 /* cell_excess.c */
 /* Return whether the new job SPEC is beyond its account's rate. */
 bool cell_is_excess (struct cell *c, const struct job_spec *spec,
@@ -548,8 +562,9 @@
                           int64_t now_ms);
 
 /* cell_run_times.c */
-/* Return how long one task of S, a step of JOB, is expected to run, in ms. */
-int64_t cell_expected_run_ms (const struct cell *c, const struct cell_job *job,
+/* Return how long one task of S, a step of SPEC, is expected to run, in ms. */
+int64_t cell_expected_run_ms (const struct cell *c,
+                              const struct job_spec *spec,
                               const struct job_step *s);
 /* Return the learned quantile PERCENT of the run times of S, a step of SPEC,
    in ms, or -1 if too few are known. */
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -41,6 +41,31 @@
   return w;
 }
 
+bool
+cell_worker_is_in_service (const struct cell_worker *w)
+{
+  return w->is_confirmed && w->is_listed && !w->entry->draining;
+}
+
+bool
+cell_step_fits (const struct job_step *s, const struct worker_resources *used,
+                const struct worker_resources *room)
+{
+  return (s->is_best_effort
+          || used->cpu_milli + s->cpu_milli <= room->cpu_milli)
+         && used->memory_mb + s->memory_mb <= room->memory_mb
+         && used->gpus + s->gpus <= room->gpus;
+}
+
+void
+cell_step_subtract (const struct job_step *s, struct worker_resources *amount)
+{
+  amount->cpu_milli
+      -= MIN (s->is_best_effort ? 0 : s->cpu_milli, amount->cpu_milli);
+  amount->memory_mb -= MIN (s->memory_mb, amount->memory_mb);
+  amount->gpus -= MIN (s->gpus, amount->gpus);
+}
+
 void
 cell_worker_assign_task (struct cell_worker *w, struct cell_task *t)
 {
@@ -58,16 +83,11 @@
 void
 cell_worker_unassign_task (struct cell_worker *w, struct cell_task *t)
 {
-  const struct job_step *s = cell_task_step (t);
-
   if (!g_ptr_array_remove_fast (w->tasks, t))
     return;
   t->worker = NULL;
   cell_account_remove_task (t);
-  if (!s->is_best_effort)
-    w->used.cpu_milli -= s->cpu_milli;
-  w->used.memory_mb -= s->memory_mb;
-  w->used.gpus -= s->gpus;
+  cell_step_subtract (cell_task_step (t), &w->used);
 }
 
 /* Reset all tasks on W, whose runs have been over since OVER_MS. */
--- a/tests/unit/test_cell_order.c
+++ b/tests/unit/test_cell_order.c
@@ -1,4 +1,4 @@
-#include "accounts.h"
+#include "cell_state.h"
 #include "cell_world.h"
 
 #include <string.h>
@@ -297,7 +297,7 @@
 
   accounts_add (accounts, "flood")->weight = 10;
   accounts_add (accounts, "calm")->weight = 10;
-  cell_set_account_rates (w->cell, accounts, w->now_ms);
+  account_rates_set (w->cell->account_rates, accounts, w->now_ms);
   accounts_destroy (accounts);
 }
 
--- a/tests/unit/test_cell_racks.c
+++ b/tests/unit/test_cell_racks.c
@@ -81,7 +81,7 @@
   g_assert_cmpuint (starts_far (w), >, ROOM);
   g_assert_cmpuint (w->workers[0].starts, >, 2 * ROOM);
   job = g_hash_table_lookup (w->cell->jobs, JOB);
-  median_ms = cell_expected_run_ms (w->cell, job,
+  median_ms = cell_expected_run_ms (w->cell, job->spec,
                                     g_ptr_array_index (job->spec->steps, 0));
   g_assert_cmpint (median_ms, >, 400);
   g_assert_cmpint (median_ms, <, 700);
