Let no task fit by an overflow of its need

Cause: the fit of a task was tested in 32 bits. One that needs nearly 2^32 GPUs, or that much memory while few workers are known, fitted a worker in use and was started there in vain. Change: cell_step_fits adds in 64 bits. Result: a test that failed before passes.

--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -51,10 +51,11 @@
 cell_step_fits (const struct job_step *s, const struct worker_resources *used,
                 const struct worker_resources *room)
 {
+  /* A caller may ask for as much as 32 bits hold. */
   return (s->is_best_effort
-          || used->cpu_milli + s->cpu_milli <= room->cpu_milli)
-         && used->memory_mb + s->memory_mb <= room->memory_mb
-         && used->gpus + s->gpus <= room->gpus;
+          || (uint64_t)used->cpu_milli + s->cpu_milli <= room->cpu_milli)
+         && (uint64_t)used->memory_mb + s->memory_mb <= room->memory_mb
+         && (uint64_t)used->gpus + s->gpus <= room->gpus;
 }
 
 void
--- a/tests/unit/test_cell_order.c
+++ b/tests/unit/test_cell_order.c
@@ -483,6 +483,26 @@
   world_destroy (w);
 }
 
+/* Guards against a task that fits as the sum of its own need and what is in
+   use exceeds 32 bits. */
+static void
+test_no_room_for_extreme_needs (void)
+{
+  const struct worker_resources room = { 16000, 32768, 4 };
+  const struct worker_resources used = { 1000, 500, 1 };
+  struct job_step s = { .cpu_milli = 15000, .memory_mb = 32268, .gpus = 3 };
+
+  g_assert_true (cell_step_fits (&s, &used, &room));
+  s.cpu_milli = G_MAXUINT32;
+  g_assert_false (cell_step_fits (&s, &used, &room));
+  s.cpu_milli = 15000;
+  s.memory_mb = G_MAXUINT32;
+  g_assert_false (cell_step_fits (&s, &used, &room));
+  s.memory_mb = 32268;
+  s.gpus = G_MAXUINT32;
+  g_assert_false (cell_step_fits (&s, &used, &room));
+}
+
 int
 main (int argc, char **argv)
 {
@@ -512,6 +532,8 @@
   g_test_add_func ("/cell-order/impossible",
                    test_an_impossible_job_fails_at_once);
   g_test_add_func ("/cell-order/new-owner", test_a_new_owner_keeps_deadlines);
+  g_test_add_func ("/cell-order/extreme-needs",
+                   test_no_room_for_extreme_needs);
   g_test_add_func ("/cell-order/extreme-numbers",
                    test_extreme_numbers_of_a_job_do_not_overflow);
   return g_test_run ();
