One way to read and write records and messages

Change: variant_to_bytes and variant_from_bytes stand for them; the type of an account's amounts stands in one place.

--- a/src/account_report.c
+++ b/src/account_report.c
@@ -1,6 +1,8 @@
 #include "account_report.h"
 
-#define AMOUNT_TYPE "(ttt)"
+#include "variant_bytes.h"
+
+#define AMOUNT_TYPE ACCOUNT_AMOUNT_TYPE
 #define ROW_TYPE "(s" AMOUNT_TYPE AMOUNT_TYPE AMOUNT_TYPE ")"
 #define REPORT_TYPE "(ttxa" ROW_TYPE ")"
 #define ALLOTMENT_TYPE "(s" AMOUNT_TYPE ")"
@@ -61,31 +63,6 @@
   return a;
 }
 
-static GBytes *
-variant_to_bytes (GVariant *v)
-{
-  GBytes *bytes;
-
-  g_variant_ref_sink (v);
-  bytes = g_variant_get_data_as_bytes (v);
-  g_variant_unref (v);
-  return bytes;
-}
-
-/* Return the value of TYPE in BYTES, which the caller unrefs, or NULL if they
-   are malformed. */
-static GVariant *
-variant_from_bytes (GBytes *bytes, const char *type)
-{
-  GVariant *v = g_variant_ref_sink (
-      g_variant_new_from_bytes (G_VARIANT_TYPE (type), bytes, FALSE));
-
-  if (g_variant_is_normal_form (v))
-    return v;
-  g_variant_unref (v);
-  return NULL;
-}
-
 GBytes *
 account_report_to_bytes (const struct account_report *report)
 {
--- a/src/account_report.h
+++ b/src/account_report.h
@@ -10,6 +10,9 @@
 /* Messages between the ledger, which divides the accounts' caps among the
    cells, and the cells. */
 
+/* A struct account_amount in records and messages. */
+#define ACCOUNT_AMOUNT_TYPE "(ttt)"
+
 /* An amount without a limit. */
 #define AMOUNT_UNLIMITED                                                      \
   ((struct account_amount){ G_MAXUINT64, G_MAXUINT64, G_MAXUINT64 })
--- a/src/cell_account_journal.c
+++ b/src/cell_account_journal.c
@@ -1,6 +1,7 @@
 #include "cell_accounts.h"
 
 #include "account_use.h"
+#include "variant_bytes.h"
 
 #include <string.h>
 
@@ -16,7 +17,7 @@
    know the record: what that one held was counted without it. */
 
 /* The writer's epoch, and name, allotment and cap of each account. */
-#define AMOUNT_TYPE "(ttt)"
+#define AMOUNT_TYPE ACCOUNT_AMOUNT_TYPE
 #define ROWS_TYPE "a(s" AMOUNT_TYPE AMOUNT_TYPE ")"
 #define RECORD_TYPE "(t" ROWS_TYPE ")"
 /* The same rows for g_variant_get and g_variant_builder_add. */
@@ -70,7 +71,6 @@
   struct cell_accounts *s = c->accounts;
   struct journal_entry *e;
   GVariantBuilder rows;
-  GVariant *v;
   GBytes *value;
 
   g_variant_builder_init (&rows, G_VARIANT_TYPE (ROWS_TYPE));
@@ -86,12 +86,10 @@
                                a->cap.memory_mb, a->cap.gpus);
     }
   s->is_change_queued = false;
-  v = g_variant_ref_sink (
+  value = variant_to_bytes (
       g_variant_new (RECORD_TYPE, c->options.epoch, &rows));
-  value = g_variant_get_data_as_bytes (v);
   e = journal_entry_new (CELL_ACCOUNTS_KEY, value);
   g_bytes_unref (value);
-  g_variant_unref (v);
   return e;
 }
 
@@ -190,17 +188,15 @@
 void
 cell_accounts_load (struct cell *c, GBytes *value)
 {
-  GVariant *v = g_variant_ref_sink (
-      g_variant_new_from_bytes (G_VARIANT_TYPE (RECORD_TYPE), value, FALSE));
+  GVariant *v = variant_from_bytes (value, RECORD_TYPE);
   uint64_t newest = cell_owners_newest_epoch (c), epoch;
   GVariantIter *rows;
 
   forget_loaded (c);
-  if (!g_variant_is_normal_form (v))
+  if (v == NULL)
     {
       cell_log_event (c, "journal-malformed", CELL_ACCOUNTS_KEY,
                       "outcome=no-allotments");
-      g_variant_unref (v);
       return;
     }
   g_variant_get (v, RECORD_TYPE, &epoch, &rows);
--- a/src/cell_journal.c
+++ b/src/cell_journal.c
@@ -1,5 +1,7 @@
 #include "cell_accounts.h"
 
+#include "variant_bytes.h"
+
 /* The journal holds these records by key:
    "j:JOB"     the specification of a job that has not ended, or that may have
                runs which count for its account
@@ -180,12 +182,10 @@
                    int64_t lease_remaining_ms)
 {
   struct journal_entry *e = g_new0 (struct journal_entry, 1);
-  GVariant *v = g_variant_ref_sink (
-      worker_record (w, ends, names_runs, lease_remaining_ms));
 
   e->key = g_strconcat ("w:", w->entry->id, NULL);
-  e->value = g_variant_get_data_as_bytes (v);
-  g_variant_unref (v);
+  e->value = variant_to_bytes (
+      worker_record (w, ends, names_runs, lease_remaining_ms));
   return e;
 }
 
--- a/src/cell_journal_load.c
+++ b/src/cell_journal_load.c
@@ -1,5 +1,7 @@
 #include "cell_accounts.h"
 
+#include "variant_bytes.h"
+
 #include <string.h>
 
 /* Loading the records of the journal; see cell_journal.c. */
@@ -58,8 +60,7 @@
 static void
 load_worker (struct cell *c, const char *id, GBytes *value)
 {
-  GVariant *v = g_variant_ref_sink (g_variant_new_from_bytes (
-      G_VARIANT_TYPE (CELL_WORKER_RECORD_TYPE), value, FALSE));
+  GVariant *v = variant_from_bytes (value, CELL_WORKER_RECORD_TYPE);
   struct cell_worker *w = g_hash_table_lookup (c->workers, id);
   gboolean names_runs, is_emptying;
   GVariantIter *runs;
@@ -68,13 +69,12 @@
 
   if (w == NULL)
     w = cell_worker_add (c, id);
-  if (!g_variant_is_normal_form (v))
+  if (v == NULL)
     {
       /* Nothing is known of it, so any run may be there. */
       cell_log_event (c, "journal-malformed", id, "outcome=runs-unknown");
       w->may_have_unseen_runs = true;
       w->is_in_journal = true;
-      g_variant_unref (v);
       return;
     }
   while (w->tasks->len > 0)
--- a/src/cell_progress.c
+++ b/src/cell_progress.c
@@ -1,5 +1,7 @@
 #include "cell_state.h"
 
+#include "variant_bytes.h"
+
 /* A job's progress in the journal: its state, the number of its next
    occurrence, the count of those done and, for each open one, its number, a
    bit for each task that is done and the failures of each task. */
@@ -35,8 +37,6 @@
 cell_job_progress (const struct cell_job *job)
 {
   GVariantBuilder open;
-  GVariant *v;
-  GBytes *bytes;
 
   g_variant_builder_init (&open, G_VARIANT_TYPE ("a(uayay)"));
   if (job->state < JOB_COMPLETED)
@@ -44,12 +44,9 @@
       g_variant_builder_add_value (
           &open,
           occurrence_progress (g_ptr_array_index (job->occurrences, i)));
-  v = g_variant_ref_sink (g_variant_new (PROGRESS_TYPE, (guchar)job->state,
-                                         job->next_occurrence,
-                                         job->done_occurrences, &open));
-  bytes = g_variant_get_data_as_bytes (v);
-  g_variant_unref (v);
-  return bytes;
+  return variant_to_bytes (g_variant_new (PROGRESS_TYPE, (guchar)job->state,
+                                          job->next_occurrence,
+                                          job->done_occurrences, &open));
 }
 
 static void
@@ -119,18 +116,17 @@
 cell_job_load_progress (struct cell *c, const char *id, GBytes *bytes)
 {
   struct cell_job *job = g_hash_table_lookup (c->jobs, id);
-  GVariant *v = g_variant_ref_sink (
-      g_variant_new_from_bytes (G_VARIANT_TYPE (PROGRESS_TYPE), bytes, FALSE));
+  GVariant *v = variant_from_bytes (bytes, PROGRESS_TYPE);
   guchar state_number;
   uint32_t next, done;
   GVariantIter *open;
   enum job_state state;
 
-  if (!g_variant_is_normal_form (v)
+  if (v == NULL
       || (job != NULL && job->state < JOB_COMPLETED
           && !can_have_progress (job, v)))
     {
-      g_variant_unref (v);
+      g_clear_pointer (&v, g_variant_unref);
       cell_job_load_unreadable (c, id);
       return;
     }
--- a/src/job.c
+++ b/src/job.c
@@ -1,6 +1,7 @@
 #include "job.h"
 
 #include "error.h"
+#include "variant_bytes.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -317,7 +318,6 @@
 {
   GVariantBuilder steps;
   GVariant *v;
-  GBytes *bytes;
 
   g_variant_builder_init (&steps, G_VARIANT_TYPE ("a" STEP_TYPE));
   for (guint i = 0; i < spec->steps->len; i++)
@@ -331,10 +331,7 @@
                      spec->advice.is_needed, spec->advice.valid_ms, &steps);
   if (spec->account[0] != '\0')
     v = g_variant_new ("(s@" SPEC_TYPE ")", spec->account, v);
-  v = g_variant_ref_sink (v);
-  bytes = g_variant_get_data_as_bytes (v);
-  g_variant_unref (v);
-  return bytes;
+  return variant_to_bytes (v);
 }
 
 static struct job_spec *
@@ -368,17 +365,13 @@
 spec_from_bytes_of_type (GBytes *bytes, const char *type)
 {
   bool has_account = strcmp (type, ACCOUNT_SPEC_TYPE) == 0;
-  GVariant *v = g_variant_ref_sink (
-      g_variant_new_from_bytes (G_VARIANT_TYPE (type), bytes, FALSE));
+  /* Bytes of the other form may read as a long list of steps. */
+  GVariant *v = variant_from_bytes (bytes, type);
   GVariant *inner;
   struct job_spec *s;
 
-  /* Bytes of the other form may read as a long list of steps. */
-  if (!g_variant_is_normal_form (v))
-    {
-      g_variant_unref (v);
-      return NULL;
-    }
+  if (v == NULL)
+    return NULL;
   inner = has_account ? g_variant_get_child_value (v, 1) : g_variant_ref (v);
   s = spec_from_variant (inner);
   if (has_account)
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -255,8 +255,8 @@
 /* Return the owner of SERVICE's cell in the form that owner_record takes, or
    NULL if it is not known. */
 const char *owner_address (const struct node *n, const char *service);
-/* Return whether OWNER, as of owner_address, is the address of a node that owns
-   the cell, be it this one. */
+/* Return whether OWNER, as of owner_address, is the address of a node that
+   owns the cell, be it this one. */
 bool owner_is_address (const char *owner);
 /* Return whether this node is in the reserve: it has too few cores to own a
    cell while another node can. */
--- a/src/peer_message.c
+++ b/src/peer_message.c
@@ -1,5 +1,7 @@
 #include "peer_message.h"
 
+#include "variant_bytes.h"
+
 /* Version, kind, sender, incarnation, payload. */
 #define ENVELOPE_TYPE "(yystv)"
 #define ECHO_TYPE "(stx)"
@@ -311,12 +313,8 @@
                                (guchar)message->kind, message->from,
                                (guint64)message->incarnation,
                                payload_to_variant (message));
-  GBytes *bytes;
 
-  g_variant_ref_sink (v);
-  bytes = g_variant_get_data_as_bytes (v);
-  g_variant_unref (v);
-  return bytes;
+  return variant_to_bytes (v);
 }
 
 static bool
@@ -525,12 +523,10 @@
     return PEER_READ_MALFORMED;
   if (data[0] != PEER_MESSAGE_VERSION)
     return PEER_READ_OTHER_VERSION;
-  v = g_variant_new_from_bytes (G_VARIANT_TYPE (ENVELOPE_TYPE), bytes, FALSE);
-  g_variant_ref_sink (v);
-  if (g_variant_is_normal_form (v))
-    result = read_envelope (v, message);
-  else
-    result = PEER_READ_MALFORMED;
+  v = variant_from_bytes (bytes, ENVELOPE_TYPE);
+  if (v == NULL)
+    return PEER_READ_MALFORMED;
+  result = read_envelope (v, message);
   g_variant_unref (v);
   return result;
 }
--- a/src/queue_homes.c
+++ b/src/queue_homes.c
@@ -1,5 +1,7 @@
 #include "queue_homes.h"
 
+#include "variant_bytes.h"
+
 #include <string.h>
 
 #define KEY_PREFIX "home:"
@@ -63,8 +65,7 @@
 home_variant (const struct queue_route *q)
 {
   char *queue = queue_homes_text (q);
-  GVariant *v = g_variant_ref_sink (
-      g_variant_new (HOME_TYPE, queue, q->service, q->name));
+  GVariant *v = g_variant_new (HOME_TYPE, queue, q->service, q->name);
 
   g_free (queue);
   return v;
@@ -84,14 +85,12 @@
 struct journal_entry *
 queue_home_entry (const struct queue_route *q)
 {
-  GVariant *v = home_variant (q);
-  GBytes *value = g_variant_get_data_as_bytes (v);
+  GBytes *value = variant_to_bytes (home_variant (q));
   char *key = home_key (value);
   struct journal_entry *e = journal_entry_new (key, value);
 
   g_free (key);
   g_bytes_unref (value);
-  g_variant_unref (v);
   return e;
 }
 
@@ -104,16 +103,14 @@
 void
 queue_homes_load (struct queue_homes *homes, const char *key, GBytes *value)
 {
-  GVariant *v = g_variant_ref_sink (
-      g_variant_new_from_bytes (G_VARIANT_TYPE (HOME_TYPE), value, FALSE));
+  GVariant *v = variant_from_bytes (value, HOME_TYPE);
   struct queue_home *h;
 
-  if (g_variant_is_normal_form (v))
-    {
-      h = g_new0 (struct queue_home, 1);
-      g_variant_get (v, HOME_TYPE, &h->queue, &h->service, &h->name);
-      g_hash_table_replace (homes->by_key, g_strdup (key), h);
-    }
+  if (v == NULL)
+    return;
+  h = g_new0 (struct queue_home, 1);
+  g_variant_get (v, HOME_TYPE, &h->queue, &h->service, &h->name);
+  g_hash_table_replace (homes->by_key, g_strdup (key), h);
   g_variant_unref (v);
 }
 
--- a/src/relay_message.c
+++ b/src/relay_message.c
@@ -1,5 +1,7 @@
 #include "relay_message.h"
 
+#include "variant_bytes.h"
+
 /* Whether it is a start, the epoch, worker, address, task, run, deadline,
    payload, checkpoint and ticket. */
 #define ORDERS_TYPE "a(btssstxsss)"
@@ -42,8 +44,6 @@
 relay_orders_to_bytes (const GPtrArray *orders)
 {
   GVariantBuilder b;
-  GVariant *v;
-  GBytes *bytes;
 
   g_variant_builder_init (&b, G_VARIANT_TYPE (ORDERS_TYPE));
   for (guint i = 0; i < orders->len; i++)
@@ -56,35 +56,29 @@
                              r->deadline_ms, r->payload, r->checkpoint,
                              r->ticket);
     }
-  v = g_variant_ref_sink (g_variant_builder_end (&b));
-  bytes = g_variant_get_data_as_bytes (v);
-  g_variant_unref (v);
-  return bytes;
+  return variant_to_bytes (g_variant_builder_end (&b));
 }
 
 GPtrArray *
 relay_orders_from_bytes (GBytes *bytes)
 {
-  GVariant *v = g_variant_ref_sink (
-      g_variant_new_from_bytes (G_VARIANT_TYPE (ORDERS_TYPE), bytes, FALSE));
-  GPtrArray *orders = NULL;
+  GVariant *v = variant_from_bytes (bytes, ORDERS_TYPE);
+  GPtrArray *orders;
   GVariantIter iter;
   gboolean is_start;
   uint64_t epoch;
   struct run_order r = { NULL };
 
-  if (g_variant_is_normal_form (v))
-    {
-      orders = g_ptr_array_new_with_free_func (relayed_order_destroy);
-      g_variant_iter_init (&iter, v);
-      while (g_variant_iter_next (&iter, "(bt&s&s&stx&s&s&s)", &is_start,
-                                  &epoch, &r.worker, &r.address, &r.task,
-                                  &r.run, &r.deadline_ms, &r.payload,
-                                  &r.checkpoint, &r.ticket))
-        g_ptr_array_add (
-            orders, relayed_order_new (is_start ? ORDER_START : ORDER_STOP,
-                                       epoch, &r));
-    }
+  if (v == NULL)
+    return NULL;
+  orders = g_ptr_array_new_with_free_func (relayed_order_destroy);
+  g_variant_iter_init (&iter, v);
+  while (g_variant_iter_next (
+      &iter, "(bt&s&s&stx&s&s&s)", &is_start, &epoch, &r.worker, &r.address,
+      &r.task, &r.run, &r.deadline_ms, &r.payload, &r.checkpoint, &r.ticket))
+    g_ptr_array_add (
+        orders,
+        relayed_order_new (is_start ? ORDER_START : ORDER_STOP, epoch, &r));
   g_variant_unref (v);
   return orders;
 }
--- a/src/sizing.c
+++ b/src/sizing.c
@@ -1,6 +1,7 @@
 #include "sizing.h"
 
 #include "demand.h"
+#include "variant_bytes.h"
 
 #include <string.h>
 
@@ -83,31 +84,23 @@
 GBytes *
 pool_load_to_bytes (const struct pool_load *load)
 {
-  GVariant *v = g_variant_ref_sink (g_variant_new (
+  return variant_to_bytes (g_variant_new (
       "(ttttuutt@as@as)", load->cpu_per_worker_milli, load->cpu_used_milli,
       load->cpu_long_running_milli, load->cpu_wanted_milli, load->workers_min,
       load->workers_emptying, load->accepted_jobs, load->accepted_work_milli_s,
       strings_to_variant (load->idle),
       strings_to_variant (load->reclaimable)));
-  GBytes *bytes = g_variant_get_data_as_bytes (v);
-
-  g_variant_unref (v);
-  return bytes;
 }
 
 struct pool_load *
 pool_load_from_bytes (const char *service, GBytes *bytes)
 {
-  GVariant *v = g_variant_ref_sink (
-      g_variant_new_from_bytes (G_VARIANT_TYPE (LOAD_TYPE), bytes, FALSE));
+  GVariant *v = variant_from_bytes (bytes, LOAD_TYPE);
   struct pool_load *l;
   GVariantIter *idle, *reclaimable;
 
-  if (!g_variant_is_normal_form (v))
-    {
-      g_variant_unref (v);
-      return NULL;
-    }
+  if (v == NULL)
+    return NULL;
   l = pool_load_new (service);
   g_variant_get (v, LOAD_TYPE, &l->cpu_per_worker_milli, &l->cpu_used_milli,
                  &l->cpu_long_running_milli, &l->cpu_wanted_milli,
--- a/src/snapshot.c
+++ b/src/snapshot.c
@@ -1,6 +1,7 @@
 #include "snapshot.h"
 
 #include "fleet_state.h"
+#include "variant_bytes.h"
 
 #include <string.h>
 #include <xxhash.h>
@@ -232,12 +233,8 @@
       (guint64)f->max_expired_claim_offset, (gint64)f->next_bucket,
       write_vms (f), names, claims, write_waves (f), write_nodes (f),
       write_node_counts (f));
-  GBytes *bytes;
 
-  g_variant_ref_sink (v);
-  bytes = g_variant_get_data_as_bytes (v);
-  g_variant_unref (v);
-  return bytes;
+  return variant_to_bytes (v);
 }
 
 static struct digest
