Share sums and capacities of accounts between cell and ledger

Cause: the ledger had its own saturating sum and its own reading of a cap of 0, two files turned a worker's capacity into an amount, and the priority of an account was read and never used. Change: the ledger calls account_use.h, cell_worker_amount stands for the copies, the unused member is gone (the check of a configuration still checks it). Result: no other behavior; unit tests pass.

--- a/src/account_use.c
+++ b/src/account_use.c
@@ -4,8 +4,8 @@
 
 #include <glib.h>
 
-static uint64_t
-add (uint64_t a, uint64_t b)
+uint64_t
+add_saturated (uint64_t a, uint64_t b)
 {
   return a > G_MAXUINT64 - b ? G_MAXUINT64 : a + b;
 }
@@ -25,9 +25,9 @@
 struct account_amount
 amount_add (struct account_amount a, struct account_amount b)
 {
-  return (struct account_amount){ add (a.cpu_milli, b.cpu_milli),
-                                  add (a.memory_mb, b.memory_mb),
-                                  add (a.gpus, b.gpus) };
+  return (struct account_amount){ add_saturated (a.cpu_milli, b.cpu_milli),
+                                  add_saturated (a.memory_mb, b.memory_mb),
+                                  add_saturated (a.gpus, b.gpus) };
 }
 
 struct account_amount
@@ -68,6 +68,13 @@
   return a.cpu_milli == 0 && a.memory_mb == 0 && a.gpus == 0;
 }
 
+bool
+amount_equals (struct account_amount a, struct account_amount b)
+{
+  return a.cpu_milli == b.cpu_milli && a.memory_mb == b.memory_mb
+         && a.gpus == b.gpus;
+}
+
 bool
 amount_fits (struct account_amount used, struct account_amount extra,
              struct account_amount limit)
--- a/src/account_use.h
+++ b/src/account_use.h
@@ -13,6 +13,7 @@
    is a number of equal slots; here the resources of tasks of different sizes
    are compared with a capacity that changes. */
 
+uint64_t add_saturated (uint64_t a, uint64_t b);
 struct account_amount amount_add (struct account_amount a,
                                   struct account_amount b);
 /* Return A - B, at least 0. */
@@ -24,6 +25,7 @@
 struct account_amount amount_max (struct account_amount a,
                                   struct account_amount b);
 bool amount_is_zero (struct account_amount a);
+bool amount_equals (struct account_amount a, struct account_amount b);
 
 /* Return whether EXTRA beside USED is within LIMIT in every resource. */
 bool amount_fits (struct account_amount used, struct account_amount extra,
--- a/src/accounts.h
+++ b/src/accounts.h
@@ -22,7 +22,6 @@
 struct client_account
 {
   char *name;
-  uint32_t priority;
   uint32_t weight; /* share of a full cell; also the jobs a second that are
                       owed service */
   struct account_amount cap; /* that it may have running over all services;
--- a/src/cell_account_journal.c
+++ b/src/cell_account_journal.c
@@ -33,13 +33,6 @@
   return (struct journaled_allotment){ true, a->allotment, a->cap };
 }
 
-static bool
-amount_equals (struct account_amount a, struct account_amount b)
-{
-  return a.cpu_milli == b.cpu_milli && a.memory_mb == b.memory_mb
-         && a.gpus == b.gpus;
-}
-
 static bool
 row_equals (const struct journaled_allotment *a,
             const struct journaled_allotment *b)
--- a/src/cell_account_use.c
+++ b/src/cell_account_use.c
@@ -18,6 +18,14 @@
   return (struct account_amount){ s->cpu_milli, s->memory_mb, s->gpus };
 }
 
+struct account_amount
+cell_worker_amount (const struct cell_worker *w)
+{
+  const struct worker_resources *r = &w->entry->capacity;
+
+  return (struct account_amount){ r->cpu_milli, r->memory_mb, r->gpus };
+}
+
 void
 cell_account_add_task (const struct cell_task *t)
 {
@@ -272,15 +280,13 @@
   for (guint i = 0; i < c->worker_list->len; i++)
     {
       const struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
-      const struct worker_resources *r = &w->entry->capacity;
 
       if (!may_have_unseen_runs (c, w))
         continue;
-      if (r->cpu_milli == 0)
+      if (w->entry->capacity.cpu_milli == 0)
         return (struct account_amount){ UNKNOWN_AMOUNT, UNKNOWN_AMOUNT,
                                         UNKNOWN_AMOUNT };
-      sum = amount_add (
-          sum, (struct account_amount){ r->cpu_milli, r->memory_mb, r->gpus });
+      sum = amount_add (sum, cell_worker_amount (w));
     }
   return sum;
 }
--- a/src/cell_accounts.c
+++ b/src/cell_accounts.c
@@ -257,11 +257,9 @@
   for (guint i = 0; i < c->worker_list->len; i++)
     {
       const struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
-      const struct worker_resources *r = &w->entry->capacity;
 
       if (cell_worker_is_in_service (w))
-        sum = amount_add (sum, (struct account_amount){
-                                   r->cpu_milli, r->memory_mb, r->gpus });
+        sum = amount_add (sum, cell_worker_amount (w));
     }
   return sum;
 }
--- a/src/cell_accounts.h
+++ b/src/cell_accounts.h
@@ -119,6 +119,8 @@
 
 /* cell_account_use.c */
 struct account_amount cell_step_amount (const struct job_step *s);
+/* Return W's capacity. */
+struct account_amount cell_worker_amount (const struct cell_worker *w);
 /* Return what A uses, or may use. */
 struct account_amount cell_account_use (const struct cell_account *a);
 /* Bound the unseen runs of each account anew. */
--- a/src/cell_run_times.c
+++ b/src/cell_run_times.c
@@ -26,6 +26,12 @@
   return text;
 }
 
+static const char *
+task_key (const struct cell_task *t, char *text)
+{
+  return step_key (t->occurrence->job->spec, cell_task_step (t), text);
+}
+
 int64_t
 cell_learned_run_ms (const struct cell *c, const struct job_spec *spec,
                      const struct job_step *s, uint32_t percent)
@@ -76,7 +82,7 @@
   if (typical_ms >= 0)
     cell_worker_time_run (c, w, run_ms, typical_ms, now_ms);
   if (!cell_worker_is_suspect (w) && !cell_worker_is_slow (w))
-    run_times_add (c->run_times, step_key (spec, s, text), run_ms, now_ms);
+    run_times_add (c->run_times, task_key (t, text), run_ms, now_ms);
 }
 
 void
@@ -85,10 +91,7 @@
 {
   char text[KEY_BYTES];
 
-  run_times_add_copy (
-      c->run_times,
-      step_key (t->occurrence->job->spec, cell_task_step (t), text), has_won,
-      now_ms);
+  run_times_add_copy (c->run_times, task_key (t, text), has_won, now_ms);
 }
 
 bool
@@ -97,7 +100,5 @@
 {
   char text[KEY_BYTES];
 
-  return run_times_copies_pay (
-      c->run_times,
-      step_key (t->occurrence->job->spec, cell_task_step (t), text), now_ms);
+  return run_times_copies_pay (c->run_times, task_key (t, text), now_ms);
 }
--- a/src/ledger_account.c
+++ b/src/ledger_account.c
@@ -1,5 +1,7 @@
 #include "ledger_account.h"
 
+#include "account_use.h"
+
 #include <string.h>
 
 /* A rest of less than this fraction of the cap is not divided: each cell's
@@ -27,12 +29,6 @@
                                   array[RESOURCE_GPUS] };
 }
 
-static uint64_t
-add_saturated (uint64_t a, uint64_t b)
-{
-  return a > G_MAXUINT64 - b ? G_MAXUINT64 : a + b;
-}
-
 struct account_share *
 ledger_account_share (const struct ledger_account *a, guint cell)
 {
@@ -245,10 +241,7 @@
 ledger_account_set_cap (struct ledger_account *account,
                         struct account_amount cap)
 {
-  account_amount_to_array (cap, account->cap);
-  for (int r = 0; r < RESOURCE_COUNT; r++)
-    if (account->cap[r] == 0)
-      account->cap[r] = G_MAXUINT64;
+  account_amount_to_array (account_cap_limit (cap), account->cap);
 }
 
 struct ledger_account *
