Share the choice of connections, the series of log lines and a hash

Result: a worker's orders may go through another relay than before, which nothing depends on; no other behavior; unit tests pass.

--- a/src/config_check.c
+++ b/src/config_check.c
@@ -225,6 +225,13 @@
   g_hash_table_unref (used);
 }
 
+static const char *
+name_or_place (const struct config_entry *e)
+{
+  return get_text (e, CONFIG_NAME) != NULL ? get_text (e, CONFIG_NAME)
+                                           : e->place;
+}
+
 /* Check the keys of E; OWNERS has the keys seen so far, with their entries. */
 static void
 check_keys (struct config_entry *e, GHashTable *owners, GPtrArray *findings)
@@ -251,11 +258,7 @@
             findings, CONFIG_ERROR, place,
             "the accounts \"%s\" and \"%s\" have this key; give each a key "
             "of its own",
-            owner->values[CONFIG_NAME].text != NULL
-                ? owner->values[CONFIG_NAME].text
-                : owner->place,
-            get_text (e, CONFIG_NAME) != NULL ? get_text (e, CONFIG_NAME)
-                                              : e->place);
+            name_or_place (owner), name_or_place (e));
       else
         g_hash_table_insert (owners, key, e);
       g_free (place);
--- a/src/event_log.c
+++ b/src/event_log.c
@@ -102,6 +102,15 @@
   g_free (details);
 }
 
+bool
+event_log_begins_series (int64_t *last_ms, int64_t now_ms)
+{
+  int64_t before_ms = *last_ms;
+
+  *last_ms = now_ms;
+  return before_ms == 0 || now_ms > before_ms + EVENT_SERIES_GAP_MS;
+}
+
 void
 event_log_flush (void)
 {
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -19,6 +19,12 @@
 void event_log (const char *event, const char *subject, const char *format,
                 ...) G_GNUC_PRINTF (3, 4);
 
+/* Note an occurrence at NOW_MS of what may occur often.  *LAST_MS, 0 at first,
+   is when it occurred last.  Return whether it begins a series, of which only
+   the first is logged: it had not occurred for EVENT_SERIES_GAP_MS. */
+bool event_log_begins_series (int64_t *last_ms, int64_t now_ms);
+#define EVENT_SERIES_GAP_MS 60000
+
 /* Write the buffered lines, as far as the pipe accepts them without
    blocking. */
 void event_log_flush (void);
--- a/src/http_server.c
+++ b/src/http_server.c
@@ -16,9 +16,6 @@
 /* How long a listener accepts nothing after the system had no descriptor or
    memory for a connection.  It would try again without a pause otherwise. */
 #define ACCEPT_PAUSE_MS 100
-/* Connections that are closed for one reason form a series until none has been
-   closed for so long. */
-#define SERIES_GAP_MS 60000
 /* Once memory is short, connections are closed until this share of the bound
    is in use, so that not every further byte closes one. */
 #define SHED_TO_PERCENT 90
@@ -49,11 +46,8 @@
 static void
 count_closed (struct http_listener *l, enum meter reason, const char *name)
 {
-  int64_t last_ms = l->last_closed_ms[reason];
-
   meters_add (l->server->meters, reason, 1);
-  l->last_closed_ms[reason] = clock_steady_ms ();
-  if (last_ms == 0 || clock_steady_ms () > last_ms + SERIES_GAP_MS)
+  if (event_log_begins_series (&l->last_closed_ms[reason], clock_steady_ms ()))
     event_log ("client-closed", l->options.name,
                "cause=%s connections=%u held_bytes=%" G_GUINT64_FORMAT, name,
                l->n_connections, l->server->held_bytes);
@@ -269,7 +263,6 @@
     {
       struct http_connection *victim
           = find_victim (s, NULL, NULL, shedding_choose_for_memory);
-
       uint64_t before = s->held_bytes;
 
       if (victim == NULL)
--- a/src/members.c
+++ b/src/members.c
@@ -1,7 +1,8 @@
 #include "members.h"
 
+#include "rendezvous.h"
+
 #include <string.h>
-#include <xxhash.h>
 
 struct members
 {
@@ -194,13 +195,6 @@
     }
 }
 
-static uint64_t
-rendezvous_hash (const char *node, const char *pool)
-{
-  return XXH3_64bits_withSeed (node, strlen (node),
-                               XXH3_64bits (pool, strlen (pool)));
-}
-
 static const char *
 find_owner (const struct members *members, const char *pool)
 {
--- a/src/relays.c
+++ b/src/relays.c
@@ -1,6 +1,6 @@
 #include "relays.h"
 
-#include <xxhash.h>
+#include "rendezvous.h"
 
 #include <string.h>
 
@@ -88,15 +88,13 @@
 static const struct relay *
 choose_by_hash (const struct relays *r, const char *worker, int64_t now_ms)
 {
-  XXH64_hash_t seed = XXH64 (worker, strlen (worker), 0);
   const struct relay *best = NULL;
-  XXH64_hash_t best_hash = 0;
+  uint64_t best_hash = 0;
 
   for (guint i = 0; i < r->list->len; i++)
     {
       const struct relay *relay = g_ptr_array_index (r->list, i);
-      XXH64_hash_t hash
-          = XXH64 (relay->address, strlen (relay->address), seed);
+      uint64_t hash = rendezvous_hash (relay->address, worker);
 
       if (now_ms < relay->unusable_until_ms
           || (best != NULL && hash <= best_hash))
--- a/src/shedding.c
+++ b/src/shedding.c
@@ -40,6 +40,10 @@
   return SHEDDING_NONE;
 }
 
+/* Return whether A goes before B, of the same rank. */
+typedef bool (*goes_before) (const struct connection_load *a,
+                             const struct connection_load *b);
+
 static bool
 holds_more (const struct connection_load *a, const struct connection_load *b)
 {
@@ -48,21 +52,29 @@
   return a->bytes > b->bytes;
 }
 
-gssize
-shedding_choose_for_memory (const struct connection_load *loads, gsize n,
-                            int64_t now_ms)
+static bool
+changed_earlier (const struct connection_load *a,
+                 const struct connection_load *b)
+{
+  return a->changed_ms < b->changed_ms;
+}
+
+static gssize
+choose (const struct connection_load *loads, gsize n, int64_t now_ms,
+        int (*rank_of) (const struct connection_load *, int64_t),
+        goes_before before)
 {
   gssize chosen = SHEDDING_NONE;
   int chosen_rank = SHEDDING_NONE;
 
   for (gsize i = 0; i < n; i++)
     {
-      int rank = rank_for_memory (&loads[i], now_ms);
+      int rank = rank_of (&loads[i], now_ms);
 
       if (rank == SHEDDING_NONE)
         continue;
       if (chosen == SHEDDING_NONE || rank < chosen_rank
-          || (rank == chosen_rank && holds_more (&loads[i], &loads[chosen])))
+          || (rank == chosen_rank && before (&loads[i], &loads[chosen])))
         {
           chosen = (gssize)i;
           chosen_rank = rank;
@@ -71,26 +83,16 @@
   return chosen;
 }
 
+gssize
+shedding_choose_for_memory (const struct connection_load *loads, gsize n,
+                            int64_t now_ms)
+{
+  return choose (loads, n, now_ms, rank_for_memory, holds_more);
+}
+
 gssize
 shedding_choose_for_room (const struct connection_load *loads, gsize n,
                           int64_t now_ms)
 {
-  gssize chosen = SHEDDING_NONE;
-  int chosen_rank = SHEDDING_NONE;
-
-  for (gsize i = 0; i < n; i++)
-    {
-      int rank = rank_for_room (&loads[i], now_ms);
-
-      if (rank == SHEDDING_NONE)
-        continue;
-      if (chosen == SHEDDING_NONE || rank < chosen_rank
-          || (rank == chosen_rank
-              && loads[i].changed_ms < loads[chosen].changed_ms))
-        {
-          chosen = (gssize)i;
-          chosen_rank = rank;
-        }
-    }
-  return chosen;
+  return choose (loads, n, now_ms, rank_for_room, changed_earlier);
 }
