--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -1338,6 +1338,31 @@
     }
 }
 
+void
+world_replace_owner (struct world *w, enum world_succession how)
+{
+  int64_t stale_ms
+      = how == WORLD_OWNER_STALE ? g_rand_int_range (w->rand, 500, 8000) : 0;
+
+  world_take_over (w, how == WORLD_OWNER_YIELDS, stale_ms);
+}
+
+void
+world_reach_workers (struct world *w)
+{
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    w->workers[i].reachable = true;
+}
+
+bool
+world_plays_seed (int argc, char **argv, void (*play) (uint32_t seed))
+{
+  if (argc != 3 || strcmp (argv[1], "--seed") != 0)
+    return false;
+  play ((uint32_t)g_ascii_strtoull (argv[2], NULL, 10));
+  return true;
+}
+
 void
 world_partition (struct world *w, uint32_t workers)
 {
@@ -1418,6 +1443,12 @@
   cell_activate (w->cell, w->now_ms);
 }
 
+struct job_step *
+first_step (const struct job_spec *spec)
+{
+  return g_ptr_array_index (spec->steps, 0);
+}
+
 struct job_spec *
 world_job (const struct world *w, const char *id, guint steps, uint32_t count)
 {
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -140,6 +140,21 @@
    stale already goes on, unless another one becomes so. */
 void world_take_over (struct world *w, bool yields, int64_t stale_ms);
 
+/* How an owner is replaced. */
+enum world_succession
+{
+  WORLD_OWNER_ENDS,
+  WORLD_OWNER_YIELDS,
+  WORLD_OWNER_STALE /* it goes on acting for 0.5 to 8 s */
+};
+void world_replace_owner (struct world *w, enum world_succession how);
+
+/* Let the owner reach all workers. */
+void world_reach_workers (struct world *w);
+
+/* If the arguments are "--seed SEED", call PLAY with it and return true. */
+bool world_plays_seed (int argc, char **argv, void (*play) (uint32_t seed));
+
 /* Partition the owner and those workers whose bits are set in WORKERS from the
    store and the other workers.  A call of world_take_over makes the owner the
    stale one, on its side of the partition, and puts its successor on the other
@@ -147,6 +162,9 @@
 void world_partition (struct world *w, uint32_t workers);
 void world_heal_partition (struct world *w);
 
+/* Return the first step of SPEC. */
+struct job_step *first_step (const struct job_spec *spec);
+
 /* Return a job of STEPS consecutive steps with COUNT tasks each. */
 struct job_spec *world_job (const struct world *w, const char *id, guint steps,
                             uint32_t count);
--- a/tests/unit/test_cell_account_journal.c
+++ b/tests/unit/test_cell_account_journal.c
@@ -1,44 +1,11 @@
+#include "account_jobs.h"
 #include "account_use.h"
 #include "cell_accounts.h"
-#include "cell_world.h"
 
 #include <string.h>
 
 /* Allotments in the journal: what a new owner loads, and what an owner reports
-   as held on its account.  A task of world_job uses 1000 thousandths of a core
-   and 500 MB. */
-
-/* A weight, which is also the rate of jobs, that no test reaches. */
-#define NO_RATE 1000
-
-static struct account_amount
-tasks (uint32_t n)
-{
-  return (struct account_amount){ n * UINT64_C (1000), n * UINT64_C (500), 0 };
-}
-
-static struct job_spec *
-job_of (const struct world *w, const char *id, uint32_t count,
-        const char *account)
-{
-  return world_of_account (world_job (w, id, 1, count), account);
-}
-
-static guint
-count_real (const struct world *w, const char *account)
-{
-  return (guint)(world_real_use (w, account).cpu_milli / 1000);
-}
-
-/* Return how many tasks of the first account the owner last reported to hold.
- */
-static guint
-held_tasks (const struct world *w)
-{
-  return (guint)(((struct account_row *)g_ptr_array_index (w->report->rows, 0))
-                     ->held.cpu_milli
-                 / 1000);
-}
+   as held on its account. */
 
 /* Guards against a new owner that starts nothing while the ledger is silent,
    and against one that starts more than its predecessor was allotted, or that
--- a/tests/unit/test_cell_copies.c
+++ b/tests/unit/test_cell_copies.c
@@ -8,12 +8,6 @@
 /* Tasks that fit on all workers of the world. */
 #define ALL_ROOM 96
 
-static struct job_step *
-first_step (const struct job_spec *spec)
-{
-  return g_ptr_array_index (spec->steps, 0);
-}
-
 static struct job_spec *
 job_with_copies (const struct world *w, const char *id, uint32_t count)
 {
@@ -72,6 +66,30 @@
   g_assert_cmpuint (w->copies, ==, 1);
 }
 
+/* Submit JOB and let time pass until its task has two runs, see
+   run_until_copied.  Return the worker with the first one. */
+static struct world_worker *
+submit_until_copied (struct world *w, bool is_short)
+{
+  struct world_worker *first;
+
+  world_submit (w, job_with_copies (w, JOB, 1));
+  world_run (w, 500);
+  first = world_find_run (w, TASK);
+  run_until_copied (w, is_short);
+  return first;
+}
+
+/* Expect JOB to be completed within 40 s, and destroy W. */
+static void
+finish (struct world *w)
+{
+  world_run (w, 40000);
+  g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
+  world_assert_no_violations (w);
+  world_destroy (w);
+}
+
 /* Return the processor use of all workers as the cell accounts for it. */
 static uint32_t
 used_cpu_milli (const struct world *w)
@@ -187,10 +205,7 @@
   struct world *w = world_with_long_task (5);
   struct world_worker *first;
 
-  world_submit (w, job_with_copies (w, JOB, 1));
-  world_run (w, 500);
-  first = world_find_run (w, TASK);
-  run_until_copied (w, false);
+  first = submit_until_copied (w, false);
   (is_second_first ? find_second (w, first) : first)->is_failing_all_runs
       = true;
   world_run (w, 100);
@@ -222,10 +237,7 @@
   struct world *w = world_with_long_task (6);
   struct world_worker *first;
 
-  world_submit (w, job_with_copies (w, JOB, 1));
-  world_run (w, 500);
-  first = world_find_run (w, TASK);
-  run_until_copied (w, true);
+  first = submit_until_copied (w, true);
   world_crash (w, first, false);
   world_run (w, 12000);
   g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
@@ -256,10 +268,7 @@
   struct world *w = world_with_long_task (8);
   struct world_worker *first;
 
-  world_submit (w, job_with_copies (w, JOB, 1));
-  world_run (w, 500);
-  first = world_find_run (w, TASK);
-  run_until_copied (w, false);
+  first = submit_until_copied (w, false);
   world_run (w, 500);
   world_take_over (w, yields, stale_ms);
   world_run (w, 1500);
@@ -290,20 +299,14 @@
   struct world *w = world_with_long_task (9);
   struct world_worker *first;
 
-  world_submit (w, job_with_copies (w, JOB, 1));
-  world_run (w, 500);
-  first = world_find_run (w, TASK);
-  run_until_copied (w, false);
+  first = submit_until_copied (w, false);
   find_second (w, first)->reachable = false;
   world_take_over (w, false, 0);
   world_run (w, 500);
   first->is_failing_all_runs = true;
   world_run (w, 1500);
   g_assert_cmpuint (w->starts, ==, 2);
-  world_run (w, 40000);
-  g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
-  world_assert_no_violations (w);
-  world_destroy (w);
+  finish (w);
 }
 
 /* Guards against a copy while a silent worker may have one that an earlier
@@ -314,10 +317,7 @@
   struct world *w = world_with_long_task (10);
   struct world_worker *first;
 
-  world_submit (w, job_with_copies (w, JOB, 1));
-  world_run (w, 500);
-  first = world_find_run (w, TASK);
-  run_until_copied (w, false);
+  first = submit_until_copied (w, false);
   find_second (w, first)->reachable = false;
   world_take_over (w, false, 0);
   w->run_ms = 200;
@@ -325,10 +325,7 @@
   world_run (w, 2500);
   g_assert_cmpint (world_state (w, "00000000000000c1"), ==, JOB_COMPLETED);
   g_assert_cmpuint (w->copies, ==, 1);
-  world_run (w, 40000);
-  g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
-  world_assert_no_violations (w);
-  world_destroy (w);
+  finish (w);
 }
 
 /* Guards against a new owner that gives away the room of one of two runs which
@@ -339,10 +336,7 @@
   struct world *w = world_with_long_task (11);
   struct world_worker *first, *second;
 
-  world_submit (w, job_with_copies (w, JOB, 1));
-  world_run (w, 500);
-  first = world_find_run (w, TASK);
-  run_until_copied (w, false);
+  first = submit_until_copied (w, false);
   world_run (w, 500);
   second = find_second (w, first);
   first->reachable = second->reachable = false;
@@ -353,10 +347,7 @@
   second->reachable = true;
   world_run (w, 1000);
   g_assert_cmpuint (used_cpu_milli (w), ==, 2000);
-  world_run (w, 40000);
-  g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
-  world_assert_no_violations (w);
-  world_destroy (w);
+  finish (w);
 }
 
 /* Guards against a copy that starts long after its task is done and this has
@@ -379,8 +370,7 @@
       for (int i = 0; i < WORLD_WORKERS; i++)
         w->workers[i].reachable = w->workers[i].runs->len > 0;
       world_run (w, g_rand_int_range (w->rand, 2000, 4000));
-      for (int i = 0; i < WORLD_WORKERS; i++)
-        w->workers[i].reachable = true;
+      world_reach_workers (w);
       w->faults.start_late = 0;
       world_run (w, 12000);
       g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
--- a/tests/unit/test_cell_faults.c
+++ b/tests/unit/test_cell_faults.c
@@ -58,8 +58,7 @@
     w->workers[i].reachable = i % 2 == 0;
   world_run (w, 1000);
   g_assert_cmpuint (w->starts, ==, WORLD_WORKERS);
-  for (int i = 0; i < WORLD_WORKERS; i++)
-    w->workers[i].reachable = true;
+  world_reach_workers (w);
   world_run (w, 2000);
   g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
   g_assert_cmpuint (w->starts, ==, WORLD_WORKERS);
--- a/tests/unit/test_cell_handover.c
+++ b/tests/unit/test_cell_handover.c
@@ -1,7 +1,5 @@
 #include "cell_world.h"
 
-#include <stdlib.h>
-
 /* Tests of what a new owner learns of the work of earlier ones. */
 
 /* Return WORLD_JOB as a scheduled job of two tasks an occurrence; the first
@@ -407,8 +405,7 @@
       world_take_over (w, yields, yields ? 0 : 1500);
       world_run (w, g_rand_int_range (w->rand, 10, 2500));
     }
-  for (int i = 0; i < WORLD_WORKERS; i++)
-    w->workers[i].reachable = true;
+  world_reach_workers (w);
   world_run (w, g_rand_int_range (w->rand, 10, 2500));
 }
 
@@ -461,11 +458,8 @@
 int
 main (int argc, char **argv)
 {
-  if (argc == 3 && strcmp (argv[1], "--seed") == 0)
-    {
-      run_seed ((uint32_t)strtoul (argv[2], NULL, 10));
-      return 0;
-    }
+  if (world_plays_seed (argc, argv, run_seed))
+    return 0;
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/cell-handover/named-runs",
                    test_named_runs_of_a_scheduled_job);
--- a/tests/unit/test_cell_kinds.c
+++ b/tests/unit/test_cell_kinds.c
@@ -22,12 +22,6 @@
 /* An owner acts for at most this long after the store last confirmed it. */
 #define UNCONFIRMED_OWNER_MS 8000
 
-static struct job_step *
-first_step (const struct job_spec *job)
-{
-  return g_ptr_array_index (job->steps, 0);
-}
-
 static void
 make_scheduled (struct world *w, struct job_spec *job)
 {
@@ -111,18 +105,10 @@
 static void
 change_owner (struct world *w)
 {
-  switch (g_rand_int_range (w->rand, 0, 3))
-    {
-    case 0:
-      world_take_over (w, false, 0);
-      break;
-    case 1:
-      world_take_over (w, false, g_rand_int_range (w->rand, 500, 8000));
-      break;
-    default:
-      world_take_over (w, true, 0);
-      break;
-    }
+  static const enum world_succession ways[]
+      = { WORLD_OWNER_ENDS, WORLD_OWNER_STALE, WORLD_OWNER_YIELDS };
+
+  world_replace_owner (w, ways[g_rand_int_range (w->rand, 0, 3)]);
 }
 
 /* Draw anew which workers are reachable, and restart one perhaps. */
@@ -166,8 +152,7 @@
 restore_links (struct world *w)
 {
   w->is_store_unreachable = false;
-  for (int i = 0; i < WORLD_WORKERS; i++)
-    w->workers[i].reachable = true;
+  world_reach_workers (w);
 }
 
 static void
--- a/tests/unit/test_cell_partition.c
+++ b/tests/unit/test_cell_partition.c
@@ -1,6 +1,5 @@
 #include "cell_world.h"
 
-#include <stdlib.h>
 #include <string.h>
 
 /* Tests of a cell whose owner is partitioned from the store and from most of
@@ -212,11 +211,8 @@
 int
 main (int argc, char **argv)
 {
-  if (argc == 3 && strcmp (argv[1], "--seed") == 0)
-    {
-      run_seed ((uint32_t)strtoul (argv[2], NULL, 10));
-      return 0;
-    }
+  if (world_plays_seed (argc, argv, run_seed))
+    return 0;
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/cell-partition/leases-of-an-unconfirmed-owner",
                    test_an_unconfirmed_owner_takes_no_lease_for_expired);
--- a/tests/unit/test_cell_seeds.c
+++ b/tests/unit/test_cell_seeds.c
@@ -54,13 +54,13 @@
   switch (g_rand_int_range (w->rand, 0, kinds))
     {
     case 0:
-      world_take_over (w, false, 0);
+      world_replace_owner (w, WORLD_OWNER_ENDS);
       break;
     case 1:
-      world_take_over (w, true, 0);
+      world_replace_owner (w, WORLD_OWNER_YIELDS);
       break;
     case 2:
-      world_take_over (w, false, g_rand_int_range (w->rand, 500, 8000));
+      world_replace_owner (w, WORLD_OWNER_STALE);
       break;
     case 3:
       worker->reachable = false;
@@ -86,8 +86,7 @@
 {
   w->is_store_unreachable = false;
   w->faults = (struct world_faults){ 0 };
-  for (int i = 0; i < WORLD_WORKERS; i++)
-    w->workers[i].reachable = true;
+  world_reach_workers (w);
 }
 
 static void
@@ -111,8 +110,7 @@
       if (g_rand_int_range (w->rand, 0, 3) == 0)
         {
           w->is_store_unreachable = false;
-          for (int k = 0; k < WORLD_WORKERS; k++)
-            w->workers[k].reachable = true;
+          world_reach_workers (w);
         }
     }
   clear_faults (w);
--- a/tests/unit/test_cell_stragglers.c
+++ b/tests/unit/test_cell_stragglers.c
@@ -7,12 +7,6 @@
 #define ALL_ROOM 96
 #define WORKER_ROOM 16
 
-static struct job_step *
-first_step (const struct job_spec *spec)
-{
-  return g_ptr_array_index (spec->steps, 0);
-}
-
 static struct job_spec *
 job_with_checkpoints (const struct world *w, const char *id, uint32_t count)
 {
