Set the limit of descriptors once

Cause: the limit was read and raised again for each listener. Change: the node keeps the connections that clients may have.

--- a/src/node.c
+++ b/src/node.c
@@ -275,10 +275,7 @@
 static uint32_t
 connection_share (const struct node *n, uint32_t percent)
 {
-  uint64_t all = (uint64_t)descriptor_limit (n->settings)
-                 * n->settings->connections_percent / 100;
-
-  return (uint32_t)MAX (all * percent / 100, MIN_CONNECTIONS);
+  return (uint32_t)MAX (n->max_connections * percent / 100, MIN_CONNECTIONS);
 }
 
 /* Return PERCENT of the memory that the process may use, in bytes. */
@@ -355,6 +352,8 @@
   owner_start (n);
   n->front = front_new (n);
   n->relay = order_relay_new (n);
+  n->max_connections = (uint64_t)descriptor_limit (n->settings)
+                       * n->settings->connections_percent / 100;
   start_http_server (n);
   n->peer_listener = peers_listen (n, connection_share (n, PEERS_PERCENT));
   if (n->peer_listener == NULL)
--- a/src/node_state.h
+++ b/src/node_state.h
@@ -193,6 +193,7 @@
   struct order_relay *relay;
   struct ingress *ingress;
   struct http_server *http_server;
+  uint64_t max_connections; /* of all clients together */
   struct http_listener *peer_listener;
   struct http_listener *metrics_listener;
   uint32_t open_peer_requests; /* passed to a cell and not answered */
