Give each long poll of a fleet's owner its own connection

Cause: a node follows three streams of the store by long polls, the owner of the fleet four, and one lane had three connections. So the fourth poll waited for another one to end and often timed out; the view of that node became over 2.2 s old, and it answered 503 where others answered 410. Change: the lane of long polls has four connections.

--- a/src/http_client.c
+++ b/src/http_client.c
@@ -9,9 +9,13 @@
 #include <event2/keyvalq_struct.h>
 #include <string.h>
 
-/* Maximum number of connections of one lane to one address. */
-#define LANE_MAX_CONNECTIONS 3
-#define HEDGED_LANE_MAX_CONNECTIONS 12
+/* Maximum number of connections of one lane to one address.  The owner of the
+   fleet has a long poll to the store for each of four streams; with three
+   connections one waited for the others, up to its timeout. */
+static const int lane_connections[LANE_COUNT] = {
+  [LANE_SHORT_CALLS] = 3, [LANE_LONG_POLLS] = 4, [LANE_HEDGED_CALLS] = 12
+};
+#define LANE_MAX_CONNECTIONS 12
 /* Maximum number of calls that wait for a connection of a lane; a further call
    times out at once. */
 #define LANE_MAX_WAITING 2000
@@ -44,7 +48,7 @@
   struct http_client *client;
   char *ip; /* NULL if the address is none: all calls fail */
   uint16_t port;
-  struct connection connections[HEDGED_LANE_MAX_CONNECTIONS];
+  struct connection connections[LANE_MAX_CONNECTIONS];
   int n_connections; /* that may be used */
   GQueue waiting;    /* struct pending_call * */
 };
@@ -277,8 +281,7 @@
     }
   l = g_new0 (struct lane, 1);
   l->client = c;
-  l->n_connections = lane == LANE_HEDGED_CALLS ? HEDGED_LANE_MAX_CONNECTIONS
-                                               : LANE_MAX_CONNECTIONS;
+  l->n_connections = lane_connections[lane];
   g_queue_init (&l->waiting);
   http_split_address (address, &l->ip, &l->port);
   g_hash_table_insert (c->lanes, key, l);
--- a/tests/unit/test_http_client.c
+++ b/tests/unit/test_http_client.c
@@ -20,6 +20,7 @@
   struct http_client *client;
   char *address;
   guint served;
+  bool is_silent; /* the server answers nothing */
   guint finished;
   struct http_reply reply; /* the last one */
 };
@@ -27,8 +28,11 @@
 static void
 on_served (struct evhttp_request *request, void *data)
 {
-  ((struct fixture *)data)->served++;
-  evhttp_send_reply (request, 200, "OK", NULL);
+  struct fixture *f = data;
+
+  f->served++;
+  if (!f->is_silent)
+    evhttp_send_reply (request, 200, "OK", NULL);
 }
 
 static void
@@ -114,6 +118,27 @@
   tear_down (&f);
 }
 
+/* Guards against a long poll that waits for another one to end: the owner of
+   the fleet follows four streams of the store, and its view of owners and
+   homes became too old to deny a job. */
+static void
+test_four_long_polls_go_on_at_a_time (void)
+{
+  struct fixture f = { .is_silent = true };
+  const struct http_call call = {
+    .method = "GET", .path = "/", .timeout_ms = 60000, .lane = LANE_LONG_POLLS
+  };
+
+  set_up (&f);
+  for (int i = 0; i < 4; i++)
+    http_client_send (f.client, f.address, &call, on_reply, &f);
+  for (int i = 0; i < 200 && f.served < 4; i++)
+    run_for_ms (&f, 20);
+  g_assert_cmpuint (f.served, ==, 4);
+  g_assert_cmpuint (f.finished, ==, 0);
+  tear_down (&f);
+}
+
 static guint lookups;
 
 /* Stands for the C library's function, which waits for a name server. */
@@ -177,5 +202,7 @@
   g_test_add_func ("/http-client/pause",
                    test_a_call_is_not_sent_after_a_pause);
   g_test_add_func ("/http-client/names", test_names_are_not_looked_up);
+  g_test_add_func ("/http-client/long-polls",
+                   test_four_long_polls_go_on_at_a_time);
   return g_test_run ();
 }
