Stop a run whose relayed start may still arrive, whatever the next call says

Cause: an order may be sent by a relay and then by the owner itself, and the cell got only the answer to the last call. When a relay's call for a start had no answer and the owner's own call was refused for certain (503, no room, no ticket), the cell took it that nothing had been started, reset the task without a stop and started it elsewhere under a higher run. Nothing made the first worker refuse the lower run, so the relay's call, carried out late, was accepted.

Fix: an order ends with a run_outcome, the answer and whether an earlier call may still arrive. The cell keeps that (has_unanswered_start) until the run is over and stops such a run before the task starts elsewhere; a worker refuses a run that was stopped there. A relay tells orders that it did not send from those without an answer. The same flag makes an account's use count a relayed run that may start late, and keeps a run whose begin is unknown from the learned run times.

The stand-in lists the members of a group, without which no test ever used a relay.

--- a/src/cell.h
+++ b/src/cell.h
@@ -177,6 +177,14 @@
   RUN_OTHER_INCARNATION /* another incarnation answers at the address */
 };
 
+/* How an order for a run has ended, which may have taken several calls. */
+struct run_outcome
+{
+  enum run_answer answer; /* to the last call */
+  bool may_arrive_later;  /* an earlier call had no answer: the worker may
+                             still carry it out, whatever the last one says */
+};
+
 /* Return a new cell, which the caller destroys; it copies OPTIONS.  It places
    no work before cell_activate. */
 struct cell *cell_new (const struct cell_options *options, int64_t now_ms);
@@ -255,10 +263,11 @@
                          bool is_other_incarnation, int64_t sent_ms,
                          int64_t now_ms);
 
-/* Process the answer of WORKER to a start or a stop of RUN of TASK. */
+/* Process how the start of RUN of TASK on WORKER has ended. */
 void cell_start_answered (struct cell *cell, const char *worker,
                           const char *task, uint64_t run,
-                          enum run_answer answer, int64_t now_ms);
+                          const struct run_outcome *outcome, int64_t now_ms);
+/* Process the answer of WORKER to a stop of RUN of TASK. */
 void cell_stop_answered (struct cell *cell, const char *worker,
                          const char *task, uint64_t run,
                          enum run_answer answer, int64_t now_ms);
--- a/src/cell_account_use.c
+++ b/src/cell_account_use.c
@@ -175,7 +175,7 @@
 int64_t
 cell_run_unproved_until_ms (const struct cell_task *t, int64_t from_ms)
 {
-  bool may_start_late = t->phase == TASK_STARTING || t->start_attempts > 1;
+  bool may_start_late = t->phase == TASK_STARTING || t->has_unanswered_start;
 
   return may_start_late ? MAX (from_ms, t->worker->lease_expiry_ms) : from_ms;
 }
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -312,6 +312,7 @@
   t->has_pending_call = false;
   t->is_stop_acknowledged = false;
   t->start_attempts = 0;
+  t->has_unanswered_start = false;
   t->percent = 0;
   t->begun_ms = 0;
   t->pace_percent = 100;
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -272,12 +272,13 @@
 }
 
 /* Process a start call that certainly started nothing.  An earlier call for
-   the same run may still do so; then T is stopped rather than reset. */
+   the same run may still do so, whichever node has sent it; then T is stopped
+   rather than reset, so that the worker refuses that call. */
 static void
 handle_not_started (struct cell *c, struct cell_task *t, int64_t delay_ms,
                     int64_t now_ms)
 {
-  if (t->start_attempts > 1)
+  if (t->has_unanswered_start)
     {
       cell_stop_task (c, t, now_ms);
       return;
@@ -299,7 +300,6 @@
       cell_send_start (c, t, now_ms);
       return;
     }
-  t->start_attempts++;
   cell_stop_task (c, t, now_ms);
 }
 
@@ -311,29 +311,32 @@
 
 void
 cell_start_answered (struct cell *cell, const char *worker, const char *task,
-                     uint64_t run, enum run_answer answer, int64_t now_ms)
+                     uint64_t run, const struct run_outcome *outcome,
+                     int64_t now_ms)
 {
   struct cell_task *t = find_answered_task (cell, worker, task, run);
   struct cell_worker *w;
 
-  if (answer == RUN_FENCED)
+  if (outcome->answer == RUN_FENCED)
     cell->is_fenced = true;
   if (t == NULL)
     return;
   w = t->worker;
+  if (outcome->may_arrive_later || outcome->answer == RUN_NO_ANSWER)
+    t->has_unanswered_start = true;
   if (t->phase == TASK_STOPPING)
     {
       /* The stop was sent while the start was not answered yet. */
       t->retry_ms = t->is_stop_acknowledged ? t->retry_ms : now_ms;
       return;
     }
-  switch (answer)
+  switch (outcome->answer)
     {
     case RUN_ACCEPTED:
     case RUN_SUPERSEDED:
       cell_task_set_phase (t, TASK_RUNNING, now_ms);
       t->progress_ms = now_ms;
-      if (answer == RUN_ACCEPTED && t->start_attempts == 1
+      if (outcome->answer == RUN_ACCEPTED && !t->has_unanswered_start
           && t->checkpoint == NULL)
         t->begun_ms = now_ms;
       t->occurrence->job->has_started = true;
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -72,7 +72,9 @@
   uint32_t runs_given; /* run numbers used by this epoch */
   uint64_t run;
   struct cell_worker *worker; /* from STARTING to STOPPING */
-  uint32_t start_attempts;    /* calls for the current run */
+  uint32_t start_attempts;    /* starts of the current run that were ordered */
+  bool has_unanswered_start;  /* a call to start the current run had no answer:
+                                 the worker may still carry it out */
   bool has_pending_call;      /* a start or stop is not answered yet */
   bool is_stop_acknowledged;  /* by the worker */
   bool is_every_run_known;    /* no run of an earlier owner is unreported */
--- a/src/node_host.c
+++ b/src/node_host.c
@@ -167,41 +167,42 @@
 }
 
 static void
-on_started (void *data, enum run_answer answer)
+on_started (void *data, const struct run_outcome *outcome)
 {
   struct host_call *call = data;
   struct cell_host *h = host_of_call (call);
   int64_t now_ms = node_now_ms ();
 
-  count_start_answer (call->node, answer);
+  count_start_answer (call->node, outcome->answer);
   meters_observe (call->node->meters, HISTOGRAM_START, now_ms - call->sent_ms);
   event_log ("task-start", call->task,
              "run=%" G_GUINT64_FORMAT
-             " worker=%s outcome=%s ms=%" G_GINT64_FORMAT,
-             call->run, call->worker, run_answer_name (answer),
-             now_ms - call->sent_ms);
+             " worker=%s outcome=%s ms=%" G_GINT64_FORMAT
+             " may_arrive_later=%d",
+             call->run, call->worker, run_answer_name (outcome->answer),
+             now_ms - call->sent_ms, outcome->may_arrive_later);
   if (h != NULL && h->cell != NULL)
     {
       cell_start_answered (h->cell, call->worker, call->task, call->run,
-                           answer, now_ms);
+                           outcome, now_ms);
       node_schedule_run (h->node, h);
     }
   host_call_destroy (call);
 }
 
 static void
-on_stopped (void *data, enum run_answer answer)
+on_stopped (void *data, const struct run_outcome *outcome)
 {
   struct host_call *call = data;
   struct cell_host *h = host_of_call (call);
 
   event_log ("task-stop", call->task,
              "run=%" G_GUINT64_FORMAT " worker=%s outcome=%s", call->run,
-             call->worker, run_answer_name (answer));
+             call->worker, run_answer_name (outcome->answer));
   if (h != NULL && h->cell != NULL)
     {
-      cell_stop_answered (h->cell, call->worker, call->task, call->run, answer,
-                          node_now_ms ());
+      cell_stop_answered (h->cell, call->worker, call->task, call->run,
+                          outcome->answer, node_now_ms ());
       node_schedule_run (h->node, h);
     }
   host_call_destroy (call);
--- a/src/node_relay.c
+++ b/src/node_relay.c
@@ -25,10 +25,17 @@
 /* An order that the owner waits for. */
 struct owned_order
 {
-  worker_run_done done;
+  order_done done;
   void *data;
 };
 
+/* An order that the owner sends itself. */
+struct direct_order
+{
+  struct owned_order owned;
+  bool may_arrive_later; /* through a relay that has not answered it */
+};
+
 /* A batch on its way to a relay. */
 struct owned_batch
 {
@@ -144,16 +151,54 @@
   store_list_members (relay->node->store, RESERVE_GROUP, on_members, relay);
 }
 
+static void
+send_to_worker (struct node *n, const struct relayed_order *o,
+                worker_run_done done, void *data)
+{
+  if (o->kind == ORDER_START)
+    worker_start (n->client, &o->run, o->epoch, done, data);
+  else
+    worker_stop (n->client, &o->run, o->epoch, done, data);
+}
+
 /* The owner's side. */
 
+static void
+on_direct_answer (void *data, enum run_answer answer)
+{
+  struct direct_order *d = data;
+  struct run_outcome outcome = { answer, d->may_arrive_later };
+
+  d->owned.done (d->owned.data, &outcome);
+  g_free (d);
+}
+
 static void
 send_directly (struct node *n, const struct relayed_order *o,
-               const struct owned_order *owned)
+               const struct owned_order *owned, bool may_arrive_later)
 {
-  if (o->kind == ORDER_START)
-    worker_start (n->client, &o->run, o->epoch, owned->done, owned->data);
-  else
-    worker_stop (n->client, &o->run, o->epoch, owned->done, owned->data);
+  struct direct_order *d = g_new0 (struct direct_order, 1);
+
+  d->owned = *owned;
+  d->may_arrive_later = may_arrive_later;
+  send_to_worker (n, o, on_direct_answer, d);
+}
+
+/* Return whether the relay that sent REPLY may have sent the orders of its
+   batch, or may send them yet. */
+static bool
+may_have_been_sent (const struct http_reply *reply)
+{
+  switch (reply->status)
+    {
+    case 0:
+      return reply->may_have_arrived;
+    case 400: /* malformed */
+    case 503: /* refused as a whole */
+      return false;
+    default:
+      return true;
+    }
 }
 
 static void
@@ -162,6 +207,7 @@
   struct owned_batch *b = data;
   struct node *n = b->node;
   bool is_whole = reply->status == 200 && reply->body_bytes == b->orders->len;
+  bool may_be_sent = may_have_been_sent (reply);
 
   if (!is_whole
       && relays_note_failure (n->relay->relays, b->relay, node_now_ms ()))
@@ -173,9 +219,15 @@
           = &g_array_index (b->owned, struct owned_order, i);
 
       if (is_whole && reply->body[i] <= RUN_OTHER_INCARNATION)
-        o->done (o->data, (enum run_answer)reply->body[i]);
+        {
+          struct run_outcome outcome = { reply->body[i], false };
+
+          o->done (o->data, &outcome);
+        }
       else
-        send_directly (n, g_ptr_array_index (b->orders, i), o);
+        send_directly (n, g_ptr_array_index (b->orders, i), o,
+                       may_be_sent
+                           && !(is_whole && reply->body[i] == RELAY_NOT_SENT));
     }
   owned_batch_destroy (b);
 }
@@ -212,8 +264,8 @@
 
 void
 order_relay_send (struct order_relay *relay, enum cell_order_kind kind,
-                  const struct run_order *run, uint64_t epoch,
-                  worker_run_done done, void *data, int64_t now_ms)
+                  const struct run_order *run, uint64_t epoch, order_done done,
+                  void *data, int64_t now_ms)
 {
   const char *address = relays_choose (relay->relays, run->worker, now_ms);
   struct owned_order owned = { done, data };
@@ -223,7 +275,7 @@
     {
       struct relayed_order order = { kind, epoch, *run };
 
-      send_directly (relay->node, &order, &owned);
+      send_directly (relay->node, &order, &owned, false);
       return;
     }
   b = g_hash_table_lookup (relay->open_batches, address);
@@ -336,7 +388,6 @@
   for (guint i = 0; i < orders->len; i++)
     {
       const struct relayed_order *o = g_ptr_array_index (orders, i);
-      struct owned_order owned = { on_order_answered, NULL };
       struct served_order *served;
 
       if (!is_listed (n, &o->run))
@@ -344,9 +395,9 @@
       served = g_new0 (struct served_order, 1);
       served->batch = b;
       served->index = i;
-      owned.data = served;
+      b->answers[i] = RELAY_NO_ANSWER;
       b->n_pending++;
-      send_directly (n, o, &owned);
+      send_to_worker (n, o, on_order_answered, served);
     }
 }
 
@@ -369,7 +420,7 @@
   b->request = request;
   b->n_orders = orders->len;
   b->answers = g_malloc (orders->len);
-  memset (b->answers, RELAY_NO_ANSWER, orders->len);
+  memset (b->answers, RELAY_NOT_SENT, orders->len);
   b->timer = evtimer_new (n->base, on_batch_timer, b);
   evtimer_add (b->timer, &wait);
   send_served_orders (n, b, orders);
--- a/src/node_relay.h
+++ b/src/node_relay.h
@@ -7,8 +7,9 @@
 /* Sends starts and stops to workers, and has other nodes send them while this
    one has many: the nodes of the reserve, which own no cell.  An order that a
    relay has not answered in time is sent again by the owner; a worker takes
-   the start of one run once.  A relay that sends it later is no more than a
-   late call: the fencing token, the run number and the deadline hold. */
+   the start of one run once.  What the owner's call is answered tells nothing
+   of the relay's call, which the worker may still carry out: the outcome then
+   says that it may arrive later. */
 
 struct order_relay;
 
@@ -18,11 +19,13 @@
 void order_relay_tick (struct order_relay *relay, int64_t late_ms,
                        int64_t now_ms);
 
+typedef void (*order_done) (void *data, const struct run_outcome *outcome);
+
 /* Send the order KIND (ORDER_START or ORDER_STOP) for RUN under EPOCH, or add
    it to a batch that order_relay_flush sends. */
 void order_relay_send (struct order_relay *relay, enum cell_order_kind kind,
                        const struct run_order *run, uint64_t epoch,
-                       worker_run_done done, void *data, int64_t now_ms);
+                       order_done done, void *data, int64_t now_ms);
 void order_relay_flush (struct order_relay *relay);
 
 /* Serve another node's batch. */
--- a/src/relay_message.h
+++ b/src/relay_message.h
@@ -16,9 +16,11 @@
   struct run_order run;
 };
 
-/* In place of an enum run_answer: the order was not sent, or its answer did
-   not come in time. */
+/* In place of an enum run_answer: the order was sent, but its answer did not
+   come in time. */
 #define RELAY_NO_ANSWER 255
+/* The same: the order was not sent and will not be. */
+#define RELAY_NOT_SENT 254
 
 /* Return a deep copy of RUN as an order, which the caller destroys. */
 struct relayed_order *relayed_order_new (enum cell_order_kind kind,
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -194,6 +194,12 @@
                               for p, m in group.parts.items()
                               if m == body["member"]]}
 
+    def owners(self, query):
+        with self.lock:
+            group = self.groups.get(query["group"][0], Group())
+            return {"parts": [["cells", p, m, 0]
+                              for p, m in group.parts.items()]}
+
     def reassign_parts(self):
         with self.lock:
             for group in self.groups.values():
@@ -758,6 +764,9 @@
             return 200, answer
         if path == "/-/log-join":
             return 200, self.store.join(json.loads(body))
+        if path == "/-/log-owners":
+            data = json.dumps(self.store.owners(query)).encode()
+            return 200, json.loads(view.to_node(data) if view else data)
         if path == "/-/log-leave":
             return 200, self.store.leave(json.loads(body))
         return 404, {}
--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -49,6 +49,7 @@
   uint64_t run;
   int64_t deadline_ms;
   bool answered;
+  bool is_refused; /* the owner's own call, after a relay's */
 };
 
 /* A hold that has not been answered. */
@@ -981,10 +982,10 @@
 
 /* Orders of the cell. */
 
-static void
-order_start (struct world *w, struct cell *cell, const struct run_order *o)
+static struct pending_start *
+add_pending_start (struct world *w, struct cell *cell,
+                   const struct run_order *o)
 {
-  struct world_worker *k = find_worker (w, o->worker);
   struct pending_start *call = g_new0 (struct pending_start, 1);
 
   call->cell = cell;
@@ -996,6 +997,34 @@
   call->deadline_ms = o->deadline_ms;
   call->at_ms = w->now_ms + CALL_LATENCY_MS;
   call->answered = true;
+  g_ptr_array_add (w->pending_starts, call);
+  return call;
+}
+
+/* Order a start that a relay has sent before, whose call is late. */
+static void
+order_relayed_start (struct world *w, struct cell *cell,
+                     const struct run_order *o)
+{
+  struct pending_start *relayed = add_pending_start (w, cell, o);
+
+  relayed->cell = NULL;
+  relayed->at_ms += g_rand_int_range (w->rand, 500, 4000);
+  add_pending_start (w, cell, o)->is_refused = true;
+}
+
+static void
+order_start (struct world *w, struct cell *cell, const struct run_order *o)
+{
+  struct world_worker *k = find_worker (w, o->worker);
+  struct pending_start *call;
+
+  if (fault_occurs (w, w->faults.start_relayed))
+    {
+      order_relayed_start (w, cell, o);
+      return;
+    }
+  call = add_pending_start (w, cell, o);
   if (!reaches (w, call->epoch, k) || fault_occurs (w, w->faults.start_lost))
     call->answered = false;
   if (fault_occurs (w, w->faults.start_late))
@@ -1003,24 +1032,24 @@
       call->answered = false;
       call->at_ms += g_rand_int_range (w->rand, 2000, 6000);
     }
-  g_ptr_array_add (w->pending_starts, call);
 }
 
 static void
 carry_out_start (struct world *w, struct pending_start *call)
 {
   struct world_worker *k = find_worker (w, call->worker);
-  enum run_answer answer = RUN_NO_ANSWER;
-
-  if (reaches (w, call->epoch, k))
-    answer = start_run (w, k, call->epoch, call->task, call->run,
-                        call->deadline_ms, call->checkpoint);
-  if (call->answered && is_caller_present (w, call->cell, call->epoch))
-    cell_start_answered (call->cell, call->worker, call->task, call->run,
-                         answer, w->now_ms);
-  else if (is_caller_present (w, call->cell, call->epoch))
+  struct run_outcome outcome = { RUN_NO_ANSWER, call->is_refused };
+
+  if (call->is_refused)
+    outcome.answer = RUN_UNHEALTHY;
+  else if (reaches (w, call->epoch, k))
+    outcome.answer = start_run (w, k, call->epoch, call->task, call->run,
+                                call->deadline_ms, call->checkpoint);
+  if (!call->answered)
+    outcome.answer = RUN_NO_ANSWER;
+  if (is_caller_present (w, call->cell, call->epoch))
     cell_start_answered (call->cell, call->worker, call->task, call->run,
-                         RUN_NO_ANSWER, w->now_ms);
+                         &outcome, w->now_ms);
 }
 
 static void
@@ -1291,11 +1320,12 @@
           && call->at_ms > w->now_ms + ANSWER_TIMEOUT_MS)
         {
           struct cell *cell = call->cell;
+          struct run_outcome outcome = { RUN_NO_ANSWER, false };
 
           call->cell = NULL;
           if (is_caller_present (w, cell, call->epoch))
             cell_start_answered (cell, call->worker, call->task, call->run,
-                                 RUN_NO_ANSWER, w->now_ms);
+                                 &outcome, w->now_ms);
         }
     }
 }
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -64,9 +64,11 @@
 /* Probabilities of faults, in percent. */
 struct world_faults
 {
-  int start_lost;  /* the start is carried out, its answer is lost */
-  int start_late;  /* no answer; the start is carried out 2 to 6 s later */
-  int append_lost; /* the append is done, its answer is lost */
+  int start_lost;    /* the start is carried out, its answer is lost */
+  int start_late;    /* no answer; the start is carried out 2 to 6 s later */
+  int start_relayed; /* a relay's call has no answer and is carried out 0.5 to
+                        4 s later; the owner's own one is refused */
+  int append_lost;   /* the append is done, its answer is lost */
   int append_refused;
   int append_mute; /* the append is done, and the call times out */
   int append_late; /* the call times out; the append is carried out 0.5 to 4 s
--- a/tests/unit/test_cell_account_seeds.c
+++ b/tests/unit/test_cell_account_seeds.c
@@ -7,6 +7,9 @@
 /* Random faults with client accounts in a cell. */
 
 #define SEEDS 120
+/* Share of the starts in percent that a relay has sent first, without an
+   answer, where that is tested. */
+#define RELAYED_PERCENT 20
 #define FIRST_JOB 0xd00
 #define JOBS 14
 #define ROUNDS 30
@@ -125,7 +128,7 @@
 }
 
 static void
-run_seed (uint32_t seed)
+run_seed_with (uint32_t seed, int relayed_percent)
 {
   struct world *w = world_new (seed);
   int submitted = 0;
@@ -133,6 +136,7 @@
   w->run_ms = 1200;
   w->faults = (struct world_faults){ .start_lost = 5,
                                      .start_late = 5,
+                                     .start_relayed = relayed_percent,
                                      .append_lost = 5,
                                      .append_refused = 5,
                                      .append_mute = 4,
@@ -168,6 +172,12 @@
   world_destroy (w);
 }
 
+static void
+run_seed (uint32_t seed)
+{
+  run_seed_with (seed, 0);
+}
+
 /* Guards against an account that really runs more than its cell holds or
    reports as used, and against totals that drift, while owners are replaced,
    workers unreachable, starts lost or late, and caps and allotments change. */
@@ -181,6 +191,15 @@
     run_seed (seed);
 }
 
+/* Guards against an account's use that leaves out the run of a relay's
+   unanswered call, after the owner's own call was refused. */
+static void
+test_relayed_starts (void)
+{
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    run_seed_with (seed, RELAYED_PERCENT);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -188,5 +207,6 @@
     return 0;
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/accounts/seeds", test_seeds);
+  g_test_add_func ("/accounts/seeds-relayed-starts", test_relayed_starts);
   return g_test_run ();
 }
--- a/tests/unit/test_cell_seeds.c
+++ b/tests/unit/test_cell_seeds.c
@@ -21,6 +21,10 @@
 #define FAULTS_NOTICED 9
 #define FAULTS_ALL 11
 
+/* Share of the starts in percent that a relay has sent first, without an
+   answer, where that is tested. */
+#define RELAYED_PERCENT 20
+
 #define FIRST_JOB 0xc00
 #define JOBS 12
 #define ROUNDS 30
@@ -90,7 +94,7 @@
 }
 
 static void
-run_seed (uint32_t seed, int kinds)
+run_seed (uint32_t seed, int kinds, int relayed_percent)
 {
   struct world *w = world_new (seed);
   int submitted = 0;
@@ -98,6 +102,7 @@
   w->run_ms = 1200;
   w->faults = (struct world_faults){ .start_lost = 5,
                                      .start_late = 5,
+                                     .start_relayed = relayed_percent,
                                      .append_lost = 5,
                                      .append_refused = 5,
                                      .task_fails = 3 };
@@ -123,16 +128,25 @@
 test_seeds (void)
 {
   for (gsize i = 0; i < G_N_ELEMENTS (regression_seeds); i++)
-    run_seed (regression_seeds[i], FAULTS_NOTICED);
+    run_seed (regression_seeds[i], FAULTS_NOTICED, 0);
   for (uint32_t seed = 1; seed <= SEEDS; seed++)
-    run_seed (seed, FAULTS_NOTICED);
+    run_seed (seed, FAULTS_NOTICED, 0);
 }
 
 static void
 test_unnoticed_restarts (void)
 {
   for (uint32_t seed = 1; seed <= SEEDS; seed++)
-    run_seed (seed, FAULTS_ALL);
+    run_seed (seed, FAULTS_ALL, 0);
+}
+
+/* Guards against a task that starts elsewhere when the owner's own call was
+   refused, and runs twice once a relay's unanswered call is carried out. */
+static void
+test_relayed_starts (void)
+{
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    run_seed (seed, FAULTS_NOTICED, RELAYED_PERCENT);
 }
 
 int
@@ -140,16 +154,23 @@
 {
   if (argc == 3 && strcmp (argv[1], "--seed") == 0)
     {
-      run_seed ((uint32_t)strtoul (argv[2], NULL, 10), FAULTS_NOTICED);
+      run_seed ((uint32_t)strtoul (argv[2], NULL, 10), FAULTS_NOTICED, 0);
       return 0;
     }
   if (argc == 3 && strcmp (argv[1], "--seed-unnoticed") == 0)
     {
-      run_seed ((uint32_t)strtoul (argv[2], NULL, 10), FAULTS_ALL);
+      run_seed ((uint32_t)strtoul (argv[2], NULL, 10), FAULTS_ALL, 0);
+      return 0;
+    }
+  if (argc == 3 && strcmp (argv[1], "--seed-relayed") == 0)
+    {
+      run_seed ((uint32_t)strtoul (argv[2], NULL, 10), FAULTS_NOTICED,
+                RELAYED_PERCENT);
       return 0;
     }
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/cell/seeds", test_seeds);
   g_test_add_func ("/cell/seeds-unnoticed-restarts", test_unnoticed_restarts);
+  g_test_add_func ("/cell/seeds-relayed-starts", test_relayed_starts);
   return g_test_run ();
 }
