Tell dead workers from unreachable ones by the list of machines

Cause: a new owner that gets no answer from the former one waits 12.4 s from its takeover for every worker that does not answer, as the former owner may extend leases for 8 s without the store. It could not tell a dead worker from one that it can't reach.

Fix: the platform's list of machines names the worker of each machine that is up, also of one that is cut off. While something waits for the leases of a silent worker, the cell's owner lists the machines every 0.4 s; a worker that two lists in a row lack has ended, and its runs with it. A list that can't be read shows nothing. Lists count from 1.2 s after the last start there on, so that no call under way can reach the worker's next life.

The stand-in lists a worker that is down as such; it listed all as up.

--- a/src/cell.c
+++ b/src/cell.c
@@ -52,6 +52,7 @@
     case ORDER_STOP_OWNER:
       g_free (order->u.owner.address);
       break;
+    case ORDER_LIST_MACHINES:
     case ORDER_ANSWER:
       break;
     case ORDER_LOG_EVENT:
@@ -201,6 +202,7 @@
     {
       cell->last_workers_tick_ms = now_ms;
       cell_workers_tick (cell, now_ms);
+      cell_machines_tick (cell, now_ms);
     }
   if (cell->may_start && now_ms >= cell->last_placement_ms + PLACE_INTERVAL_MS)
     cell_place (cell, now_ms);
--- a/src/cell.h
+++ b/src/cell.h
@@ -36,6 +36,7 @@
   int64_t stop_grace_ms; /* longest time that a stop takes */
   int64_t early_ms;      /* an occurrence may start this early */
   int64_t keep_state_ms; /* how long the state of an ended job is kept */
+  bool lists_machines;   /* ORDER_LIST_MACHINES is carried out */
   /* Longest time until the leases of an earlier owner have expired: after it
      has stopped, and after the takeover if it does not answer. */
   int64_t stopped_owner_lease_ms;
@@ -64,7 +65,8 @@
   ORDER_PACE,
   ORDER_ASK_ADVICE,
   ORDER_APPEND,
-  ORDER_STOP_OWNER, /* tell an earlier owner that it has a successor */
+  ORDER_STOP_OWNER,    /* tell an earlier owner that it has a successor */
+  ORDER_LIST_MACHINES, /* list the workers of the machines that are up */
   ORDER_ANSWER,
   ORDER_LOG_EVENT /* log a decision */
 };
@@ -290,6 +292,12 @@
 void cell_owner_answered (struct cell *cell, const char *address,
                           bool has_stopped, int64_t now_ms);
 
+/* Process the answer to ORDER_LIST_MACHINES, which was sent at SENT_MS:
+   WORKERS has the ID of each worker that a machine names which is not down.
+   NULL if the list could not be read. */
+void cell_machines_listed (struct cell *cell, GHashTable *workers,
+                           int64_t sent_ms, int64_t now_ms);
+
 /* Process that the store has confirmed the epoch by a call sent at SENT_MS:
    until then no other node has owned the cell under a higher one.  An append
    that is done confirms it too, as of its first order. */
--- a/src/cell_reports.c
+++ b/src/cell_reports.c
@@ -232,6 +232,8 @@
     }
   w->is_confirmed = true;
   w->has_ended = false;
+  w->silent_ms = 0;
+  w->absences = 0;
   if (is_full (report))
     cell_log_event (c, "report-full", w->entry->id,
                     "ends=%u journaled_end=%" G_GUINT64_FORMAT,
@@ -247,6 +249,9 @@
 {
   uint64_t previous_end = w->last_processed_end;
 
+  if (w->has_ended && report->incarnation_start_ms == w->incarnation_start_ms)
+    cell_log_event (c, "ended-worker-answers", w->entry->id, "tasks=%u",
+                    w->tasks->len);
   if (report->incarnation_start_ms != 0
       && report->incarnation_start_ms != w->incarnation_start_ms)
     {
@@ -330,6 +335,8 @@
     }
   if (reply == NULL)
     {
+      if (w->silent_ms == 0)
+        w->silent_ms = now_ms;
       if (w->is_confirmed)
         {
           cell_log_event (cell, "worker-silent", worker, "tasks=%u",
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -74,6 +74,7 @@
   o->u.run.ticket = g_strdup (find_ticket (t, w));
   t->has_pending_call = true;
   t->start_attempts++;
+  w->last_start_ms = now_ms;
 }
 
 static void
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -23,6 +23,7 @@
    cell_stragglers.c  runs that take much longer than others
    cell_load.c     how large the pool has to be
    cell_accounts.c what client accounts use and may use, see cell_accounts.h
+   cell_machines.c  workers whose machines are gone
    cell_owners.c   earlier owners, and how long their leases last
    cell_journal.c  appends to the journal
    cell_journal_load.c  loading it. */
@@ -182,6 +183,10 @@
                                    LEASE_UNKNOWN */
   bool has_pending_hold;
   int64_t next_hold_ms;
+  int64_t silent_ms; /* when a hold first got no answer; 0 if it answers, or
+                        has not been asked */
+  int64_t last_start_ms; /* when a start there was last ordered */
+  uint32_t absences; /* lists of machines in a row, since then, without it */
   int64_t blocked_until_ms; /* no start before this time */
   /* Until then a run that its task has given up may be there, though the
      worker has not reported it as unknown. */
@@ -269,16 +274,18 @@
   struct account_rates *account_rates;
   struct worker_resources largest_worker; /* listed so far, by resource */
   uint64_t sized_workers;                 /* entries of workers so far */
-  GHashTable *queue_work;     /* queue's name to struct queue_work * */
-  GHashTable *workers;        /* ID to struct cell_worker * */
-  GPtrArray *worker_list;     /* the same workers */
-  GQueue orders;              /* struct cell_order * */
-  bool needs_placement;       /* something changed since the last placement */
-  uint32_t waiting_priority;  /* highest priority of a ready task that the last
-                                 placement left waiting; UINT32_MAX for none */
-  bool needs_epoch;           /* a task has no run number left */
-  bool avoids_suspects;       /* few enough workers are suspect */
-  int64_t last_preemption_ms; /* for a task that is not long-running */
+  GHashTable *queue_work;    /* queue's name to struct queue_work * */
+  GHashTable *workers;       /* ID to struct cell_worker * */
+  GPtrArray *worker_list;    /* the same workers */
+  GQueue orders;             /* struct cell_order * */
+  bool needs_placement;      /* something changed since the last placement */
+  uint32_t waiting_priority; /* highest priority of a ready task that the last
+                                placement left waiting; UINT32_MAX for none */
+  bool has_pending_list;     /* of the machines */
+  int64_t next_list_ms;
+  bool needs_epoch;             /* a task has no run number left */
+  bool avoids_suspects;         /* few enough workers are suspect */
+  int64_t last_preemption_ms;   /* for a task that is not long-running */
   uint32_t reserved_priorities; /* in this placement, as bits */
   uint32_t reservation_tries;   /* the same, also those without success */
   int64_t last_placement_ms;
@@ -507,6 +514,11 @@
 /* Return how many tasks of T's step, other than T, are unavailable. */
 uint32_t cell_step_count_unavailable (const struct cell_task *t);
 
+/* cell_machines.c */
+/* Ask which machines are up while the leases of a silent worker are waited
+   for. */
+void cell_machines_tick (struct cell *c, int64_t now_ms);
+
 /* cell_owners.c */
 GPtrArray *cell_owners_new (void);
 /* Load the record of an earlier owner. */
--- a/src/meters.c
+++ b/src/meters.c
@@ -19,6 +19,7 @@
   [METER_STOPS] = "stops",
   [METER_HOLDS] = "holds",
   [METER_HOLDS_NO_ANSWER] = "holds_retried{reason=\"no-answer\"}",
+  [METER_MACHINE_LISTS] = "machine_lists",
   [METER_PACES] = "paces",
   [METER_ADVICE_CALLS] = "advice_calls",
   [METER_APPENDS] = "appends",
--- a/src/meters.h
+++ b/src/meters.h
@@ -27,6 +27,7 @@
   METER_STOPS,          /* orders to a worker to stop a run */
   METER_HOLDS,          /* orders to a worker to extend leases and report */
   METER_HOLDS_NO_ANSWER,
+  METER_MACHINE_LISTS,
   METER_PACES, /* orders to a worker about the pace of a run */
   METER_ADVICE_CALLS,
   METER_APPENDS, /* to the journals */
--- a/src/node_host.c
+++ b/src/node_host.c
@@ -387,6 +387,41 @@
   host_call_destroy (call);
 }
 
+/* Add the workers that MACHINES name to the set WORKERS, without those of
+   machines that are down. */
+static void
+add_named_workers (GHashTable *workers, const GPtrArray *machines)
+{
+  for (guint i = 0; i < machines->len; i++)
+    {
+      const struct machine *m = g_ptr_array_index (machines, i);
+
+      if (m->state != MACHINE_DOWN)
+        g_hash_table_add (workers, m->worker);
+    }
+}
+
+static void
+on_machines (void *data, GPtrArray *machines)
+{
+  struct host_call *call = data;
+  struct cell_host *h = host_of_call (call);
+  GHashTable *workers = NULL;
+
+  if (machines != NULL)
+    {
+      workers = g_hash_table_new (g_str_hash, g_str_equal);
+      add_named_workers (workers, machines);
+    }
+  if (h != NULL && h->cell != NULL)
+    {
+      cell_machines_listed (h->cell, workers, call->sent_ms, node_now_ms ());
+      node_schedule_run (h->node, h);
+    }
+  g_clear_pointer (&workers, g_hash_table_unref);
+  host_call_destroy (call);
+}
+
 static void
 execute_order (struct cell_host *h, const struct cell_order *o, int64_t now_ms)
 {
@@ -430,6 +465,11 @@
                        on_owner_answered,
                        host_call_new (h, NULL, o->u.owner.address, 0, now_ms));
       break;
+    case ORDER_LIST_MACHINES:
+      meters_add (n->meters, METER_MACHINE_LISTS, 1);
+      machines_read (n->client, n->settings->machines, on_machines,
+                     host_call_new (h, NULL, NULL, 0, now_ms));
+      break;
     case ORDER_ANSWER:
       answer_request (h, &o->u.answer);
       break;
--- a/src/node_takeover.c
+++ b/src/node_takeover.c
@@ -560,6 +560,7 @@
     .stop_grace_ms = s->stop_grace_ms,
     .early_ms = s->early_ms,
     .keep_state_ms = s->keep_state_ms,
+    .lists_machines = s->machines[0] != '\0',
     .stopped_owner_lease_ms = STOPPED_OWNER_LEASE_MS,
     .silent_owner_lease_ms = SILENT_OWNER_LEASE_MS,
     .far_rack_factor = s->far_rack_factor,
--- a/src/sizing.c
+++ b/src/sizing.c
@@ -154,7 +154,8 @@
     {
       const struct machine *m = g_ptr_array_index (machines, i);
 
-      if (strcmp (m->service, service) == 0 && m->state != MACHINE_DOWN)
+      if (strcmp (m->service, service) == 0 && m->state != MACHINE_DOWN
+          && m->state != MACHINE_IN_OTHER_STATE)
         n++;
     }
   return n;
--- a/src/upkeep.h
+++ b/src/upkeep.h
@@ -16,7 +16,8 @@
   MACHINE_UP,
   MACHINE_MOVING,
   MACHINE_IN_UPKEEP,
-  MACHINE_DOWN
+  MACHINE_DOWN,
+  MACHINE_IN_OTHER_STATE /* one that this version does not know */
 };
 
 /* A machine as listed by the platform. */
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -738,8 +738,10 @@
     def serve_store(self, handler, path, query, body, view=None):
         if path == "/-/machines":
             return 200, {"machines": [
-                {"machine": w.machine, "pool": w.service, "state": "up",
-                 "id": w.id} for w in self.workers], "next_token": None}
+                {"machine": w.machine, "pool": w.service,
+                 "state": "up" if w.is_up else "down",
+                 "id": w.id if w.is_up else ""} for w in self.workers],
+                         "next_token": None}
         topic = query.get("topic", [""])[0]
         if self.store_away or (view and view.is_away(path, topic)):
             return 503, {}
--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -226,6 +226,7 @@
           .stop_grace_ms = 900,
           .early_ms = EARLY_MS,
           .keep_state_ms = 120000,
+          .lists_machines = w->lists_machines,
           .stopped_owner_lease_ms = STOPPED_OWNER_LEASE_MS,
           .far_rack_factor = w->far_rack_factor,
           .silent_owner_lease_ms
@@ -1025,6 +1026,9 @@
       return;
     }
   call = add_pending_start (w, cell, o);
+  /* A worker that is down receives nothing, not even later. */
+  if (k == NULL || !k->alive)
+    call->deadline_ms = 0;
   if (!reaches (w, call->epoch, k) || fault_occurs (w, w->faults.start_lost))
     call->answered = false;
   if (fault_occurs (w, w->faults.start_late))
@@ -1200,6 +1204,28 @@
   cell_owner_answered (cell, address, cell == w->cell && !is_stale, w->now_ms);
 }
 
+/* The list of machines shows workers that are alive, also if they are cut off,
+   and at times it can't be read. */
+static void
+list_machines (struct world *w, struct cell *cell)
+{
+  GHashTable *up = NULL;
+
+  if (!fault_occurs (w, w->faults.list_unreadable))
+    {
+      bool is_torn
+          = w->is_every_other_list_torn && w->machine_lists++ % 2 == 0;
+
+      up = g_hash_table_new (g_str_hash, g_str_equal);
+      for (int i = 0; i < WORLD_WORKERS; i++)
+        if (w->workers[i].alive
+            && !(is_torn && w->workers[i].is_cut_from_owner))
+          g_hash_table_add (up, w->workers[i].id);
+    }
+  cell_machines_listed (cell, up, w->now_ms, w->now_ms);
+  g_clear_pointer (&up, g_hash_table_unref);
+}
+
 static void
 carry_out_orders (struct world *w, struct cell *cell)
 {
@@ -1224,6 +1250,9 @@
         case ORDER_STOP_OWNER:
           order_stop_owner (w, cell, o->u.owner.address);
           break;
+        case ORDER_LIST_MACHINES:
+          list_machines (w, cell);
+          break;
         case ORDER_ANSWER:
           g_hash_table_insert (w->answers,
                                GUINT_TO_POINTER (o->u.answer.token),
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -68,7 +68,8 @@
   int start_late;    /* no answer; the start is carried out 2 to 6 s later */
   int start_relayed; /* a relay's call has no answer and is carried out 0.5 to
                         4 s later; the owner's own one is refused */
-  int append_lost;   /* the append is done, its answer is lost */
+  int list_unreadable; /* the list of machines */
+  int append_lost;     /* the append is done, its answer is lost */
   int append_refused;
   int append_mute; /* the append is done, and the call times out */
   int append_late; /* the call times out; the append is carried out 0.5 to 4 s
@@ -93,6 +94,10 @@
   int64_t wall_ahead_max_ms; /* of any owner so far */
   bool is_store_unreachable;
   bool is_stale_owner_cut_from_store;
+  bool lists_machines;           /* owners from then on can list them */
+  bool is_every_other_list_torn; /* it lacks the workers that the owner can't
+                                    reach */
+  uint32_t machine_lists;        /* that were read */
   struct world_faults faults;
   GRand *rand;
   GPtrArray *pending_starts;  /* struct pending_start * */
--- a/tests/unit/test_cell_seeds.c
+++ b/tests/unit/test_cell_seeds.c
@@ -25,6 +25,14 @@
    answer, where that is tested. */
 #define RELAYED_PERCENT 20
 
+/* What the schedules of a test have. */
+struct schedule
+{
+  int kinds; /* of faults */
+  int relayed_percent;
+  bool lists_machines; /* and workers may stay down for a while */
+};
+
 #define FIRST_JOB 0xc00
 #define JOBS 12
 #define ROUNDS 30
@@ -50,12 +58,12 @@
 }
 
 static void
-inject_fault (struct world *w, int kinds)
+inject_fault (struct world *w, const struct schedule *s)
 {
   struct world_worker *worker
       = &w->workers[g_rand_int_range (w->rand, 0, WORLD_WORKERS)];
 
-  switch (g_rand_int_range (w->rand, 0, kinds))
+  switch (g_rand_int_range (w->rand, 0, s->kinds))
     {
     case 0:
       world_replace_owner (w, WORLD_OWNER_ENDS);
@@ -70,7 +78,7 @@
       worker->reachable = false;
       break;
     case 4:
-      world_crash (w, worker, true);
+      world_crash (w, worker, !s->lists_machines || g_rand_boolean (w->rand));
       break;
     case 5:
       w->is_store_unreachable = true;
@@ -86,23 +94,33 @@
 }
 
 static void
-clear_faults (struct world *w)
+restore (struct world *w)
 {
   w->is_store_unreachable = false;
-  w->faults = (struct world_faults){ 0 };
   world_reach_workers (w);
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    w->workers[i].alive = true;
 }
 
 static void
-run_seed (uint32_t seed, int kinds, int relayed_percent)
+clear_faults (struct world *w)
+{
+  w->faults = (struct world_faults){ 0 };
+  restore (w);
+}
+
+static void
+run_seed (uint32_t seed, const struct schedule *s)
 {
   struct world *w = world_new (seed);
   int submitted = 0;
 
   w->run_ms = 1200;
+  w->lists_machines = s->lists_machines;
   w->faults = (struct world_faults){ .start_lost = 5,
                                      .start_late = 5,
-                                     .start_relayed = relayed_percent,
+                                     .start_relayed = s->relayed_percent,
+                                     .list_unreadable = 20,
                                      .append_lost = 5,
                                      .append_refused = 5,
                                      .task_fails = 3 };
@@ -110,13 +128,10 @@
   for (int i = 0; i < ROUNDS; i++)
     {
       submit_some (w, &submitted);
-      inject_fault (w, kinds);
+      inject_fault (w, s);
       world_run (w, g_rand_int_range (w->rand, 50, 1500));
       if (g_rand_int_range (w->rand, 0, 3) == 0)
-        {
-          w->is_store_unreachable = false;
-          world_reach_workers (w);
-        }
+        restore (w);
     }
   clear_faults (w);
   world_run (w, 45000);
@@ -124,20 +139,32 @@
   world_destroy (w);
 }
 
+static const struct schedule noticed = { .kinds = FAULTS_NOTICED };
+static const struct schedule unnoticed = { .kinds = FAULTS_ALL };
+static const struct schedule relayed
+    = { .kinds = FAULTS_NOTICED, .relayed_percent = RELAYED_PERCENT };
+static const struct schedule listed
+    = { .kinds = FAULTS_ALL, .lists_machines = true };
+
+static void
+run_seeds (const struct schedule *s)
+{
+  for (uint32_t seed = 1; seed <= SEEDS; seed++)
+    run_seed (seed, s);
+}
+
 static void
 test_seeds (void)
 {
   for (gsize i = 0; i < G_N_ELEMENTS (regression_seeds); i++)
-    run_seed (regression_seeds[i], FAULTS_NOTICED, 0);
-  for (uint32_t seed = 1; seed <= SEEDS; seed++)
-    run_seed (seed, FAULTS_NOTICED, 0);
+    run_seed (regression_seeds[i], &noticed);
+  run_seeds (&noticed);
 }
 
 static void
 test_unnoticed_restarts (void)
 {
-  for (uint32_t seed = 1; seed <= SEEDS; seed++)
-    run_seed (seed, FAULTS_ALL, 0);
+  run_seeds (&unnoticed);
 }
 
 /* Guards against a task that starts elsewhere when the owner's own call was
@@ -145,32 +172,39 @@
 static void
 test_relayed_starts (void)
 {
-  for (uint32_t seed = 1; seed <= SEEDS; seed++)
-    run_seed (seed, FAULTS_NOTICED, RELAYED_PERCENT);
+  run_seeds (&relayed);
+}
+
+/* Guards against runs that are taken for ended by the list of machines and go
+   on. */
+static void
+test_machine_lists (void)
+{
+  run_seeds (&listed);
 }
 
 int
 main (int argc, char **argv)
 {
-  if (argc == 3 && strcmp (argv[1], "--seed") == 0)
-    {
-      run_seed ((uint32_t)strtoul (argv[2], NULL, 10), FAULTS_NOTICED, 0);
-      return 0;
-    }
-  if (argc == 3 && strcmp (argv[1], "--seed-unnoticed") == 0)
-    {
-      run_seed ((uint32_t)strtoul (argv[2], NULL, 10), FAULTS_ALL, 0);
-      return 0;
-    }
-  if (argc == 3 && strcmp (argv[1], "--seed-relayed") == 0)
-    {
-      run_seed ((uint32_t)strtoul (argv[2], NULL, 10), FAULTS_NOTICED,
-                RELAYED_PERCENT);
-      return 0;
-    }
+  static const struct
+  {
+    const char *option;
+    const struct schedule *schedule;
+  } options[] = { { "--seed", &noticed },
+                  { "--seed-unnoticed", &unnoticed },
+                  { "--seed-relayed", &relayed },
+                  { "--seed-listed", &listed } };
+
+  for (gsize i = 0; i < G_N_ELEMENTS (options) && argc == 3; i++)
+    if (strcmp (argv[1], options[i].option) == 0)
+      {
+        run_seed ((uint32_t)strtoul (argv[2], NULL, 10), options[i].schedule);
+        return 0;
+      }
   g_test_init (&argc, &argv, NULL);
   g_test_add_func ("/cell/seeds", test_seeds);
   g_test_add_func ("/cell/seeds-unnoticed-restarts", test_unnoticed_restarts);
   g_test_add_func ("/cell/seeds-relayed-starts", test_relayed_starts);
+  g_test_add_func ("/cell/seeds-machine-lists", test_machine_lists);
   return g_test_run ();
 }
