Let a gang leave a rack that can't hold it any more

Cause: the placement of gangs took a preferred rack, and the wish for one rack, for requirements. Both only say how long the tasks take elsewhere.

Fix: a gang that has not fitted for 1.5 s checks whether its rack can hold it at all, by the workers that are not lost and what long-running tasks use there. If it can't, any other rack may; if none can hold the gang whole, it is spread. A busy rack is waited for as before.

Before: /cell-racks/gang-lost-rack and /cell-racks/wide-gang fail; gang-busy-rack guards against leaving too soon and passes before and after.

--- a/src/cell_place.c
+++ b/src/cell_place.c
@@ -151,6 +151,50 @@
   return true;
 }
 
+/* Start a gang on workers of one rack, which is RACK unless that is NULL.
+   Return whether it was started. */
+static bool
+try_place_gang_in_rack (struct cell *c, struct cell_occurrence *o,
+                        uint32_t step, const char *rack, int64_t now_ms)
+{
+  for (guint i = 0; i < c->worker_list->len; i++)
+    {
+      const struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
+
+      if ((rack == NULL || strcmp (rack, w->entry->rack) == 0)
+          && try_place_gang (c, o, step, w->entry->rack, now_ms))
+        return true;
+    }
+  return false;
+}
+
+/* Start a gang, preferably in one rack, which is the preferred one if it has
+   one.  Return whether it was started. */
+static bool
+try_place_gang_in_racks (struct cell *c, struct cell_occurrence *o,
+                         uint32_t step, int64_t now_ms)
+{
+  const struct job_step *s = g_ptr_array_index (o->job->spec->steps, step);
+
+  if (!s->prefers_same_rack)
+    return try_place_gang (c, o, step, NULL, now_ms);
+  if (try_place_gang_in_rack (
+          c, o, step, s->preferred_rack[0] != '\0' ? s->preferred_rack : NULL,
+          now_ms))
+    return true;
+  switch (cell_gang_racks (c, &o->tasks[o->first_task[step]], now_ms))
+    {
+    case GANG_IN_PREFERRED_RACK:
+      return false;
+    case GANG_IN_ONE_RACK:
+      return s->preferred_rack[0] != '\0'
+             && try_place_gang_in_rack (c, o, step, NULL, now_ms);
+    case GANG_IN_ANY_RACKS:
+      return try_place_gang (c, o, step, NULL, now_ms);
+    }
+  return false;
+}
+
 static void
 place_gang (struct cell *c, struct cell_occurrence *o, uint32_t step,
             int64_t now_ms)
@@ -163,24 +207,8 @@
       || !has_run_number (c, first)
       || !cell_account_allows (c, o->job, step, s->count, now_ms))
     return;
-  if (!s->prefers_same_rack)
-    {
-      if (!try_place_gang (c, o, step, NULL, now_ms))
-        {
-          cell_accounts_note_shortage (c);
-          cell_reserve_for (c, first, now_ms);
-        }
-      return;
-    }
-  for (guint i = 0; i < c->worker_list->len; i++)
-    {
-      const struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
-
-      if (s->preferred_rack[0] == '\0'
-          || strcmp (s->preferred_rack, w->entry->rack) == 0)
-        if (try_place_gang (c, o, step, w->entry->rack, now_ms))
-          return;
-    }
+  if (try_place_gang_in_racks (c, o, step, now_ms))
+    return;
   cell_accounts_note_shortage (c);
   cell_reserve_for (c, first, now_ms);
 }
--- a/src/cell_place.h
+++ b/src/cell_place.h
@@ -53,7 +53,21 @@
    to grow. */
 bool cell_is_overload_lasting (const struct cell *c, int64_t now_ms);
 
+/* Where the tasks of a gang may start. */
+enum gang_racks
+{
+  GANG_IN_PREFERRED_RACK,
+  GANG_IN_ONE_RACK,
+  GANG_IN_ANY_RACKS
+};
+
 /* cell_racks.c */
+/* Return where the gang that begins with FIRST, which could not be placed, may
+   start now: away from its preferred rack, or in several, only if that rack,
+   or each one, has lost so many workers that the gang can't fit there later.
+ */
+enum gang_racks cell_gang_racks (const struct cell *c, struct cell_task *first,
+                                 int64_t now_ms);
 /* Return whether T waits for room in its preferred rack rather than run on W
    now; it then counts as waiting there for the rest of this placement. */
 bool cell_waits_for_rack (struct cell *c, struct cell_task *t,
--- a/src/cell_racks.c
+++ b/src/cell_racks.c
@@ -5,6 +5,13 @@
 /* Preferred racks: a task takes far_rack_factor times as long away from the
    rack that holds its data.  It waits for that rack if it ends sooner so. */
 
+/* A worker that has not answered for so long counts as lost to its rack. */
+#define WORKER_LOST_MS 1500
+/* How long a gang waits for its rack before it is checked whether the rack is
+   lost, and the interval between two such checks. */
+#define GANG_RACK_WAIT_MS 1500
+#define GANG_CHECK_INTERVAL_MS 250
+
 /* What waits for a rack in the present placement. */
 struct rack_queue
 {
@@ -173,3 +180,94 @@
   q->waiting_cpu += s->cpu_milli;
   return true;
 }
+
+/* Gangs. */
+
+static bool
+is_lost (const struct cell_worker *w, int64_t now_ms)
+{
+  return !w->is_listed || w->entry->draining || w->is_emptying
+         || (w->silent_ms != 0 && now_ms >= w->silent_ms + WORKER_LOST_MS);
+}
+
+/* Return how often AMOUNT is in ROOM; none is needed if it is 0. */
+static uint32_t
+times_in (uint32_t amount, uint32_t room)
+{
+  return amount == 0 ? UINT32_MAX : room / amount;
+}
+
+/* Return how many tasks of S fit on W once its tasks that have an end are
+   over. */
+static uint32_t
+count_fitting (const struct cell_worker *w, const struct job_step *s)
+{
+  struct worker_resources room = w->entry->capacity;
+  uint32_t n;
+
+  if (!cell_has_label (w, s))
+    return 0;
+  for (guint i = 0; i < w->tasks->len; i++)
+    {
+      const struct job_step *other
+          = cell_task_step (g_ptr_array_index (w->tasks, i));
+
+      if (other->is_long_running)
+        cell_step_subtract (other, &room);
+    }
+  n = MIN (times_in (s->is_best_effort ? 0 : s->cpu_milli, room.cpu_milli),
+           times_in (s->memory_mb, room.memory_mb));
+  n = MIN (n, times_in (s->gpus, room.gpus));
+  return s->max_per_worker > 0 ? MIN (n, s->max_per_worker) : n;
+}
+
+/* Return whether RACK can hold all tasks of the gang of S later. */
+static bool
+can_hold_gang (const struct cell *c, const struct job_step *s,
+               const char *rack, int64_t now_ms)
+{
+  uint64_t n = 0;
+
+  for (guint i = 0; i < c->worker_list->len && n < s->count; i++)
+    {
+      const struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
+
+      if (strcmp (w->entry->rack, rack) == 0 && !is_lost (w, now_ms))
+        n += count_fitting (w, s);
+    }
+  return n >= s->count;
+}
+
+static bool
+can_any_rack_hold_gang (const struct cell *c, const struct job_step *s,
+                        int64_t now_ms)
+{
+  for (guint i = 0; i < c->worker_list->len; i++)
+    {
+      const struct cell_worker *w = g_ptr_array_index (c->worker_list, i);
+
+      if (can_hold_gang (c, s, w->entry->rack, now_ms))
+        return true;
+    }
+  return false;
+}
+
+enum gang_racks
+cell_gang_racks (const struct cell *c, struct cell_task *first, int64_t now_ms)
+{
+  const struct job_step *s = cell_task_step (first);
+  enum gang_racks narrowest = s->preferred_rack[0] != '\0'
+                                  ? GANG_IN_PREFERRED_RACK
+                                  : GANG_IN_ONE_RACK;
+
+  if (first->rack_wait_ms == 0)
+    first->rack_wait_ms = now_ms;
+  if (now_ms < first->rack_wait_ms + GANG_RACK_WAIT_MS)
+    return narrowest;
+  first->rack_wait_ms = now_ms - GANG_RACK_WAIT_MS + GANG_CHECK_INTERVAL_MS;
+  if (narrowest == GANG_IN_PREFERRED_RACK
+      && can_hold_gang (c, s, s->preferred_rack, now_ms))
+    return GANG_IN_PREFERRED_RACK;
+  return can_any_rack_hold_gang (c, s, now_ms) ? GANG_IN_ONE_RACK
+                                               : GANG_IN_ANY_RACKS;
+}
--- a/tests/unit/test_cell_racks.c
+++ b/tests/unit/test_cell_racks.c
@@ -169,6 +169,78 @@
   world_destroy (w);
 }
 
+/* Submit a gang of COUNT tasks that prefers one rack, RACK unless that is "".
+ */
+static void
+submit_gang (struct world *w, const char *rack, uint32_t count)
+{
+  struct job_spec *spec = world_job (w, JOB, 1, count);
+  struct job_step *s = g_ptr_array_index (spec->steps, 0);
+
+  s->is_gang = true;
+  s->prefers_same_rack = true;
+  g_free (s->preferred_rack);
+  s->preferred_rack = g_strdup (rack);
+  world_submit (w, spec);
+}
+
+/* Guards against a gang that waits for a rack that is lost for good. */
+static void
+test_a_gang_does_not_wait_for_a_lost_rack (void)
+{
+  struct world *w = world_with_racks (4, 3);
+
+  world_crash (w, &w->workers[0], false);
+  world_run (w, 2000);
+  submit_gang (w, "near", 4);
+  world_run (w, 6000);
+  g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
+  world_assert_no_violations (w);
+  world_destroy (w);
+}
+
+/* Guards against a gang that waits for one rack though it is wider than each
+   has room for. */
+static void
+test_a_gang_wider_than_a_rack_is_spread (void)
+{
+  struct world *w = world_with_racks (5, 3);
+
+  submit_gang (w, "", ROOM * (WORLD_WORKERS - 1) + 1);
+  world_run (w, 10000);
+  g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
+  world_assert_no_violations (w);
+  world_destroy (w);
+}
+
+/* Guards against a gang that leaves its rack because that is busy, or because
+   a worker there does not answer for a moment. */
+static void
+test_a_gang_waits_for_a_busy_rack (void)
+{
+  struct world *w = world_with_racks (6, 3);
+  struct job_spec *spec = world_job (w, "00000000000000c1", 1, ROOM);
+
+  w->run_ms = 4000;
+  g_free (
+      ((struct job_step *)g_ptr_array_index (spec->steps, 0))->preferred_rack);
+  ((struct job_step *)g_ptr_array_index (spec->steps, 0))->preferred_rack
+      = g_strdup ("near");
+  world_submit (w, spec);
+  world_run (w, 200);
+  w->run_ms = 500;
+  submit_gang (w, "near", 4);
+  world_run (w, 500);
+  w->workers[0].reachable = false;
+  world_run (w, 1000);
+  w->workers[0].reachable = true;
+  world_run (w, 8000);
+  g_assert_cmpint (world_state (w, JOB), ==, JOB_COMPLETED);
+  g_assert_cmpuint (starts_far (w), ==, 0);
+  world_assert_no_violations (w);
+  world_destroy (w);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -182,5 +254,11 @@
                    test_no_wait_for_a_worker_that_leaves);
   g_test_add_func ("/cell-racks/bounded", test_a_wait_for_a_rack_is_bounded);
   g_test_add_func ("/cell-racks/no-factor", test_no_wait_without_a_factor);
+  g_test_add_func ("/cell-racks/gang-lost-rack",
+                   test_a_gang_does_not_wait_for_a_lost_rack);
+  g_test_add_func ("/cell-racks/wide-gang",
+                   test_a_gang_wider_than_a_rack_is_spread);
+  g_test_add_func ("/cell-racks/gang-busy-rack",
+                   test_a_gang_waits_for_a_busy_rack);
   return g_test_run ();
 }
