Count an upkeep without an answer as down while it may be carried out

Cause: one time served two ends. A machine that an earlier owner may have ordered counted as down only for as long as it is left alone for the holder lease (3.4 or 5.8 s), and not for the 12 s in which an order without an answer may be carried out. Each machine has its own fence, so that the successor's orders for others did not stop the late one.

They count as down for as long as such an order may take effect, or until the successor's own order for the machine, whose token is higher, is answered; a machine that counts already may be ordered while the cap is in use. The same holds for an owner's own orders without an answer.

--- a/src/node_fleet.c
+++ b/src/node_fleet.c
@@ -17,8 +17,10 @@
    takes some 20 ms. */
 #define EMPTYING_ATTEMPTS_MAX 4
 #define EMPTYING_RETRY_MS 30
-/* Key of the record that names the machines ordered last. */
+/* Keys of the records that name the machines ordered last, and of these the
+   ones whose upkeep may not have begun yet. */
 #define ORDERED_KEY "ordered"
+#define ORDERED_UPKEEPS_KEY "ordered-upkeeps"
 /* Delay after a failed append. */
 #define RETRY_DELAY_MS 300
 /* Interval between rounds; each reads the list of machines. */
@@ -142,8 +144,8 @@
 /* Becoming the owner. */
 
 /* Load one record of the journal.  Its value is "A,B,C": under a wave's number
-   the machines whose upkeep has begun, under ORDERED_KEY those that were
-   ordered last. */
+   the machines whose upkeep has begun, under ORDERED_KEY and
+   ORDERED_UPKEEPS_KEY those that were ordered last. */
 static void
 load_record (struct node *n, const struct journal_entry *e, bool was_own,
              int64_t now_ms)
@@ -156,6 +158,8 @@
 
   if (strcmp (e->key, ORDERED_KEY) == 0)
     order_log_load (n->fleet.order_log, text, was_own, now_ms);
+  else if (strcmp (e->key, ORDERED_UPKEEPS_KEY) == 0)
+    order_log_load_upkeeps (n->fleet.order_log, text, now_ms);
   else
     for (char **name = names; *name != NULL; name++)
       /* The list shows, after its delay, whether it is still down. */
@@ -426,11 +430,15 @@
   if (f->ready_calls->len == 0)
     return;
   for (guint i = 0; i < f->ready_calls->len; i++)
-    order_log_add (
-        f->order_log,
-        ((const struct fleet_call *)g_ptr_array_index (f->ready_calls, i))
-            ->machine,
-        now_ms);
+    {
+      const struct fleet_call *call = g_ptr_array_index (f->ready_calls, i);
+
+      order_log_add (f->order_log, call->machine, call->target == NULL,
+                     now_ms);
+    }
+  g_queue_push_tail (
+      &f->writes, write_new (FLEET_UPKEEP, g_strdup (ORDERED_UPKEEPS_KEY),
+                             order_log_upkeeps_text (f->order_log, now_ms)));
   w = write_new (FLEET_UPKEEP, g_strdup (ORDERED_KEY),
                  order_log_text (f->order_log, now_ms));
   w->orders = f->ready_calls;
--- a/src/order_window.c
+++ b/src/order_window.c
@@ -18,11 +18,20 @@
   return holder_lease_ms + MARGIN_MS;
 }
 
+int64_t
+order_unsettled_ms (void)
+{
+  return ORDER_EMPTIED_MAX_AGE_MS + ORDER_TIMEOUT_MS + ORDER_LATE_MAX_MS
+         + MARGIN_MS;
+}
+
 struct ordered_machine
 {
   int64_t until_ms;
   bool is_earlier_owners;
   int64_t unsettled_until_ms;
+  int64_t
+      upkeep_until_ms; /* an upkeep that is not settled may begin by then */
 };
 
 struct order_log
@@ -78,32 +87,55 @@
         struct ordered_machine *m = find_or_add (log, *name);
 
         m->until_ms = now_ms + window_ms;
-        m->unsettled_until_ms = m->until_ms;
+        m->unsettled_until_ms = MAX (m->unsettled_until_ms, m->until_ms);
         m->is_earlier_owners = true;
       }
   g_strfreev (names);
 }
 
 void
-order_log_add (struct order_log *log, const char *machine, int64_t now_ms)
+order_log_load_upkeeps (struct order_log *log, const char *text,
+                        int64_t now_ms)
+{
+  char **names = g_strsplit (text, ",", -1);
+
+  for (char **name = names; *name != NULL; name++)
+    if (**name != '\0')
+      {
+        struct ordered_machine *m = find_or_add (log, *name);
+
+        m->unsettled_until_ms = now_ms + order_unsettled_ms ();
+        m->upkeep_until_ms = m->unsettled_until_ms;
+      }
+  g_strfreev (names);
+}
+
+void
+order_log_add (struct order_log *log, const char *machine, bool is_upkeep,
+               int64_t now_ms)
 {
   struct ordered_machine *m = find_or_add (log, machine);
 
   m->until_ms = now_ms + order_window_ms (log->holder_lease_ms);
   m->is_earlier_owners = false;
+  if (is_upkeep)
+    m->upkeep_until_ms = now_ms + order_unsettled_ms ();
 }
 
 void
 order_log_settle (struct order_log *log, const char *machine)
 {
-  find_or_add (log, machine)->unsettled_until_ms = 0;
+  struct ordered_machine *m = find_or_add (log, machine);
+
+  m->unsettled_until_ms = 0;
+  m->upkeep_until_ms = 0;
 }
 
 void
 order_log_unsettle (struct order_log *log, const char *machine, int64_t now_ms)
 {
   find_or_add (log, machine)->unsettled_until_ms
-      = now_ms + order_window_ms (log->holder_lease_ms);
+      = now_ms + order_unsettled_ms ();
 }
 
 bool
@@ -126,6 +158,14 @@
   return m != NULL && now_ms < m->unsettled_until_ms;
 }
 
+static void
+append_name (GString *text, const char *name)
+{
+  if (text->len > 0)
+    g_string_append_c (text, ',');
+  g_string_append (text, name);
+}
+
 char *
 order_log_text (const struct order_log *log, int64_t now_ms)
 {
@@ -136,7 +176,20 @@
   g_hash_table_iter_init (&iter, log->machines);
   while (g_hash_table_iter_next (&iter, &name, &machine))
     if (now_ms < ((const struct ordered_machine *)machine)->until_ms)
-      g_string_append_printf (text, "%s%s", text->len > 0 ? "," : "",
-                              (const char *)name);
+      append_name (text, name);
+  return g_string_free (text, FALSE);
+}
+
+char *
+order_log_upkeeps_text (const struct order_log *log, int64_t now_ms)
+{
+  GString *text = g_string_new (NULL);
+  GHashTableIter iter;
+  gpointer name, machine;
+
+  g_hash_table_iter_init (&iter, log->machines);
+  while (g_hash_table_iter_next (&iter, &name, &machine))
+    if (now_ms < ((const struct ordered_machine *)machine)->upkeep_until_ms)
+      append_name (text, name);
   return g_string_free (text, FALSE);
 }
--- a/src/order_window.h
+++ b/src/order_window.h
@@ -19,6 +19,9 @@
 /* Timeout of an order: it is not put on a connection later. */
 #define ORDER_TIMEOUT_MS 1500
 
+/* An order without an answer may be carried out this much later. */
+#define ORDER_LATE_MAX_MS 12000
+
 /* Return for how long from its takeover a successor leaves the machines alone
    that the journal names, and for how long it names them. */
 int64_t order_window_ms (int64_t holder_lease_ms);
@@ -27,6 +30,10 @@
    process had not sent ended with it. */
 int64_t order_window_after_restart_ms (int64_t holder_lease_ms);
 
+/* Return for how long an order that was sent before now, or is about to be,
+   may be carried out. */
+int64_t order_unsettled_ms (void);
+
 struct order_log;
 
 /* Return an empty log, which the caller destroys. */
@@ -38,8 +45,14 @@
 void order_log_load (struct order_log *log, const char *text, bool was_own,
                      int64_t now_ms);
 
-/* Add MACHINE, which this owner is about to order. */
-void order_log_add (struct order_log *log, const char *machine,
+/* Add the machines whose upkeep the journal's TEXT names at the takeover: as
+   long as an earlier owner's order may be carried out, and this owner has not
+   ordered the same machine itself, they are unsettled. */
+void order_log_load_upkeeps (struct order_log *log, const char *text,
+                             int64_t now_ms);
+
+/* Add MACHINE, which this owner is about to order, to upkeep if IS_UPKEEP. */
+void order_log_add (struct order_log *log, const char *machine, bool is_upkeep,
                     int64_t now_ms);
 
 /* Record that this owner's order for MACHINE was answered, or was not and may
@@ -58,7 +71,9 @@
 bool order_log_is_unsettled (const struct order_log *log, const char *machine,
                              int64_t now_ms);
 
-/* Return the text for the journal, which the caller frees. */
+/* Return the text for the journal, which the caller frees: of all machines, or
+   of those whose upkeep has been ordered and may be carried out yet. */
 char *order_log_text (const struct order_log *log, int64_t now_ms);
+char *order_log_upkeeps_text (const struct order_log *log, int64_t now_ms);
 
 #endif
--- a/src/upkeep.c
+++ b/src/upkeep.c
@@ -172,15 +172,16 @@
 
 /* Return whether M may be down: the list shows it in upkeep, its upkeep began
    less than DOWN_MS ago and the list may be older than the order, or an order
-   may be on its way. */
+   may be on its way.  An order for an upkeep that has begun does nothing. */
 static bool
 may_be_down (const struct wave *w, const struct machine *m, int64_t down_ms,
              int64_t now_ms)
 {
   const int64_t *begun_ms = g_hash_table_lookup (w->begun, m->name);
 
-  return m->state == MACHINE_IN_UPKEEP || m->may_be_ordered
-         || (begun_ms != NULL && now_ms < *begun_ms + down_ms);
+  if (m->state == MACHINE_IN_UPKEEP)
+    return true;
+  return begun_ms != NULL ? now_ms < *begun_ms + down_ms : m->may_be_ordered;
 }
 
 /* Share of a pool's machines that are emptied at a time, and how many may be
--- a/tests/unit/test_order_window.c
+++ b/tests/unit/test_order_window.c
@@ -54,7 +54,7 @@
   char *text;
 
   order_log_load (log, "m0", false, 1000);
-  order_log_add (log, "m5", 1200);
+  order_log_add (log, "m5", false, 1200);
   text = order_log_text (log, 1200);
   g_assert_true (strcmp (text, "m0,m5") == 0 || strcmp (text, "m5,m0") == 0);
   order_log_destroy (log);
@@ -81,7 +81,7 @@
       log, "m1", order_window_after_restart_ms (HOLDER_LEASE_MS) - 1));
   g_assert_false (order_log_is_held_back (
       log, "m1", order_window_after_restart_ms (HOLDER_LEASE_MS)));
-  order_log_add (log, "m0", 0);
+  order_log_add (log, "m0", true, 0);
   g_assert_false (order_log_is_held_back (log, "m0", 100));
   g_assert_false (order_log_is_unsettled (log, "m0", 100));
   order_log_destroy (log);
@@ -96,15 +96,52 @@
 
   order_log_load (log, "m1", false, 0);
   g_assert_true (order_log_is_unsettled (log, "m1", 100));
-  order_log_add (log, "m0", 0);
+  order_log_add (log, "m0", true, 0);
   order_log_unsettle (log, "m0", 100);
-  order_log_add (log, "m0", 200);
+  order_log_add (log, "m0", true, 200);
   g_assert_true (order_log_is_unsettled (log, "m0", 300));
   order_log_settle (log, "m0");
   g_assert_false (order_log_is_unsettled (log, "m0", 300));
   order_log_destroy (log);
 }
 
+/* Guards against a successor that takes an upkeep for not ordered while the
+   order may still be carried out, whichever record it loads first. */
+static void
+test_an_earlier_upkeep_stays_unsettled (void)
+{
+  struct order_log *log = order_log_new (HOLDER_LEASE_MS);
+  char *upkeeps;
+
+  order_log_add (log, "m0", true, 0);
+  order_log_add (log, "m1", true, 0);
+  order_log_add (log, "m2", false, 0);
+  order_log_settle (log, "m1");
+  upkeeps = order_log_upkeeps_text (log, 100);
+  g_assert_cmpstr (upkeeps, ==, "m0");
+  order_log_destroy (log);
+
+  for (int is_first = 0; is_first <= 1; is_first++)
+    {
+      log = order_log_new (HOLDER_LEASE_MS);
+      if (is_first)
+        order_log_load_upkeeps (log, upkeeps, 1000);
+      order_log_load (log, "m0,m1,m2", false, 1000);
+      if (!is_first)
+        order_log_load_upkeeps (log, upkeeps, 1000);
+      g_assert_true (
+          order_log_is_unsettled (log, "m0", 1000 + ORDER_LATE_MAX_MS));
+      g_assert_false (order_log_is_unsettled (
+          log, "m2", 1000 + order_window_ms (HOLDER_LEASE_MS)));
+      g_assert_false (
+          order_log_is_unsettled (log, "m0", 1000 + order_unsettled_ms ()));
+      order_log_settle (log, "m0");
+      g_assert_false (order_log_is_unsettled (log, "m0", 1100));
+      order_log_destroy (log);
+    }
+  g_free (upkeeps);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -118,5 +155,7 @@
   g_test_add_func ("/order-window/own", test_own_orders_are_not_held_back);
   g_test_add_func ("/order-window/unsettled",
                    test_an_order_without_an_answer_stays_unsettled);
+  g_test_add_func ("/order-window/earlier-upkeep",
+                   test_an_earlier_upkeep_stays_unsettled);
   return g_test_run ();
 }
--- a/tests/unit/test_upkeep.c
+++ b/tests/unit/test_upkeep.c
@@ -169,6 +169,9 @@
   assert_plan (plan (u, machines, 200), "m0 m1");
   machine (machines, 2)->may_be_ordered = true;
   assert_plan (plan (u, machines, 300), "m1 m2");
+  /* One whose upkeep has begun can't begin it again. */
+  upkeep_mark_machine_begun (u, 1, "m2", -10000);
+  assert_plan (plan (u, machines, 300), "m0 m1");
   g_ptr_array_unref (machines);
   upkeep_destroy (u);
 }
