List the machines less often while they name the silent workers

A worker that is cut off stays in the list, so that its cell listed all machines every 0.4 s for as long as the cut lasted.

--- a/src/cell.h
+++ b/src/cell.h
@@ -66,7 +66,7 @@
   ORDER_ASK_ADVICE,
   ORDER_APPEND,
   ORDER_STOP_OWNER,    /* tell an earlier owner that it has a successor */
-  ORDER_LIST_MACHINES, /* list the workers of the machines that are up */
+  ORDER_LIST_MACHINES, /* list the machines, which name their workers */
   ORDER_ANSWER,
   ORDER_LOG_EVENT /* log a decision */
 };
--- a/src/cell_machines.c
+++ b/src/cell_machines.c
@@ -6,8 +6,10 @@
    names the worker of each machine that is up, also of one that is cut off.  A
    worker that it does not name any more has ended, and its runs with it. */
 
-/* Interval between two lists. */
+/* Interval between two lists.  It doubles, up to the maximum, while they name
+   all workers that are waited for, as they do those that are cut off. */
 #define LIST_INTERVAL_MS 400
+#define LIST_INTERVAL_MAX_MS 3200
 /* Lists in a row that must lack a worker: one that is read page by page is not
    a snapshot. */
 #define ABSENCES_MIN 2
@@ -27,6 +29,15 @@
          && !cell_worker_leases_expired (c, w);
 }
 
+void
+cell_machines_note_silence (struct cell *c, struct cell_worker *w,
+                            int64_t now_ms)
+{
+  w->silent_ms = now_ms;
+  c->list_interval_ms = LIST_INTERVAL_MS;
+  c->next_list_ms = MIN (c->next_list_ms, now_ms + LIST_INTERVAL_MS);
+}
+
 void
 cell_machines_tick (struct cell *c, int64_t now_ms)
 {
@@ -60,8 +71,10 @@
 cell_machines_listed (struct cell *cell, GHashTable *workers, int64_t sent_ms,
                       int64_t now_ms)
 {
+  bool has_absence = false;
+
   cell->has_pending_list = false;
-  cell->next_list_ms = now_ms + LIST_INTERVAL_MS;
+  cell->next_list_ms = now_ms + cell->list_interval_ms;
   if (workers == NULL)
     return;
   for (guint i = 0; i < cell->worker_list->len; i++)
@@ -72,8 +85,14 @@
           || sent_ms < w->last_start_ms + START_CALLS_MAX_MS)
         continue;
       if (g_hash_table_contains (workers, w->entry->id))
-        w->absences = 0;
-      else
-        note_absence (cell, w, now_ms);
+        {
+          w->absences = 0;
+          continue;
+        }
+      has_absence = true;
+      note_absence (cell, w, now_ms);
     }
+  cell->list_interval_ms
+      = has_absence ? LIST_INTERVAL_MS
+                    : MIN (cell->list_interval_ms * 2, LIST_INTERVAL_MAX_MS);
 }
--- a/src/cell_reports.c
+++ b/src/cell_reports.c
@@ -336,7 +336,7 @@
   if (reply == NULL)
     {
       if (w->silent_ms == 0)
-        w->silent_ms = now_ms;
+        cell_machines_note_silence (cell, w, now_ms);
       if (w->is_confirmed)
         {
           cell_log_event (cell, "worker-silent", worker, "tasks=%u",
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -283,6 +283,7 @@
                                 placement left waiting; UINT32_MAX for none */
   bool has_pending_list;     /* of the machines */
   int64_t next_list_ms;
+  int64_t list_interval_ms;
   bool needs_epoch;             /* a task has no run number left */
   bool avoids_suspects;         /* few enough workers are suspect */
   int64_t last_preemption_ms;   /* for a task that is not long-running */
@@ -515,6 +516,9 @@
 uint32_t cell_step_count_unavailable (const struct cell_task *t);
 
 /* cell_machines.c */
+/* Process that W has not answered a hold. */
+void cell_machines_note_silence (struct cell *c, struct cell_worker *w,
+                                 int64_t now_ms);
 /* Ask which machines are up while the leases of a silent worker are waited
    for. */
 void cell_machines_tick (struct cell *c, int64_t now_ms);
--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -1213,9 +1213,9 @@
 
   if (!fault_occurs (w, w->faults.list_unreadable))
     {
-      bool is_torn
-          = w->is_every_other_list_torn && w->machine_lists++ % 2 == 0;
+      bool is_torn = w->is_every_other_list_torn && w->machine_lists % 2 == 0;
 
+      w->machine_lists++;
       up = g_hash_table_new (g_str_hash, g_str_equal);
       for (int i = 0; i < WORLD_WORKERS; i++)
         if (w->workers[i].alive
--- a/tests/unit/test_cell_machines.c
+++ b/tests/unit/test_cell_machines.c
@@ -55,6 +55,8 @@
   world_take_over (w, false, STALE_MS);
   world_run (w, STAND_STILL_MAX_MS);
   g_assert_cmpuint (w->starts, ==, 1);
+  /* The lists get rarer, as they go on naming the worker. */
+  g_assert_cmpuint (w->machine_lists, <=, 6);
   world_run (w, 10000);
   g_assert_cmpuint (w->starts, ==, 2);
   world_assert_no_violations (w);
