Bound the tasks of accepted jobs by the node's memory

Cause: a cell holds every task of every accepted job in memory, and nothing bounded their sum.

Fix: a cell accepts jobs up to a number of tasks that follows from the memory (job_percent, 30 percent if absent, shared by all services, as one node may come to own all cells). Jobs of over 1,000 tasks have half of that room for themselves and keep no ordinary job out; a single one is always accepted. Ended jobs count until their state is forgotten.

--- a/src/cell.c
+++ b/src/cell.c
@@ -175,6 +175,7 @@
   cell->taken_over_ms = now_ms;
   cell->needs_placement = true;
   cell_owners_activate (cell, now_ms);
+  cell_count_held_tasks (cell);
   for (guint i = 0; i < cell->worker_list->len; i++)
     {
       struct cell_worker *w = g_ptr_array_index (cell->worker_list, i);
--- a/src/cell.h
+++ b/src/cell.h
@@ -24,6 +24,9 @@
 
 struct cell;
 
+/* Memory that a task takes in its cell. */
+#define CELL_TASK_BYTES 192
+
 struct cell_options
 {
   const char *service;
@@ -37,6 +40,9 @@
   int64_t early_ms;      /* an occurrence may start this early */
   int64_t keep_state_ms; /* how long the state of an ended job is kept */
   bool lists_machines;   /* ORDER_LIST_MACHINES is carried out */
+  /* Tasks of accepted jobs that the cell may hold in memory; 0 for no limit.
+     Half of them are for jobs of very many tasks, see cell_excess.c. */
+  uint64_t max_tasks;
   /* Longest time until the leases of an earlier owner have expired: after it
      has stopped, and after the takeover if it does not answer. */
   int64_t stopped_owner_lease_ms;
@@ -52,6 +58,7 @@
   CELL_STORED,       /* accepted or cancelled, and journaled */
   CELL_NO_JOB,       /* no such job */
   CELL_REFUSED,      /* not accepted; the job never runs */
+  CELL_REFUSED_FULL, /* the same, as the cell holds too many tasks */
   CELL_REFUSED_RATE, /* the same, as its account is beyond its rate and the
                         cell is overloaded */
   CELL_UNCLEAR       /* the outcome of the append is unknown */
--- a/src/cell_calls.c
+++ b/src/cell_calls.c
@@ -28,6 +28,18 @@
       answer_one (cell, token, CELL_REFUSED);
       return;
     }
+  if (job == NULL && cell_is_full (cell, spec))
+    {
+      cell_log_event (cell, "job-refused", spec->id,
+                      "reason=full tasks=%" G_GUINT64_FORMAT
+                      " held=%" G_GUINT64_FORMAT
+                      " held_wide=%" G_GUINT64_FORMAT,
+                      cell_max_open_tasks (spec), cell->held_tasks[false],
+                      cell->held_tasks[true]);
+      job_spec_destroy (spec);
+      answer_one (cell, token, CELL_REFUSED_FULL);
+      return;
+    }
   if (job == NULL)
     {
       is_excess = cell_is_excess (cell, spec, now_ms);
@@ -37,6 +49,7 @@
           job_spec_destroy (spec);
           return;
         }
+      cell_hold_tasks (cell, spec);
       job = cell_job_add (cell, spec, false, now_ms);
       job->order.is_excess = is_excess;
       cell_journal_job (cell, job, true);
--- a/src/cell_excess.c
+++ b/src/cell_excess.c
@@ -1,7 +1,7 @@
 #include "cell_state.h"
 
-/* Admission: jobs beyond their account's rate under overload, and jobs that no
-   worker can ever run. */
+/* Admission: jobs beyond their account's rate under overload, jobs that the
+   cell has no memory for, and jobs that no worker can ever run. */
 
 /* The cell is overloaded for a job if the work that goes before it takes more
    than this multiple of its objective. */
@@ -13,6 +13,9 @@
    have them. */
 #define IMPOSSIBLE_FACTOR 4
 #define IMPOSSIBLE_MIN_WORKERS 4
+/* A job of more tasks than this is wide.  Wide jobs have a share of the memory
+   of their own, so that they keep no ordinary one out. */
+#define WIDE_JOB_TASKS 1000
 
 bool
 cell_is_excess (struct cell *c, const struct job_spec *spec, int64_t now_ms)
@@ -52,6 +55,64 @@
                   o->u.answer.retry_after_ms);
 }
 
+static bool
+is_wide (uint64_t n_tasks)
+{
+  return n_tasks > WIDE_JOB_TASKS;
+}
+
+bool
+cell_is_full (const struct cell *c, const struct job_spec *spec)
+{
+  uint64_t n = cell_max_open_tasks (spec);
+  uint64_t held = c->held_tasks[is_wide (n)];
+
+  /* A single wide job is accepted, whatever it takes. */
+  if (c->options.max_tasks == 0 || (is_wide (n) && held == 0))
+    return false;
+  return held + n > c->options.max_tasks / 2;
+}
+
+void
+cell_hold_tasks (struct cell *c, const struct job_spec *spec)
+{
+  uint64_t n = cell_max_open_tasks (spec);
+
+  c->held_tasks[is_wide (n)] += n;
+}
+
+/* Return how many tasks of JOB, which has ended, are still in memory. */
+static uint64_t
+count_left_tasks (const struct cell_job *job)
+{
+  uint64_t n = 0;
+
+  for (guint i = 0; i < job->occurrences->len; i++)
+    n += ((const struct cell_occurrence *)g_ptr_array_index (job->occurrences,
+                                                             i))
+             ->n_tasks;
+  return n;
+}
+
+void
+cell_count_held_tasks (struct cell *c)
+{
+  GHashTableIter iter;
+  gpointer value;
+
+  c->held_tasks[false] = 0;
+  c->held_tasks[true] = 0;
+  g_hash_table_iter_init (&iter, c->jobs);
+  while (g_hash_table_iter_next (&iter, NULL, &value))
+    {
+      const struct cell_job *job = value;
+      uint64_t n = cell_max_open_tasks (job->spec);
+
+      c->held_tasks[is_wide (n)]
+          += job->state < JOB_COMPLETED ? n : count_left_tasks (job);
+    }
+}
+
 void
 cell_note_worker_size (struct cell *c, const struct worker_resources *size)
 {
--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -106,30 +106,43 @@
   return c->wall_ms + c->options.early_ms / 2 >= due_ms;
 }
 
-/* Return how many occurrences of JOB have JOB_MAX_TASKS tasks. */
 static uint32_t
-occurrences_of_max_tasks (const struct cell_job *job)
+count_tasks_of_spec (const struct job_spec *spec)
 {
   uint32_t n_tasks = 0;
 
-  for (guint i = 0; i < job->spec->steps->len; i++)
-    n_tasks
-        += ((const struct job_step *)g_ptr_array_index (job->spec->steps, i))
-               ->count;
-  return MAX (JOB_MAX_TASKS / MAX (n_tasks, 1), 1);
+  for (guint i = 0; i < spec->steps->len; i++)
+    n_tasks += ((const struct job_step *)g_ptr_array_index (spec->steps, i))
+                   ->count;
+  return n_tasks;
 }
 
+/* Return how many occurrences of a job with SPEC have JOB_MAX_TASKS tasks. */
 static uint32_t
-max_open_occurrences (const struct cell_job *job)
+occurrences_of_max_tasks (const struct job_spec *spec)
 {
-  return MIN (occurrences_of_max_tasks (job), MAX_OPEN_OCCURRENCES);
+  return MAX (JOB_MAX_TASKS / MAX (count_tasks_of_spec (spec), 1), 1);
+}
+
+static uint32_t
+max_open_occurrences (const struct job_spec *spec)
+{
+  return MIN (occurrences_of_max_tasks (spec), MAX_OPEN_OCCURRENCES);
+}
+
+uint64_t
+cell_max_open_tasks (const struct job_spec *spec)
+{
+  uint64_t n = MIN (MAX (spec->occurrences, 1), max_open_occurrences (spec));
+
+  return n * count_tasks_of_spec (spec);
 }
 
 bool
 cell_job_can_have_open (const struct cell_job *job, uint64_t n)
 {
   uint32_t limit
-      = MIN (2 * occurrences_of_max_tasks (job), MAX_KNOWN_OCCURRENCES);
+      = MIN (2 * occurrences_of_max_tasks (job->spec), MAX_KNOWN_OCCURRENCES);
 
   return n <= limit;
 }
@@ -146,7 +159,7 @@
     }
   while (job->next_occurrence < job->spec->occurrences
          && is_due (c, job, job->next_occurrence)
-         && job->occurrences->len < max_open_occurrences (job))
+         && job->occurrences->len < max_open_occurrences (job->spec))
     cell_job_add_occurrence (c, job, job->next_occurrence++, now_ms)->is_due
         = true;
 }
@@ -557,4 +570,5 @@
       cell_journal_drop (c, g_strconcat ("p:", job->spec->id, NULL));
       g_hash_table_iter_remove (&iter);
     }
+  cell_count_held_tasks (c);
 }
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -298,6 +298,7 @@
   uint32_t starts_left;    /* in this placement */
   bool is_every_run_known; /* no worker may have unseen runs */
   int64_t unseen_runs_logged_ms;
+  uint64_t held_tasks[2]; /* of ordinary and of wide jobs, see cell_excess.c */
   uint64_t accepted_jobs; /* accepted; neither long-running nor repeated */
   uint64_t accepted_work_milli_s; /* estimated work of these jobs */
   int64_t last_shortage_ms; /* when a long-running task last found no worker */
@@ -344,6 +345,9 @@
                                                  struct cell_job *job,
                                                  uint32_t number,
                                                  int64_t now_ms);
+/* Return how many tasks of a job with SPEC are held at most while it is
+   open. */
+uint64_t cell_max_open_tasks (const struct job_spec *spec);
 /* Return the open occurrence NUMBER of JOB, or NULL. */
 struct cell_occurrence *cell_job_find_occurrence (struct cell_job *job,
                                                   uint32_t number);
@@ -554,6 +558,13 @@
 void cell_refuse_excess (struct cell *c, const struct job_spec *spec,
                          uint64_t token, int64_t now_ms);
 
+/* Return whether the cell holds too many tasks to accept the new job SPEC. */
+bool cell_is_full (const struct cell *c, const struct job_spec *spec);
+/* Count the tasks of the new job SPEC as held. */
+void cell_hold_tasks (struct cell *c, const struct job_spec *spec);
+/* Count all tasks that are held anew: jobs have been forgotten, or loaded. */
+void cell_count_held_tasks (struct cell *c);
+
 /* Note the SIZE of a worker that is listed. */
 void cell_note_worker_size (struct cell *c,
                             const struct worker_resources *size);
--- a/src/meters.c
+++ b/src/meters.c
@@ -5,6 +5,7 @@
   [METER_JOBS_REFUSED_STORE_UNREACHABLE]
   = "jobs_refused{reason=\"store-away\"}",
   [METER_JOBS_REFUSED_NO_OWNER] = "jobs_refused{reason=\"no-owner\"}",
+  [METER_JOBS_REFUSED_FULL] = "jobs_refused{reason=\"full\"}",
   [METER_JOBS_REFUSED_RATE] = "jobs_refused{reason=\"rate\"}",
   [METER_JOBS_UNCLEAR] = "jobs_unclear",
   [METER_JOBS_CANCELLED] = "jobs_cancelled",
--- a/src/meters.h
+++ b/src/meters.h
@@ -13,6 +13,7 @@
   METER_JOBS_REFUSED_STORE_UNREACHABLE, /* the store did not accept them in
                                            time */
   METER_JOBS_REFUSED_NO_OWNER,          /* no owner could be reached */
+  METER_JOBS_REFUSED_FULL,              /* the cell holds too many tasks */
   METER_JOBS_REFUSED_RATE,              /* beyond their account's rate */
   METER_JOBS_UNCLEAR, /* may or may not have been accepted or cancelled */
   METER_JOBS_CANCELLED,
--- a/src/node_host.c
+++ b/src/node_host.c
@@ -346,6 +346,10 @@
       meters_add (h->node->meters, METER_JOBS_REFUSED_STORE_UNREACHABLE, 1);
       finish_request (&copy, FRONT_UNAVAILABLE);
       break;
+    case CELL_REFUSED_FULL:
+      meters_add (h->node->meters, METER_JOBS_REFUSED_FULL, 1);
+      finish_request (&copy, FRONT_UNAVAILABLE);
+      break;
     case CELL_REFUSED_RATE:
       meters_add (h->node->meters, METER_JOBS_REFUSED_RATE, 1);
       refuse_for_rate (&copy, order->retry_after_ms);
--- a/src/node_settings.c
+++ b/src/node_settings.c
@@ -60,6 +60,7 @@
   s->source_percent = (uint32_t)fields_int (f, "source_percent", 1, 100, 75);
   s->buffer_percent = (uint32_t)fields_int (f, "buffer_percent", 1, 90, 25);
   s->request_percent = (uint32_t)fields_int (f, "request_percent", 1, 90, 20);
+  s->job_percent = (uint32_t)fields_int (f, "job_percent", 1, 90, 30);
   s->max_open_requests
       = (uint32_t)fields_int (f, "max_open_requests", 1, 1 << 30, 4096);
   if (fields_close (f, error))
--- a/src/node_settings.h
+++ b/src/node_settings.h
@@ -46,6 +46,7 @@
   uint32_t source_percent;      /* of a listener's connections */
   uint32_t buffer_percent;      /* of memory_mb, for connections */
   uint32_t request_percent;     /* of memory_mb, for open requests */
+  uint32_t job_percent;         /* of memory_mb, for accepted jobs' tasks */
   uint32_t max_open_requests;   /* of callers */
 };
 
--- a/src/node_takeover.c
+++ b/src/node_takeover.c
@@ -546,6 +546,17 @@
   return strchr (owner, ':') != NULL ? owner : NULL;
 }
 
+/* Return how many tasks a cell may hold: this node may come to own the cells
+   of all services. */
+static uint64_t
+max_tasks (const struct node *n)
+{
+  uint64_t bytes = (uint64_t)n->settings->memory_mb * 1024 * 1024
+                   * n->settings->job_percent / 100;
+
+  return bytes / CELL_TASK_BYTES / MAX (n->routes->services->len, 1);
+}
+
 static void
 activate_cell (struct cell_host *h, int64_t now_ms)
 {
@@ -561,6 +572,7 @@
     .early_ms = s->early_ms,
     .keep_state_ms = s->keep_state_ms,
     .lists_machines = s->machines[0] != '\0',
+    .max_tasks = max_tasks (h->node),
     .stopped_owner_lease_ms = STOPPED_OWNER_LEASE_MS,
     .silent_owner_lease_ms = SILENT_OWNER_LEASE_MS,
     .far_rack_factor = s->far_rack_factor,
--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -227,6 +227,7 @@
           .early_ms = EARLY_MS,
           .keep_state_ms = 120000,
           .lists_machines = w->lists_machines,
+          .max_tasks = w->max_tasks,
           .stopped_owner_lease_ms = STOPPED_OWNER_LEASE_MS,
           .far_rack_factor = w->far_rack_factor,
           .silent_owner_lease_ms
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -94,7 +94,8 @@
   int64_t wall_ahead_max_ms; /* of any owner so far */
   bool is_store_unreachable;
   bool is_stale_owner_cut_from_store;
-  bool lists_machines;           /* owners from then on can list them */
+  bool lists_machines; /* owners from then on can list them */
+  uint64_t max_tasks;  /* that owners from then on hold; 0 for no limit */
   bool is_every_other_list_torn; /* it lacks the workers that the owner can't
                                     reach */
   uint32_t machine_lists;        /* that were read */
