Place a lost job of much work after jobs with nearer aims

Cause: a job that can't end by its limit any more is placed to end by ten times its objective. With an objective of 0.6 s and 1,000 core-seconds of work that aim is past long before the job ends, and until then it goes before every job that is handed in.

Fix: such a job aims no earlier than it could end alone on the whole service. This concerns only jobs whose work takes more than nine times their objective there.

--- a/src/job_order.c
+++ b/src/job_order.c
@@ -191,10 +191,15 @@
   return e->deadline_ms + e->objective_ms * (LATE_AIM_PERCENT - 100) / 100;
 }
 
+/* A job that takes longer than its last aim even alone aims later: otherwise
+   it goes before all jobs that come until it ends. */
 static void
-give_up (struct job_order_entry *e)
+give_up (const struct plan *p, struct job_order_entry *e)
 {
-  e->due_ms = e->deadline_ms + (LOST_FACTOR - 1) * e->objective_ms;
+  int64_t alone_ms = (int64_t)((double)e->work / p->cpu_milli);
+
+  e->due_ms
+      = e->deadline_ms + MAX ((LOST_FACTOR - 1) * e->objective_ms, alone_ms);
 }
 
 static void
@@ -206,7 +211,7 @@
       heap_push (p->late, (double)e->due_ms, e);
     }
   else
-    give_up (e);
+    give_up (p, e);
 }
 
 /* Let the jobs that are worth least step back until what is placed so far ends
@@ -249,7 +254,7 @@
 
       p->work -= (double)lost->work;
       p->late_work -= (double)lost->work;
-      give_up (lost);
+      give_up (p, lost);
     }
   make_room (p, e->due_ms);
 }
--- a/tests/unit/test_job_order.c
+++ b/tests/unit/test_job_order.c
@@ -475,6 +475,32 @@
   g_ptr_array_unref (entries);
 }
 
+/* Guards against a job of very much work and a short objective that goes
+   before all jobs that are handed in before it ends. */
+static void
+test_a_lost_job_of_much_work_keeps_none_out (void)
+{
+  struct job_order_entry wide = { .id = "wide",
+                                  .deadline_ms = 600,
+                                  .objective_ms = 600,
+                                  .path_ms = 10,
+                                  .work = (uint64_t)64000 * 60000,
+                                  .value = 4 };
+  struct job_order_entry ordinary = { .id = "ordinary",
+                                      .deadline_ms = 10000,
+                                      .objective_ms = 10000,
+                                      .path_ms = 3000,
+                                      .work = (uint64_t)2000 * 3000,
+                                      .value = 1 };
+  GPtrArray *entries = g_ptr_array_new ();
+
+  g_ptr_array_add (entries, &wide);
+  g_ptr_array_add (entries, &ordinary);
+  g_assert_true (job_order_plan (entries, 64000, true, 4000));
+  g_assert_true (g_ptr_array_index (entries, 0) == &ordinary);
+  g_ptr_array_unref (entries);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -489,5 +515,7 @@
   g_test_add_func ("/job-order/late",
                    test_a_late_job_goes_first_before_its_limit);
   g_test_add_func ("/job-order/cost", test_the_order_of_many_jobs_is_cheap);
+  g_test_add_func ("/job-order/lost-wide",
+                   test_a_lost_job_of_much_work_keeps_none_out);
   return g_test_run ();
 }
