Join the names of ordered machines in one function

order_log_text and order_log_upkeeps_text were the same loop with another field. Both call join_names now; a field's declaration is on one line again. No change of behaviour.

--- a/src/order_window.c
+++ b/src/order_window.c
@@ -30,8 +30,7 @@
   int64_t until_ms;
   bool is_earlier_owners;
   int64_t unsettled_until_ms;
-  int64_t
-      upkeep_until_ms; /* an upkeep that is not settled may begin by then */
+  int64_t upkeep_until_ms; /* an unsettled upkeep may begin until then */
 };
 
 struct order_log
@@ -158,38 +157,35 @@
   return m != NULL && now_ms < m->unsettled_until_ms;
 }
 
-static void
-append_name (GString *text, const char *name)
-{
-  if (text->len > 0)
-    g_string_append_c (text, ',');
-  g_string_append (text, name);
-}
-
-char *
-order_log_text (const struct order_log *log, int64_t now_ms)
+/* Return the names of the machines whose orders are still in their window, or
+   of those whose upkeep may yet begin. */
+static char *
+join_names (const struct order_log *log, bool is_upkeep, int64_t now_ms)
 {
   GString *text = g_string_new (NULL);
   GHashTableIter iter;
-  gpointer name, machine;
+  gpointer name, value;
 
   g_hash_table_iter_init (&iter, log->machines);
-  while (g_hash_table_iter_next (&iter, &name, &machine))
-    if (now_ms < ((const struct ordered_machine *)machine)->until_ms)
-      append_name (text, name);
+  while (g_hash_table_iter_next (&iter, &name, &value))
+    {
+      const struct ordered_machine *m = value;
+
+      if (now_ms < (is_upkeep ? m->upkeep_until_ms : m->until_ms))
+        g_string_append_printf (text, "%s%s", text->len > 0 ? "," : "",
+                                (const char *)name);
+    }
   return g_string_free (text, FALSE);
 }
 
 char *
-order_log_upkeeps_text (const struct order_log *log, int64_t now_ms)
+order_log_text (const struct order_log *log, int64_t now_ms)
 {
-  GString *text = g_string_new (NULL);
-  GHashTableIter iter;
-  gpointer name, machine;
+  return join_names (log, false, now_ms);
+}
 
-  g_hash_table_iter_init (&iter, log->machines);
-  while (g_hash_table_iter_next (&iter, &name, &machine))
-    if (now_ms < ((const struct ordered_machine *)machine)->upkeep_until_ms)
-      append_name (text, name);
-  return g_string_free (text, FALSE);
+char *
+order_log_upkeeps_text (const struct order_log *log, int64_t now_ms)
+{
+  return join_names (log, true, now_ms);
 }
