Check at compile time that a task fits its stated size

The limit of accepted tasks is the node's memory by CELL_TASK_BYTES, which nothing tied to struct cell_task: a new field could have made the limit too high unseen. No change of behaviour.

--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -55,6 +55,9 @@
   g_free (job);
 }
 
+/* The limit of tasks that follows from the node's memory counts with it. */
+G_STATIC_ASSERT (sizeof (struct cell_task) <= CELL_TASK_BYTES);
+
 struct cell_occurrence *
 cell_job_add_occurrence (struct cell *c, struct cell_job *job, uint32_t number,
                          int64_t now_ms)
