Log second ends, and keep rare lines in a busy log

What callers saw can't be traced in the logs: an end is not logged, so that nothing shows that a task was done twice, and a burst's lines of starts (some 500 a second at one owner, 150 are written) drop the rare lines as likely as any other.

task-done-again tells that a run ended as done though its task was done or started again; run-missing is written for stopped runs, too; lines of each request and task leave half of a burst to changes of state. No decision depends on them.

--- a/src/cell_jobs.c
+++ b/src/cell_jobs.c
@@ -490,6 +490,22 @@
     finish_task (c, t, now_ms);
 }
 
+/* Log that END says "done" of a task that was done before, or that has been
+   started again: it has run twice, unless its worker's lease had expired in
+   between. */
+static void
+log_second_end (struct cell *c, const struct cell_task *t,
+                const struct cell_worker *w, const struct worker_end *end)
+{
+  cell_log_event (c, "task-done-again", end->task,
+                  "worker=%s run=%" G_GUINT64_FORMAT " end=%" G_GUINT64_FORMAT
+                  " current_run=%" G_GUINT64_FORMAT
+                  " current_worker=%s done=%d",
+                  w->entry->id, end->run, end->number, t->run,
+                  t->worker != NULL ? t->worker->entry->id : "none",
+                  t->phase == TASK_DONE);
+}
+
 void
 cell_task_ended (struct cell *c, struct cell_task *t, struct cell_worker *w,
                  const struct worker_end *end, int64_t now_ms)
@@ -499,6 +515,9 @@
       = cell_task_find_run (t, w->entry->id, end->run);
   bool is_done = end->result == END_DONE && !s->is_long_running;
 
+  if (is_done && !cell_may_copy (t)
+      && (t->phase == TASK_DONE || (ended == NULL && t->worker != NULL)))
+    log_second_end (c, t, w, end);
   if (ended != NULL && ended == t->copy && (t->phase == TASK_DONE || !is_done))
     {
       copy_ended (c, t, w, end, now_ms);
--- a/src/cell_reports.c
+++ b/src/cell_reports.c
@@ -159,9 +159,9 @@
       t->progress_ms = now_ms;
       return;
     }
-  if (t->phase == TASK_RUNNING)
-    cell_log_event (c, "run-missing", name, "worker=%s run=%" G_GUINT64_FORMAT,
-                    w->entry->id, t->run);
+  cell_log_event (c, "run-missing", name,
+                  "worker=%s run=%" G_GUINT64_FORMAT " stopped=%d",
+                  w->entry->id, t->run, t->phase == TASK_STOPPING);
   cell_task_reset (c, t, now_ms, now_ms);
 }
 
--- a/src/event_log.c
+++ b/src/event_log.c
@@ -6,9 +6,11 @@
 #include <string.h>
 #include <unistd.h>
 
-/* Token bucket of the line rate: refill rate, and lines in a burst. */
+/* Token bucket of the line rate: refill rate, lines in a burst, and those of
+   the burst that routine lines leave to others. */
 #define LINES_PER_S 150
 #define LINES_BURST 400
+#define LINES_RESERVE 200
 /* Size of the buffer above which no more lines are added. */
 #define BUFFER_MAX_BYTES 262144
 
@@ -38,10 +40,10 @@
   state.refilled_at_ms = g_get_monotonic_time () / 1000;
 }
 
-/* Refill the token bucket and take one token.  Return whether a line may be
-   logged. */
+/* Refill the token bucket and take one token, unless that leaves less than
+   RESERVE.  Return whether a line may be logged. */
 static bool
-take_line_token (void)
+take_line_token (double reserve)
 {
   int64_t now_ms = g_get_monotonic_time () / 1000;
 
@@ -50,7 +52,7 @@
                                      * LINES_PER_S / 1000,
                            LINES_BURST);
   state.refilled_at_ms = now_ms;
-  if (state.line_tokens < 1 || state.buffer->len > BUFFER_MAX_BYTES)
+  if (state.line_tokens < 1 + reserve || state.buffer->len > BUFFER_MAX_BYTES)
     return false;
   state.line_tokens -= 1;
   return true;
@@ -68,22 +70,12 @@
       g_string_append_c (out, (unsigned char)*c < 0x20 ? ' ' : *c);
 }
 
-void
-event_log (const char *event, const char *subject, const char *format, ...)
+static void
+log_line (const char *event, const char *subject, const char *format,
+          va_list args)
 {
-  va_list args;
-  char *details;
+  char *details = g_strdup_vprintf (format, args);
 
-  if (state.buffer == NULL)
-    return;
-  if (!take_line_token ())
-    {
-      state.n_dropped++;
-      return;
-    }
-  va_start (args, format);
-  details = g_strdup_vprintf (format, args);
-  va_end (args);
   g_string_append_printf (state.buffer,
                           "{\"t\":%" G_GINT64_FORMAT
                           ",\"node\":\"%s\",\"event\":\"%s\",\"subject\":\"",
@@ -102,6 +94,39 @@
   g_free (details);
 }
 
+static void
+log_if_allowed (double reserve, const char *event, const char *subject,
+                const char *format, va_list args)
+{
+  if (state.buffer == NULL)
+    return;
+  if (take_line_token (reserve))
+    log_line (event, subject, format, args);
+  else
+    state.n_dropped++;
+}
+
+void
+event_log (const char *event, const char *subject, const char *format, ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  log_if_allowed (0, event, subject, format, args);
+  va_end (args);
+}
+
+void
+event_log_routine (const char *event, const char *subject, const char *format,
+                   ...)
+{
+  va_list args;
+
+  va_start (args, format);
+  log_if_allowed (LINES_RESERVE, event, subject, format, args);
+  va_end (args);
+}
+
 bool
 event_log_begins_series (int64_t *last_ms, int64_t now_ms)
 {
--- a/src/event_log.h
+++ b/src/event_log.h
@@ -19,6 +19,11 @@
 void event_log (const char *event, const char *subject, const char *format,
                 ...) G_GNUC_PRINTF (3, 4);
 
+/* The same for what each request or task causes: such lines leave half of a
+   burst to others, so that a busy node does not drop its changes of state. */
+void event_log_routine (const char *event, const char *subject,
+                        const char *format, ...) G_GNUC_PRINTF (3, 4);
+
 /* Note an occurrence at NOW_MS of what may occur often.  *LAST_MS, 0 at first,
    is when it occurred last.  Return whether it begins a series, of which only
    the first is logged: it had not occurred for EVENT_SERIES_GAP_MS. */
--- a/src/node_host.c
+++ b/src/node_host.c
@@ -175,12 +175,12 @@
 
   count_start_answer (call->node, outcome->answer);
   meters_observe (call->node->meters, HISTOGRAM_START, now_ms - call->sent_ms);
-  event_log ("task-start", call->task,
-             "run=%" G_GUINT64_FORMAT
-             " worker=%s outcome=%s ms=%" G_GINT64_FORMAT
-             " may_arrive_later=%d",
-             call->run, call->worker, run_answer_name (outcome->answer),
-             now_ms - call->sent_ms, outcome->may_arrive_later);
+  event_log_routine (
+      "task-start", call->task,
+      "run=%" G_GUINT64_FORMAT " worker=%s outcome=%s ms=%" G_GINT64_FORMAT
+      " may_arrive_later=%d",
+      call->run, call->worker, run_answer_name (outcome->answer),
+      now_ms - call->sent_ms, outcome->may_arrive_later);
   if (h != NULL && h->cell != NULL)
     {
       cell_start_answered (h->cell, call->worker, call->task, call->run,
@@ -196,9 +196,10 @@
   struct host_call *call = data;
   struct cell_host *h = host_of_call (call);
 
-  event_log ("task-stop", call->task,
-             "run=%" G_GUINT64_FORMAT " worker=%s outcome=%s", call->run,
-             call->worker, run_answer_name (outcome->answer));
+  event_log_routine ("task-stop", call->task,
+                     "run=%" G_GUINT64_FORMAT " worker=%s outcome=%s",
+                     call->run, call->worker,
+                     run_answer_name (outcome->answer));
   if (h != NULL && h->cell != NULL)
     {
       cell_stop_answered (h->cell, call->worker, call->task, call->run,
@@ -213,8 +214,8 @@
 {
   struct host_call *call = data;
 
-  event_log ("task-pace", call->task, "worker=%s outcome=%s", call->worker,
-             run_answer_name (answer));
+  event_log_routine ("task-pace", call->task, "worker=%s outcome=%s",
+                     call->worker, run_answer_name (answer));
   host_call_destroy (call);
 }
 
@@ -244,8 +245,8 @@
   struct host_call *call = data;
   struct cell_host *h = host_of_call (call);
 
-  event_log ("advice", call->task, "workers=%d",
-             tickets != NULL ? (int)tickets->len : -1);
+  event_log_routine ("advice", call->task, "workers=%d",
+                     tickets != NULL ? (int)tickets->len : -1);
   if (h != NULL && h->cell != NULL)
     {
       cell_advice_answered (h->cell, call->task, tickets, valid_ms,
