--- a/src/cell.h
+++ b/src/cell.h
@@ -192,6 +192,7 @@
   enum run_answer answer; /* to the last call */
   bool may_arrive_later;  /* an earlier call had no answer: the worker may
                              still carry it out, whatever the last one says */
+  int64_t clock_ms; /* the worker's clock at the last call; 0 if unknown */
 };
 
 /* Return a new cell, which the caller destroys; it copies OPTIONS.  It places
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -91,6 +91,21 @@
   cell_step_subtract (cell_task_step (t), &w->used);
 }
 
+/* Return how many tasks on W have a start that was not answered. */
+static uint32_t
+count_unanswered_starts (const struct cell_worker *w)
+{
+  uint32_t n = 0;
+
+  for (guint i = 0; i < w->tasks->len; i++)
+    {
+      const struct cell_task *t = g_ptr_array_index (w->tasks, i);
+
+      n += t->phase == TASK_STARTING || t->has_unanswered_start;
+    }
+  return n;
+}
+
 /* Reset all tasks on W, whose runs have been over since OVER_MS. */
 static void
 reset_lost_tasks (struct cell *c, struct cell_worker *w, const char *cause,
@@ -99,10 +114,12 @@
   if (w->tasks->len > 0)
     cell_log_event (c, "runs-lost", w->entry->id,
                     "cause=%s tasks=%u expired_ms=%" G_GINT64_FORMAT
-                    " unconfirmed_ms=%" G_GINT64_FORMAT,
+                    " unconfirmed_ms=%" G_GINT64_FORMAT
+                    " unanswered=%u last_start_ms=%" G_GINT64_FORMAT,
                     cause, w->tasks->len,
                     now_ms - cell_worker_leases_until_ms (c, w),
-                    now_ms - c->confirmed_ms);
+                    now_ms - c->confirmed_ms, count_unanswered_starts (w),
+                    now_ms - w->last_start_ms);
   while (w->tasks->len > 0)
     {
       struct cell_task *t = g_ptr_array_index (w->tasks, 0);
@@ -145,8 +162,12 @@
   if (w->incarnation_start_ms != 0)
     {
       cell_log_event (c, "worker-born-again", w->entry->id,
-                      "tasks=%u last_seen=%" G_GUINT64_FORMAT, w->tasks->len,
-                      w->pending_last_seen);
+                      "tasks=%u last_seen=%" G_GUINT64_FORMAT
+                      " leases_ms=%" G_GINT64_FORMAT
+                      " unanswered=%u last_start_ms=%" G_GINT64_FORMAT,
+                      w->tasks->len, w->pending_last_seen,
+                      w->lease_expiry_ms - now_ms, count_unanswered_starts (w),
+                      now_ms - w->last_start_ms);
       w->restarted_ms = now_ms;
     }
   w->may_receive_starts = false; /* until its new record is journaled */
--- a/src/node_host.c
+++ b/src/node_host.c
@@ -178,9 +178,9 @@
   event_log_routine (
       "task-start", call->task,
       "run=%" G_GUINT64_FORMAT " worker=%s outcome=%s ms=%" G_GINT64_FORMAT
-      " may_arrive_later=%d",
+      " may_arrive_later=%d clock_ms=%" G_GINT64_FORMAT,
       call->run, call->worker, run_answer_name (outcome->answer),
-      now_ms - call->sent_ms, outcome->may_arrive_later);
+      now_ms - call->sent_ms, outcome->may_arrive_later, outcome->clock_ms);
   if (h != NULL && h->cell != NULL)
     {
       cell_start_answered (h->cell, call->worker, call->task, call->run,
@@ -210,12 +210,12 @@
 }
 
 static void
-on_paced (void *data, enum run_answer answer)
+on_paced (void *data, const struct worker_run_reply *reply)
 {
   struct host_call *call = data;
 
   event_log_routine ("task-pace", call->task, "worker=%s outcome=%s",
-                     call->worker, run_answer_name (answer));
+                     call->worker, run_answer_name (reply->answer));
   host_call_destroy (call);
 }
 
--- a/src/node_relay.c
+++ b/src/node_relay.c
@@ -164,10 +164,12 @@
 /* The owner's side. */
 
 static void
-on_direct_answer (void *data, enum run_answer answer)
+on_direct_answer (void *data, const struct worker_run_reply *reply)
 {
   struct direct_order *d = data;
-  struct run_outcome outcome = { answer, d->may_arrive_later };
+  struct run_outcome outcome = { .answer = reply->answer,
+                                 .may_arrive_later = d->may_arrive_later,
+                                 .clock_ms = reply->clock_ms };
 
   d->owned.done (d->owned.data, &outcome);
   g_free (d);
@@ -220,7 +222,7 @@
 
       if (is_whole && reply->body[i] <= RUN_OTHER_INCARNATION)
         {
-          struct run_outcome outcome = { reply->body[i], false };
+          struct run_outcome outcome = { .answer = reply->body[i] };
 
           o->done (o->data, &outcome);
         }
@@ -343,14 +345,15 @@
 }
 
 static void
-on_order_answered (void *data, enum run_answer answer)
+on_order_answered (void *data, const struct worker_run_reply *reply)
 {
   struct served_order *o = data;
   struct served_batch *b = o->batch;
 
   /* The owner sends an order without an answer itself. */
-  b->answers[o->index]
-      = answer == RUN_NO_ANSWER ? RELAY_NO_ANSWER : (uint8_t)answer;
+  b->answers[o->index] = reply->answer == RUN_NO_ANSWER
+                             ? RELAY_NO_ANSWER
+                             : (uint8_t)reply->answer;
   g_free (o);
   b->n_pending--;
   if (b->n_pending == 0 && b->request != NULL)
--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -1043,7 +1043,8 @@
 carry_out_start (struct world *w, struct pending_start *call)
 {
   struct world_worker *k = find_worker (w, call->worker);
-  struct run_outcome outcome = { RUN_NO_ANSWER, call->is_refused };
+  struct run_outcome outcome
+      = { .answer = RUN_NO_ANSWER, .may_arrive_later = call->is_refused };
 
   if (call->is_refused)
     outcome.answer = RUN_UNHEALTHY;
@@ -1350,7 +1351,7 @@
           && call->at_ms > w->now_ms + ANSWER_TIMEOUT_MS)
         {
           struct cell *cell = call->cell;
-          struct run_outcome outcome = { RUN_NO_ANSWER, false };
+          struct run_outcome outcome = { .answer = RUN_NO_ANSWER };
 
           call->cell = NULL;
           if (is_caller_present (w, cell, call->epoch))
