Stand-in: calls to a worker's former life reach the next one

A late call is carried out by the life that is up when its time has come, and calls to a worker that is dark between two lives wait for the next one. Holds that wait when a worker restarts end without an answer.

--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -191,17 +191,11 @@
             return None
         self.log("crash %s%s" % (w.id, " for a while" if is_slow else ""))
         if not is_slow:
-            self.restart(w)
+            w.restart()
             return None
         w.is_up = False
         w.crash()
-        return lambda: self.restart(w)
-
-    @staticmethod
-    def restart(worker):
-        worker.crash()
-        worker.heard_ms = 0  # it writes its entry at once
-        worker.is_up = True
+        return w.restart
 
     def move_worker(self):
         """Let a worker restart in another service for a while.  The platform's
@@ -221,7 +215,7 @@
             w.is_up = False
             w.crash()
             w.service = service
-            self.restart(w)
+            w.restart()
 
         def end_fault():
             move_to(home)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -273,6 +273,9 @@
         self.rack = ""
         self.lock = threading.Condition()
         self.is_up = True
+        # Between two lives: connections are accepted, and calls wait for the
+        # next life.
+        self.is_dark = False
         self.cuts_from_store = 0     # partitions that it is in
         self.heard_ms = now_ms()     # when it last wrote its entry
         self.sequence_number = 0     # of its entry
@@ -368,7 +371,9 @@
             if self.acknowledged_end < number <= last_seen \
                     and result == "done" and ended > self.lease_expired_ms:
                 self.acknowledged_done_ms.setdefault(task, ended)
-        self.acknowledged_end = max(self.acknowledged_end, last_seen)
+        # A number of a former life may be beyond the ends of this one.
+        self.acknowledged_end = max(self.acknowledged_end,
+                                    min(last_seen, self.last_end_number))
         self.ends = [e for e in self.ends if e[0] > last_seen]
 
     def crash(self):
@@ -390,6 +395,28 @@
             self.end_times_ms = {}
             self.lock.notify_all()
 
+    def go_dark(self):
+        """End this life; calls wait for the next one."""
+        with self.lock:
+            self.is_up, self.is_dark = False, True
+            self.crash()
+
+    def restart(self):
+        """Begin a life under the same ID, and write the entry at once."""
+        with self.lock:
+            self.crash()
+            self.heard_ms = 0
+            self.is_up, self.is_dark = True, False
+            self.lock.notify_all()
+
+    def await_life(self, late_max_s):
+        """Wait while the worker is dark, and up to LATE_MAX_S longer."""
+        while self.is_dark:
+            with self.lock:
+                while self.is_dark:
+                    self.lock.wait()
+            time.sleep(random.uniform(0, late_max_s))
+
     def report(self):
         now = now_ms()
         running = []
@@ -490,6 +517,7 @@
             fenced_response = self.check_fence(body)
             if fenced_response:
                 return fenced_response
+            life = self.incarnation_start_ms
             self.acknowledge_ends(body["last_seen"])
             self.extend_lease(body.get("deadline_ms", 0))
             while not any(e[0] > self.acknowledged_end for e in self.ends):
@@ -497,11 +525,29 @@
                 if left <= 0:
                     break
                 self.lock.wait(left)
+                if self.incarnation_start_ms != life:
+                    raise ConnectionError("the worker has crashed")
             if body["fencing_token"] < self.fencing_token:
                 return 409, {"clock_ms": self.clock_ms(), "reason": "fence"}
             return 200, self.report()
 
 
+class WorkerCall:
+    """A call to a worker, as it was sent."""
+
+    METHODS = {"/-/run-start": "start", "/-/run-stop": "stop",
+               "/-/hold": "hold"}
+
+    def __init__(self, worker, path, headers):
+        self.worker = worker
+        self.path = path
+        self.target = headers.get("X-Target-Instance")
+        self.sent_ms = now_ms()
+        self.life = worker.incarnation_start_ms  # when it arrived
+        self.is_late = False
+        self.fields = None
+
+
 class Handler(BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
@@ -552,6 +598,9 @@
         self.calls_late = 0      # share of the workers' calls that they carry
                                  # out late, and leave without an answer
         self.late_max_s = 4
+        # Time after a restart until when calls that waited for it are carried
+        # out.
+        self.dark_late_max_s = 0.5
         self.stop_takes_ms = 0   # longest time that a stop takes
         self.lasting_fails_ms = 0  # after this, on average, long-running
                                    # tasks fail; 0: never
@@ -706,32 +755,48 @@
             time.sleep(0.005)
 
     def serve_worker(self, worker, handler, path, body):
+        call = WorkerCall(worker, path, handler.headers)
+        worker.await_life(self.dark_late_max_s)
         if not worker.is_up:
             raise ConnectionError("the worker is down")
-        if handler.headers.get("X-Target-Instance") != worker.id:
+        if call.target != worker.id:
             return 421, {}
-        calls = {"/-/run-start": worker.start, "/-/run-stop": worker.stop,
-                 "/-/hold": worker.hold}
-        if path not in calls:
+        if path not in WorkerCall.METHODS:
             return 404, {}
-        fields = json.loads(body)
-        fields["sender"] = self.senders.get(handler.client_address[1])
-        life = worker.incarnation_start_ms
+        call.fields = json.loads(body)
+        call.fields["sender"] = self.senders.get(handler.client_address[1])
         if random.random() < self.calls_late:
             threading.Timer(random.uniform(0.1, self.late_max_s),
-                            self.call_late,
-                            [worker, life, calls[path], fields]).start()
+                            self.call_late, [call]).start()
             raise ConnectionError("the call is carried out late")
         time.sleep(worker.call_delay_s)
-        answer = calls[path](fields)
-        if worker.incarnation_start_ms != life or not worker.is_up:
-            raise ConnectionError("the worker has crashed")
-        return answer
-
-    def call_late(self, worker, life, call, fields):
-        fields.pop("wait_ms", None)
-        if worker.is_up and worker.incarnation_start_ms == life:
-            call(fields)
+        worker.await_life(self.dark_late_max_s)
+        return self.carry_out(call)
+
+    def call_late(self, call):
+        """Carry CALL out in the life that is up by now, or in the next one if
+        it comes within the maximal lateness."""
+        call.is_late = True
+        call.fields.pop("wait_ms", None)
+        while not call.worker.is_up \
+                and now_ms() < call.sent_ms + 1000 * self.late_max_s:
+            time.sleep(0.01)
+        try:
+            self.carry_out(call)
+        except ConnectionError:
+            pass  # no life, or it ended meanwhile
+
+    def carry_out(self, call):
+        worker = call.worker
+        with worker.lock:
+            if not worker.is_up or worker.id != call.target:
+                raise ConnectionError("the worker is down")
+            life = worker.incarnation_start_ms
+            answer = getattr(worker, WorkerCall.METHODS[call.path])(
+                call.fields)
+            if worker.incarnation_start_ms != life or not worker.is_up:
+                raise ConnectionError("the worker has crashed")
+            return answer
 
     # The store.
 
