--- a/tests/platform/recut.py
+++ b/tests/platform/recut.py
@@ -4,10 +4,12 @@
 worker's former life gives a longer lease, or starts a run, in the next one."""
 
 import argparse
+import json
 import os
 import random
 import shutil
 import signal
+import subprocess
 import sys
 import tempfile
 import threading
@@ -17,7 +19,7 @@
 import soak_checks
 from network import Network
 from nodes import Node, job_body, kill_nodes, submit, wait_for
-from standin import Platform, now_ms
+from standin import LEASE_MAX_MS, Platform, now_ms
 
 NODES = 4
 PROCESSOR_SHARE = 0.25
@@ -26,23 +28,26 @@
 SHORT_MS, LONG_MS = 700, 11000
 LONG_SHARE = 0.35
 JOB_TASKS = 3
-CLIENTS, JOB_INTERVAL_S = 4, 0.4
+CLIENTS, JOB_INTERVAL_S = 4, 0.3
 # The first lives' clocks begin here: they have been up for long.
 CLOCK_BEGIN_MS = 3600000
 DARK_S = 0.6
 # Time from a worker's restart to its cut, and how long that lasts.
 UNTIL_CUT_S = (0.2, 2.0)
 CUT_S = 9
+ROUNDS = 3
 WARM_UP_S = 3
 SETTLE_S = 2
 OWNER_AWAY_S = 1
 LATE_SHARE, LATE_MAX_S = 0.1, 2.5
 LOST_SHARE = 0.05
+# Calls are carried out late; only those that wait for a restart; they are
+# late, and the owner is killed between restart and cut.
 VARIANTS = ["late", "waiting", "owner"]
 TRACED_PAIRS = 3
 # Lines of the nodes' logs on a worker that are printed: from this before its
 # restart on.
-LOG_BEFORE_MS, LOG_LINES = 200, 60
+LOG_BEFORE_MS = 200
 
 
 class RecutPlatform(Platform):
@@ -55,7 +60,7 @@
 
     def serve_worker(self, worker, handler, path, body):
         answer = super().serve_worker(worker, handler, path, body)
-        if self.calls_late and random.random() < LOST_SHARE:
+        if random.random() < LOST_SHARE:
             raise ConnectionError("the answer is lost")
         return answer
 
@@ -183,53 +188,71 @@
     # before the second run.
 
     def trace(self, task, runs, found):
-        def say(text, *values):
-            print(text % values, file=sys.stderr)
-        say("%s", "; ".join(found))
-        for a, b in zip(runs, runs[1:]):
-            if b.start_ms >= a.end_ms and a.result != "done":
-                continue
-            zero_ms = max([t for w, t, what in self.platform.lives
-                           if w == a.worker.id and what == "restart"
-                           and t <= b.start_ms], default=a.start_ms)
-            for r in (a, b):
-                say("  run %d on %s by %s: %d to %d (%s)", r.number,
-                    r.worker.id, r.sender, r.start_ms - zero_ms,
-                    r.end_ms - zero_ms, r.result)
-            events = [(t, what) for w, t, what in self.platform.lives
-                      if w == a.worker.id]
-            events += [(t, self.describe(c, zero_ms))
-                       for w, t, c in self.platform.calls if w == a.worker.id
-                       and (c["fields"].get("task") == task
-                            or c["lease"][0] != c["lease"][1])]
-            events += self.log_lines(a.worker.id, task)
-            events = [e for e in sorted(events) if zero_ms - LOG_BEFORE_MS
-                      - 1000 * DARK_S <= e[0] <= a.end_ms + 1000]
-            for t, text in events[:LOG_LINES]:
-                say("    %6d %s", t - zero_ms, text)
-
-    @staticmethod
-    def describe(call, zero_ms):
-        return "%s%s%s sent at %d, clock %d, lease %d to %d, %s: %s" % (
-            call["path"], " late" if call["is_late"] else "",
-            " of a former life" if call["is_former"] else "",
-            call["sent_ms"] - zero_ms, call["clock"],
-            *[max(t - zero_ms, -1) for t in call["lease"]], call["status"],
-            call["fields"])
-
-    def log_lines(self, worker_id, task):
-        """Return the lines of the nodes' logs on a worker or a task."""
+        print("; ".join(found), file=sys.stderr)
+        for i, a in enumerate(runs):
+            for b in runs[i + 1:]:
+                if b.start_ms < a.end_ms or a.result == "done":
+                    self.trace_pair(task, a, b)
+
+    def trace_pair(self, task, a, b):
+        zero_ms = max([t for w, t, what in self.platform.lives
+                       if w == a.worker.id and what == "restart"
+                       and t <= b.start_ms], default=a.start_ms)
+        for r in (a, b):
+            life = sum(w == r.worker.id and what == "restart"
+                       and t <= r.start_ms
+                       for w, t, what in self.platform.lives)
+            print("  run %d on %s, life %d, by %s: %d to %d (%s)" % (
+                r.number, r.worker.id, life, r.sender, r.start_ms - zero_ms,
+                r.end_ms - zero_ms, r.result), file=sys.stderr)
+        events = []
+        for w in {a.worker, b.worker}:
+            events += self.events(w.id, task, zero_ms)
+        for t, text in sorted(events):
+            if -1000 * DARK_S - LOG_BEFORE_MS <= t <= \
+                    min(a.end_ms, b.end_ms) - zero_ms + 1000:
+                print("    %6d %s" % (t, text), file=sys.stderr)
+
+    def events(self, worker_id, task, zero_ms):
+        """Return (time, text) of what happened on a worker: its lives, its
+        calls for TASK and those that were of a former life or gave a lease
+        beyond it, and the lines of the nodes' logs."""
+        events = [(t - zero_ms, "%s %s" % (w, what))
+                  for w, t, what in self.platform.lives if w == worker_id]
+        calls = [(t, c) for w, t, c in self.platform.calls if w == worker_id]
+        for i, (t, c) in enumerate(calls):
+            is_last = c["lease"][1] > c["lease"][0] and all(
+                after["lease"][1] <= c["lease"][1]
+                for t2, after in calls[i + 1:] if t2 < t + LEASE_MAX_MS)
+            if is_last or c["is_former"] or c["fields"].get("task") == task \
+                    or is_beyond(c):
+                events.append((t - zero_ms, worker_id + " "
+                               + describe_call(c, zero_ms)))
         unix_ms = int(time.time() * 1000) - now_ms()
-        found = []
         for n in self.nodes:
             with open(n.log_file.name, errors="replace") as f:
                 for line in f:
-                    words = line.rstrip().split(" ", 1)
-                    if words[0].isdigit() and (worker_id in line.split()
-                                               or task in line):
-                        found.append((int(words[0]) - unix_ms, "node-%d: %s"
-                                      % (n.number, words[1])))
-        return found
+                    if '"%s"' % worker_id in line or task in line:
+                        entry = json.loads(line)
+                        events.append((entry["t"] - unix_ms - zero_ms,
+                                       "log " + line.strip()))
+        return events
+
+
+def is_beyond(call):
+    """Tell whether the deadline lies beyond the longest lease: it is one on
+    the clock of a former life."""
+    return call["fields"].get("deadline_ms", 0) > call["clock"] + LEASE_MAX_MS
+
+
+def describe_call(call, zero_ms):
+    return "%s%s%s%s sent at %d, clock %d, lease until %d, then %d, %s: %s" % (
+        call["path"], " late" if call["is_late"] else "",
+        " of a former life" if call["is_former"] else "",
+        " BEYOND" if is_beyond(call) else "",
+        call["sent_ms"] - zero_ms, call["clock"],
+        *[max(t - zero_ms, -1) for t in call["lease"]], call["status"],
+        call["fields"])
 
 
 def play(binary, seed, variant, rounds):
@@ -237,9 +260,11 @@
     violations = []
     try:
         violations = p.run_test()
-        print("seed %d, %s: %d runs, %d violations" % (
-            seed, variant, p.platform.count_runs(), len(violations)),
-            file=sys.stderr)
+        print("seed %d, %s: %d runs, %d calls on a former clock, %d "
+              "violations" % (
+                  seed, variant, p.platform.count_runs(),
+                  sum(is_beyond(c) for _, _, c in p.platform.calls),
+                  len(violations)), file=sys.stderr)
     finally:
         p.is_over.set()
         kill_nodes(p.nodes)
@@ -250,18 +275,29 @@
     return violations
 
 
+def play_all():
+    """Play the variants side by side, and print their results in order."""
+    command = [sys.executable, *sys.argv, "--variant"]
+    plays = [subprocess.Popen(command + [v], stdout=subprocess.PIPE)
+             for v in VARIANTS]
+    outputs = [p.communicate()[0].decode() for p in plays]
+    print("".join(outputs), end="")
+    sys.exit(any(p.returncode for p in plays))
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("binary")
-    parser.add_argument("--seed", type=int, default=2)
+    parser.add_argument("--seed", type=int, default=24)
     parser.add_argument("--seeds", type=int, default=1)
-    parser.add_argument("--rounds", type=int, default=1)
+    parser.add_argument("--rounds", type=int, default=ROUNDS)
     parser.add_argument("--variant", choices=VARIANTS)
     a = parser.parse_args()
+    if not a.variant:
+        play_all()
     for seed in range(a.seed, a.seed + a.seeds):
-        for variant in [a.variant] if a.variant else VARIANTS:
-            violations = play(a.binary, seed, variant, a.rounds)
-            print("%s: violations: %s" % (variant, violations))
+        print("%s: violations: %s" % (
+            a.variant, play(a.binary, seed, a.variant, a.rounds)))
 
 
 main()
--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -1,6 +1,6 @@
 """Randomized soak test: soak.py BURDOCKSHED [--seed N] [--seeds N]
 [--seconds S] [--nodes N] [--workers N] [--moves] [--reroutes] [--accounts]
-[--again FILE].
+[--recuts] [--again FILE].
 Runs real nodes as processes on a stand-in of the platform and injects faults
 from outside, one after another and overlapping, drawn from the seed.  Checks
 what callers and workers see against the guarantees of the product.  Exits with
@@ -46,6 +46,7 @@
         self.seconds = a.seconds
         self.moves_workers = a.moves
         self.reroutes = a.reroutes
+        self.recuts = a.recuts
         self.rng = random.Random(seed)
         self.directory = tempfile.mkdtemp(prefix="soak-%d-" % seed)
         self.lock = threading.Lock()
@@ -218,6 +219,8 @@
                         "answer late, too")
     parser.add_argument("--accounts", action="store_true", help="send jobs "
                         "of accounts with caps, and change these, too")
+    parser.add_argument("--recuts", action="store_true", help="cut workers "
+                        "off soon after they start again, too")
     parser.add_argument("--again", metavar="FILE", help="run the seeds in "
                         "FILE, one at the beginning of each line")
     a = parser.parse_args()
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -15,6 +15,9 @@
 # Time until a new node handles signals: before that, SIGTERM itself ends the
 # process.
 STARTUP_S = 0.1
+# A worker starts again after the first time, and is cut off after the second
+# one, for the third.
+RECUT_DARK_S, RECUT_UNTIL_CUT_S, RECUT_CUT_S = (0.3, 1), (0.2, 2), (2, 9)
 # Workers cut off together with a node.
 PARTITIONED_WORKERS_MAX = 3
 
@@ -42,7 +45,8 @@
             self.stop_store, self.slow_store, self.lose_answers]
         if soak.reroutes:
             self.kinds += [self.reroute_queue] * 5 + [self.delay_answers] * 2
-
+        if soak.recuts:
+            self.kinds += [self.recut_worker] * 6 + [self.delay_calls] * 3
         if soak.accounts:
             self.kinds += [self.change_accounts] * 4
 
@@ -58,8 +62,12 @@
         if end:
             if kind in (self.partition, self.delay_list):
                 duration_s = long_s
-            self.pending.append((time.monotonic() + duration_s, self.count,
-                                 end))
+            if kind == self.recut_worker:
+                duration_s = self.rng.uniform(*RECUT_DARK_S)
+            self.end_after(duration_s, self.count, end)
+
+    def end_after(self, duration_s, number, end):
+        self.pending.append((time.monotonic() + duration_s, number, end))
 
     def end_due(self, is_last=False):
         for fault in list(self.pending):
@@ -67,6 +75,8 @@
                 self.pending.remove(fault)
                 fault[2]()
                 self.soak.log_line("faults.log", "end of fault %d" % fault[1])
+        if is_last and self.pending:
+            self.end_due(is_last)
 
     # Processes.
 
@@ -197,6 +207,28 @@
         w.crash()
         return w.restart
 
+    def recut_worker(self):
+        """Let a worker be dark, start it again under its ID, and cut it off
+        from all nodes soon after."""
+        w = self.rng.choice(self.platform.workers)
+        if not w.is_up:
+            return None
+        self.log("recut %s" % w.id)
+        number = self.count
+        until_cut_s = self.rng.uniform(*RECUT_UNTIL_CUT_S)
+        cut_s = self.rng.uniform(*RECUT_CUT_S)
+        w.go_dark()
+
+        def restart():
+            w.restart()
+            self.end_after(until_cut_s, number, cut)
+
+        def cut():
+            ends = [self.network.workers[i, w.id].add_fault(proxy.SILENT)
+                    for i in range(len(self.nodes))] + [w.cut_from_store()]
+            self.end_after(cut_s, number, lambda: [end() for end in ends])
+        return restart
+
     def move_worker(self):
         """Let a worker restart in another service for a while.  The platform's
         pages don't tell that this happens: they say that a worker may restart
