--- a/tests/platform/recut.py
+++ b/tests/platform/recut.py
@@ -44,7 +44,7 @@
 # Calls are carried out late; only those that wait for a restart; they are
 # late, and the owner is killed between restart and cut.
 VARIANTS = ["late", "waiting", "owner"]
-TRACED_PAIRS = 3
+TRACED_TASKS = 3
 # Lines of the nodes' logs on a worker that are printed: from this before its
 # restart on.
 LOG_BEFORE_MS = 200
@@ -179,22 +179,22 @@
         for task, runs in sorted(by_task.items()):
             found = list(soak_checks.check_twice(runs, done_ms.get(task), 1))
             violations += found
-            if found and traced < TRACED_PAIRS:
+            if found:
                 traced += 1
-                self.trace(task, runs, found)
+                self.trace(task, runs, found, traced <= TRACED_TASKS)
         return violations
 
     # The trace of a violation; times are relative to a worker's last restart
     # before the second run.
 
-    def trace(self, task, runs, found):
+    def trace(self, task, runs, found, with_events):
         print("; ".join(found), file=sys.stderr)
         for i, a in enumerate(runs):
             for b in runs[i + 1:]:
                 if b.start_ms < a.end_ms or a.result == "done":
-                    self.trace_pair(task, a, b)
+                    self.trace_pair(task, a, b, with_events)
 
-    def trace_pair(self, task, a, b):
+    def trace_pair(self, task, a, b, with_events):
         zero_ms = max([t for w, t, what in self.platform.lives
                        if w == a.worker.id and what == "restart"
                        and t <= b.start_ms], default=a.start_ms)
@@ -206,7 +206,7 @@
                 r.number, r.worker.id, life, r.sender, r.start_ms - zero_ms,
                 r.end_ms - zero_ms, r.result), file=sys.stderr)
         events = []
-        for w in {a.worker, b.worker}:
+        for w in {a.worker, b.worker} if with_events else ():
             events += self.events(w.id, task, zero_ms)
         for t, text in sorted(events):
             if -1000 * DARK_S - LOG_BEFORE_MS <= t <= \
