Let workers of the cell's world restart with clocks of their own

Each incarnation of a worker may now have a clock that begins at 0 and is up to 2% slow. Starts, holds and stops that find a worker silent between two incarnations are carried out by the next one, and a share of all three has no answer and is carried out late by whichever incarnation is up then. Two new schedules restart workers and cut them off soon after, one with a new owner in between. The existing schedules do without.

--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -18,8 +18,21 @@
 #define LONG_RUNNING_MIN_MS 460000
 /* Unix time at the start of virtual time. */
 #define UNIX_OFFSET_MS 1000000
-/* What a worker's clock shows at the start of an incarnation. */
+/* What a worker's clock shows at the start of an incarnation, unless workers
+   have clocks of their own. */
 #define CLOCK_OFFSET_MS 5000
+/* Such clocks begin below this, and run at this rate at least. */
+#define OWN_CLOCK_BASE_MS 5
+#define OWN_CLOCK_MIN_PERMILLE 980
+/* What they show at most when they are given. */
+#define OWN_CLOCK_FIRST_MS 60000
+/* Longest time until a new incarnation has carried out what waited for it. */
+#define WAITING_MAX_MS 500
+/* Longest time until the list shows a new incarnation. */
+#define RELIST_MAX_MS 1000
+/* How late a call is. */
+#define CALL_LATE_MIN_MS 50
+#define CALL_LATE_MAX_MS 6000
 /* Longest lease that a worker grants. */
 #define LEASE_MAX_MS 6000
 /* Interval between two exchanges of the ledger with the owner. */
@@ -40,7 +53,9 @@
 /* A start on its way to a worker. */
 struct pending_start
 {
+  int64_t sent_ms;
   int64_t at_ms;
+  bool has_waited; /* for the start of the incarnation: it is there already */
   struct cell *cell; /* that expects the answer, or NULL */
   uint64_t epoch;
   char *worker;
@@ -64,6 +79,20 @@
   uint64_t last_seen;
 };
 
+/* A hold or stop without an answer, which is carried out at AT_MS. */
+struct late_call
+{
+  enum cell_order_kind kind;
+  int64_t at_ms;
+  bool has_waited;
+  uint64_t epoch;
+  char *worker;
+  char *task;
+  uint64_t run;
+  int64_t deadline_ms;
+  uint64_t last_seen;
+};
+
 /* An append whose result the owner has not been told. */
 struct pending_append
 {
@@ -85,6 +114,22 @@
                           rule, task, w->now_ms);
 }
 
+/* Print an event of the world or of a cell, for debugging. */
+static void G_GNUC_PRINTF (2, 3)
+    trace (const struct world *w, const char *format, ...)
+{
+  char *line;
+  va_list args;
+
+  if (g_getenv ("CELL_WORLD_TRACE") == NULL)
+    return;
+  va_start (args, format);
+  line = g_strdup_vprintf (format, args);
+  va_end (args);
+  g_print ("# %" G_GINT64_FORMAT " %s\n", w->now_ms, line);
+  g_free (line);
+}
+
 /* Return true with a probability of PERCENT percent. */
 static bool
 fault_occurs (struct world *w, int percent)
@@ -121,6 +166,16 @@
   g_free (call);
 }
 
+static void
+late_call_free (gpointer p)
+{
+  struct late_call *call = p;
+
+  g_free (call->worker);
+  g_free (call->task);
+  g_free (call);
+}
+
 static void
 clear_worker_end (gpointer p)
 {
@@ -133,8 +188,9 @@
 static int64_t
 worker_clock (const struct world *w, const struct world_worker *k)
 {
-  return w->now_ms + UNIX_OFFSET_MS - k->incarnation_start_ms
-         + CLOCK_OFFSET_MS;
+  return k->clock_base_ms
+         + (w->now_ms + UNIX_OFFSET_MS - k->incarnation_start_ms)
+               * k->clock_permille / 1000;
 }
 
 /* Extend the leases of K to DEADLINE_MS, but never beyond the longest lease.
@@ -151,6 +207,14 @@
 start_incarnation (struct world *w, struct world_worker *k)
 {
   k->incarnation_start_ms = UNIX_OFFSET_MS + w->now_ms;
+  k->clock_base_ms = CLOCK_OFFSET_MS;
+  k->clock_permille = 1000;
+  if (w->has_own_clocks)
+    {
+      k->clock_base_ms = g_rand_int_range (w->rand, 0, OWN_CLOCK_BASE_MS);
+      k->clock_permille
+          = g_rand_int_range (w->rand, OWN_CLOCK_MIN_PERMILLE, 1001);
+    }
   k->fencing_epoch = 0;
   k->deadline_ms = 0;
   k->last_number = 0;
@@ -292,6 +356,7 @@
                                       (GDestroyNotify)g_bytes_unref);
   w->pending_starts = g_ptr_array_new_with_free_func (pending_start_free);
   w->pending_holds = g_ptr_array_new_with_free_func (pending_hold_free);
+  w->late_calls = g_ptr_array_new_with_free_func (late_call_free);
   w->pending_appends = g_ptr_array_new_with_free_func (pending_append_free);
   w->done_tasks
       = g_hash_table_new_full (g_str_hash, g_str_equal, g_free, g_free);
@@ -342,6 +407,7 @@
   g_hash_table_unref (w->journal);
   g_ptr_array_unref (w->pending_starts);
   g_ptr_array_unref (w->pending_holds);
+  g_ptr_array_unref (w->late_calls);
   g_ptr_array_unref (w->pending_appends);
   g_hash_table_unref (w->done_tasks);
   g_hash_table_unref (w->ended_done);
@@ -395,10 +461,26 @@
 reaches (const struct world *w, uint64_t epoch, const struct world_worker *k)
 {
   return k != NULL && k->alive && k->reachable
+         && (w->now_ms < k->cut_from_ms || w->now_ms >= k->cut_until_ms)
          && !(epoch == w->epoch ? k->is_cut_from_owner
                                 : k->is_cut_from_stale_owner);
 }
 
+/* Return whether K, which may be NULL, is silent between two incarnations. */
+static bool
+is_silent (const struct world_worker *k)
+{
+  return k != NULL && !k->alive && k->returns_ms > 0;
+}
+
+/* Return when K's next incarnation carries out a call that waits for it. */
+static int64_t
+waiting_until_ms (struct world *w, const struct world_worker *k)
+{
+  return k->returns_ms
+         + g_rand_int_range (w->rand, 0, (gint32)w->waiting_max_ms + 1);
+}
+
 static bool
 has_ended (const struct world_worker *k, const char *task, uint64_t run)
 {
@@ -478,6 +560,8 @@
                           .result = result,
                           .checkpoint = checkpoint_of (w, r) };
 
+  trace (w, "world: %s run %" G_GUINT64_FORMAT " of %s ends: %d", k->id,
+         r->run, r->task, (int)result);
   g_array_append_val (k->ends, e);
   if (result == END_DONE)
     g_hash_table_add (w->ended_done, g_strdup (r->task));
@@ -793,12 +877,18 @@
   k->fencing_epoch = epoch;
   if (deadline_ms <= worker_clock (w, k))
     return RUN_EXPIRED;
+  if (w->has_own_clocks)
+    extend_leases (w, k, deadline_ms);
   r = find_run (k, task);
   if (r != NULL && r->run == run)
     return RUN_ACCEPTED;
   if (has_ended (k, task, run))
     return RUN_SUPERSEDED;
   check_start_rules (w, k, task);
+  trace (w,
+         "world: %s starts run %" G_GUINT64_FORMAT
+         " of %s, epoch %" G_GUINT64_FORMAT ", lease %" G_GINT64_FORMAT,
+         k->id, run, task, epoch, deadline_ms - worker_clock (w, k));
   if (w->room > 0 && k->runs->len >= w->room)
     record_violation (w, "no-room", task);
   w->starts++;
@@ -908,6 +998,9 @@
                               + GPOINTER_TO_UINT (g_hash_table_lookup (
                                   w->failures, e->task))));
     }
+  /* An end that a call from before the restart names is not there yet. */
+  if (w->has_own_clocks)
+    last_seen = MIN (last_seen, k->last_number);
   k->acknowledged = MAX (k->acknowledged, last_seen);
 }
 
@@ -997,6 +1090,7 @@
   call->checkpoint = g_strdup (o->checkpoint);
   call->run = o->run;
   call->deadline_ms = o->deadline_ms;
+  call->sent_ms = w->now_ms;
   call->at_ms = w->now_ms + CALL_LATENCY_MS;
   call->answered = true;
   g_ptr_array_add (w->pending_starts, call);
@@ -1015,6 +1109,62 @@
   add_pending_start (w, cell, o)->is_refused = true;
 }
 
+static int64_t
+random_delay_ms (struct world *w)
+{
+  return g_rand_int_range (w->rand, CALL_LATE_MIN_MS, CALL_LATE_MAX_MS);
+}
+
+/* If the start CALL to K waits for an incarnation or is late, let it be so and
+   return true. */
+static bool
+order_late_start (struct world *w, struct pending_start *call,
+                  const struct world_worker *k)
+{
+  if (is_silent (k))
+    {
+      call->at_ms = waiting_until_ms (w, k);
+      call->has_waited = true;
+      return true;
+    }
+  if (!reaches (w, call->epoch, k))
+    return false;
+  if (k == w->late_starts_at)
+    call->at_ms += w->late_start_ms;
+  else if (fault_occurs (w, w->faults.call_late))
+    call->at_ms += random_delay_ms (w);
+  else
+    return false;
+  call->answered = false;
+  return true;
+}
+
+/* If a hold or stop to K waits for an incarnation or is late, return a new
+   call, to be filled in; or NULL. */
+static struct late_call *
+add_late_call (struct world *w, const struct cell *cell,
+               enum cell_order_kind kind, const struct world_worker *k)
+{
+  struct late_call *call;
+  bool is_waiting = is_silent (k);
+
+  if (!w->has_own_clocks)
+    return NULL;
+  if (!is_waiting
+      && (!reaches (w, cell_epoch (cell), k)
+          || !fault_occurs (w, w->faults.call_late)))
+    return NULL;
+  call = g_new0 (struct late_call, 1);
+  call->kind = kind;
+  call->epoch = cell_epoch (cell);
+  call->worker = g_strdup (k->id);
+  call->has_waited = is_waiting;
+  call->at_ms
+      = is_waiting ? waiting_until_ms (w, k) : w->now_ms + random_delay_ms (w);
+  g_ptr_array_add (w->late_calls, call);
+  return call;
+}
+
 static void
 order_start (struct world *w, struct cell *cell, const struct run_order *o)
 {
@@ -1027,6 +1177,8 @@
       return;
     }
   call = add_pending_start (w, cell, o);
+  if (w->has_own_clocks && order_late_start (w, call, k))
+    return;
   /* A worker that is down receives nothing, not even later. */
   if (k == NULL || !k->alive)
     call->deadline_ms = 0;
@@ -1047,10 +1199,11 @@
 
   if (call->is_refused)
     outcome.answer = RUN_UNHEALTHY;
-  else if (reaches (w, call->epoch, k))
+  else if (reaches (w, call->epoch, k)
+           || (call->has_waited && k != NULL && k->alive))
     outcome.answer = start_run (w, k, call->epoch, call->task, call->run,
                                 call->deadline_ms, call->checkpoint);
-  if (!call->answered)
+  if (!call->answered || !reaches (w, call->epoch, k))
     outcome.answer = RUN_NO_ANSWER;
   if (is_caller_present (w, call->cell, call->epoch))
     cell_start_answered (call->cell, call->worker, call->task, call->run,
@@ -1062,8 +1215,14 @@
 {
   struct world_worker *k = find_worker (w, o->worker);
   enum run_answer answer = RUN_NO_ANSWER;
+  struct late_call *late = add_late_call (w, cell, ORDER_STOP, k);
 
-  if (reaches (w, cell_epoch (cell), k))
+  if (late != NULL)
+    {
+      late->task = g_strdup (o->task);
+      late->run = o->run;
+    }
+  else if (reaches (w, cell_epoch (cell), k))
     {
       answer
           = cell_epoch (cell) < k->fencing_epoch ? RUN_FENCED : RUN_ACCEPTED;
@@ -1076,26 +1235,62 @@
   cell_stop_answered (cell, o->worker, o->task, o->run, answer, w->now_ms);
 }
 
+/* K carries out a hold under EPOCH, which is not lower than its own. */
+static void
+receive_hold (struct world *w, struct world_worker *k, uint64_t epoch,
+              int64_t deadline_ms, uint64_t last_seen)
+{
+  k->fencing_epoch = epoch;
+  acknowledge_ends (w, k, last_seen);
+  if (deadline_ms > 0)
+    extend_leases (w, k, deadline_ms);
+}
+
+/* Carry out a hold or stop that is late. */
+static void
+carry_out_late_call (struct world *w, const struct late_call *call)
+{
+  struct world_worker *k = find_worker (w, call->worker);
+
+  if (!reaches (w, call->epoch, k) && !(call->has_waited && k->alive))
+    return;
+  if (call->epoch < k->fencing_epoch)
+    return;
+  trace (w,
+         "world: %s gets a late %s, run %" G_GUINT64_FORMAT
+         ", lease %" G_GINT64_FORMAT,
+         k->id, call->kind == ORDER_HOLD ? "hold" : "stop", call->run,
+         call->deadline_ms > 0 ? call->deadline_ms - worker_clock (w, k) : 0);
+  if (call->kind == ORDER_HOLD)
+    {
+      receive_hold (w, k, call->epoch, call->deadline_ms, call->last_seen);
+      return;
+    }
+  k->fencing_epoch = call->epoch;
+  stop_run (w, k, call->task, call->run);
+}
+
 static void
 order_hold (struct world *w, struct cell *cell, const struct hold_order *o)
 {
   struct world_worker *k = find_worker (w, o->worker);
   struct pending_hold *call = g_new0 (struct pending_hold, 1);
+  struct late_call *late = add_late_call (w, cell, ORDER_HOLD, k);
 
+  if (late != NULL)
+    {
+      late->deadline_ms = o->deadline_ms;
+      late->last_seen = o->last_seen;
+    }
   call->cell = cell;
   call->epoch = cell_epoch (cell);
   call->worker = g_strdup (o->worker);
   call->sent_ms = w->now_ms;
   call->until_ms = w->now_ms + CALL_LATENCY_MS + o->wait_ms;
   call->last_seen = o->last_seen;
-  call->arrived = reaches (w, call->epoch, k);
+  call->arrived = late == NULL && reaches (w, call->epoch, k);
   if (call->arrived && call->epoch >= k->fencing_epoch)
-    {
-      k->fencing_epoch = call->epoch;
-      acknowledge_ends (w, k, o->last_seen);
-      if (o->deadline_ms > 0)
-        extend_leases (w, k, o->deadline_ms);
-    }
+    receive_hold (w, k, call->epoch, o->deadline_ms, o->last_seen);
   else if (!call->arrived)
     call->until_ms = w->now_ms + ANSWER_TIMEOUT_MS;
   g_ptr_array_add (w->pending_holds, call);
@@ -1265,6 +1460,8 @@
         case ORDER_ASK_ADVICE:
           break;
         case ORDER_LOG_EVENT:
+          trace (w, "epoch %" G_GUINT64_FORMAT ": %s %s %s", cell_epoch (cell),
+                 o->u.event.event, o->u.event.subject, o->u.event.detail);
           if (strstr (o->u.event.detail, "account=") != NULL
               || strcmp (o->u.event.subject, CELL_ACCOUNTS_KEY) == 0)
             g_string_append_printf (w->events, "%s %s %s\n", o->u.event.event,
@@ -1286,6 +1483,41 @@
   g_clear_pointer (&call->late_entries, g_ptr_array_unref);
 }
 
+/* Return whether a call that is due is to wait for the next incarnation of
+   WORKER; if so, set when it is due again. */
+static bool
+waits_for_incarnation (struct world *w, const char *worker, int64_t *at_ms,
+                       bool *has_waited)
+{
+  struct world_worker *k = find_worker (w, worker);
+
+  if (!w->has_own_clocks || !is_silent (k))
+    return false;
+  *at_ms = waiting_until_ms (w, k);
+  *has_waited = true;
+  return true;
+}
+
+static void
+deliver_late_calls (struct world *w)
+{
+  for (guint i = 0; i < w->late_calls->len;)
+    {
+      struct late_call *call = g_ptr_array_index (w->late_calls, i);
+
+      if (w->now_ms < call->at_ms
+          || waits_for_incarnation (w, call->worker, &call->at_ms,
+                                    &call->has_waited))
+        {
+          i++;
+          continue;
+        }
+      g_ptr_array_steal_index (w->late_calls, i);
+      carry_out_late_call (w, call);
+      late_call_free (call);
+    }
+}
+
 static void
 deliver_due_calls (struct world *w)
 {
@@ -1293,7 +1525,9 @@
     {
       struct pending_start *call = g_ptr_array_index (w->pending_starts, i);
 
-      if (w->now_ms < call->at_ms)
+      if (w->now_ms < call->at_ms
+          || waits_for_incarnation (w, call->worker, &call->at_ms,
+                                    &call->has_waited))
         {
           i++;
           continue;
@@ -1338,6 +1572,14 @@
     }
 }
 
+static bool
+is_start_timed_out (const struct world *w, const struct pending_start *call)
+{
+  if (w->has_own_clocks)
+    return w->now_ms >= call->sent_ms + ANSWER_TIMEOUT_MS;
+  return !call->answered && call->at_ms > w->now_ms + ANSWER_TIMEOUT_MS;
+}
+
 /* Let the calls of delayed starts time out. */
 static void
 time_out_starts (struct world *w)
@@ -1346,8 +1588,7 @@
     {
       struct pending_start *call = g_ptr_array_index (w->pending_starts, i);
 
-      if (call->cell != NULL && !call->answered
-          && call->at_ms > w->now_ms + ANSWER_TIMEOUT_MS)
+      if (call->cell != NULL && is_start_timed_out (w, call))
         {
           struct cell *cell = call->cell;
           struct run_outcome outcome = { RUN_NO_ANSWER, false };
@@ -1371,6 +1612,34 @@
   cell_confirmed (w->cell, w->now_ms - APPEND_LATENCY_MS);
 }
 
+/* Let silent workers start again, and the list show it. */
+static void
+return_silent_workers (struct world *w)
+{
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    {
+      struct world_worker *k = &w->workers[i];
+
+      if (k->returns_ms > 0 && w->now_ms >= k->returns_ms)
+        {
+          start_incarnation (w, k);
+          k->alive = true;
+          k->returns_ms = 0;
+          k->relisted_ms
+              = w->now_ms + g_rand_int_range (w->rand, 0, RELIST_MAX_MS);
+          trace (w, "world: %s starts again", k->id);
+        }
+      if (k->alive && k->relisted_ms > 0 && w->now_ms >= k->relisted_ms)
+        {
+          struct worker_entry *e = make_entry (k);
+
+          k->relisted_ms = 0;
+          cell_worker_listed (w->cell, e, w->now_ms);
+          worker_entry_destroy (e);
+        }
+    }
+}
+
 void
 world_run (struct world *w, int64_t for_ms)
 {
@@ -1378,9 +1647,11 @@
     {
       w->now_ms += TICK_MS;
       w->wall_ahead_max_ms = MAX (w->wall_ahead_max_ms, w->wall_ahead_ms);
+      return_silent_workers (w);
       for (int i = 0; i < WORLD_WORKERS; i++)
         if (w->workers[i].alive)
           end_due_runs (w, &w->workers[i]);
+      deliver_late_calls (w);
       deliver_due_calls (w);
       time_out_starts (w);
       if (w->stale_owner != NULL && w->now_ms > w->stale_owner_until_ms)
@@ -1578,7 +1849,7 @@
   start_incarnation (w, worker);
   worker->alive = restarts;
   /* Starts still pending for the previous incarnation are lost with it. */
-  for (guint i = 0; i < w->pending_starts->len; i++)
+  for (guint i = 0; !w->has_own_clocks && i < w->pending_starts->len; i++)
     {
       struct pending_start *call = g_ptr_array_index (w->pending_starts, i);
 
@@ -1595,6 +1866,40 @@
   }
 }
 
+void
+world_give_own_clocks (struct world *w)
+{
+  w->has_own_clocks = true;
+  w->waiting_max_ms = WAITING_MAX_MS;
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    {
+      start_incarnation (w, &w->workers[i]);
+      w->workers[i].clock_base_ms
+          = g_rand_int_range (w->rand, 0, OWN_CLOCK_FIRST_MS);
+    }
+}
+
+void
+world_restart_and_cut (struct world *w, struct world_worker *worker,
+                       int64_t silent_ms, int64_t cut_after_ms, int64_t cut_ms)
+{
+  start_incarnation (w, worker);
+  worker->alive = false;
+  worker->returns_ms = w->now_ms + silent_ms;
+  worker->relisted_ms = 0;
+  worker->cut_from_ms = worker->returns_ms + cut_after_ms;
+  worker->cut_until_ms = worker->cut_from_ms + cut_ms;
+  for (guint i = 0; i < w->pending_holds->len; i++)
+    {
+      struct pending_hold *call = g_ptr_array_index (w->pending_holds, i);
+
+      if (strcmp (call->worker, worker->id) == 0)
+        call->arrived = false;
+    }
+  trace (w, "world: %s falls silent, cut from %" G_GINT64_FORMAT, worker->id,
+         worker->cut_from_ms);
+}
+
 void
 world_grant_longest_lease (struct world *w, struct world_worker *worker)
 {
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -51,6 +51,12 @@
   uint32_t slow_factor; /* its runs take so many times as long; 0 for once */
   uint32_t starts;      /* runs started there so far */
   int64_t incarnation_start_ms;
+  int64_t clock_base_ms;  /* its clock at the start of the incarnation */
+  int64_t clock_permille; /* rate of that clock */
+  int64_t returns_ms;     /* when it starts again; 0 if it is not silent */
+  int64_t relisted_ms;    /* when the list shows that; 0 if it does */
+  int64_t cut_from_ms;    /* it is unreachable from then ... */
+  int64_t cut_until_ms;   /* ... until then */
   uint64_t fencing_epoch; /* calls with a lower epoch are refused */
   int64_t deadline_ms;    /* end of its leases, on its own clock */
   uint64_t last_number;   /* sequence number of its newest end */
@@ -66,6 +72,8 @@
 {
   int start_lost;    /* the start is carried out, its answer is lost */
   int start_late;    /* no answer; the start is carried out 2 to 6 s later */
+  int call_late;     /* a start, hold or stop has no answer and is carried out
+                        up to 6 s later, by the incarnation that is up then */
   int start_relayed; /* a relay's call has no answer and is carried out 0.5 to
                         4 s later; the owner's own one is refused */
   int list_unreadable; /* the list of machines */
@@ -100,9 +108,16 @@
                                     reach */
   uint32_t machine_lists;        /* that were read */
   struct world_faults faults;
+  bool has_own_clocks;    /* see world_give_own_clocks */
+  int64_t waiting_max_ms; /* longest time from the start of an incarnation
+                             until it has carried out what waited for it */
+  const struct world_worker *late_starts_at; /* starts there are late by
+                                                LATE_START_MS */
+  int64_t late_start_ms;
   GRand *rand;
   GPtrArray *pending_starts;  /* struct pending_start * */
   GPtrArray *pending_holds;   /* struct pending_hold * */
+  GPtrArray *late_calls;      /* struct late_call *; holds and stops */
   GPtrArray *pending_appends; /* struct pending_append * */
   GHashTable *done_tasks;     /* tasks with an acknowledged end END_DONE, to
                                  when that was, an int64_t * */
@@ -194,6 +209,17 @@
    runs. */
 void world_crash (struct world *w, struct world_worker *worker, bool restarts);
 
+/* Give each incarnation of a worker a clock of its own, which begins at 0 and
+   is up to 2% slow.  From then on, a call to a worker that is silent between
+   two incarnations is carried out by the next one. */
+void world_give_own_clocks (struct world *w);
+
+/* Let WORKER fall silent for SILENT_MS and then start again under its ID;
+   CUT_AFTER_MS later it is unreachable for CUT_MS. */
+void world_restart_and_cut (struct world *w, struct world_worker *worker,
+                            int64_t silent_ms, int64_t cut_after_ms,
+                            int64_t cut_ms);
+
 /* Let WORKER grant the longest lease now. */
 void world_grant_longest_lease (struct world *w, struct world_worker *worker);
 
--- a/tests/unit/test_cell_seeds.c
+++ b/tests/unit/test_cell_seeds.c
@@ -31,8 +31,16 @@
   int kinds; /* of faults */
   int relayed_percent;
   bool lists_machines; /* and workers may stay down for a while */
+  bool has_own_clocks; /* see world_give_own_clocks */
+  bool has_recuts;     /* workers restart and are cut off soon after, ... */
+  bool has_takeovers;  /* ... with a new owner between the two */
 };
 
+/* Share of the calls in percent that are late, where workers restart and are
+   cut off, and of the runs that are long. */
+#define LATE_PERCENT 10
+#define LONG_PERCENT 35
+
 #define FIRST_JOB 0xc00
 #define JOBS 12
 #define ROUNDS 30
@@ -93,13 +101,34 @@
     }
 }
 
+/* Let some workers fall silent, start again under their IDs, and be
+   unreachable soon after. */
+static void
+inject_recut (struct world *w, const struct schedule *s)
+{
+  int64_t silent_ms = g_rand_int_range (w->rand, 200, 900);
+  int64_t cut_after_ms = g_rand_int_range (w->rand, 50, 2000);
+
+  for (int i = 0; i < WORLD_WORKERS; i++)
+    if (w->workers[i].returns_ms == 0 && g_rand_boolean (w->rand))
+      world_restart_and_cut (w, &w->workers[i], silent_ms, cut_after_ms,
+                             g_rand_int_range (w->rand, 3000, 9000));
+  if (!s->has_takeovers)
+    return;
+  world_run (w,
+             silent_ms + g_rand_int_range (w->rand, 0, (gint32)cut_after_ms));
+  world_replace_owner (
+      w, g_rand_int_range (w->rand, WORLD_OWNER_ENDS, WORLD_OWNER_STALE + 1));
+}
+
 static void
 restore (struct world *w)
 {
   w->is_store_unreachable = false;
   world_reach_workers (w);
   for (int i = 0; i < WORLD_WORKERS; i++)
-    w->workers[i].alive = true;
+    if (w->workers[i].returns_ms == 0)
+      w->workers[i].alive = true;
 }
 
 static void
@@ -124,17 +153,27 @@
                                      .append_lost = 5,
                                      .append_refused = 5,
                                      .task_fails = 3 };
+  if (s->has_own_clocks)
+    {
+      world_give_own_clocks (w);
+      w->faults.call_late = LATE_PERCENT;
+    }
+  if (s->has_recuts)
+    w->faults.run_long = LONG_PERCENT;
   world_run (w, 500);
   for (int i = 0; i < ROUNDS; i++)
     {
       submit_some (w, &submitted);
-      inject_fault (w, s);
+      if (!s->has_recuts)
+        inject_fault (w, s);
+      else if (g_rand_int_range (w->rand, 0, 4) == 0)
+        inject_recut (w, s);
       world_run (w, g_rand_int_range (w->rand, 50, 1500));
       if (g_rand_int_range (w->rand, 0, 3) == 0)
         restore (w);
     }
   clear_faults (w);
-  world_run (w, 45000);
+  world_run (w, s->has_recuts ? 120000 : 45000);
   world_assert_all_ended (w, seed, FIRST_JOB, submitted);
   world_destroy (w);
 }
@@ -145,6 +184,10 @@
     = { .kinds = FAULTS_NOTICED, .relayed_percent = RELAYED_PERCENT };
 static const struct schedule listed
     = { .kinds = FAULTS_ALL, .lists_machines = true };
+static const struct schedule recut
+    = { .has_own_clocks = true, .has_recuts = true };
+static const struct schedule recut_takeover
+    = { .has_own_clocks = true, .has_recuts = true, .has_takeovers = true };
 
 static void
 run_seeds (const struct schedule *s)
@@ -183,6 +226,21 @@
   run_seeds (&listed);
 }
 
+/* Guards against a task that runs twice when a worker starts again under its
+   ID, takes calls that were meant for its former life, and is cut off. */
+static void
+test_recuts (void)
+{
+  run_seeds (&recut);
+}
+
+/* Guards against the same with a new owner before the worker is cut off. */
+static void
+test_recuts_with_takeovers (void)
+{
+  run_seeds (&recut_takeover);
+}
+
 int
 main (int argc, char **argv)
 {
@@ -193,7 +251,9 @@
   } options[] = { { "--seed", &noticed },
                   { "--seed-unnoticed", &unnoticed },
                   { "--seed-relayed", &relayed },
-                  { "--seed-listed", &listed } };
+                  { "--seed-listed", &listed },
+                  { "--seed-recut", &recut },
+                  { "--seed-recut-takeover", &recut_takeover } };
 
   for (gsize i = 0; i < G_N_ELEMENTS (options) && argc == 3; i++)
     if (strcmp (argv[1], options[i].option) == 0)
@@ -206,5 +266,7 @@
   g_test_add_func ("/cell/seeds-unnoticed-restarts", test_unnoticed_restarts);
   g_test_add_func ("/cell/seeds-relayed-starts", test_relayed_starts);
   g_test_add_func ("/cell/seeds-machine-lists", test_machine_lists);
+  g_test_add_func ("/cell/seeds-recut", test_recuts);
+  g_test_add_func ("/cell/seeds-recut-takeover", test_recuts_with_takeovers);
   return g_test_run ();
 }
