--- a/tests/unit/cell_world.c
+++ b/tests/unit/cell_world.c
@@ -224,6 +224,13 @@
   g_array_set_size (k->ends, 0);
 }
 
+/* Return whether K, which may be NULL, is silent between two incarnations. */
+static bool
+is_silent (const struct world_worker *k)
+{
+  return k != NULL && !k->alive && k->returns_ms > 0;
+}
+
 static struct worker_entry *
 make_entry (const struct world_worker *k)
 {
@@ -238,7 +245,9 @@
       g_free (e->rack);
       e->rack = g_strdup (k->rack);
     }
-  e->incarnation_start_ms = k->incarnation_start_ms;
+  e->incarnation_start_ms = is_silent (k) || k->relisted_ms > 0
+                                ? k->listed_start_ms
+                                : k->incarnation_start_ms;
   e->capacity = (struct worker_resources){ 16000, 32768, 0 };
   return e;
 }
@@ -270,7 +279,8 @@
   for (int i = 0; i < WORLD_WORKERS; i++)
     if (w->workers[i].is_reassigned)
       show_reassigned (w, cell, &w->workers[i]);
-    else if (w->workers[i].alive && !w->workers[i].has_left)
+    else if ((w->workers[i].alive || is_silent (&w->workers[i]))
+             && !w->workers[i].has_left)
       {
         struct worker_entry *e = make_entry (&w->workers[i]);
 
@@ -455,24 +465,22 @@
   return NULL;
 }
 
+static bool
+is_cut (const struct world *w, const struct world_worker *k)
+{
+  return w->now_ms >= k->cut_from_ms && w->now_ms < k->cut_until_ms;
+}
+
 /* Return whether a call under EPOCH reaches K, which is NULL for a worker that
    only a damaged record names. */
 static bool
 reaches (const struct world *w, uint64_t epoch, const struct world_worker *k)
 {
-  return k != NULL && k->alive && k->reachable
-         && (w->now_ms < k->cut_from_ms || w->now_ms >= k->cut_until_ms)
+  return k != NULL && k->alive && k->reachable && !is_cut (w, k)
          && !(epoch == w->epoch ? k->is_cut_from_owner
                                 : k->is_cut_from_stale_owner);
 }
 
-/* Return whether K, which may be NULL, is silent between two incarnations. */
-static bool
-is_silent (const struct world_worker *k)
-{
-  return k != NULL && !k->alive && k->returns_ms > 0;
-}
-
 /* Return when K's next incarnation carries out a call that waits for it. */
 static int64_t
 waiting_until_ms (struct world *w, const struct world_worker *k)
@@ -1626,14 +1634,16 @@
           k->alive = true;
           k->returns_ms = 0;
           k->relisted_ms
-              = w->now_ms + g_rand_int_range (w->rand, 0, RELIST_MAX_MS);
+              = w->now_ms + 1 + g_rand_int_range (w->rand, 0, RELIST_MAX_MS);
           trace (w, "world: %s starts again", k->id);
         }
-      if (k->alive && k->relisted_ms > 0 && w->now_ms >= k->relisted_ms)
+      if (k->alive && k->relisted_ms > 0 && w->now_ms >= k->relisted_ms
+          && !is_cut (w, k))
         {
-          struct worker_entry *e = make_entry (k);
+          struct worker_entry *e;
 
           k->relisted_ms = 0;
+          e = make_entry (k);
           cell_worker_listed (w->cell, e, w->now_ms);
           worker_entry_destroy (e);
         }
@@ -1651,8 +1661,8 @@
       for (int i = 0; i < WORLD_WORKERS; i++)
         if (w->workers[i].alive)
           end_due_runs (w, &w->workers[i]);
-      deliver_late_calls (w);
       deliver_due_calls (w);
+      deliver_late_calls (w);
       time_out_starts (w);
       if (w->stale_owner != NULL && w->now_ms > w->stale_owner_until_ms)
         g_clear_pointer (&w->stale_owner, cell_destroy);
@@ -1883,6 +1893,8 @@
 world_restart_and_cut (struct world *w, struct world_worker *worker,
                        int64_t silent_ms, int64_t cut_after_ms, int64_t cut_ms)
 {
+  if (worker->relisted_ms == 0)
+    worker->listed_start_ms = worker->incarnation_start_ms;
   start_incarnation (w, worker);
   worker->alive = false;
   worker->returns_ms = w->now_ms + silent_ms;
--- a/tests/unit/cell_world.h
+++ b/tests/unit/cell_world.h
@@ -51,20 +51,21 @@
   uint32_t slow_factor; /* its runs take so many times as long; 0 for once */
   uint32_t starts;      /* runs started there so far */
   int64_t incarnation_start_ms;
-  int64_t clock_base_ms;  /* its clock at the start of the incarnation */
-  int64_t clock_permille; /* rate of that clock */
-  int64_t returns_ms;     /* when it starts again; 0 if it is not silent */
-  int64_t relisted_ms;    /* when the list shows that; 0 if it does */
-  int64_t cut_from_ms;    /* it is unreachable from then ... */
-  int64_t cut_until_ms;   /* ... until then */
-  uint64_t fencing_epoch; /* calls with a lower epoch are refused */
-  int64_t deadline_ms;    /* end of its leases, on its own clock */
-  uint64_t last_number;   /* sequence number of its newest end */
-  uint64_t acknowledged;  /* ends that an owner has acknowledged */
-  uint64_t lapsed_number; /* ends that its leases have outlived: the owner may
-                             have taken their runs for lost */
-  GPtrArray *runs;        /* struct world_run * */
-  GArray *ends;           /* struct worker_end */
+  int64_t clock_base_ms;   /* its clock at the start of the incarnation */
+  int64_t clock_permille;  /* rate of that clock */
+  int64_t returns_ms;      /* when it starts again; 0 if it is not silent */
+  int64_t relisted_ms;     /* when the list shows that; 0 if it does */
+  int64_t listed_start_ms; /* of the incarnation that it shows until then */
+  int64_t cut_from_ms;     /* it is unreachable from then ... */
+  int64_t cut_until_ms;    /* ... until then */
+  uint64_t fencing_epoch;  /* calls with a lower epoch are refused */
+  int64_t deadline_ms;     /* end of its leases, on its own clock */
+  uint64_t last_number;    /* sequence number of its newest end */
+  uint64_t acknowledged;   /* ends that an owner has acknowledged */
+  uint64_t lapsed_number;  /* ends that its leases have outlived: the owner may
+                              have taken their runs for lost */
+  GPtrArray *runs;         /* struct world_run * */
+  GArray *ends;            /* struct worker_end */
 };
 
 /* Probabilities of faults, in percent. */
