--- a/tests/unit/test_cell_seeds.c
+++ b/tests/unit/test_cell_seeds.c
@@ -184,6 +184,14 @@
     = { .kinds = FAULTS_NOTICED, .relayed_percent = RELAYED_PERCENT };
 static const struct schedule listed
     = { .kinds = FAULTS_ALL, .lists_machines = true };
+/* The schedules above with clocks of their own and late calls; to be played by
+   a seed. */
+static const struct schedule own_clocks
+    = { .kinds = FAULTS_NOTICED, .has_own_clocks = true };
+static const struct schedule own_clocks_unnoticed
+    = { .kinds = FAULTS_ALL, .has_own_clocks = true };
+static const struct schedule own_clocks_listed
+    = { .kinds = FAULTS_ALL, .lists_machines = true, .has_own_clocks = true };
 static const struct schedule recut
     = { .has_own_clocks = true, .has_recuts = true };
 static const struct schedule recut_takeover
@@ -252,6 +260,9 @@
                   { "--seed-unnoticed", &unnoticed },
                   { "--seed-relayed", &relayed },
                   { "--seed-listed", &listed },
+                  { "--seed-own-clocks", &own_clocks },
+                  { "--seed-own-clocks-unnoticed", &own_clocks_unnoticed },
+                  { "--seed-own-clocks-listed", &own_clocks_listed },
                   { "--seed-recut", &recut },
                   { "--seed-recut-takeover", &recut_takeover } };
 
