--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -371,9 +371,7 @@
             if self.acknowledged_end < number <= last_seen \
                     and result == "done" and ended > self.lease_expired_ms:
                 self.acknowledged_done_ms.setdefault(task, ended)
-        # A number of a former life may be beyond the ends of this one.
-        self.acknowledged_end = max(self.acknowledged_end,
-                                    min(last_seen, self.last_end_number))
+        self.acknowledged_end = max(self.acknowledged_end, last_seen)
         self.ends = [e for e in self.ends if e[0] > last_seen]
 
     def crash(self):
