Send no more starts to a worker that owes an answer to one

Callers waited longer than needed for tasks whose worker had just died: the owner went on sending starts to it until a hold failed, up to 1.7 s, and each of these is waited for since a next incarnation may carry it out.

A worker that has answered neither a start nor a hold for 100 ms while a start is pending gets no other start until it answers; healthy ones answer within some ms.

--- a/src/cell_candidates.c
+++ b/src/cell_candidates.c
@@ -9,6 +9,9 @@
 /* A worker may be missing from the list for so long and still get tasks: its
    entry may be late while the store recovers. */
 #define UNLISTED_GRACE_MS 2500
+/* A worker that owes the answer to a start for so long gets no other until it
+   has answered, as each one would have to be waited for. */
+#define START_ANSWER_MAX_MS 100
 /* Suspect and very slow workers are avoided only while they are at most this
    share of all; above it, the jobs are more likely at fault than the workers.
  */
@@ -33,6 +36,9 @@
          && cell_worker_is_incarnation_listed (w)
          && (w->is_listed || now_ms < w->unlisted_ms + UNLISTED_GRACE_MS)
          && now_ms >= w->blocked_until_ms && !w->is_emptying
+         && (w->pending_starts == 0
+             || now_ms < MAX (w->pending_start_ms, w->clock_reported_ms)
+                             + START_ANSWER_MAX_MS)
          && w->clock_reported_ms != 0;
 }
 
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -82,6 +82,8 @@
   t->start_attempts++;
   t->progress_ms = now_ms;
   w->last_start_ms = now_ms;
+  if (w->pending_starts++ == 0)
+    w->pending_start_ms = now_ms;
 }
 
 static void
@@ -362,6 +364,17 @@
     c->is_fenced = true;
 }
 
+static void
+note_start_answer (struct cell *c, const char *worker, int64_t now_ms)
+{
+  struct cell_worker *w = g_hash_table_lookup (c->workers, worker);
+
+  if (w == NULL || w->pending_starts == 0)
+    return;
+  w->pending_starts--;
+  w->pending_start_ms = now_ms;
+}
+
 void
 cell_start_answered (struct cell *cell, const char *worker, const char *task,
                      uint64_t run, const struct run_outcome *outcome,
@@ -371,6 +384,7 @@
   struct cell_worker *w;
 
   note_fence (cell, worker, outcome);
+  note_start_answer (cell, worker, now_ms);
   if (t == NULL)
     return;
   w = t->worker;
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -202,7 +202,10 @@
   int64_t next_hold_ms;
   int64_t silent_ms; /* when a hold first got no answer; 0 if it answers, or
                         has not been asked */
-  int64_t last_start_ms; /* when a start there was last ordered */
+  int64_t last_start_ms;    /* when a start there was last ordered */
+  uint32_t pending_starts;  /* that are not answered yet */
+  int64_t pending_start_ms; /* since when there are some, or when the last
+                               answer to one came */
   uint32_t absences; /* lists of machines in a row, since then, without it */
   int64_t absent_ms; /* when the last of these was asked for, once they show
                         that the worker has ended; 0 before that */
