Acknowledge no end of a run that another call may start again

Callers could see a task run once more after it was done: its start had had no answer, was repeated and done, and the end was acknowledged; then the worker restarted under its ID, and its new incarnation carried out the first start, as it knows no ended runs. Besides, a hold that was under way at a restart told the new incarnation to forget ends of its own.

Ends are acknowledged within 100 ms after a report only, so that a restart in between is less likely.

--- a/src/cell_leases.c
+++ b/src/cell_leases.c
@@ -184,6 +184,46 @@
   return until_ms;
 }
 
+/* Ends. */
+
+static void
+add_unsettled_end (struct cell_worker *w, uint64_t number, int64_t until_ms)
+{
+  struct unsettled_end e = { number, until_ms };
+
+  if (w->unsettled_ends == NULL)
+    w->unsettled_ends
+        = g_array_new (FALSE, FALSE, sizeof (struct unsettled_end));
+  g_array_append_val (w->unsettled_ends, e);
+}
+
+void
+cell_note_unsettled_end (struct cell_worker *w, const struct cell_task *t,
+                         const struct worker_end *end, int64_t now_ms)
+{
+  if (cell_run_may_start_late (t, now_ms))
+    add_unsettled_end (w, end->number,
+                       t->has_pending_start ? now_ms + CALL_LATE_MAX_MS
+                                            : t->late_start_until_ms);
+}
+
+uint64_t
+cell_settled_end (struct cell_worker *w, uint64_t end, int64_t now_ms)
+{
+  for (guint i = w->unsettled_ends != NULL ? w->unsettled_ends->len : 0; i > 0;
+       i--)
+    {
+      const struct unsettled_end *e
+          = &g_array_index (w->unsettled_ends, struct unsettled_end, i - 1);
+
+      if (now_ms >= e->until_ms)
+        g_array_remove_index (w->unsettled_ends, i - 1);
+      else
+        end = MIN (end, e->number - 1);
+    }
+  return end;
+}
+
 /* The takeover. */
 
 int64_t
@@ -207,6 +247,10 @@
   if (w->restarts > 0)
     w->lease_expiry_ms
         = MAX (w->lease_expiry_ms, cell_late_lease_until_ms (c, now_ms));
+  /* The earlier owner may not have acknowledged these, as starts of the same
+     runs were under way. */
+  if (w->last_journaled_end > 0)
+    add_unsettled_end (w, 1, late_ms);
   /* Its leases last so long only if it has runs that are not placed. */
   for (guint i = 0;
        i < w->tasks->len && remaining_ms > longest_lease_until_ms (c, 0); i++)
--- a/src/cell_reports.c
+++ b/src/cell_reports.c
@@ -109,7 +109,10 @@
   cell_account_other_run_ended (w, e->task, e->run);
   run = t != NULL ? cell_task_find_run (t, w->entry->id, e->run) : NULL;
   if (run != NULL)
-    cell_learn_from_end (c, w, run, e, now_ms);
+    {
+      cell_note_unsettled_end (w, run, e, now_ms);
+      cell_learn_from_end (c, w, run, e, now_ms);
+    }
   if (e->result == END_FAILED && task_name_parse (e->task, &name))
     cell_worker_count_failure (c, w, name.job, now_ms);
   if (e->result == END_DONE)
@@ -290,7 +293,7 @@
 /* Return when to send the hold after one that was sent at SENT_MS and answered
    with REPORT now. */
 static int64_t
-time_of_next_hold (const struct cell *c, const struct cell_worker *w,
+time_of_next_hold (const struct cell *c, struct cell_worker *w,
                    const struct worker_report *report, bool was_confirmed,
                    int64_t sent_ms, int64_t now_ms)
 {
@@ -298,10 +301,12 @@
   bool can_get_lacking_ends
       = is_full (report) && w->last_journaled_end > w->acknowledged_end;
 
-  if (must_extend_leases || can_get_lacking_ends)
+  if (must_extend_leases || can_get_lacking_ends
+      || cell_worker_must_be_heard (w, now_ms))
     return now_ms;
   if (!is_conclusive (c, w, report)
-      || w->last_processed_end != w->last_journaled_end)
+      || w->last_processed_end != w->last_journaled_end
+      || (w->unsettled_ends != NULL && w->unsettled_ends->len > 0))
     return now_ms + UNJOURNALED_HOLD_INTERVAL_MS;
   if (w->tasks->len > 0)
     return MAX (sent_ms + HOLD_INTERVAL_MS, now_ms);
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -161,6 +161,15 @@
   GArray *cancel_tokens; /* uint64_t */
 };
 
+/* An end of a run that another call may start again: in the worker's next
+   incarnation, which does not know that the run has ended.  It is not
+   acknowledged before that has become impossible. */
+struct unsettled_end
+{
+  uint64_t number;
+  int64_t until_ms;
+};
+
 struct cell_worker
 {
   struct worker_entry *entry;
@@ -177,8 +186,9 @@
                                   reported nor named in its record */
   uint64_t last_journaled_end; /* highest end number that the journal has */
   uint64_t last_processed_end; /* highest end number processed here */
-  uint64_t acknowledged_end;  /* highest one that the incarnation has been told
-                                 to forget, and has answered */
+  uint64_t acknowledged_end; /* highest one that the incarnation has been told
+                                to forget, and has answered */
+  GArray *unsettled_ends; /* struct unsettled_end; NULL before the first one */
   uint64_t pending_last_seen; /* last_seen of the last hold */
   bool is_change_queued;      /* in changed_workers of the cell */
   bool is_in_journal;         /* the journal has a record of it */
@@ -454,6 +464,9 @@
                                     int64_t now_ms);
 /* Process that W's incarnation has certainly ended. */
 void cell_worker_end_incarnation (struct cell_worker *w, int64_t now_ms);
+/* Return whether a hold of W is due now, so that it acknowledges ends soon
+   after a report. */
+bool cell_worker_must_be_heard (struct cell_worker *w, int64_t now_ms);
 /* Return whether the cell calls W: the list does not show it under another
    service. */
 bool cell_worker_may_call (const struct cell_worker *w);
@@ -527,6 +540,13 @@
 /* Return when the lease of T's run has expired, whichever incarnation of its
    worker carries out the calls that had no answer. */
 int64_t cell_run_until_ms (const struct cell *c, const struct cell_task *t);
+/* Note that END of T's run, on W, must not be acknowledged while another call
+   may start the run again. */
+void cell_note_unsettled_end (struct cell_worker *w, const struct cell_task *t,
+                              const struct worker_end *end, int64_t now_ms);
+/* Return the highest end of W that may be acknowledged now, END at most. */
+uint64_t cell_settled_end (struct cell_worker *w, uint64_t end,
+                           int64_t now_ms);
 /* Return whether T's run, on a worker that does not answer, is over. */
 bool cell_run_is_over (const struct cell *c, const struct cell_task *t);
 
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -7,6 +7,9 @@
 /* A hold waits at the worker up to this long for a run to end.  The next hold
    follows soon, so leases are renewed about every second. */
 #define HOLD_WAIT_MS 1000
+/* Ends are acknowledged within this time after a report: the worker may
+   restart in between. */
+#define ACKNOWLEDGE_WITHIN_MS 100
 /* A worker that is no longer listed is forgotten after this time. */
 #define UNLISTED_RETENTION_MS 20000
 
@@ -18,6 +21,7 @@
   for (guint i = 0; i < w->tasks->len; i++)
     ((struct cell_task *)g_ptr_array_index (w->tasks, i))->worker = NULL;
   cell_account_clear_other_runs (w);
+  g_clear_pointer (&w->unsettled_ends, g_array_unref);
   worker_entry_destroy (w->entry);
   g_ptr_array_unref (w->tasks);
   g_free (w);
@@ -198,6 +202,7 @@
   w->pending_last_seen = 0;
   w->last_journaled_end = 0;
   w->last_processed_end = 0;
+  g_clear_pointer (&w->unsettled_ends, g_array_unref);
   cell_worker_forget_score (w);
   w->clock_reported_ms = 0;
   w->absences = 0;
@@ -328,31 +333,48 @@
          || w->incarnation_start_ms <= w->entry->incarnation_start_ms;
 }
 
+/* Return the ends that a hold of W may acknowledge now.  A hold can't name the
+   incarnation, and one that has restarted unnoticed would forget its own ends.
+   So a worker that may have restarted is told nothing, and each end is
+   acknowledged until that is answered, not again. */
+static uint64_t
+end_to_acknowledge (struct cell_worker *w, int64_t now_ms)
+{
+  uint64_t end = cell_settled_end (w, w->last_journaled_end, now_ms);
+
+  return w->is_confirmed && cell_worker_is_incarnation_listed (w)
+                 && end > w->acknowledged_end
+             ? end
+             : 0;
+}
+
+bool
+cell_worker_must_be_heard (struct cell_worker *w, int64_t now_ms)
+{
+  return end_to_acknowledge (w, now_ms) > w->pending_last_seen;
+}
+
 static void
 send_hold (struct cell *c, struct cell_worker *w, int64_t now_ms)
 {
   struct cell_order *o = cell_add_order (c, ORDER_HOLD);
   bool has_work = w->tasks->len > 0;
+  uint64_t end = end_to_acknowledge (w, now_ms);
 
   o->u.hold.worker = g_strdup (w->entry->id);
   o->u.hold.address = g_strdup (w->entry->address);
   if (w->clock_reported_ms != 0 && w->is_confirmed && has_work)
     o->u.hold.deadline_ms = cell_lease_deadline (w, now_ms);
-  /* A hold can't name the incarnation, and one that has restarted unnoticed
-     would forget its own ends.  So a worker that may have restarted is told
-     nothing, and each end is acknowledged until that is answered, not again.
-   */
-  if (w->is_confirmed && cell_worker_is_incarnation_listed (w)
-      && w->last_journaled_end > w->acknowledged_end)
-    o->u.hold.last_seen = w->last_journaled_end;
+  if (now_ms <= w->clock_reported_ms + ACKNOWLEDGE_WITHIN_MS)
+    o->u.hold.last_seen = end;
   w->pending_last_seen = o->u.hold.last_seen;
   o->u.hold.fencing_token = cell_worker_token (c, w);
   w->hold_token = o->u.hold.fencing_token;
   /* An idle worker may have restarted unnoticed.  If its first task was
      started on a clock of the former incarnation, that shows at once. */
   if (w->is_confirmed && has_work && w->had_tasks
-      && cell_worker_is_restart_confirmed (c, w)
-      && w->last_processed_end == w->last_journaled_end)
+      && cell_worker_is_restart_confirmed (c, w) && o->u.hold.last_seen == end
+      && w->last_processed_end == MAX (end, w->acknowledged_end))
     o->u.hold.wait_ms = HOLD_WAIT_MS;
   w->has_pending_hold = true;
 }
