Judge TWICE and BUDGET by the rule's words in one place

The stand-in's scripts and the soak test judged runs with code of their own. run_rules.py has the checks of both. New, next to what was judged before: an end that was listed on a live lease counts as taken note of 100 ms later, with no disruption near; a start by a node in touch, not carried out late, over a second after its job was shown as completed; a start after max_attempts ends as failed that were taken note of, then or later; an end that is acknowledged by a last_seen of the worker's former life; a start in the very millisecond of an end as done. find_violations still counts every end as done, taken note of or not, and lets no step have copies.

--- a/tests/platform/soak.py
+++ b/tests/platform/soak.py
@@ -18,6 +18,7 @@
 import soak_checks
 from network import Network
 from nodes import Node, kill_nodes, wait_for
+from run_rules import Disruptions
 from soak_accounts import Accounts
 from soak_faults import Faults
 from soak_jobs import HOT_S, Client
@@ -107,6 +108,9 @@
             n.call("GET", "/-/ready", port=n.readiness_port)[0] == 200
             for n in self.nodes))
         self.started_s = time.monotonic()
+        self.platform.disruptions = Disruptions()
+        # The nodes' starts.
+        self.platform.disruptions.begin(0, now_ms())
         for c in clients:
             c.start()
         time.sleep(WARM_UP_S)
--- a/tests/platform/soak_checks.py
+++ b/tests/platform/soak_checks.py
@@ -2,8 +2,9 @@
 all runs."""
 
 import time
-from collections import namedtuple
 
+import run_rules
+from run_rules import all_runs, runs_by_task
 from standin import now_ms
 
 # Requirement: no task of a job starts later than this after its cancellation.
@@ -23,52 +24,6 @@
 # with this tolerance.
 CLOCK_TOLERANCE_MS = 20
 
-Run = namedtuple("Run", "task number worker start_ms end_ms result sender")
-
-
-def all_runs(platform):
-    runs = []
-    for w in platform.workers:
-        with w.lock:
-            runs += [Run(s[0], s[1], w, *s[2:]) for s in w.ended_runs]
-            runs += [Run(t, r[0], w, r[2], now_ms(), "runs", r.sender)
-                     for t, r in w.runs.items()]
-    return sorted(runs, key=lambda r: r.start_ms)
-
-
-def runs_by_task(platform):
-    by_task = {}
-    for r in all_runs(platform):
-        by_task.setdefault(r.task, []).append(r)
-    return by_task
-
-
-def acknowledged_done(platform):
-    """Return each task with an acknowledged end "done" and the time of that
-    end."""
-    times = {}
-    for w in platform.workers:
-        with w.lock:
-            for task, ended in w.acknowledged_done_ms.items():
-                times[task] = min(ended, times.get(task, ended))
-    return times
-
-
-def check_twice(runs, done_ms, limit):
-    """Yield texts of more than LIMIT runs of a task at the same time, or of
-    runs after an end that was acknowledged."""
-    ends_ms = []
-    for r in runs:
-        ends_ms = [e for e in ends_ms if e[0] > r.start_ms] + [
-            (r.end_ms, r.worker.id)]
-        if len(ends_ms) > limit:
-            yield "%s runs at a time: %s on %s" % (
-                "two" if limit == 1 else len(ends_ms), r.task,
-                " and ".join(e[1] for e in ends_ms))
-    if done_ms is not None and runs[-1].start_ms > done_ms:
-        yield "run after an acknowledged end \"done\": " + runs[-1].task
-
-
 def count_copies(platform):
     """Return how many runs began beside another one of their task."""
     return sum(a.start_ms < b.start_ms < a.end_ms
@@ -104,6 +59,21 @@
                         "%s.%d.%d" % (job.id, k, i)
 
 
+def check_twice(platform, task, runs):
+    """Yield texts of runs beside others, or after an end that was taken note
+    of.  Stricter than the rule, a copy must not start after such an end
+    either."""
+    limit = 2 if platform.step_of(task).get("allow_duplicates") else 1
+    yield from run_rules.check_at_once(runs, limit)
+    yield from run_rules.check_after_done(runs, limit, counts_unnoted=False)
+    yield from run_rules.check_attempts(runs, platform.max_attempts(task),
+                                        counts_unnoted=False)
+    completed_ms = platform.completed_ms.get(task.split(".")[0])
+    if completed_ms is not None and platform.disruptions:
+        yield from run_rules.check_after_completed(runs, completed_ms,
+                                                   platform.disruptions)
+
+
 def check_job_of_task(task, runs, job):
     if job is None:
         yield "run of an unknown job: " + task
@@ -118,11 +88,8 @@
 def check_runs(platform, jobs):
     """Yield texts of what violates a guarantee; JOBS by ID."""
     by_task = runs_by_task(platform)
-    done_ms = acknowledged_done(platform)
     for task, runs in sorted(by_task.items()):
-        yield from check_twice(
-            runs, done_ms.get(task),
-            2 if platform.step_of(task).get("allow_duplicates") else 1)
+        yield from check_twice(platform, task, runs)
         yield from check_job_of_task(task, runs, jobs.get(task.split(".")[0]))
     for job in jobs.values():
         yield from check_order(job, by_task)
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -6,7 +6,7 @@
 
 import network
 import proxy
-from standin import Platform
+from standin import Platform, now_ms
 
 FAULT_DURATION_S = (0.3, 4.0)
 PARTITION_DURATION_S = (2.0, 10.0)
@@ -19,6 +19,10 @@
 PARTITIONED_WORKERS_MAX = 3
 
 
+def names_of(nodes, workers=()):
+    return ["node-%d" % n.number for n in nodes] + [w.id for w in workers]
+
+
 class Faults:
     def __init__(self, soak):
         self.soak = soak
@@ -46,8 +50,10 @@
         if soak.accounts:
             self.kinds += [self.change_accounts] * 4
 
-    def log(self, description):
+    def log(self, description, names=None):
+        """Log a disruption of the machines NAMES, or of everything."""
         self.count += 1
+        self.platform.disruptions.begin(self.count, now_ms(), names)
         self.soak.log_line("faults.log", "%d: %s" % (self.count, description))
 
     def inject(self):
@@ -58,6 +64,7 @@
         if end:
             if kind in (self.partition, self.delay_list):
                 duration_s = long_s
+            self.platform.disruptions.hold(self.count)
             self.pending.append((time.monotonic() + duration_s, self.count,
                                  end))
 
@@ -66,6 +73,7 @@
             if is_last or fault[0] <= time.monotonic():
                 self.pending.remove(fault)
                 fault[2]()
+                self.platform.disruptions.end(fault[1], now_ms())
                 self.soak.log_line("faults.log", "end of fault %d" % fault[1])
 
     # Processes.
@@ -76,7 +84,7 @@
         if node in self.faulty_nodes:
             return None
         self.faulty_nodes.add(node)
-        self.log("%s node-%d" % (name, node.number))
+        self.log("%s node-%d" % (name, node.number), names_of([node]))
         return node
 
     def kill_node(self):
@@ -123,25 +131,27 @@
     def reload_node(self):
         node = self.rng.choice(self.nodes)
         if node not in self.faulty_nodes:
-            self.log("reload node-%d" % node.number)
+            self.log("reload node-%d" % node.number, names_of([node]))
             node.process.send_signal(signal.SIGHUP)
 
     # Links.
 
-    def cut(self, proxies, name):
+    def cut(self, proxies, name, names):
         mode = self.rng.randint(proxy.DELAY, proxy.RESET)
-        self.log("%s %s" % (proxy.MODE_NAMES[mode], name))
+        self.log("%s %s" % (proxy.MODE_NAMES[mode], name), names)
         ends = [p.add_fault(mode) for p in proxies]
         return lambda: [end() for end in ends]
 
     def cut_store_link(self):
         i = self.rng.randrange(len(self.nodes))
-        return self.cut([self.network.stores[i]], "store of node-%d" % i)
+        return self.cut([self.network.stores[i]], "store of node-%d" % i,
+                        names_of([self.nodes[i]]))
 
     def cut_peer_link(self):
         a, b = self.rng.sample(range(len(self.nodes)), 2)
         return self.cut([self.network.peers[a, b]],
-                        "node-%d to node-%d" % (a, b))
+                        "node-%d to node-%d" % (a, b),
+                        names_of([self.nodes[a], self.nodes[b]]))
 
     def cut_worker_links(self):
         """Cut a worker off from one, some or all nodes."""
@@ -149,7 +159,8 @@
         nodes = self.rng.sample(range(len(self.nodes)),
                                 self.rng.randint(1, len(self.nodes)))
         return self.cut([self.network.workers[i, w.id] for i in nodes],
-                        "%s from nodes %s" % (w.id, sorted(nodes)))
+                        "%s from nodes %s" % (w.id, sorted(nodes)),
+                        names_of([self.nodes[i] for i in nodes], [w]))
 
     def reset_connections(self):
         self.log("reset")
@@ -189,7 +200,8 @@
         is_slow = self.rng.random() < 0.5
         if not w.is_up:
             return None
-        self.log("crash %s%s" % (w.id, " for a while" if is_slow else ""))
+        self.log("crash %s%s" % (w.id, " for a while" if is_slow else ""),
+                 names_of([], [w]))
         if not is_slow:
             self.restart(w)
             return None
@@ -236,7 +248,8 @@
         """Let a worker take a while for each answer."""
         w = self.rng.choice(self.platform.workers)
         delay_s = self.rng.uniform(*ANSWER_DELAY_S)
-        self.log("%s answers after %d ms" % (w.id, 1000 * delay_s))
+        self.log("%s answers after %d ms" % (w.id, 1000 * delay_s),
+                 names_of([], [w]))
         w.call_delay_s = delay_s
 
         def end_fault():
@@ -283,7 +296,8 @@
 
     def set_view_fault(self, field, value, off):
         i = self.rng.randrange(len(self.nodes))
-        self.log("%s %s for node-%d" % (field, value, i))
+        self.log("%s %s for node-%d" % (field, value, i),
+                 names_of([self.nodes[i]]))
         setattr(self.network.views[i], field, value)
         return lambda: setattr(self.network.views[i], field, off)
 
--- a/tests/platform/soak_jobs.py
+++ b/tests/platform/soak_jobs.py
@@ -226,6 +226,7 @@
                                        % (state, j.final_state, j.id))
         if state in ("completed", "failed", "cancelled"):
             if state == "completed" and not j.final_state:
+                self.soak.platform.completed_ms.setdefault(j.id, now_ms())
                 self.soak.check_completed(j)
             j.final_state = state
         return state
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -16,6 +16,8 @@
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
 from urllib.parse import parse_qs, urlsplit
 
+import run_rules
+
 STREAM_PARTS = 16
 # Maximum number of records on a page of the newest ones.
 PAGE_ITEMS = 500
@@ -30,6 +32,7 @@
 # A worker reports at most this many ended runs at a time.
 ENDS_PER_REPORT = 500
 CLOCK_RATE_MIN = 0.98
+MAX_ATTEMPTS = 3
 CPU_MILLI, MEMORY_MB = 16000, 32768
 RESOURCES = ["cpu", "mem_mb", "gpu"]
 # Requirement: a cap that a configuration lowers is in force from this on after
@@ -256,6 +259,7 @@
         self.works_from_ms = start_ms
         self.stop_ms = FOREVER_MS  # when the stop that was ordered is over
         self.sender = None         # the node that ordered the start
+        self.is_late = False       # the start was carried out late
         self.over_ms = None        # when it ended by itself
 
     def work_ms(self, at_ms):
@@ -289,8 +293,8 @@
         self.runs = {}   # task to Run
         self.ends = []   # [number, task, run, result, checkpoint]
         self.highest_run = {}  # task to its highest run that ended or stopped
-        self.end_times_ms = {}  # number of an end to its time
-        self.ended_runs = []  # (task, run, start_ms, end_ms, result, sender)
+        self.listed_runs = {}  # number of an end to its EndedRun
+        self.ended_runs = []  # EndedRun
         self.lease_expired_ms = 0  # when its lease last expired
         # Task to the time of its acknowledged end "done".
         self.acknowledged_done_ms = {}
@@ -330,12 +334,18 @@
         number = run[0]
         self.last_end_number += 1
         self.ends.append([self.last_end_number, task, number, result, saved])
-        self.end_times_ms[self.last_end_number] = at_ms
         self.highest_run[task] = max(number, self.highest_run.get(task, 0))
-        self.ended_runs.append((task, number, run[2], at_ms, result,
-                                run.sender))
+        self.listed_runs[self.last_end_number] = self.record_run(
+            task, run, at_ms, result)
         self.lock.notify_all()
 
+    def record_run(self, task, run, at_ms, result):
+        ended = run_rules.EndedRun((task, run[0], run[2], at_ms, result,
+                                    run.sender))
+        ended.is_late = run.is_late
+        self.ended_runs.append(ended)
+        return ended
+
     def end_due_runs(self):
         with self.lock:
             self.advance()
@@ -362,22 +372,36 @@
 
     def acknowledge_ends(self, last_seen):
         """Record that an owner has acknowledged the ends up to LAST_SEEN.  An
-        end from before the lease last expired counts as unacknowledged."""
+        end from before the lease last expired counts as unacknowledged.  A
+        LAST_SEEN of the worker's former life counts, too."""
         for number, task, _, result, _ in self.ends:
-            ended = self.end_times_ms.get(number, 0)
-            if self.acknowledged_end < number <= last_seen \
-                    and result == "done" and ended > self.lease_expired_ms:
-                self.acknowledged_done_ms.setdefault(task, ended)
+            run = self.listed_runs.get(number)
+            if run is None or number > last_seen \
+                    or run[3] <= self.lease_expired_ms:
+                continue
+            run.noted_ms = run.noted_ms or now_ms()
+            if result == "done":
+                self.acknowledged_done_ms.setdefault(task, run[3])
         self.acknowledged_end = max(self.acknowledged_end, last_seen)
         self.ends = [e for e in self.ends if e[0] > last_seen]
 
+    def note_listed_ends(self, ends):
+        """Record that ENDS are in a report, unless the lease expired before,
+        or expires soon."""
+        now = now_ms()
+        for number, *_ in ends:
+            run = self.listed_runs.get(number)
+            if run and run.listed_ms is None \
+                    and run[3] > self.lease_expired_ms \
+                    and self.lease_deadline_ms > now + run_rules.NOTED_MS:
+                run.listed_ms = now
+
     def crash(self):
         """Lose all runs and begin a new incarnation under the same ID."""
         with self.lock:
             self.advance()
             for task, run in self.runs.items():
-                self.ended_runs.append((task, run[0], run[2], now_ms(),
-                                        "gone", run.sender))
+                self.record_run(task, run, now_ms(), "gone")
             if self.has_own_clock:
                 self.clock_zero_ms = now_ms()
                 self.clock_rate = random.uniform(CLOCK_RATE_MIN, 1)
@@ -387,7 +411,7 @@
             self.fencing_token = self.lease_deadline_ms = \
                 self.acknowledged_end = self.last_end_number = 0
             self.runs, self.ends, self.highest_run = {}, [], {}
-            self.end_times_ms = {}
+            self.listed_runs = {}
             self.lock.notify_all()
 
     def report(self):
@@ -401,10 +425,12 @@
             running.append([task, run[0], self.checkpoint(task, now),
                             100 if self.platform.is_lasting(task) else percent,
                             0])
+        ended = [e for e in self.ends
+                 if e[0] > self.acknowledged_end][:ENDS_PER_REPORT]
+        self.note_listed_ends(ended)
         return {"clock_ms": self.clock_ms(),
                 "born": self.incarnation_start_ms, "running": running,
-                "ended": [e for e in self.ends
-                          if e[0] > self.acknowledged_end][:ENDS_PER_REPORT]}
+                "ended": ended}
 
     def check_fence(self, body):
         self.advance()
@@ -467,6 +493,7 @@
                                      % (self.id, task))
             self.runs[task] = self.new_run(task, body)
             self.runs[task].sender = body.get("sender")
+            self.runs[task].is_late = body.get("is_late", False)
             self.platform.check_start(self, task)
             return 200, answer
 
@@ -564,6 +591,8 @@
         self.job_accounts = {}   # ID to account
         self.straggler_share = 0  # of the runs of steps that allow duplicates
         self.violations = []     # that the workers have seen
+        self.disruptions = None  # run_rules.Disruptions; None: not recorded
+        self.completed_ms = {}   # ID to when a client saw it completed first
         self.senders = {}        # local port of a connection to its node
         self.unguarded_services = unguarded_services or []
         self.version = 1
@@ -575,7 +604,7 @@
             routes.append({"name": "q-" + s, "host": "desk.example",
                            "path_prefix": "/%s/" % s, "backend": s,
                            "target_duration_ms": 600, "priority": 0,
-                           "max_attempts": 3, "stretch": 1.6})
+                           "max_attempts": MAX_ATTEMPTS, "stretch": 1.6})
             for _ in range(workers_per_service):
                 self.add_worker(s)
         self.routes = routes
@@ -730,6 +759,7 @@
 
     def call_late(self, worker, life, call, fields):
         fields.pop("wait_ms", None)
+        fields["is_late"] = True
         if worker.is_up and worker.incarnation_start_ms == life:
             call(fields)
 
@@ -780,23 +810,18 @@
     def find_violations(self):
         """Return a list of texts, one for each rule that the runs violate."""
         violations = list(self.violations)
-        by_task = {}
-        for worker in self.workers:
-            with worker.lock:
-                for run in worker.ended_runs:
-                    by_task.setdefault(run[0], []).append(run)
-                for task, run in worker.runs.items():
-                    by_task.setdefault(task, []).append(
-                        (task, run[0], run[2], now_ms(), "runs", run.sender))
-        for task, runs in sorted(by_task.items()):
-            runs.sort(key=lambda s: s[2])
-            for before, after in zip(runs, runs[1:]):
-                if after[2] < before[3]:
-                    violations.append("two runs at a time: " + task)
-                if before[4] == "done":
-                    violations.append("run after done: " + task)
+        for task, runs in sorted(run_rules.runs_by_task(self).items()):
+            violations += run_rules.check_at_once(runs, 1)
+            violations += run_rules.check_after_done(runs, 1,
+                                                     counts_unnoted=True)
+            violations += run_rules.check_attempts(
+                runs, self.max_attempts(task), counts_unnoted=False)
         return violations
 
+    def max_attempts(self, task):
+        """Return how often TASK may fail; None: without limit."""
+        return None if self.is_lasting(task) else MAX_ATTEMPTS
+
     def count_runs(self):
         return sum(len(w.ended_runs) for w in self.workers)
 
