Tell apart ends that were acknowledged unread

A hold that was meant for a worker's former life may acknowledge ends of the new one that no report has had. The judge says so in its text.

--- a/tests/platform/judge.py
+++ b/tests/platform/judge.py
@@ -14,9 +14,10 @@
 
 
 def ended(number, start_ms, end_ms, result, noted_ms=None, listed_ms=None,
-          is_late=False):
+          is_late=False, was_read=True):
     run = EndedRun((TASK, number, start_ms, end_ms, result, "node-0"))
     run.noted_ms, run.listed_ms, run.is_late = noted_ms, listed_ms, is_late
+    run.was_read = was_read
     return run
 
 
@@ -73,6 +74,9 @@
     show("after a done end, not neighbours", [
         ended(1, 100, 200, "done", 900), ended(2, 300, 400, "lapsed"),
         ended(3, 500, 600, "lapsed")])
+    show("after a done end that was acknowledged unread", [
+        ended(1, 100, 200, "done", 900, was_read=False),
+        ended(2, 300, 400, "lapsed")])
     show("in the millisecond of a done end", [
         ended(1, 100, 200, "done", 900), ended(2, 200, 400, "lapsed")])
     show("after a done end that is not noted", [ended(1, 100, 200, "done"),
@@ -145,9 +149,9 @@
         self.worker.lease_deadline_ms += 5000
 
     def show(self, title):
-        print("%s: noted %s, listed %s" % (
-            title, self.run.noted_ms is not None,
-            self.run.listed_ms is not None))
+        print("%s: read %s, listed %s, noted %s" % (
+            title, self.run.was_read, self.run.listed_ms is not None,
+            self.run.noted_ms is not None))
 
 
 def show_noted():
--- a/tests/platform/run_rules.py
+++ b/tests/platform/run_rules.py
@@ -15,15 +15,17 @@
 # completed.
 AFTER_COMPLETED_MS = 1000
 
-# noted_ms is when the end counts as taken note of, or None.
+# noted_ms is when the end counts as taken note of, or None; was_read tells
+# whether a report had the end.
 Run = namedtuple("Run", "task number worker start_ms end_ms result sender "
-                 "is_late noted_ms", defaults=[False, None])
+                 "is_late noted_ms was_read", defaults=[False, None, False])
 
 
 class EndedRun(tuple):
     """(task, number, start_ms, end_ms, result, sender)."""
     is_late = False   # its start was carried out late
-    listed_ms = None  # when a report had its end first, on a live lease
+    was_read = False  # a report had its end
+    listed_ms = None  # when one had it first, on a live lease
     noted_ms = None   # when its end was acknowledged, on that lease
 
 
@@ -77,7 +79,8 @@
     for w in platform.workers:
         with w.lock:
             runs += [Run(s[0], s[1], w, *s[2:], s.is_late,
-                         noted_ms(platform, w, s)) for s in w.ended_runs]
+                         noted_ms(platform, w, s), s.was_read)
+                     for s in w.ended_runs]
             runs += [Run(t, r[0], w, r[2], int(time.monotonic() * 1000),
                          "runs", r.sender, r.is_late)
                      for t, r in w.runs.items()]
@@ -126,8 +129,10 @@
     """Yield texts of starts after an end "done"."""
     done = first_end(runs, "done", counts_unnoted)
     for r in starts_after(runs, done, limit) if done else []:
-        yield "run after %s end \"done\": %s on %s" % (
-            "an" if counts_unnoted else "an acknowledged", r.task, r.worker.id)
+        yield "run after an %s \"done\"%s: %s on %s" % (
+            "end" if counts_unnoted else "acknowledged end",
+            "" if done.was_read else " that no report had", r.task,
+            r.worker.id)
 
 
 def check_attempts(runs, max_attempts, counts_unnoted):
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -386,11 +386,13 @@
         self.ends = [e for e in self.ends if e[0] > last_seen]
 
     def note_listed_ends(self, ends):
-        """Record that ENDS are in a report, unless the lease expired before,
-        or expires soon."""
+        """Record that ENDS are in a report, and when, unless the lease expired
+        before, or expires soon."""
         now = now_ms()
         for number, *_ in ends:
             run = self.listed_runs.get(number)
+            if run:
+                run.was_read = True
             if run and run.listed_ms is None \
                     and run[3] > self.lease_expired_ms \
                     and self.lease_deadline_ms > now + run_rules.NOTED_MS:
