--- a/tests/platform/recut.py
+++ b/tests/platform/recut.py
@@ -1,5 +1,6 @@
 """Workers that start again under their IDs and are cut off soon after:
-recut.py BURDOCKSHED [--seed N] [--seeds N] [--rounds N] [--variant NAME].
+recut.py BURDOCKSHED [--seed N] [--seeds N] [--rounds N] [--variant NAME]
+[--hide-ends].
 Guards against a task that runs twice because a call that was meant for a
 worker's former life gives a longer lease, or starts a run, in the next one."""
 
@@ -86,13 +87,14 @@
 
 
 class Play:
-    def __init__(self, binary, seed, variant, rounds):
+    def __init__(self, binary, seed, variant, rounds, hides_ends):
         random.seed(seed)
         self.rng = random.Random(seed)
         self.variant, self.rounds = variant, rounds
         self.platform = RecutPlatform()
         for w in self.platform.workers:
             w.has_own_clock = True
+            w.hides_later_ends = hides_ends
             w.crash()
             w.clock_zero_ms -= CLOCK_BEGIN_MS
         if variant != "waiting":
@@ -173,11 +175,10 @@
 
     def check(self):
         violations = list(self.platform.violations)
-        done_ms = soak_checks.acknowledged_done(self.platform)
         by_task = soak_checks.runs_by_task(self.platform)
         traced = 0
         for task, runs in sorted(by_task.items()):
-            found = list(soak_checks.check_twice(runs, done_ms.get(task), 1))
+            found = list(soak_checks.check_twice(self.platform, task, runs))
             violations += found
             if found:
                 traced += 1
@@ -255,8 +256,8 @@
         call["fields"])
 
 
-def play(binary, seed, variant, rounds):
-    p = Play(binary, seed, variant, rounds)
+def play(binary, seed, variant, rounds, hides_ends):
+    p = Play(binary, seed, variant, rounds, hides_ends)
     violations = []
     try:
         violations = p.run_test()
@@ -292,12 +293,16 @@
     parser.add_argument("--seeds", type=int, default=1)
     parser.add_argument("--rounds", type=int, default=ROUNDS)
     parser.add_argument("--variant", choices=VARIANTS)
+    parser.add_argument("--hide-ends", action="store_true", help="let workers "
+                        "hide ends by a last_seen that was meant for their "
+                        "former life")
     a = parser.parse_args()
     if not a.variant:
         play_all()
     for seed in range(a.seed, a.seed + a.seeds):
         print("%s: violations: %s" % (
-            a.variant, play(a.binary, seed, a.variant, a.rounds)))
+            a.variant, play(a.binary, seed, a.variant, a.rounds,
+                               a.hide_ends)))
 
 
 main()
--- a/tests/platform/soak_faults.py
+++ b/tests/platform/soak_faults.py
@@ -6,7 +6,7 @@
 
 import network
 import proxy
-from standin import Platform
+from standin import Platform, now_ms
 
 FAULT_DURATION_S = (0.3, 4.0)
 PARTITION_DURATION_S = (2.0, 10.0)
@@ -22,6 +22,10 @@
 PARTITIONED_WORKERS_MAX = 3
 
 
+def names_of(nodes, workers=()):
+    return ["node-%d" % n.number for n in nodes] + [w.id for w in workers]
+
+
 class Faults:
     def __init__(self, soak):
         self.soak = soak
@@ -50,8 +54,10 @@
         if soak.accounts:
             self.kinds += [self.change_accounts] * 4
 
-    def log(self, description):
+    def log(self, description, names=None):
+        """Log a disruption of the machines NAMES, or of everything."""
         self.count += 1
+        self.platform.disruptions.begin(self.count, now_ms(), names)
         self.soak.log_line("faults.log", "%d: %s" % (self.count, description))
 
     def inject(self):
@@ -64,6 +70,7 @@
                 duration_s = long_s
             if kind == self.recut_worker:
                 duration_s = self.rng.uniform(*RECUT_DARK_S)
+            self.platform.disruptions.hold(self.count)
             self.end_after(duration_s, self.count, end)
 
     def end_after(self, duration_s, number, end):
@@ -74,6 +81,8 @@
             if is_last or fault[0] <= time.monotonic():
                 self.pending.remove(fault)
                 fault[2]()
+                if not any(f[1] == fault[1] for f in self.pending):
+                    self.platform.disruptions.end(fault[1], now_ms())
                 self.soak.log_line("faults.log", "end of fault %d" % fault[1])
         if is_last and self.pending:
             self.end_due(is_last)
@@ -86,7 +95,7 @@
         if node in self.faulty_nodes:
             return None
         self.faulty_nodes.add(node)
-        self.log("%s node-%d" % (name, node.number))
+        self.log("%s node-%d" % (name, node.number), names_of([node]))
         return node
 
     def kill_node(self):
@@ -133,25 +142,27 @@
     def reload_node(self):
         node = self.rng.choice(self.nodes)
         if node not in self.faulty_nodes:
-            self.log("reload node-%d" % node.number)
+            self.log("reload node-%d" % node.number, names_of([node]))
             node.process.send_signal(signal.SIGHUP)
 
     # Links.
 
-    def cut(self, proxies, name):
+    def cut(self, proxies, name, names):
         mode = self.rng.randint(proxy.DELAY, proxy.RESET)
-        self.log("%s %s" % (proxy.MODE_NAMES[mode], name))
+        self.log("%s %s" % (proxy.MODE_NAMES[mode], name), names)
         ends = [p.add_fault(mode) for p in proxies]
         return lambda: [end() for end in ends]
 
     def cut_store_link(self):
         i = self.rng.randrange(len(self.nodes))
-        return self.cut([self.network.stores[i]], "store of node-%d" % i)
+        return self.cut([self.network.stores[i]], "store of node-%d" % i,
+                        names_of([self.nodes[i]]))
 
     def cut_peer_link(self):
         a, b = self.rng.sample(range(len(self.nodes)), 2)
         return self.cut([self.network.peers[a, b]],
-                        "node-%d to node-%d" % (a, b))
+                        "node-%d to node-%d" % (a, b),
+                        names_of([self.nodes[a], self.nodes[b]]))
 
     def cut_worker_links(self):
         """Cut a worker off from one, some or all nodes."""
@@ -159,7 +170,8 @@
         nodes = self.rng.sample(range(len(self.nodes)),
                                 self.rng.randint(1, len(self.nodes)))
         return self.cut([self.network.workers[i, w.id] for i in nodes],
-                        "%s from nodes %s" % (w.id, sorted(nodes)))
+                        "%s from nodes %s" % (w.id, sorted(nodes)),
+                        names_of([self.nodes[i] for i in nodes], [w]))
 
     def reset_connections(self):
         self.log("reset")
@@ -199,7 +211,8 @@
         is_slow = self.rng.random() < 0.5
         if not w.is_up:
             return None
-        self.log("crash %s%s" % (w.id, " for a while" if is_slow else ""))
+        self.log("crash %s%s" % (w.id, " for a while" if is_slow else ""),
+                 names_of([], [w]))
         if not is_slow:
             w.restart()
             return None
@@ -213,7 +226,7 @@
         w = self.rng.choice(self.platform.workers)
         if not w.is_up:
             return None
-        self.log("recut %s" % w.id)
+        self.log("recut %s" % w.id, names_of([], [w]))
         number = self.count
         until_cut_s = self.rng.uniform(*RECUT_UNTIL_CUT_S)
         cut_s = self.rng.uniform(*RECUT_CUT_S)
@@ -262,7 +275,8 @@
         """Let a worker take a while for each answer."""
         w = self.rng.choice(self.platform.workers)
         delay_s = self.rng.uniform(*ANSWER_DELAY_S)
-        self.log("%s answers after %d ms" % (w.id, 1000 * delay_s))
+        self.log("%s answers after %d ms" % (w.id, 1000 * delay_s),
+                 names_of([], [w]))
         w.call_delay_s = delay_s
 
         def end_fault():
@@ -309,7 +323,8 @@
 
     def set_view_fault(self, field, value, off):
         i = self.rng.randrange(len(self.nodes))
-        self.log("%s %s for node-%d" % (field, value, i))
+        self.log("%s %s for node-%d" % (field, value, i),
+                 names_of([self.nodes[i]]))
         setattr(self.network.views[i], field, value)
         return lambda: setattr(self.network.views[i], field, off)
 
