Order stops again in a worker's new incarnation, and other review findings

A second reader of the fix found by reading, none seen by callers:

- A task that was being stopped, its stop acknowledged, stayed so when the worker restarted and its new incarnation carried out the late start: nothing stopped that run any more.
A restart makes the stop due again, an answer under an earlier fencing token does not count, and neither does a stop whose run is still reported.
- With 500 ends behind one that may not be acknowledged yet, holds followed each other without a pause.
- While runs that are not placed were waited for, each pass over the workers placed tasks anew, and other runs of accounts were forgotten before their time.
- A start that was left unanswered reopened its worker for others.
It stays closed until it has answered a later call.
- A call that expired before it was put on a connection counted as one that may still be carried out; it counts as not sent now.

--- a/src/cell.h
+++ b/src/cell.h
@@ -184,7 +184,7 @@
   RUN_EXPIRED,    /* its deadline has passed */
   RUN_NO_ROOM,
   RUN_NO_TICKET,
-  RUN_UNHEALTHY,        /* the worker is unhealthy and did nothing */
+  RUN_UNHEALTHY,        /* the worker did nothing, or was not called */
   RUN_OTHER_INCARNATION /* another incarnation answers at the address */
 };
 
--- a/src/cell_account_use.c
+++ b/src/cell_account_use.c
@@ -135,6 +135,21 @@
     }
 }
 
+bool
+cell_account_drop_other_runs (const struct cell *c, struct cell_worker *w)
+{
+  guint before = w->other_runs != NULL ? w->other_runs->len : 0;
+
+  for (guint i = before; i > 0; i--)
+    if (c->confirmed_ms > ((const struct cell_other_run *)g_ptr_array_index (
+                               w->other_runs, i - 1))
+                              ->until_ms)
+      g_ptr_array_remove_index_fast (w->other_runs, i - 1);
+  if (w->other_runs != NULL && w->other_runs->len == 0)
+    cell_account_clear_other_runs (w);
+  return before > (w->other_runs != NULL ? w->other_runs->len : 0);
+}
+
 void
 cell_account_clear_other_runs (struct cell_worker *w)
 {
--- a/src/cell_accounts.h
+++ b/src/cell_accounts.h
@@ -136,6 +136,10 @@
 void cell_account_add_other_run (struct cell *c, struct cell_worker *w,
                                  const char *task, uint64_t run,
                                  int64_t until_ms);
+/* Forget the other runs on W, which does not answer, that are over by now;
+   return whether there were any. */
+bool cell_account_drop_other_runs (const struct cell *c,
+                                   struct cell_worker *w);
 /* Return from when on a report can prove that T's run is over, FROM_MS at the
    earliest.  A start without an answer may be carried out late. */
 int64_t cell_run_unproved_until_ms (const struct cell *c,
--- a/src/cell_candidates.c
+++ b/src/cell_candidates.c
@@ -36,6 +36,7 @@
          && cell_worker_is_incarnation_listed (w)
          && (w->is_listed || now_ms < w->unlisted_ms + UNLISTED_GRACE_MS)
          && now_ms >= w->blocked_until_ms && !w->is_emptying
+         && w->clock_reported_ms > w->unanswered_ms
          && (w->pending_starts == 0
              || now_ms < MAX (w->pending_start_ms, w->clock_reported_ms)
                              + START_ANSWER_MAX_MS)
--- a/src/cell_leases.c
+++ b/src/cell_leases.c
@@ -203,8 +203,9 @@
 {
   if (cell_run_may_start_late (t, now_ms))
     add_unsettled_end (w, end->number,
-                       t->has_pending_start ? now_ms + CALL_LATE_MAX_MS
-                                            : t->late_start_until_ms);
+                       t->has_pending_start
+                           ? now_ms + CALL_TRANSIT_MAX_MS + CALL_LATE_MAX_MS
+                           : t->late_start_until_ms);
 }
 
 uint64_t
--- a/src/cell_reports.c
+++ b/src/cell_reports.c
@@ -71,6 +71,7 @@
       return;
     }
   t->placed_ms = sent_ms;
+  cell_check_stop (c, t, sent_ms, now_ms);
   /* Beside one run of an earlier owner there may be a copy. */
   if (!cell_may_copy (t))
     t->is_every_run_known = true;
@@ -299,7 +300,9 @@
 {
   bool must_extend_leases = !was_confirmed && w->tasks->len > 0;
   bool can_get_lacking_ends
-      = is_full (report) && w->last_journaled_end > w->acknowledged_end;
+      = is_full (report)
+        && cell_settled_end (w, w->last_journaled_end, now_ms)
+               > w->acknowledged_end;
 
   if (must_extend_leases || can_get_lacking_ends
       || cell_worker_must_be_heard (w, now_ms))
--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -97,6 +97,24 @@
   t->retry_ms = now_ms + STOP_RETRY_DELAY_MS;
 }
 
+void
+cell_repeat_stop (struct cell_task *t, int64_t now_ms)
+{
+  if (t->phase != TASK_STOPPING)
+    return;
+  t->is_stop_acknowledged = false;
+  t->retry_ms = now_ms;
+}
+
+void
+cell_check_stop (const struct cell *c, struct cell_task *t, int64_t sent_ms,
+                 int64_t now_ms)
+{
+  if (t->is_stop_acknowledged
+      && sent_ms > t->phase_ms + c->options.stop_grace_ms + STOP_MARGIN_MS)
+    cell_repeat_stop (t, now_ms);
+}
+
 void
 cell_stop_task (struct cell *c, struct cell_task *t, int64_t now_ms)
 {
@@ -328,7 +346,7 @@
 handle_not_started (struct cell *c, struct cell_task *t, int64_t delay_ms,
                     int64_t now_ms)
 {
-  if (t->late_start_until_ms != 0)
+  if (cell_run_may_start_late (t, now_ms))
     {
       repeat_start_later (c, t, START_RETRY_DELAY_MS, now_ms);
       return;
@@ -365,14 +383,18 @@
 }
 
 static void
-note_start_answer (struct cell *c, const char *worker, int64_t now_ms)
+note_start_answer (struct cell *c, const char *worker, enum run_answer answer,
+                   int64_t now_ms)
 {
   struct cell_worker *w = g_hash_table_lookup (c->workers, worker);
 
   if (w == NULL || w->pending_starts == 0)
     return;
   w->pending_starts--;
-  w->pending_start_ms = now_ms;
+  if (answer == RUN_NO_ANSWER)
+    w->unanswered_ms = now_ms;
+  else
+    w->pending_start_ms = now_ms;
 }
 
 void
@@ -384,7 +406,7 @@
   struct cell_worker *w;
 
   note_fence (cell, worker, outcome);
-  note_start_answer (cell, worker, now_ms);
+  note_start_answer (cell, worker, outcome->answer, now_ms);
   if (t == NULL)
     return;
   w = t->worker;
@@ -457,8 +479,10 @@
   note_fence (cell, worker, outcome);
   if (t == NULL || t->phase != TASK_STOPPING)
     return;
+  /* An earlier incarnation's answer tells nothing of the known one. */
   if (outcome->answer == RUN_NO_ANSWER || outcome->answer == RUN_FENCED
-      || outcome->answer == RUN_UNHEALTHY)
+      || outcome->answer == RUN_UNHEALTHY
+      || outcome->fencing_token < cell_worker_token (cell, t->worker))
     {
       t->retry_ms = now_ms + STOP_RETRY_DELAY_MS;
       return;
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -213,6 +213,7 @@
   int64_t silent_ms; /* when a hold first got no answer; 0 if it answers, or
                         has not been asked */
   int64_t last_start_ms;    /* when a start there was last ordered */
+  int64_t unanswered_ms;    /* when a start there was last left unanswered */
   uint32_t pending_starts;  /* that are not answered yet */
   int64_t pending_start_ms; /* since when there are some, or when the last
                                answer to one came */
@@ -587,6 +588,13 @@
 void cell_pace_best_effort (struct cell *c, struct cell_worker *w,
                             int64_t now_ms);
 void cell_stop_task (struct cell *c, struct cell_task *t, int64_t now_ms);
+/* If T is being stopped, have that ordered again: its worker may know of no
+   stop. */
+void cell_repeat_stop (struct cell_task *t, int64_t now_ms);
+/* The same if T's run is reported by a hold that was sent at SENT_MS, though
+   its stop should be over. */
+void cell_check_stop (const struct cell *c, struct cell_task *t,
+                      int64_t sent_ms, int64_t now_ms);
 /* Keep T's run, which has ended, on its worker while a call to start it may
    still be carried out. */
 void cell_keep_ended_run (struct cell_task *t, int64_t now_ms);
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -153,9 +153,10 @@
         && cell_run_is_over (c, g_ptr_array_index (w->tasks, i - 1)))
       reset_lost_task (c, g_ptr_array_index (w->tasks, i - 1), cause, over_ms,
                        now_ms);
+  if (n_over > 0 || w->may_have_unseen_runs
+      || cell_account_drop_other_runs (c, w))
+    c->needs_placement = true;
   w->may_have_unseen_runs = false;
-  cell_account_clear_other_runs (w);
-  c->needs_placement = true;
 }
 
 /* Process that W has replaced the incarnation that the cell knew.  The runs
@@ -186,6 +187,7 @@
         reset_lost_task (c, t, "worker-restarted", now_ms, now_ms);
       t->late_start_until_ms = MAX (t->late_start_until_ms, earlier_calls_ms);
       t->placed_ms = 0;
+      cell_repeat_stop (t, now_ms);
     }
 }
 
