Leave a run alone that a worker's restart has reset

Found by reading before the landing, not seen by callers: after the reset of a run that was placed in a worker's former incarnation, its task was written to, which is freed if it is a copy, and may have the run of its copy, on another worker, by then.

--- a/src/cell_runs.c
+++ b/src/cell_runs.c
@@ -412,9 +412,7 @@
   w = t->worker;
   t->has_pending_start = false;
   if (outcome->may_arrive_later || outcome->answer == RUN_NO_ANSWER)
-    {
-      t->late_start_until_ms = now_ms + CALL_LATE_MAX_MS;
-    }
+    t->late_start_until_ms = now_ms + CALL_LATE_MAX_MS;
   if (t->phase == TASK_STOPPING)
     {
       /* The stop was sent while the start was not answered yet. */
--- a/src/cell_workers.c
+++ b/src/cell_workers.c
@@ -184,7 +184,11 @@
         continue;
       t = g_ptr_array_index (w->tasks, i - 1);
       if (cell_run_is_placed (t) && now_ms >= earlier_calls_ms)
-        reset_lost_task (c, t, "worker-restarted", now_ms, now_ms);
+        {
+          /* This frees T if it is a copy. */
+          reset_lost_task (c, t, "worker-restarted", now_ms, now_ms);
+          continue;
+        }
       t->late_start_until_ms = MAX (t->late_start_until_ms, earlier_calls_ms);
       t->placed_ms = 0;
       cell_repeat_stop (t, now_ms);
