--- a/src/cell_leases.c
+++ b/src/cell_leases.c
@@ -240,10 +240,9 @@
                       int64_t now_ms)
 {
   int64_t late_ms = cell_earlier_calls_until_ms (c);
-  int64_t remaining_ms = MAX (w->lease_remaining_ms, 0);
 
   w->may_have_earlier_leases = w->lease_remaining_ms == LEASE_UNKNOWN;
-  w->lease_expiry_ms = now_ms + remaining_ms;
+  w->lease_expiry_ms = now_ms + MAX (w->lease_remaining_ms, 0);
   /* It has restarted since the earlier owner's record. */
   if (w->restarts > 0)
     w->lease_expiry_ms
@@ -252,9 +251,4 @@
      runs were under way. */
   if (w->last_journaled_end > 0)
     add_unsettled_end (w, 1, late_ms);
-  /* Its leases last so long only if it has runs that are not placed. */
-  for (guint i = 0;
-       i < w->tasks->len && remaining_ms > longest_lease_until_ms (c, 0); i++)
-    ((struct cell_task *)g_ptr_array_index (w->tasks, i))->late_start_until_ms
-        = late_ms;
 }
