After a takeover, wait for calls to a worker whose machine is gone

The new owner took the worker for ended 0.4 s after its takeover, as the list of machines lacked it, and started the task elsewhere; the worker came back and carried the start out.

Such lists count from 3 s after the takeover on, besides 1.2 s after the last start of this owner.

--- a/src/cell_machines.c
+++ b/src/cell_machines.c
@@ -13,6 +13,10 @@
 /* Lists in a row that must lack a worker: one that is read page by page is not
    a snapshot. */
 #define ABSENCES_MIN 2
+/* How long after a takeover calls of the earlier owner are taken to be under
+   way to a worker whose machine is gone.  Shorter than for one that may be up:
+   its long-running tasks may not stand still for long. */
+#define EARLIER_CALLS_MS 3000
 /* Return whether something waits for the leases of W, which has not answered a
    hold. */
 static bool
@@ -48,6 +52,17 @@
       }
 }
 
+/* Return from when on a list without W shows that nobody gets the calls that
+   were sent to it: its next incarnation takes those that are under way. */
+static int64_t
+calls_over_ms (const struct cell *c, const struct cell_worker *w)
+{
+  int64_t earlier_ms
+      = c->earlier_owners->len > 0 ? c->taken_over_ms + EARLIER_CALLS_MS : 0;
+
+  return MAX (earlier_ms, w->last_start_ms + CALL_TRANSIT_MAX_MS);
+}
+
 static void
 note_absence (struct cell *c, struct cell_worker *w, int64_t sent_ms,
               int64_t now_ms)
@@ -79,8 +94,7 @@
     {
       struct cell_worker *w = g_ptr_array_index (cell->worker_list, i);
 
-      if (!is_waited_for (cell, w) || sent_ms < w->silent_ms
-          || sent_ms < w->last_start_ms + CALL_TRANSIT_MAX_MS)
+      if (!is_waited_for (cell, w) || sent_ms < w->silent_ms)
         continue;
       if (g_hash_table_contains (workers, w->entry->id))
         {
@@ -88,7 +102,8 @@
           continue;
         }
       has_absence = true;
-      note_absence (cell, w, sent_ms, now_ms);
+      if (sent_ms >= calls_over_ms (cell, w))
+        note_absence (cell, w, sent_ms, now_ms);
     }
   cell->list_interval_ms
       = has_absence ? LIST_INTERVAL_MS
