Name the time after which an unanswered order is settled

The sum of the longest transit and the longest lateness stood in four places of cell_leases.c. Behaviour is unchanged: the cell, ledger and odd_records tests pass but the known red schedule (test_cell_seeds_recut-takeover); test_cell_kinds was not run again.

--- a/src/cell_leases.c
+++ b/src/cell_leases.c
@@ -55,8 +55,7 @@
 int64_t
 cell_late_lease_until_ms (const struct cell *c, int64_t sent_ms)
 {
-  return longest_lease_until_ms (c, sent_ms + CALL_TRANSIT_MAX_MS
-                                        + CALL_LATE_MAX_MS);
+  return longest_lease_until_ms (c, sent_ms + ORDER_SETTLED_MS);
 }
 
 /* Return an estimate of the worker's clock now. */
@@ -97,8 +96,7 @@
   w->restarts = ++c->restarts;
   w->has_taken_token = false;
   if (now_ms
-      < MAX (w->lease_expiry_ms,
-             w->last_deadline_ms + CALL_TRANSIT_MAX_MS + CALL_LATE_MAX_MS))
+      < MAX (w->lease_expiry_ms, w->last_deadline_ms + ORDER_SETTLED_MS))
     w->lease_expiry_ms
         = MAX (w->lease_expiry_ms, cell_late_lease_until_ms (c, now_ms));
 }
@@ -203,9 +201,8 @@
 {
   if (cell_run_may_start_late (t, now_ms))
     add_unsettled_end (w, end->number,
-                       t->has_pending_start
-                           ? now_ms + CALL_TRANSIT_MAX_MS + CALL_LATE_MAX_MS
-                           : t->late_start_until_ms);
+                       t->has_pending_start ? now_ms + ORDER_SETTLED_MS
+                                            : t->late_start_until_ms);
 }
 
 uint64_t
@@ -230,9 +227,7 @@
 int64_t
 cell_earlier_calls_until_ms (const struct cell *c)
 {
-  return c->earlier_owners->len == 0
-             ? 0
-             : c->taken_over_ms + CALL_TRANSIT_MAX_MS + CALL_LATE_MAX_MS;
+  return c->earlier_owners->len == 0 ? 0 : c->taken_over_ms + ORDER_SETTLED_MS;
 }
 
 void
--- a/src/cell_state.h
+++ b/src/cell_state.h
@@ -39,6 +39,9 @@
 /* A call without an answer may be carried out this much later, also by the
    worker's next incarnation. */
 #define CALL_LATE_MAX_MS 6000
+/* An order without an answer is not carried out later than this after it was
+   given. */
+#define ORDER_SETTLED_MS (CALL_TRANSIT_MAX_MS + CALL_LATE_MAX_MS)
 /* Value of lease_remaining_ms where a worker's record does not tell how long
    its leases last. */
 #define LEASE_UNKNOWN (-1)
