--- a/review/13/case.py
+++ b/review/13/case.py
@@ -1,5 +1,6 @@
-"""Many jobs of a queue with advice come at once.  The advice service can give
-advice on all of them within eleven seconds.  All of them must be run."""
+"""The two workers of a kind fail what they start for five seconds.  Jobs that
+need that kind have failed there, but fewer than max_attempts times.  Once the
+workers are sound again, the jobs must be run."""
 
 import os
 import sys
@@ -8,57 +9,80 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "..", "lib-3"))
 
 import harness  # noqa: E402
-import advice  # noqa: E402
+import failing  # noqa: E402
 
-WORKERS = 24
-JOBS, BURST_S, SPACED_S = 30, 4, 24
-DECISION_MS, EACH_MS, VALID_MS = 100, 10, 3000
+WORKERS, SPECIAL, KIND = 24, 2, "b"
+FAILING_S, FAILS_AFTER_MS = 5, 400
+MAX_ATTEMPTS = 4
 WORK_MS = 1000
-# Requirements (LOST): from finish_s after the end of the traffic, no job has
-# nothing running for 3 s.
-FINISH_S, NOTHING_RUNNING_S = 14, 3
-WATCHED_S = 20
+# Requirement (LOST): from finish_s after the end of the traffic, no job has
+# nothing running for 3 s while a task's turn has come and there is capacity.
+# The trouble has to be over for stable_window_ms, too.
+FINISH_S, STABLE_WINDOW_S, NOTHING_RUNNING_S = 14, 3, 3
+WATCHED_S = 30
 SERVICE = "search"
+JOBS = ["5c0e7a21d94b36f%x" % i for i in range(4)]
 
 
 def run(script):
     platform = script.platform
     script.wait_until_ready()
     time.sleep(5)
-    jobs = ["5c0e7a21d94b3%03x" % i for i in range(JOBS)]
+    special = platform.workers[:SPECIAL]
+    if harness.TROUBLE:
+        for w in special:
+            platform.fails_after_ms[w.id] = FAILS_AFTER_MS
+            script.note("%s fails what it starts" % w.id)
     begin_s = time.monotonic()
-    for i, name in enumerate(jobs):
-        length_s = BURST_S if harness.TROUBLE else SPACED_S
-        time.sleep(max(0, begin_s + length_s * i / JOBS - time.monotonic()))
+    for name in JOBS:
         script.submit(SERVICE, name, {
             "spec": str(WORK_MS),
-            "steps": [{"count": 1, "cpu": 1000, "mem_mb": 500,
-                       "estimate_ms": WORK_MS}]})
-    script.note("the traffic has ended")
-    time.sleep(FINISH_S)
-    begin_s = time.monotonic()
-    script.note("finish_s has passed; advice calls: %s"
-                % platform.advice.counts)
-    idle_since_s = {name: begin_s for name in jobs}
-    open_jobs = list(jobs)
-    while open_jobs and time.monotonic() < begin_s + WATCHED_S:
-        for name in list(open_jobs):
-            if platform.is_running(name):
-                idle_since_s[name] = time.monotonic()
-            elif script.state(SERVICE, name) == "completed":
-                open_jobs.remove(name)
-        time.sleep(0.2)
-    lost = [n for n in open_jobs
-            if time.monotonic() - idle_since_s[n] > NOTHING_RUNNING_S]
-    script.note("advice calls: %s" % platform.advice.counts)
-    print("jobs: %d, completed: %d, with nothing running for over %d s: %d; "
-          "advice calls: %s" % (JOBS, JOBS - len(open_jobs),
-                                NOTHING_RUNNING_S, len(lost),
-                                platform.advice.counts))
-    return harness.BROKEN if lost else harness.HELD
+            "steps": [{"count": 1, "cpu": 2000, "mem_mb": 500,
+                       "estimate_ms": WORK_MS, "requirements": KIND}]})
+    end_s = time.monotonic()
+    if harness.TROUBLE:
+        time.sleep(max(0, begin_s + FAILING_S - time.monotonic()))
+        platform.fails_after_ms.clear()
+        script.note("no worker fails any more")
+        time.sleep(STABLE_WINDOW_S)
+    time.sleep(max(0, end_s + FINISH_S - time.monotonic()))
+    script.note("finish_s has passed")
+    calm_s = time.monotonic()
+    idle_since_s = {name: calm_s for name in JOBS}
+    longest_s = {name: 0 for name in JOBS}
+    states = {}
+    next_look_s = 0
+    while time.monotonic() < calm_s + WATCHED_S:
+        now_s = time.monotonic()
+        if now_s >= next_look_s:
+            states = {name: script.state(SERVICE, name) for name in JOBS}
+            next_look_s = now_s + 1
+        if all(s not in ("pending", "running") for s in states.values()):
+            break
+        for name in JOBS:
+            if platform.is_running(name) \
+                    or states[name] not in ("pending", "running"):
+                idle_since_s[name] = now_s
+            longest_s[name] = max(longest_s[name],
+                                  now_s - idle_since_s[name])
+        time.sleep(0.02)
+    broken = False
+    for name in JOBS:
+        failures = platform.failed_ends(name)
+        print("job %s: %s, %d runs ended as failed, nothing running for %.1f "
+              "s" % (name, states[name], failures, longest_s[name]))
+        is_lost = longest_s[name] > NOTHING_RUNNING_S \
+            or (states[name] == "failed" and failures < MAX_ATTEMPTS)
+        broken = broken or is_lost
+    print("runs on the %d workers of kind %s now: %d; their capacity is for "
+          "%d such tasks" % (SPECIAL, KIND, sum(len(w.runs) for w in special),
+                             8 * SPECIAL))
+    if broken:
+        return harness.BROKEN
+    return harness.HELD
 
 
 harness.play(lambda: harness.Script(
-    __file__, advice.AdvicePlatform, advice.AdviceWorker, service=SERVICE,
-    workers=WORKERS, decision_ms=DECISION_MS, each_ms=EACH_MS,
-    valid_ms=VALID_MS), run)
+    __file__, failing.FailingPlatform, failing.FailingWorker,
+    service=SERVICE, workers=WORKERS, special=SPECIAL, kind=KIND,
+    max_attempts=MAX_ATTEMPTS), run)
