--- a/review/lib-3/late.py
+++ b/review/lib-3/late.py
@@ -54,8 +54,15 @@
             answer = self.carry_out(call)
         except ConnectionError:
             return
-        if call.path == "/-/run-start" \
-                and call.life != call.worker.incarnation_start_ms:
+        if call.life == call.worker.incarnation_start_ms:
+            return
+        if call.path == "/-/run-start":
             self.record.write(
                 call.worker.id, "that start was sent %d ms before, to the "
                 "former life -> %d" % (now_ms() - call.sent_ms, answer[0]))
+        elif call.path == "/-/hold" and call.fields["last_seen"]:
+            self.record.write(
+                call.worker.id, "a hold with last_seen %d, sent %d ms before, "
+                "to the former life -> %d" % (
+                    call.fields["last_seen"], now_ms() - call.sent_ms,
+                    answer[0]))
